--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# The one door to build, test and check shedrock.
+SHELL := /bin/bash
+.DELETE_ON_ERROR:
+
+BIN := bin/shedrock
+TOOLS := go tool -modfile=tools/go.mod
+GENERATED := \.(pb|twirp)\.go$$
+
+.PHONY: all build run test unit check spec bench capacity soak generate
+
+all: build
+
+build:
+	go build -o $(BIN) ./cmd/shedrock
+
+# Everything in one process, to try it.
+run: build
+	@exec ./$(BIN) local
+
+# What CI runs: checks, models, then all tests with the race detector.
+test: check spec unit
+
+unit:
+	go test -race -timeout 8m ./...
+
+check:
+	@bad=$$(gofmt -l $$(git ls-files '*.go' | grep -vE '$(GENERATED)')); \
+	  if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
+	go vet ./...
+	$(TOOLS) staticcheck ./...
+	$(TOOLS) revive -config tools/revive.toml -set_exit_status -exclude ./internal/protocol/wire/... -exclude ./internal/state/command/... ./...
+
+# The models, and their mutants, which Spin must reject.
+spec:
+	@command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+	@spec/check
+
+# Figures as a table, and as CSV files under bench/.
+bench: build
+	go run ./bench
+
+# The slopes behind docs/CAPACITY.md.
+capacity: build
+	go run ./bench -capacity
+
+# The seeded fault mix with more seeds than CI runs.
+soak:
+	SHEDROCK_SOAK=1 go test -count=1 -timeout 30m -run 'Soak' ./...
+
+# Only needed after a change of a .proto file.
+generate:
+	@command -v protoc >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler; }
+	GOBIN=$(CURDIR)/bin go install google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH=$(CURDIR)/bin:$$PATH protoc -Iinternal/protocol/wire --go_out=. --go_opt=module=github.com/shedrock/shedrock --twirp_out=. --twirp_opt=module=github.com/shedrock/shedrock internal/protocol/wire/control.proto
+	PATH=$(CURDIR)/bin:$$PATH protoc -Iinternal/state/command --go_out=. --go_opt=module=github.com/shedrock/shedrock internal/state/command/command.proto
--- /dev/null
+++ b/internal/coordination/placement/board.go
@@ -0,0 +1,265 @@
+// Package placement holds what one entry knows of upstreams, stores and kept
+// context, and makes each prompt's plan from it: where it runs, what is fetched
+// first, and what is kept afterwards.
+//
+// It joins the directory's hints with the routing estimate. It is a pure state
+// machine and not safe for concurrent use.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/coordination/routing"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/state/directory"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+// store is what the board knows of one store instance.
+type store struct {
+	name, address string
+	linkRate      float64
+	near          bool
+	declared      bool
+	// transfers counts the fetches that callers wait for now.
+	transfers int
+	// copies counts background copies now.
+	copies int
+	// incarnations lists the blank starts seen, oldest first.
+	incarnations []string
+	// fullUntil is when a store that had no space may be tried again.
+	fullUntil time.Time
+}
+
+// Board is the state. Make one with New.
+type Board struct {
+	domain string
+	// upstreams and names have the same length; a number once given to an
+	// upstream stays its own, so that hints keep their meaning.
+	upstreams []routing.Upstream
+	names     []string
+	addresses []string
+	numbers   map[string]int
+	stores    []store
+	directory *directory.Directory
+	found     directory.Found
+	weights   routing.Weights
+	random    *rand.Rand
+}
+
+// New returns a board for an entry in a failure domain.
+func New(domain string, contexts int, seed uint64) *Board {
+	return &Board{
+		domain:    domain,
+		numbers:   map[string]int{},
+		directory: directory.New(contexts),
+		random:    rand.New(rand.NewPCG(seed, 0xb0a2d)),
+	}
+}
+
+// Declare makes the board agree with the declared state.
+func (b *Board) Declare(s *declared.State) {
+	b.weights = routing.Weights{FirstToken: s.Control().FirstTokenWeight(), Recompute: s.Control().RecomputeWeight()}
+	present := map[string]bool{}
+	for _, u := range s.Upstreams() {
+		present[u.Name()] = true
+		b.declareUpstream(u)
+	}
+	for i, name := range b.names {
+		if !present[name] {
+			b.upstreams[i].NoteLeaving(true)
+			b.upstreams[i].Model = ""
+		}
+	}
+	b.declareStores(s.Stores())
+}
+
+func (b *Board) declareUpstream(u declared.Upstream) {
+	n, ok := b.numbers[u.Name()]
+	if !ok {
+		n = len(b.names)
+		b.numbers[u.Name()] = n
+		b.names = append(b.names, u.Name())
+		b.addresses = append(b.addresses, "")
+		b.upstreams = append(b.upstreams, routing.Upstream{})
+	}
+	known := &b.upstreams[n]
+	if b.addresses[n] != u.Address() {
+		b.addresses[n] = u.Address()
+		known.Version = ""
+		b.directory.ForgetUpstream(n)
+	}
+	known.Slots = u.Slots()
+	known.PrefillRate = u.PrefillRate()
+	known.LinkRate = u.LinkRate()
+	known.Model = u.Model()
+	known.Near = u.FailureDomain() == b.domain
+	known.NoteLeaving(u.Leaving())
+}
+
+func (b *Board) declareStores(stores []declared.Store) {
+	for i := range b.stores {
+		b.stores[i].declared = false
+	}
+	for _, s := range stores {
+		n := b.storeNumber(s.Address())
+		known := &b.stores[n]
+		known.name = s.Name()
+		known.linkRate = s.LinkRate()
+		known.near = s.FailureDomain() == b.domain
+		known.declared = true
+	}
+}
+
+func (b *Board) storeNumber(address string) int {
+	for i, s := range b.stores {
+		if s.address == address {
+			return i
+		}
+	}
+	b.stores = append(b.stores, store{address: address})
+	return len(b.stores) - 1
+}
+
+// Upstream returns an upstream by number, to note what happened there.
+func (b *Board) Upstream(n int) *routing.Upstream { return &b.upstreams[n] }
+
+// Number returns the number of an upstream.
+func (b *Board) Number(name string) (int, bool) {
+	n, ok := b.numbers[name]
+	return n, ok
+}
+
+// Upstreams returns how many upstreams have ever been declared.
+func (b *Board) Upstreams() int { return len(b.upstreams) }
+
+// Name and Address return those of an upstream.
+func (b *Board) Name(n int) string    { return b.names[n] }
+func (b *Board) Address(n int) string { return b.addresses[n] }
+
+// Directory returns the board's directory.
+func (b *Board) Directory() *directory.Directory { return b.directory }
+
+// Weights returns the deployment's declared weights.
+func (b *Board) Weights() routing.Weights { return b.weights }
+
+// Prompt is a request to be placed.
+type Prompt struct {
+	Model   declared.Model
+	Version string
+	Keys    []prefix.Key
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Tried lists the upstreams that have been tried.
+	Tried []int
+}
+
+// Plan says where a prompt runs. It is a plain value.
+type Plan struct {
+	routing.Plan
+	// Name and Address are those of the upstream.
+	Name, Address string
+	// Store, Refs and FetchBlocks say what to fetch first, when Fetch is true.
+	Store       string
+	Refs        []engine.BlockRef
+	FetchBlocks int
+	// Cached is how many leading blocks the upstream is thought to have.
+	Cached int
+}
+
+// Place makes the plan for a prompt; ok is false when no upstream may run it.
+func (b *Board) Place(p Prompt, now time.Time) (Plan, bool) {
+	b.directory.Match(p.Keys, len(b.upstreams), &b.found)
+	stored, rate, storeNumber := b.fetchable(now)
+	q := routing.Prompt{
+		Model:         p.Model.Name(),
+		Version:       p.Version,
+		Tokens:        p.Tokens,
+		Cached:        func(n int) int { return int(b.found.Cached[n]) * prefix.BlockTokens },
+		Stored:        stored * prefix.BlockTokens,
+		BytesPerToken: float64(p.Model.BytesPerToken()),
+		StoreRate:     rate,
+		Weights:       b.weights,
+		Excluded:      func(n int) bool { return tried(p.Tried, n) },
+		Random:        b.random.Uint64(),
+	}
+	plan, ok := routing.Choose(b.upstreams, &q, now)
+	if !ok {
+		return Plan{}, false
+	}
+	out := Plan{Plan: plan, Name: b.names[plan.Upstream], Address: b.addresses[plan.Upstream]}
+	out.Cached = int(b.found.Cached[plan.Upstream])
+	if plan.Fetch {
+		out.Store = b.stores[storeNumber].address
+		out.FetchBlocks = stored
+		out.Refs = b.refs(p.Keys)
+	}
+	return out, true
+}
+
+func tried(list []int, n int) bool {
+	for _, other := range list {
+		if other == n {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchable returns how many leading blocks one store holds, and the bandwidth a
+// fetch would get there now.
+func (b *Board) fetchable(time.Time) (blocks int, rate float64, storeNumber int) {
+	if b.found.Stored == 0 {
+		return 0, 0, 0
+	}
+	storeNumber = int(b.found.Objects[0].Store) - 1
+	for _, o := range b.found.Objects {
+		if int(o.Store)-1 != storeNumber {
+			return 0, 0, 0
+		}
+	}
+	s := &b.stores[storeNumber]
+	if !s.declared {
+		return 0, 0, 0
+	}
+	return b.found.Stored, s.linkRate / float64(s.transfers+1), storeNumber
+}
+
+func (b *Board) refs(keys []prefix.Key) []engine.BlockRef {
+	var refs []engine.BlockRef
+	for i, o := range b.found.Objects {
+		end := int(b.found.Ends[i])
+		refs = append(refs, engine.BlockRef{
+			Key:         keys[end-1].String(),
+			Blocks:      int(o.Blocks),
+			Object:      o.Object,
+			Generation:  o.Generation,
+			Incarnation: b.stores[o.Store-1].incarnations[o.Incarnation],
+		})
+	}
+	return refs
+}
+
+// BeginFetch and EndFetch count the fetches that callers wait for.
+func (b *Board) BeginFetch(address string) { b.stores[b.storeNumber(address)].transfers++ }
+
+// EndFetch ends a fetch; got is how many blocks arrived of those that refs name.
+// The hints to the rest are dropped.
+func (b *Board) EndFetch(address string, refs []engine.BlockRef, got int) {
+	b.stores[b.storeNumber(address)].transfers--
+	at := 0
+	for _, ref := range refs {
+		at += ref.Blocks
+		key, ok := prefix.ParseKey(ref.Key)
+		if at > got && ok {
+			b.directory.ForgetObject(key)
+		}
+	}
+}
+
+// NoteRun says that an upstream ran a prompt and so has its blocks.
+func (b *Board) NoteRun(keys []prefix.Key, upstream int, now time.Time) {
+	b.directory.NoteRun(keys, upstream, uint32(now.Unix()))
+}
--- /dev/null
+++ b/internal/coordination/replication/machine.go
@@ -0,0 +1,479 @@
+package replication
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// HeartbeatTicks is how often a leader speaks to its followers.
+	HeartbeatTicks = 2
+	// ElectionTicks is the shortest time without a leader before an election; the
+	// longest is twice that.
+	ElectionTicks = 6
+	// maxAppendBytes bounds the entries of one message.
+	maxAppendBytes = 512 << 10
+	// maxInFlight bounds the entries sent to a follower and not acknowledged.
+	maxInFlight = 16384
+)
+
+type role int
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// progress is what a leader knows of one other member.
+type progress struct {
+	// match is the highest entry known to be durable there, and next the first
+	// one to send. Invariant: match < next.
+	match, next uint64
+	// heard is true when the member answered since the last quorum check.
+	heard bool
+	// round is the highest heartbeat round answered.
+	round uint64
+	// matchAtBeat is match at the last heartbeat, to notice lost messages.
+	matchAtBeat uint64
+	// snapshotTicks counts down until a sent snapshot may be sent again.
+	snapshotTicks int
+}
+
+type pendingRead struct {
+	id, index, round uint64
+}
+
+// Machine is one replica. Make one with New.
+type Machine struct {
+	self   Node
+	random *rand.Rand
+
+	// term and vote are persisted before any message that depends on them.
+	term uint64
+	vote Node
+	log  entryLog
+	// configs is never empty.
+	configs configs
+
+	// commit never falls, and applied <= commit.
+	commit, applied uint64
+	// synced is the highest index known to be durable here.
+	synced uint64
+
+	role    role
+	leader  Node
+	elapsed int
+	timeout int
+	votes   map[Node]bool
+	others  map[Node]*progress
+	round   uint64
+	beat    int
+	// termStart is the index of this leader's first entry; nothing is read, and
+	// no configuration is changed, before it is committed.
+	termStart uint64
+	reads     []pendingRead
+
+	effects []Effect
+	dirty   bool
+	// appended holds the entries to persist at the end of the step.
+	appended []Entry
+}
+
+// Restart is what a replica finds in its data folder.
+type Restart struct {
+	Term     uint64
+	Vote     Node
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// New returns a replica as it is after a start. seed spreads elections.
+func New(self Node, seed uint64, stored Restart) *Machine {
+	m := &Machine{self: self, random: rand.New(rand.NewPCG(seed, 0x5eed))}
+	m.term = stored.Term
+	m.vote = stored.Vote
+	m.log = entryLog{snapshot: stored.Snapshot, entries: stored.Entries}
+	m.log.snapshot.Data = nil
+	m.configs = configs{{stored.Snapshot.Index, stored.Snapshot.Members}}
+	for _, e := range stored.Entries {
+		m.noteConfig(e)
+	}
+	m.commit = stored.Snapshot.Index
+	m.applied = stored.Snapshot.Index
+	m.synced, _ = m.log.last()
+	m.resetTimer()
+	return m
+}
+
+// Term returns the current term.
+func (m *Machine) Term() uint64 { return m.term }
+
+// Leading reports whether this replica believes that it leads.
+func (m *Machine) Leading() bool { return m.role == leader }
+
+// Leader returns the leader as far as is known, or an empty name.
+func (m *Machine) Leader() Node { return m.leader }
+
+// Commit returns the commit index.
+func (m *Machine) Commit() uint64 { return m.commit }
+
+// Members returns the configuration in force, committed or not.
+func (m *Machine) Members() []Member { return m.configs.current() }
+
+// MembersAt returns the configuration in force at an index.
+func (m *Machine) MembersAt(index uint64) []Member { return m.configs.at(index) }
+
+// MembersCommitted reports whether the configuration in force is committed.
+func (m *Machine) MembersCommitted() bool { return m.configs[len(m.configs)-1].index <= m.commit }
+
+// LastIndex returns the index of the last entry.
+func (m *Machine) LastIndex() uint64 {
+	index, _ := m.log.last()
+	return index
+}
+
+// SnapshotIndex returns the index up to which the log is compacted.
+func (m *Machine) SnapshotIndex() uint64 { return m.log.snapshot.Index }
+
+// TermOf returns the term of an entry that is still in the log.
+func (m *Machine) TermOf(index uint64) (uint64, bool) { return m.log.term(index) }
+
+// Matched returns the highest entry known to be durable at a member; it is
+// meaningful only while leading.
+func (m *Machine) Matched(n Node) uint64 {
+	if n == m.self {
+		return m.synced
+	}
+	p, ok := m.others[n]
+	if !ok {
+		return 0
+	}
+	return p.match
+}
+
+// Step takes one input and returns the effects in the order in which they must
+// be carried out.
+func (m *Machine) Step(in Input) []Effect {
+	m.effects = nil
+	switch in := in.(type) {
+	case Tick:
+		m.tick()
+	case Receive:
+		m.receive(in.Message)
+	case Propose:
+		m.propose(in.Commands)
+	case ProposeMembers:
+		m.proposeMembers(in)
+	case Read:
+		m.read(in.ID)
+	case Persisted:
+		m.persisted(in)
+	case Compacted:
+		m.compacted(in.Index)
+	default:
+		panic("replication: input outside the sealed set")
+	}
+	return m.finish()
+}
+
+// finish puts the step's persistence first and the committed entries last.
+func (m *Machine) finish() []Effect {
+	out := make([]Effect, 0, len(m.effects)+2)
+	if m.dirty || len(m.appended) > 0 {
+		out = append(out, Persist{Term: m.term, Vote: m.vote, Entries: m.appended})
+		m.dirty = false
+		m.appended = nil
+	}
+	out = append(out, m.effects...)
+	if m.commit > m.applied {
+		out = append(out, Apply{Entries: m.log.between(m.applied, m.commit)})
+		m.applied = m.commit
+	}
+	m.effects = nil
+	return out
+}
+
+func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
+
+func (m *Machine) send(msg Message) {
+	msg.From = m.self
+	if msg.Term == 0 {
+		msg.Term = m.term
+	}
+	early := msg.Kind == AppendRequest || msg.Kind == SnapshotRequest
+	m.emit(Send{Message: msg, Early: early})
+}
+
+func (m *Machine) resetTimer() {
+	m.elapsed = 0
+	m.timeout = ElectionTicks + m.random.IntN(ElectionTicks+1)
+}
+
+func (m *Machine) noteConfig(e Entry) {
+	if e.Kind == EntryMembers {
+		m.configs = append(m.configs, configAt{e.Index, e.Members})
+	}
+}
+
+// put stores entries in the log and marks them for persistence.
+func (m *Machine) put(entries []Entry) {
+	first := entries[0].Index
+	m.configs = m.configs.truncate(first)
+	m.log.put(entries)
+	for _, e := range entries {
+		m.noteConfig(e)
+	}
+	m.synced = min(m.synced, first-1)
+	m.appended = mergeAppended(m.appended, entries)
+}
+
+// mergeAppended joins two runs of entries of one step; the later one wins.
+func mergeAppended(a, b []Entry) []Entry {
+	for len(a) > 0 && a[len(a)-1].Index >= b[0].Index {
+		a = a[:len(a)-1]
+	}
+	return append(a, b...)
+}
+
+func (m *Machine) tick() {
+	m.elapsed++
+	if m.role == leader {
+		m.tickLeader()
+		return
+	}
+	// A group of one has nobody to wait for.
+	alone := len(m.configs.current()) == 1
+	if m.elapsed < m.timeout && !alone {
+		return
+	}
+	m.resetTimer()
+	if isVoter(m.configs.current(), m.self) {
+		m.campaign(preCandidate)
+	}
+}
+
+func (m *Machine) tickLeader() {
+	for _, p := range m.others {
+		if p.snapshotTicks > 0 {
+			p.snapshotTicks--
+		}
+	}
+	if m.elapsed >= ElectionTicks {
+		m.elapsed = 0
+		if !m.quorumHeard() {
+			m.become(follower, "")
+			return
+		}
+	}
+	m.beat++
+	if m.beat >= HeartbeatTicks {
+		m.beat = 0
+		m.heartbeat()
+	}
+}
+
+func (m *Machine) quorumHeard() bool {
+	ok := majority(m.configs.current(), func(n Node) bool {
+		return n == m.self || m.others[n] != nil && m.others[n].heard
+	})
+	for _, p := range m.others {
+		p.heard = false
+	}
+	return ok
+}
+
+// become changes the role within the present term.
+func (m *Machine) become(r role, lead Node) {
+	changed := m.role != r || m.leader != lead
+	if m.role == leader && r != leader {
+		m.refuseReads()
+		m.others = nil
+	}
+	m.role = r
+	m.leader = lead
+	m.resetTimer()
+	if changed {
+		m.emit(RoleChanged{Leading: r == leader, Leader: lead, Term: m.term})
+	}
+}
+
+// enterTerm moves on to a higher term as a follower.
+func (m *Machine) enterTerm(term uint64, lead Node) {
+	m.term = term
+	m.vote = ""
+	m.dirty = true
+	m.become(follower, lead)
+}
+
+func (m *Machine) refuseReads() {
+	for _, r := range m.reads {
+		m.emit(Refused{ID: r.id})
+	}
+	m.reads = nil
+}
+
+func (m *Machine) campaign(r role) {
+	term := m.term + 1
+	kind := PreVoteRequest
+	if r == candidate {
+		m.term = term
+		m.vote = m.self
+		m.dirty = true
+		kind = VoteRequest
+	}
+	m.become(r, "")
+	m.votes = map[Node]bool{m.self: true}
+	if m.won() {
+		return
+	}
+	index, logTerm := m.log.last()
+	for _, other := range m.configs.current() {
+		if other.Voter && other.Node != m.self {
+			m.send(Message{Kind: kind, To: other.Node, Term: term, LogIndex: index, LogTerm: logTerm})
+		}
+	}
+}
+
+// won moves on when the votes are a majority.
+func (m *Machine) won() bool {
+	if !majority(m.configs.current(), func(n Node) bool { return m.votes[n] }) {
+		return false
+	}
+	if m.role == preCandidate {
+		m.campaign(candidate)
+		return true
+	}
+	m.lead()
+	return true
+}
+
+func (m *Machine) lead() {
+	m.become(leader, m.self)
+	m.others = map[Node]*progress{}
+	m.elapsed = 0
+	m.beat = 0
+	m.trackMembers()
+	last, _ := m.log.last()
+	m.termStart = last + 1
+	m.appendEntry(Entry{Kind: EntryEmpty})
+	m.broadcast()
+}
+
+// trackMembers makes the progress of others agree with the configuration.
+func (m *Machine) trackMembers() {
+	last, _ := m.log.last()
+	present := map[Node]bool{}
+	for _, other := range m.configs.current() {
+		present[other.Node] = true
+		if other.Node != m.self && m.others[other.Node] == nil {
+			m.others[other.Node] = &progress{next: last + 1, heard: true}
+		}
+	}
+	for n := range m.others {
+		if !present[n] {
+			delete(m.others, n)
+		}
+	}
+}
+
+func (m *Machine) appendEntry(e Entry) (index uint64) {
+	last, _ := m.log.last()
+	e.Index = last + 1
+	e.Term = m.term
+	m.put([]Entry{e})
+	return e.Index
+}
+
+func (m *Machine) propose(commands []Command) {
+	for _, c := range commands {
+		if m.role != leader {
+			m.emit(Refused{ID: c.ID, Leader: m.leader})
+			continue
+		}
+		index := m.appendEntry(Entry{Kind: EntryCommand, Data: c.Data})
+		m.emit(Appended{ID: c.ID, Index: index, Term: m.term})
+	}
+	if m.role == leader {
+		m.broadcast()
+	}
+}
+
+func (m *Machine) proposeMembers(in ProposeMembers) {
+	current := m.configs.current()
+	ready := m.role == leader && m.MembersCommitted() && m.commit >= m.termStart
+	if !ready || votersChanged(current, in.Members) > 1 {
+		m.emit(Refused{ID: in.ID, Leader: m.leader})
+		return
+	}
+	index := m.appendEntry(Entry{Kind: EntryMembers, Members: in.Members})
+	m.trackMembers()
+	m.emit(Appended{ID: in.ID, Index: index, Term: m.term})
+	m.broadcast()
+}
+
+func (m *Machine) persisted(in Persisted) {
+	term, ok := m.log.term(in.Index)
+	if !ok || term != in.Term || in.Index <= m.synced {
+		return
+	}
+	m.synced = in.Index
+	if m.role == leader {
+		m.advance()
+	}
+}
+
+func (m *Machine) compacted(index uint64) {
+	if index > m.applied {
+		panic("replication: a snapshot beyond the applied entries")
+	}
+	m.log.compact(index, m.configs.at(index))
+	m.configs = m.configs.compact(index)
+}
+
+// advance commits what a majority of voters holds durably, if it is of this
+// term: an entry of an earlier term commits only beneath one of this term.
+func (m *Machine) advance() {
+	var matched []uint64
+	for _, member := range m.configs.current() {
+		if member.Voter {
+			matched = append(matched, m.Matched(member.Node))
+		}
+	}
+	if len(matched) == 0 {
+		return
+	}
+	slices.Sort(matched)
+	// The voters above the middle, and the one in it, are a majority:
+	// of [3 7 9] two hold 7, of [3 5 7 9] three hold 5.
+	held := matched[(len(matched)-1)/2]
+	term, ok := m.log.term(held)
+	if held > m.commit && ok && term == m.term {
+		m.commit = held
+		m.committed()
+	}
+}
+
+// committed follows a rise of the commit index on the leader.
+func (m *Machine) committed() {
+	if !isVoter(m.configs.current(), m.self) && m.MembersCommitted() {
+		// A leader that a committed change has removed hands over.
+		m.become(follower, "")
+		return
+	}
+	m.releaseReads()
+	m.broadcastCommit()
+}
+
+// Vote returns the candidate that has this replica's vote in the current term.
+func (m *Machine) Vote() Node { return m.vote }
+
+// EntriesAfter returns the entries of the log above an index.
+func (m *Machine) EntriesAfter(index uint64) []Entry {
+	last, _ := m.log.last()
+	if index >= last || index < m.log.snapshot.Index {
+		return nil
+	}
+	return m.log.between(index, last)
+}
--- /dev/null
+++ b/internal/coordination/retry/retry.go
@@ -0,0 +1,155 @@
+// Package retry decides what follows when an attempt to run a prompt ends.
+//
+// Two rules bound it. Once a caller has been sent part of an answer, only the
+// same run may go on: two generations are never spliced. And retries are a share
+// of the traffic, so that upstreams that are all slow are not asked ever more
+// often.
+package retry
+
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+const (
+	// MaxAttempts bounds the dispatches of one prompt, the first included.
+	MaxAttempts = 3
+	// maxResumes bounds how often one run is picked up again.
+	maxResumes = 2
+	// retryAfter is what a caller is told when no upstream took the prompt.
+	retryAfter = time.Second
+)
+
+// End says how an attempt ended. It is one of Whole, Refused, Unreached, Broken
+// or CallerGone.
+type End interface{ end() }
+
+// Whole says that the whole answer was passed on.
+type Whole struct{ Status int }
+
+// Refused says that the upstream refused this very run, and named it.
+type Refused struct{}
+
+// Unreached says that no byte of the request reached the upstream.
+type Unreached struct{}
+
+// Broken says that the answer ended early or belonged to another run. Sent is
+// how many events the caller has been sent.
+type Broken struct{ Sent uint64 }
+
+// CallerGone says that nobody waits for the answer.
+type CallerGone struct{}
+
+func (Whole) end()      {}
+func (Refused) end()    {}
+func (Unreached) end()  {}
+func (Broken) end()     {}
+func (CallerGone) end() {}
+
+// Step is what follows. It is one of Dispatch, Resume or Stop.
+type Step interface{ step() }
+
+// Dispatch tries another upstream.
+type Dispatch struct{}
+
+// Resume goes on with the same run at the same upstream after Offset events.
+type Resume struct{ Offset uint64 }
+
+// Stop ends the request with its final outcome.
+type Stop struct{ Outcome outcome.Outcome }
+
+func (Dispatch) step() {}
+func (Resume) step()   {}
+func (Stop) step()     {}
+
+// Run is the state of one prompt's attempts. The zero value has made none.
+type Run struct {
+	// attempts counts dispatches, and resumes how often the present run was
+	// picked up.
+	attempts, resumes int
+	// reached is true once any attempt may have run.
+	reached bool
+}
+
+// Attempts returns the number of dispatches.
+func (r *Run) Attempts() int { return r.attempts }
+
+// Begin counts a dispatch and returns its number, from 1.
+func (r *Run) Begin() int {
+	r.attempts++
+	r.resumes = 0
+	return r.attempts
+}
+
+// Next decides what follows the end of an attempt. streamed is true when the
+// engine's run can be picked up by offset.
+func (r *Run) Next(end End, streamed bool, budget *Budget) Step {
+	switch end := end.(type) {
+	case Whole:
+		return Stop{outcome.Answered{Status: end.Status}}
+	case CallerGone:
+		return Stop{outcome.Unknown{Detail: "the caller has gone"}}
+	case Refused:
+		return r.again(outcome.ReasonRefused, budget)
+	case Unreached:
+		return r.again(outcome.ReasonUnreachable, budget)
+	case Broken:
+		r.reached = true
+		if streamed && r.resumes < maxResumes {
+			r.resumes++
+			return Resume{Offset: end.Sent}
+		}
+		if end.Sent > 0 {
+			return Stop{outcome.Failed{Detail: "the answer broke off and its run cannot go on"}}
+		}
+		return r.again(outcome.ReasonUnreachable, budget)
+	}
+	panic("retry: end outside the sealed set")
+}
+
+// again dispatches anew within the bounds, or ends the request.
+func (r *Run) again(reason outcome.Reason, budget *Budget) Step {
+	if r.attempts < MaxAttempts && budget.Take() {
+		return Dispatch{}
+	}
+	return Stop{r.GiveUp(reason)}
+}
+
+// GiveUp is the outcome when no further attempt is made: NotRun only when no
+// attempt can have run.
+func (r *Run) GiveUp(reason outcome.Reason) outcome.Outcome {
+	if r.reached {
+		return outcome.Failed{Detail: "no upstream gave a whole answer"}
+	}
+	return outcome.NotRun{RetryAfter: retryAfter, Reason: reason}
+}
+
+const (
+	// budgetShare is how many retries each request earns.
+	budgetShare = 0.1
+	// budgetMost is how many retries may be saved up.
+	budgetMost = 20
+)
+
+// Budget bounds retries to a share of the requests. It is not safe for
+// concurrent use.
+type Budget struct {
+	// saved is the number of retries that may be made now, at most budgetMost.
+	saved float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{saved: budgetMost} }
+
+// Earn notes a request.
+func (b *Budget) Earn() { b.saved = min(b.saved+budgetShare, budgetMost) }
+
+// Take uses one retry; it reports false when none is left.
+func (b *Budget) Take() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,289 @@
+// Package store is a small stand-in for a store instance: objects in a memory
+// and a disk tier behind one rate-limited link.
+//
+// Invariant: an object is readable only while sealed, and its bytes are not
+// given back to the free space before the last reader has left.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"github.com/shedrock/shedrock/internal/protocol/blocks"
+	"github.com/shedrock/shedrock/internal/standin/fault"
+)
+
+type phase int
+
+const (
+	writing phase = iota
+	sealed
+	freeing
+)
+
+// chunkBytes is how much goes over the link at a time.
+const chunkBytes = 16 << 10
+
+type object struct {
+	generation uint64
+	phase      phase
+	data       []byte
+	length     int64
+	readers    int
+	onDisk     bool
+}
+
+// Options are a stand-in store's settings. All sizes are bytes.
+type Options struct {
+	MemoryBytes int64
+	DiskBytes   int64
+	// LinkRate is in bytes a second; DiskRate bounds reads from the disk tier.
+	LinkRate float64
+	DiskRate float64
+	// Incarnation identifies this blank start.
+	Incarnation string
+}
+
+// Store is the stand-in. Make one with New.
+type Store struct {
+	options Options
+	link    *rate.Limiter
+	disk    *rate.Limiter
+	// Faults can be set while the store runs.
+	Faults fault.Switch
+
+	mu          sync.Mutex
+	incarnation string
+	restarts    int
+	objects     map[uint64]*object
+	next        uint64
+	generation  uint64
+	used        int64
+	sent        int64
+	received    int64
+}
+
+// New returns an empty store.
+func New(o Options) *Store {
+	s := &Store{options: o, incarnation: o.Incarnation, objects: map[uint64]*object{}}
+	s.link = rate.NewLimiter(rate.Limit(o.LinkRate), chunkBytes)
+	s.disk = rate.NewLimiter(rate.Limit(o.DiskRate), chunkBytes)
+	s.Faults.Lose = s.lose
+	return s
+}
+
+// Handler serves the store's protocol.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(fault.Path, &s.Faults)
+	mux.HandleFunc("GET "+blocks.PathStore, s.usage)
+	mux.HandleFunc("POST "+blocks.PathObjects, s.create)
+	mux.HandleFunc("PUT "+blocks.PathObjects+"/{id}", s.write)
+	mux.HandleFunc("POST "+blocks.PathObjects+"/{id}/seal", s.seal)
+	mux.HandleFunc("GET "+blocks.PathObjects+"/{id}", s.read)
+	mux.HandleFunc("DELETE "+blocks.PathObjects+"/{id}", s.free)
+	return mux
+}
+
+// lose forgets everything and starts again under a new incarnation.
+func (s *Store) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restarts++
+	s.incarnation = s.options.Incarnation + "-" + strconv.Itoa(s.restarts)
+	s.objects = map[uint64]*object{}
+	s.next = 0
+	s.generation = 0
+	s.used = 0
+}
+
+func (s *Store) usage(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	free := s.options.MemoryBytes + s.options.DiskBytes - s.used
+	if s.Faults.Get().FillUp {
+		free = 0
+	}
+	writeJSON(w, blocks.Usage{
+		Incarnation:   s.incarnation,
+		MemoryBytes:   s.options.MemoryBytes,
+		DiskBytes:     s.options.DiskBytes,
+		FreeBytes:     free,
+		Objects:       len(s.objects),
+		SentBytes:     s.sent,
+		ReceivedBytes: s.received,
+	})
+}
+
+func (s *Store) create(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Length int64 `json:"length"`
+	}
+	err := json.NewDecoder(r.Body).Decode(&in)
+	if err != nil || in.Length <= 0 {
+		http.Error(w, "length: a number above 0 is needed", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Faults.Get().FillUp || s.used+in.Length > s.options.MemoryBytes+s.options.DiskBytes {
+		http.Error(w, "no space left", http.StatusInsufficientStorage)
+		return
+	}
+	s.next++
+	s.generation++
+	s.objects[s.next] = &object{
+		generation: s.generation,
+		length:     in.Length,
+		onDisk:     s.used+in.Length > s.options.MemoryBytes,
+	}
+	s.used += in.Length
+	writeJSON(w, blocks.Name{Object: s.next, Generation: s.generation, Incarnation: s.incarnation})
+}
+
+// named finds the object that a request names, whole and in the wanted phase.
+func (s *Store) named(r *http.Request, want phase) (*object, bool) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return nil, false
+	}
+	o, ok := s.objects[id]
+	if !ok || o.phase != want {
+		return nil, false
+	}
+	q := r.URL.Query()
+	generation, err := strconv.ParseUint(q.Get(blocks.ParamGeneration), 10, 64)
+	if err != nil || generation != o.generation || q.Get(blocks.ParamIncarnation) != s.incarnation {
+		return nil, false
+	}
+	return o, true
+}
+
+const mismatch = "no such object in that phase, generation and incarnation"
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.named(r, writing)
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, mismatch, http.StatusConflict)
+		return
+	}
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := r.Body.Read(buf)
+		s.link.WaitN(r.Context(), n)
+		s.mu.Lock()
+		o.data = append(o.data, buf[:n]...)
+		s.received += int64(n)
+		s.mu.Unlock()
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+}
+
+func (s *Store) seal(w http.ResponseWriter, r *http.Request) {
+	var in blocks.Seal
+	err := json.NewDecoder(r.Body).Decode(&in)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.named(r, writing)
+	if !ok || in.Length != o.length || int64(len(o.data)) != in.Length || blocks.Checksum(o.data) != in.Checksum {
+		http.Error(w, mismatch+", or its length or checksum differs", http.StatusConflict)
+		return
+	}
+	o.phase = sealed
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.named(r, sealed)
+	if ok {
+		o.readers++
+	}
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, mismatch, http.StatusConflict)
+		return
+	}
+	defer s.leave(r, o)
+	if r.URL.Query().Has(blocks.ParamCheck) {
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(o.data)))
+	s.send(r.Context(), w, o)
+}
+
+func (s *Store) send(ctx context.Context, w io.Writer, o *object) {
+	for at := 0; at < len(o.data); at += chunkBytes {
+		chunk := o.data[at:min(at+chunkBytes, len(o.data))]
+		if o.onDisk {
+			s.disk.WaitN(ctx, len(chunk))
+		}
+		err := s.link.WaitN(ctx, len(chunk))
+		if err != nil {
+			return
+		}
+		_, err = w.Write(chunk)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.sent += int64(len(chunk))
+		s.mu.Unlock()
+	}
+}
+
+// leave ends a read; the last reader of an object that is being freed frees it.
+func (s *Store) leave(r *http.Request, o *object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.readers--
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if o.phase == freeing && o.readers == 0 && s.objects[id] == o {
+		s.drop(id, o)
+	}
+}
+
+func (s *Store) free(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.named(r, sealed)
+	if !ok {
+		o, ok = s.named(r, writing)
+	}
+	if !ok {
+		http.Error(w, mismatch, http.StatusConflict)
+		return
+	}
+	o.phase = freeing
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if o.readers == 0 {
+		s.drop(id, o)
+	}
+}
+
+func (s *Store) drop(id uint64, o *object) {
+	delete(s.objects, id)
+	s.used -= o.length
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/state/declared/document.go
@@ -0,0 +1,172 @@
+// Package declared holds the declared state: the documents that operators
+// write, their strict validation, and the deterministic rule by which a change
+// is accepted.
+//
+// A file is one document with its own kind and version. It is applied whole or
+// not at all: every fault is found before anything changes, and references
+// between documents are checked inside the same deterministic step that
+// accepts a change. Two racing files that are each valid alone can therefore
+// not make an invalid whole together.
+package declared
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+// Kind names what a document declares. There is one document of each kind.
+type Kind string
+
+// The kinds of document.
+const (
+	KindTeams     Kind = "teams"
+	KindModels    Kind = "models"
+	KindUpstreams Kind = "upstreams"
+	KindStores    Kind = "stores"
+	KindServices  Kind = "services"
+	KindControl   Kind = "control"
+)
+
+// Kinds lists every kind in a fixed order.
+func Kinds() []Kind {
+	return []Kind{KindControl, KindModels, KindServices, KindStores, KindTeams, KindUpstreams}
+}
+
+// MaxDocumentBytes bounds the text of one document.
+const MaxDocumentBytes = 4 << 20
+
+// Fault is one thing wrong with a document, with its place.
+type Fault struct {
+	// File is the name the operator gave.
+	File string `json:"file"`
+	// Line counts from 1; 0 means that the fault has no line.
+	Line int `json:"line"`
+	// Field is the path of the faulty field, such as "teams[1].name".
+	Field string `json:"field"`
+	// Reason says what is wrong and what is expected.
+	Reason string `json:"reason"`
+}
+
+// String gives the fault in the form "file:line: field: reason".
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Reason)
+}
+
+// Document is one parsed and locally valid document. It is immutable.
+type Document struct {
+	kind    Kind
+	version uint64
+	// file is the operator's name for the text; it appears in faults only.
+	file string
+	text []byte
+	tree *ast.File
+	body fileBody
+}
+
+// Kind returns what the document declares.
+func (d *Document) Kind() Kind { return d.kind }
+
+// Version returns the document's own version, from 1.
+func (d *Document) Version() uint64 { return d.version }
+
+// Text returns the document as the operator wrote it.
+func (d *Document) Text() []byte { return d.text }
+
+// Digest identifies kind, version and text. A resent change has the same one.
+func (d *Document) Digest() string {
+	sum := sha256.Sum256([]byte(fmt.Sprintf("%s\x00%d\x00%s", d.kind, d.version, d.text)))
+	return hex.EncodeToString(sum[:])
+}
+
+// fileBody is the YAML form of every kind; a document fills only its own part.
+type fileBody struct {
+	Document  Kind         `yaml:"document"`
+	Version   uint64       `yaml:"version"`
+	Teams     []teamFields `yaml:"teams"`
+	Models    []modelFields
+	Upstreams []upstreamFields
+	Stores    []storeFields
+	Services  []serviceFields
+	Control   *controlFields
+}
+
+// Parse reads one document strictly: unknown fields, duplicate keys and values
+// out of range are faults. file only names the text in faults.
+func Parse(file string, text []byte) (*Document, []Fault) {
+	if len(text) > MaxDocumentBytes {
+		reason := fmt.Sprintf("the document has %d bytes; at most %d are read", len(text), MaxDocumentBytes)
+		return nil, []Fault{{File: file, Line: 1, Field: "document", Reason: reason}}
+	}
+	d := &Document{file: file, text: bytes.Clone(text)}
+	tree, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, []Fault{syntaxFault(file, err)}
+	}
+	if len(tree.Docs) != 1 || tree.Docs[0].Body == nil {
+		return nil, []Fault{{File: file, Line: 1, Field: "document", Reason: "the file must hold exactly one YAML document"}}
+	}
+	d.tree = tree
+	err = yaml.UnmarshalWithOptions(text, &d.body, yaml.Strict())
+	if err != nil {
+		return nil, []Fault{syntaxFault(file, err)}
+	}
+	d.kind = d.body.Document
+	d.version = d.body.Version
+	faults := d.validate()
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return d, nil
+}
+
+// syntaxFault turns the YAML library's error into a fault with its line.
+func syntaxFault(file string, err error) Fault {
+	f := Fault{File: file, Line: 1, Field: "document", Reason: err.Error()}
+	var located yaml.Error
+	if !errors.As(err, &located) {
+		return f
+	}
+	f.Reason = located.GetMessage()
+	token := located.GetToken()
+	if token == nil {
+		return f
+	}
+	f.Line = token.Position.Line
+	f.Field = strings.TrimSpace(token.Value)
+	return f
+}
+
+// fault makes a fault at a field, found in the text by its path.
+func (d *Document) fault(field, format string, args ...any) Fault {
+	f := Fault{File: d.file, Line: 1, Field: field, Reason: fmt.Sprintf(format, args...)}
+	f.Line = d.lineOf(field)
+	return f
+}
+
+// lineOf finds the line of a field; when the field is absent, such as a missing
+// "teams[1].name", the line of the nearest enclosing part is used.
+func (d *Document) lineOf(field string) int {
+	for field != "" {
+		path, err := yaml.PathString("$." + field)
+		if err == nil {
+			node, err := path.FilterFile(d.tree)
+			if err == nil && node != nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		cut := strings.LastIndexAny(field, ".[")
+		if cut < 0 {
+			return 1
+		}
+		field = field[:cut]
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/state/declared/state.go
@@ -0,0 +1,345 @@
+package declared
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// HistoryLength is how many accepted changes are remembered, so that a change
+// that is sent again after a lost answer is recognised. At the letter's 13,000
+// changes a day that is a little over seven hours. A change resent later is
+// answered as a conflict and is never applied a second time, because its
+// version is no longer the next one.
+const HistoryLength = 4096
+
+// Result is one of Accepted, Conflict or Rejected.
+type Result interface{ sealed() }
+
+// Accepted says that the change is in force at a revision.
+type Accepted struct {
+	// Revision is the global revision at which the change was accepted.
+	Revision uint64
+	// Resent is true when the same change had been accepted before.
+	Resent bool
+}
+
+// Conflict says that the document's version is not the next one.
+type Conflict struct {
+	// Current is the version in force; the next accepted one is Current+1.
+	Current uint64
+	// Differences say in words how the submitted text differs from the one in force.
+	Differences []string
+}
+
+// Rejected says that the change would leave the declared state invalid.
+type Rejected struct {
+	// Faults holds at least one fault.
+	Faults []Fault
+}
+
+func (Accepted) sealed() {}
+func (Conflict) sealed() {}
+func (Rejected) sealed() {}
+
+// accepted remembers one change.
+type accepted struct {
+	Digest   string `json:"digest"`
+	Revision uint64 `json:"revision"`
+}
+
+// State is the whole declared state at one revision. Apply changes it in place;
+// Clone before sharing.
+type State struct {
+	// revision only rises, by one for each accepted change.
+	revision uint64
+	// docs holds at most one document of each kind, all references valid.
+	docs map[Kind]*Document
+	// history is ordered by revision and holds at most HistoryLength changes.
+	history []accepted
+	index   index
+}
+
+// index is derived from docs.
+type index struct {
+	teams     map[string]Team
+	models    map[string]Model
+	services  map[string]Service
+	upstreams []Upstream
+	stores    []Store
+}
+
+// New returns the empty declared state at revision 0.
+func New() *State {
+	return &State{docs: map[Kind]*Document{}, index: newIndex(nil)}
+}
+
+// Clone returns a copy that shares only immutable parts.
+func (s *State) Clone() *State {
+	c := &State{revision: s.revision, docs: map[Kind]*Document{}, index: s.index}
+	for k, d := range s.docs {
+		c.docs[k] = d
+	}
+	c.history = append([]accepted(nil), s.history...)
+	return c
+}
+
+// Revision returns the number of changes accepted so far.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Document returns the document in force; ok is false when there is none.
+func (s *State) Document(kind Kind) (d *Document, ok bool) {
+	d, ok = s.docs[kind]
+	return d, ok
+}
+
+// Apply accepts or refuses one change. It is deterministic: every replica that
+// applies the same changes in the same order reaches the same state.
+func (s *State) Apply(d *Document) Result {
+	digest := d.Digest()
+	for _, past := range s.history {
+		if past.Digest == digest {
+			return Accepted{Revision: past.Revision, Resent: true}
+		}
+	}
+	var current uint64
+	old, ok := s.docs[d.kind]
+	if ok {
+		current = old.version
+	}
+	if d.version != current+1 {
+		return Conflict{Current: current, Differences: differences(old, d)}
+	}
+	faults := s.dangling(d)
+	if len(faults) > 0 {
+		return Rejected{Faults: faults}
+	}
+	s.docs[d.kind] = d
+	s.revision++
+	s.remember(accepted{Digest: digest, Revision: s.revision})
+	s.index = newIndex(s.docs)
+	return Accepted{Revision: s.revision}
+}
+
+func (s *State) remember(a accepted) {
+	s.history = append(s.history, a)
+	if len(s.history) > HistoryLength {
+		s.history = append([]accepted(nil), s.history[1:]...)
+	}
+}
+
+// Install puts a document in force at a revision without checking its version;
+// it is for processes that follow a control replica, which has checked it.
+func (s *State) Install(revision uint64, docs ...*Document) {
+	if revision < s.revision {
+		panic(fmt.Sprintf("declared: revision would fall from %d to %d", s.revision, revision))
+	}
+	for _, d := range docs {
+		s.docs[d.kind] = d
+	}
+	s.revision = revision
+	s.index = newIndex(s.docs)
+}
+
+// dangling checks every reference between documents, as if d were in force.
+func (s *State) dangling(d *Document) []Fault {
+	docs := map[Kind]*Document{}
+	for k, v := range s.docs {
+		docs[k] = v
+	}
+	docs[d.kind] = d
+	ix := newIndex(docs)
+	var faults []Fault
+	report := func(owner Kind, field, format string, args ...any) {
+		if owner == d.kind {
+			faults = append(faults, d.fault(field, format, args...))
+			return
+		}
+		// The reference stands in another document, and this change breaks it.
+		reason := fmt.Sprintf(format, args...)
+		faults = append(faults, d.fault(string(d.kind), "the %s document in force still needs it: %s: %s", owner, field, reason))
+	}
+	if teams, ok := docs[KindTeams]; ok {
+		checkTeams(teams, ix, report)
+	}
+	if upstreams, ok := docs[KindUpstreams]; ok {
+		for i, u := range upstreams.body.Upstreams {
+			if _, ok := ix.models[u.Model]; !ok {
+				report(KindUpstreams, fmt.Sprintf("upstreams[%d].model", i), "there is no model %q", u.Model)
+			}
+		}
+	}
+	return faults
+}
+
+func checkTeams(teams *Document, ix index, report func(Kind, string, string, ...any)) {
+	for i, t := range teams.body.Teams {
+		for j, m := range t.Models {
+			if _, ok := ix.models[m]; !ok {
+				report(KindTeams, fmt.Sprintf("teams[%d].models[%d]", i, j), "there is no model %q", m)
+			}
+		}
+		for j, name := range t.Services {
+			if _, ok := ix.services[name]; !ok {
+				report(KindTeams, fmt.Sprintf("teams[%d].services[%d]", i, j), "there is no service %q", name)
+			}
+		}
+	}
+}
+
+func newIndex(docs map[Kind]*Document) index {
+	ix := index{teams: map[string]Team{}, models: map[string]Model{}, services: map[string]Service{}}
+	for _, kind := range Kinds() {
+		d, ok := docs[kind]
+		if !ok {
+			continue
+		}
+		for _, f := range d.body.Teams {
+			ix.teams[f.Name] = Team{f}
+		}
+		for _, f := range d.body.Models {
+			ix.models[f.Name] = Model{f}
+		}
+		for _, f := range d.body.Services {
+			ix.services[f.Name] = Service{f}
+		}
+		for _, f := range d.body.Upstreams {
+			ix.upstreams = append(ix.upstreams, Upstream{f})
+		}
+		for _, f := range d.body.Stores {
+			ix.stores = append(ix.stores, Store{f})
+		}
+	}
+	return ix
+}
+
+// Team returns the team of that name.
+func (s *State) Team(name string) (Team, bool) {
+	t, ok := s.index.teams[name]
+	return t, ok
+}
+
+// TeamByKey finds the team that owns a key. Every digest is compared in
+// constant time, and the search never stops early.
+func (s *State) TeamByKey(key string) (Team, bool) {
+	sum := sha256.Sum256([]byte(key))
+	given := []byte(hex.EncodeToString(sum[:]))
+	var owner Team
+	found := 0
+	for _, t := range s.index.teams {
+		for _, digest := range t.f.KeyDigests {
+			if subtle.ConstantTimeCompare(given, []byte(digest)) == 1 {
+				owner = t
+				found = 1
+			}
+		}
+	}
+	return owner, found == 1
+}
+
+// Model returns the model of that name.
+func (s *State) Model(name string) (Model, bool) {
+	m, ok := s.index.models[name]
+	return m, ok
+}
+
+// Service returns the plain service of that name.
+func (s *State) Service(name string) (Service, bool) {
+	v, ok := s.index.services[name]
+	return v, ok
+}
+
+// Upstreams returns every declared upstream, in the order of the document.
+func (s *State) Upstreams() []Upstream { return s.index.upstreams }
+
+// Stores returns every declared store, in the order of the document.
+func (s *State) Stores() []Store { return s.index.stores }
+
+// Teams returns the number of declared teams.
+func (s *State) Teams() int { return len(s.index.teams) }
+
+// Control returns the control declaration; it is empty when none is in force.
+func (s *State) Control() Control {
+	d, ok := s.docs[KindControl]
+	if !ok {
+		return Control{}
+	}
+	return Control{*d.body.Control}
+}
+
+// snapshot is the stored form of a State.
+type snapshot struct {
+	Revision  uint64          `json:"revision"`
+	Documents map[Kind][]byte `json:"documents"`
+	History   []accepted      `json:"history"`
+}
+
+// Marshal encodes the state for a snapshot.
+func (s *State) Marshal() ([]byte, error) {
+	out := snapshot{Revision: s.revision, Documents: map[Kind][]byte{}, History: s.history}
+	for k, d := range s.docs {
+		out.Documents[k] = d.text
+	}
+	b, err := json.Marshal(out)
+	return b, errors.Wrap(err, "encode declared state")
+}
+
+// Unmarshal decodes a state written by Marshal.
+func Unmarshal(b []byte) (*State, error) {
+	var in snapshot
+	err := json.Unmarshal(b, &in)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode declared state")
+	}
+	s := New()
+	s.revision = in.Revision
+	s.history = in.History
+	for kind, text := range in.Documents {
+		d, faults := Parse("snapshot", text)
+		if len(faults) > 0 {
+			return nil, errors.Errorf("decode declared state: document %s: %s", kind, faults[0])
+		}
+		s.docs[kind] = d
+	}
+	s.index = newIndex(s.docs)
+	return s, nil
+}
+
+// ModelNames returns the names of the declared models, in order.
+func (s *State) ModelNames() []string {
+	names := make([]string, 0, len(s.index.models))
+	for name := range s.index.models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// CheckTogether returns the dangling references that would be left if all the
+// documents were in force together.
+func (s *State) CheckTogether(docs []*Document) []Fault {
+	together := s.Clone()
+	for _, d := range docs {
+		together.docs[d.kind] = d
+	}
+	var faults []Fault
+	for _, d := range docs {
+		if together.docs[d.kind] != d {
+			faults = append(faults, d.fault("document", "another file also declares %s", d.kind))
+			continue
+		}
+		for _, f := range together.dangling(d) {
+			// Faults of other documents are reported with their own file.
+			if !strings.Contains(f.Reason, "document in force still needs it") {
+				faults = append(faults, f)
+			}
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/state/ledger/ledger.go
@@ -0,0 +1,171 @@
+// Package ledger is the state above the control log: the declared state, the
+// at-most-once records, and the tokens that fence orders.
+//
+// It changes only by Execute, which is deterministic: every replica that
+// executes the same commands in the same order holds the same ledger. It is not
+// safe for concurrent use.
+package ledger
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shedrock/shedrock/internal/state/command"
+	"github.com/shedrock/shedrock/internal/state/declared"
+)
+
+// Ledger is the state. Make one with New or Unmarshal.
+type Ledger struct {
+	// now is the log's time in milliseconds since 1970; it never falls.
+	now      int64
+	declared *declared.State
+	records  map[identity]Record
+	// order holds the identities of records by age; released ones may linger.
+	order          []identity
+	tombstones     map[tombstone]int64
+	tombstoneOrder []tombstone
+	// token only rises; the holder of the highest may give orders.
+	token       uint64
+	tokenHolder string
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{
+		declared:   declared.New(),
+		records:    map[identity]Record{},
+		tombstones: map[tombstone]int64{},
+	}
+}
+
+// Result is one of Applied, Reservation, Recorded, Token or Malformed.
+type Result interface{ result() }
+
+// Applied is the result of an apply command.
+type Applied struct{ Result declared.Result }
+
+// Reservation is the result of a reserve command.
+type Reservation struct{ Result ReserveResult }
+
+// Recorded is the result of a finish or release command; OK is false when the
+// record is not the holder's.
+type Recorded struct{ OK bool }
+
+// Token is the result of taking a token.
+type Token struct{ Value uint64 }
+
+// Malformed says that a command holds nothing that this binary knows. It changes
+// nothing.
+type Malformed struct{}
+
+func (Applied) result()     {}
+func (Reservation) result() {}
+func (Recorded) result()    {}
+func (Token) result()       {}
+func (Malformed) result()   {}
+
+// Execute carries out one command.
+func (l *Ledger) Execute(data []byte) Result {
+	var c command.Command
+	err := proto.Unmarshal(data, &c)
+	if err != nil {
+		return Malformed{}
+	}
+	l.now = max(l.now, c.At)
+	l.expire()
+	switch body := c.Body.(type) {
+	case *command.Command_Apply:
+		return Applied{l.apply(body.Apply)}
+	case *command.Command_Reserve:
+		return Reservation{l.reserve(body.Reserve)}
+	case *command.Command_Finish:
+		return Recorded{l.finish(body.Finish)}
+	case *command.Command_Release:
+		return Recorded{l.release(body.Release)}
+	case *command.Command_TakeToken:
+		l.token++
+		l.tokenHolder = body.TakeToken.Holder
+		return Token{l.token}
+	}
+	return Malformed{}
+}
+
+func (l *Ledger) apply(c *command.Apply) declared.Result {
+	d, faults := declared.Parse(c.File, c.Text)
+	if len(faults) > 0 {
+		return declared.Rejected{Faults: faults}
+	}
+	return l.declared.Apply(d)
+}
+
+// Declared returns the declared state. It must not be changed, and is only valid
+// until the next Execute.
+func (l *Ledger) Declared() *declared.State { return l.declared }
+
+// Records returns the number of records kept.
+func (l *Ledger) Records() int { return len(l.records) }
+
+// Token returns the highest token given and its holder.
+func (l *Ledger) Token() (value uint64, holder string) { return l.token, l.tokenHolder }
+
+// Marshal encodes the ledger for a snapshot.
+func (l *Ledger) Marshal() ([]byte, error) {
+	d, err := l.declared.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	out := &command.Ledger{Now: l.now, Declared: d, Token: l.token, TokenHolder: l.tokenHolder}
+	written := map[identity]bool{}
+	for _, id := range l.order {
+		r, ok := l.records[id]
+		if !ok || written[id] {
+			continue
+		}
+		written[id] = true
+		out.Records = append(out.Records, &command.Record{
+			Team: id.team, Key: id.key, Digest: r.digest, Holder: r.holder,
+			At: r.at, Phase: uint32(r.phase), Answer: r.answer,
+		})
+	}
+	for _, t := range l.tombstoneOrder {
+		out.Tombstones = append(out.Tombstones, &command.Tombstone{Digest: t[:], At: l.tombstones[t]})
+	}
+	b, err := proto.Marshal(out)
+	return b, errors.Wrap(err, "encode ledger")
+}
+
+// Unmarshal decodes a ledger written by Marshal.
+func Unmarshal(b []byte) (*Ledger, error) {
+	var in command.Ledger
+	err := proto.Unmarshal(b, &in)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode ledger")
+	}
+	l := New()
+	l.now = in.Now
+	l.token = in.Token
+	l.tokenHolder = in.TokenHolder
+	l.declared, err = declared.Unmarshal(in.Declared)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range in.Records {
+		id := identity{r.Team, r.Key}
+		l.records[id] = Record{digest: r.Digest, holder: r.Holder, at: r.At, phase: Phase(r.Phase), answer: r.Answer}
+		l.order = append(l.order, id)
+	}
+	for _, t := range in.Tombstones {
+		if len(t.Digest) != len(tombstone{}) {
+			return nil, errors.New("decode ledger: a tombstone of the wrong length")
+		}
+		l.tombstones[tombstone(t.Digest)] = t.At
+		l.tombstoneOrder = append(l.tombstoneOrder, tombstone(t.Digest))
+	}
+	return l, nil
+}
+
+// Record returns the record of one call.
+func (l *Ledger) Record(team, key string) (Record, bool) {
+	r, ok := l.records[identity{team, key}]
+	return r, ok
+}
--- /dev/null
+++ b/internal/transport/control/replica.go
@@ -0,0 +1,296 @@
+// Package control runs one replica of the control log: the loop that drives the
+// pure replication machine, its disk and its network, and the services that
+// entries and operators call.
+//
+// One goroutine owns the machine, the ledger and the folder. It takes all inputs
+// that wait, steps the machine through them, and writes what they need with one
+// sync; so a busier log needs fewer syncs for each command. Messages that
+// promise durability leave only after that sync.
+package control
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/shedrock/shedrock/internal/coordination/replication"
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/command"
+	"github.com/shedrock/shedrock/internal/state/disk"
+	"github.com/shedrock/shedrock/internal/state/ledger"
+	"github.com/shedrock/shedrock/internal/transport/rpc"
+)
+
+const (
+	// DefaultTick is the unit of time of the replication machine. Heartbeats go
+	// out every 2 ticks, and elections begin after 6 to 12.
+	DefaultTick = 75 * time.Millisecond
+	// DefaultSnapshotBytes is how long the log file grows before a snapshot.
+	DefaultSnapshotBytes = 8 << 20
+	// keptEntries stay in the log behind a snapshot, for followers that are
+	// only a little behind.
+	keptEntries = 1024
+	// maxInputs is how many inputs one round of the loop takes.
+	maxInputs = 4096
+	// inputQueue bounds the inputs that wait.
+	inputQueue = 8192
+)
+
+// Peer is one founding replica, as the settings name it.
+type Peer struct {
+	ID      uint64
+	Address string
+}
+
+// Replica is one replica of the control log. Set the exported fields, then Run.
+type Replica struct {
+	// ID is this replica's number, from 1.
+	ID uint64
+	// Address is where other processes reach this replica.
+	Address string
+	// Peers are the founding replicas, this one included.
+	Peers []Peer
+	// Folder is the open data folder. Run closes it.
+	Folder *disk.Folder
+	// Restart is what Open read from the folder.
+	Restart replication.Restart
+	// Ledger is the state that the folder's snapshot holds.
+	Ledger *ledger.Ledger
+	// Listener takes connections. Run closes it.
+	Listener net.Listener
+	// Log receives one line for each event.
+	Log *log.Logger
+	// Tick and SnapshotBytes have defaults when zero.
+	Tick          time.Duration
+	SnapshotBytes int64
+
+	once   sync.Once
+	inputs chan any
+	client *http.Client
+
+	// The fields below belong to the loop's goroutine.
+	machine  *replication.Machine
+	outgoing map[replication.Node]*outgoing
+	// addresses holds where a node was last said to be.
+	addresses map[replication.Node]string
+	waiting   map[uint64]waiter
+	proposals map[uint64]chan<- reply
+	readers   map[uint64]readRequest
+	reading   []readWait
+	nextID    uint64
+	// appliedIndex is the last entry that the ledger holds.
+	appliedIndex uint64
+	// unsynced holds what a failing disk has not taken yet, in order.
+	unsynced []durable
+	diskErr  error
+	// repair says what change of the replicas is under way.
+	repair string
+
+	// view is what the services read.
+	view view
+}
+
+type waiter struct {
+	term uint64
+	ch   chan<- reply
+}
+
+type readWait struct {
+	index   uint64
+	request readRequest
+}
+
+// proposal asks the loop to commit a command.
+type proposal struct {
+	command *command.Command
+	ch      chan<- reply
+}
+
+// readRequest asks the loop to run look as a linearizable read.
+type readRequest struct {
+	look func(*ledger.Ledger)
+	ch   chan<- reply
+}
+
+// reply is one of done, refused or lost.
+type reply interface{ reply() }
+
+// done carries the result of a committed command; it is nil after a read.
+type done struct{ result ledger.Result }
+
+// refused says that nothing was appended; leader may be empty.
+type refused struct{ leader string }
+
+// lost says that an appended command was replaced, and will never commit.
+type lost struct{}
+
+func (done) reply()    {}
+func (refused) reply() {}
+func (lost) reply()    {}
+
+// Open opens a data folder and returns what a replica finds in it.
+func Open(path string) (*disk.Folder, replication.Restart, *ledger.Ledger, error) {
+	var frames []*command.Frame
+	folder, err := disk.Open(path, func(f *command.Frame) { frames = append(frames, f) })
+	if err != nil {
+		return nil, replication.Restart{}, nil, err
+	}
+	restart, data, err := restore(folder.Image(), frames)
+	if err != nil {
+		return nil, replication.Restart{}, nil, err
+	}
+	l := ledger.New()
+	if data != nil {
+		l, err = ledger.Unmarshal(data)
+	}
+	return folder, restart, l, err
+}
+
+// Run serves until ctx ends or an invariant breaks.
+func (r *Replica) Run(ctx context.Context) error {
+	r.init()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	served := make(chan error, 1)
+	go func() { served <- rpc.Serve(ctx, r.Listener, r.Handler()) }()
+	go r.found(ctx)
+	r.loop(ctx)
+	cancel()
+	err := <-served
+	closeErr := r.Folder.Close()
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(closeErr, "close the data folder")
+}
+
+func (r *Replica) init() {
+	r.once.Do(func() {
+		if r.Tick == 0 {
+			r.Tick = DefaultTick
+		}
+		if r.SnapshotBytes == 0 {
+			r.SnapshotBytes = DefaultSnapshotBytes
+		}
+		r.inputs = make(chan any, inputQueue)
+		r.client = rpc.NewClient()
+		r.outgoing = map[replication.Node]*outgoing{}
+		r.addresses = map[replication.Node]string{}
+		r.waiting = map[uint64]waiter{}
+		r.proposals = map[uint64]chan<- reply{}
+		r.readers = map[uint64]readRequest{}
+		r.view.init()
+		r.start(r.Restart)
+	})
+}
+
+// start makes the machine from what the folder holds.
+func (r *Replica) start(restart replication.Restart) {
+	seed := maphash.String(maphash.MakeSeed(), r.Folder.Incarnation())
+	r.machine = replication.New(replication.Node(r.Folder.Incarnation()), seed, restart)
+	r.appliedIndex = restart.Snapshot.Index
+	r.view.publishDeclared(r.Ledger.Declared())
+	r.publish()
+}
+
+// Handler serves the replica's services; it may be used after Run has begun.
+func (r *Replica) Handler() http.Handler {
+	r.init()
+	mux := http.NewServeMux()
+	replicationServer := wire.NewReplicationServer(replicationService{r})
+	controlServer := wire.NewControlServer(controlService{r}, twirp.WithServerHooks(nil))
+	mux.Handle(replicationServer.PathPrefix(), replicationServer)
+	mux.Handle(controlServer.PathPrefix(), controlServer)
+	return mux
+}
+
+func (r *Replica) loop(ctx context.Context) {
+	ticker := time.NewTicker(r.Tick)
+	defer ticker.Stop()
+	defer r.stopOutgoing()
+	for {
+		var first any
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			first = replication.Tick{}
+		case first = <-r.inputs:
+		}
+		r.round(r.gather(first))
+	}
+}
+
+// gather takes the inputs that wait, without waiting for more.
+func (r *Replica) gather(first any) []any {
+	batch := []any{first}
+	for len(batch) < maxInputs {
+		select {
+		case in := <-r.inputs:
+			batch = append(batch, in)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// round steps the machine through a batch and carries out the effects.
+func (r *Replica) round(batch []any) {
+	out := &effects{}
+	var commands []replication.Command
+	for _, in := range batch {
+		switch in := in.(type) {
+		case replication.Tick:
+			r.tick(out)
+		case replication.Receive:
+			r.collect(out, r.machine.Step(in))
+		case proposal:
+			commands = r.takeProposal(commands, in)
+		case readRequest:
+			r.nextID++
+			r.readers[r.nextID] = in
+			r.collect(out, r.machine.Step(replication.Read{ID: r.nextID}))
+		case sighting:
+			r.addresses[in.node] = in.address
+		case founding:
+			r.takeFounding(in)
+		default:
+			panic("control: input outside the known set")
+		}
+	}
+	if len(commands) > 0 {
+		r.collect(out, r.machine.Step(replication.Propose{Commands: commands}))
+	}
+	r.settle(out)
+	r.publish()
+}
+
+// takeProposal queues a command for this round, or refuses it while the disk
+// takes nothing.
+func (r *Replica) takeProposal(commands []replication.Command, in proposal) []replication.Command {
+	if r.diskErr != nil {
+		in.ch <- refused{}
+		return commands
+	}
+	data, ok := encodeCommand(in.command)
+	if !ok {
+		in.ch <- refused{}
+		return commands
+	}
+	r.nextID++
+	r.proposals[r.nextID] = in.ch
+	return append(commands, replication.Command{ID: r.nextID, Data: data})
+}
+
+func (r *Replica) tick(out *effects) {
+	r.collect(out, r.machine.Step(replication.Tick{}))
+	r.reconcile(out)
+}
--- /dev/null
+++ b/internal/transport/control/service.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/command"
+	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/state/ledger"
+)
+
+// MetaLeader names the leader's address in the metadata of a refusal.
+const MetaLeader = "leader"
+
+// MetaLost marks a command that was appended and will never commit.
+const MetaLost = "lost"
+
+// controlService answers entries and operators.
+type controlService struct{ r *Replica }
+
+// commit has a command committed, and returns its result.
+func (s controlService) commit(ctx context.Context, c *command.Command) (ledger.Result, error) {
+	c.At = time.Now().UnixMilli()
+	ch := make(chan reply, 1)
+	if !s.r.push(ctx, proposal{c, ch}) {
+		return nil, twirp.NewError(twirp.Unavailable, "the replica is too busy")
+	}
+	select {
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.DeadlineExceeded, "the command may commit later")
+	case answer := <-ch:
+		switch answer := answer.(type) {
+		case done:
+			return answer.result, nil
+		case refused:
+			return nil, notLeading(answer.leader)
+		case lost:
+			return nil, twirp.NewError(twirp.Unavailable, "the command was replaced").WithMeta(MetaLost, "true")
+		}
+	}
+	panic("control: reply outside the sealed set")
+}
+
+func notLeading(leader string) twirp.Error {
+	return twirp.NewError(twirp.Unavailable, "this replica does not lead or takes no writes").WithMeta(MetaLeader, leader)
+}
+
+// look runs a function over the ledger as a linearizable read. The function runs
+// in the loop, and may still run after look has given up.
+func (s controlService) look(ctx context.Context, f func(*ledger.Ledger)) error {
+	ch := make(chan reply, 1)
+	if !s.r.push(ctx, readRequest{f, ch}) {
+		return twirp.NewError(twirp.Unavailable, "the replica is too busy")
+	}
+	select {
+	case <-ctx.Done():
+		return twirp.NewError(twirp.DeadlineExceeded, "no majority answered")
+	case answer := <-ch:
+		if answer, ok := answer.(refused); ok {
+			return notLeading(answer.leader)
+		}
+		return nil
+	}
+}
+
+// Apply submits one document. Faults of the document by itself are found before
+// anything is written to the log.
+func (s controlService) Apply(ctx context.Context, in *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	_, faults := declared.Parse(in.File, in.Text)
+	if len(faults) > 0 {
+		return wire.FromApply(declared.Rejected{Faults: faults}), nil
+	}
+	c := &command.Command{Body: &command.Command_Apply{Apply: &command.Apply{File: in.File, Text: in.Text}}}
+	result, err := s.commit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return wire.FromApply(result.(ledger.Applied).Result), nil
+}
+
+// Watch answers with what is newer than the caller's revision.
+func (s controlService) Watch(ctx context.Context, in *wire.WatchRequest) (*wire.WatchResponse, error) {
+	return s.r.view.feed.Watch(ctx, in), nil
+}
+
+// Reserve commits the record of one call.
+func (s controlService) Reserve(ctx context.Context, in *wire.ReserveRequest) (*wire.ReserveResponse, error) {
+	c := &command.Command{Body: &command.Command_Reserve{Reserve: &command.Reserve{
+		Team: in.Team, Key: in.Key, Digest: in.RequestDigest, Holder: in.Holder,
+	}}}
+	result, err := s.commit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return wire.FromReserve(result.(ledger.Reservation).Result), nil
+}
+
+// Finish commits the end of a reserved call.
+func (s controlService) Finish(ctx context.Context, in *wire.FinishRequest) (*wire.FinishResponse, error) {
+	result, err := s.commit(ctx, wire.ToFinishCommand(in))
+	if err != nil {
+		return nil, err
+	}
+	return &wire.FinishResponse{Recorded: result.(ledger.Recorded).OK}, nil
+}
+
+// Lookup reads one record.
+func (s controlService) Lookup(ctx context.Context, in *wire.LookupRequest) (*wire.LookupResponse, error) {
+	found := make(chan *wire.Record, 1)
+	err := s.look(ctx, func(l *ledger.Ledger) {
+		record, ok := l.Record(in.Team, in.Key)
+		if !ok {
+			found <- &wire.Record{}
+			return
+		}
+		found <- wire.FromRecord(record)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.LookupResponse{Record: <-found}, nil
+}
+
+// TakeToken commits a new fencing token.
+func (s controlService) TakeToken(ctx context.Context, in *wire.TakeTokenRequest) (*wire.TakeTokenResponse, error) {
+	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: in.Holder}}}
+	result, err := s.commit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.TakeTokenResponse{Token: result.(ledger.Token).Value}, nil
+}
+
+// Status reports the replica's view; it is not linearizable.
+func (s controlService) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	return s.r.view.get(), nil
+}
--- /dev/null
+++ b/internal/transport/control/view.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/transport/feed"
+)
+
+// appliedLifetime is how long a report of what a process has in force is shown
+// after the process was last heard.
+const appliedLifetime = 5 * time.Minute
+
+// view is the loop's state as the services see it. It is safe for concurrent use.
+type view struct {
+	// feed distributes the declared state.
+	feed *feed.Feed
+
+	mu     sync.Mutex
+	status *wire.StatusResponse
+}
+
+func (v *view) init() {
+	v.feed = feed.New()
+	v.status = &wire.StatusResponse{}
+}
+
+func (v *view) publishDeclared(s *declared.State) { v.feed.Publish(s) }
+
+func (v *view) set(s *wire.StatusResponse) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.status = s
+}
+
+// get returns the status as of the last round, with what watchers reported.
+func (v *view) get() *wire.StatusResponse {
+	v.mu.Lock()
+	out := proto.CloneOf(v.status)
+	v.mu.Unlock()
+	out.Applied = v.feed.Applied(appliedLifetime)
+	return out
+}
+
+// publish shows the loop's present state to the services.
+func (r *Replica) publish() {
+	m := r.machine
+	s := &wire.StatusResponse{
+		Id:           r.ID,
+		Address:      r.Address,
+		Incarnation:  r.Folder.Incarnation(),
+		Leader:       string(m.Leader()),
+		Term:         m.Term(),
+		Committed:    m.Commit(),
+		AppliedIndex: m.Commit(),
+		Revision:     r.Ledger.Declared().Revision(),
+		Records:      uint64(r.Ledger.Records()),
+		Repair:       r.repair,
+		Blank:        m.LastIndex() == 0 && m.Term() == 0,
+	}
+	if r.diskErr != nil {
+		s.Refusing = r.diskErr.Error()
+	}
+	for _, member := range m.Members() {
+		status := &wire.ReplicaStatus{Id: member.ID, Address: member.Address, Incarnation: string(member.Node), Voter: member.Voter}
+		if m.Leading() {
+			status.Matched = m.Matched(member.Node)
+		}
+		s.Replicas = append(s.Replicas, status)
+	}
+	r.view.set(s)
+}
--- /dev/null
+++ b/internal/transport/entry/metrics.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/shedrock/shedrock/internal/coordination/admission"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+const namespace = "shedrock"
+
+var (
+	secondsBuckets = []float64{.005, .01, .025, .05, .1, .2, .35, .56, .8, 1.2, 2, 4, 8, 16, 60}
+	tokenBuckets   = []float64{.002, .005, .01, .02, .031, .05, .1, .25, 1, 5}
+)
+
+// metrics holds what operators see, by team and class.
+type metrics struct {
+	registry   *prometheus.Registry
+	firstToken *prometheus.HistogramVec
+	between    *prometheus.HistogramVec
+	queue      *prometheus.HistogramVec
+	recomputed *prometheus.CounterVec
+	reused     *prometheus.CounterVec
+	linkBytes  *prometheus.CounterVec
+	outcomes   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	byTeam := []string{"team", "class"}
+	histogram := func(name, help string, buckets []float64) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, byTeam)
+	}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	m := &metrics{
+		registry:   prometheus.NewRegistry(),
+		firstToken: histogram("first_token_seconds", "Time from a request's arrival to its first token, or to a whole answer.", secondsBuckets),
+		between:    histogram("between_tokens_seconds", "Time between the events of a stream.", tokenBuckets),
+		queue:      histogram("queue_seconds", "Time that a request waited at the entry.", secondsBuckets),
+		recomputed: counter("recomputed_tokens_total", "Prompt tokens that an engine computed.", byTeam...),
+		reused:     counter("reused_tokens_total", "Prompt tokens that an engine reused.", byTeam...),
+		linkBytes:  counter("link_bytes_total", "Bytes of kept context over the links of stores.", "store", "direction"),
+		outcomes:   counter("outcomes_total", "Requests by their final outcome.", "team", "class", "outcome"),
+		attempts:   counter("attempts_total", "Dispatches to upstreams.", "upstream", "end"),
+	}
+	m.registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.firstToken, m.between, m.queue, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts,
+	)
+	return m
+}
+
+// flow observes one request's team and class.
+type flow struct {
+	team, class string
+	m           *metrics
+	arrived     time.Time
+	between     prometheus.Observer
+	last        time.Time
+}
+
+func (m *metrics) flow(team string, class admission.Class) *flow {
+	return &flow{team: team, class: class.String(), m: m, arrived: time.Now()}
+}
+
+func (f *flow) queued() {
+	f.m.queue.WithLabelValues(f.team, f.class).Observe(time.Since(f.arrived).Seconds())
+}
+
+// token notes one event of a stream, or a whole answer.
+func (f *flow) token() {
+	now := time.Now()
+	if f.between == nil {
+		f.m.firstToken.WithLabelValues(f.team, f.class).Observe(now.Sub(f.arrived).Seconds())
+		f.between = f.m.between.WithLabelValues(f.team, f.class)
+	} else {
+		f.between.Observe(now.Sub(f.last).Seconds())
+	}
+	f.last = now
+}
+
+func (f *flow) prompt(tokens, cached int) {
+	f.m.recomputed.WithLabelValues(f.team, f.class).Add(float64(max(tokens-cached, 0)))
+	f.m.reused.WithLabelValues(f.team, f.class).Add(float64(min(cached, tokens)))
+}
+
+func (f *flow) ended(o outcome.Outcome) {
+	f.m.outcomes.WithLabelValues(f.team, f.class, outcome.Label(o)).Inc()
+}
--- /dev/null
+++ b/internal/transport/entry/poll.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+const (
+	// pollInterval is how often an upstream is asked for its load and events.
+	pollInterval = 250 * time.Millisecond
+	// pollTimeout bounds one question.
+	pollTimeout = time.Second
+)
+
+// poll keeps one goroutine for each declared upstream; mu must be held.
+func (e *Entry) poll(ctx context.Context, state *declared.State) {
+	present := map[string]bool{}
+	for _, u := range state.Upstreams() {
+		key := u.Name() + " " + u.Address()
+		present[key] = true
+		if _, ok := e.polls[key]; ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		e.polls[key] = cancel
+		n, _ := e.board.Number(u.Name())
+		p := &poller{e: e, number: n, address: u.Address()}
+		e.background.Add(1)
+		go func() {
+			defer e.background.Done()
+			p.run(ctx)
+		}()
+	}
+	for key, cancel := range e.polls {
+		if !present[key] {
+			cancel()
+			delete(e.polls, key)
+		}
+	}
+}
+
+// poller asks one upstream.
+type poller struct {
+	e       *Entry
+	number  int
+	address string
+	// start and sequence say up to where cache events were taken.
+	start    string
+	sequence uint64
+}
+
+func (p *poller) run(ctx context.Context) {
+	for {
+		p.askLoad(ctx)
+		p.askEvents(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pollInterval/2 + rand.N(pollInterval)):
+		}
+	}
+}
+
+func (p *poller) get(ctx context.Context, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	req, err := sling.New().Get("http://" + p.address + path).Request()
+	if err != nil {
+		return err
+	}
+	res, err := sling.New().Client(p.e.upstreams.HTTP()).Do(req.WithContext(ctx), out, nil)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = errors.Errorf("the upstream answered %d", res.StatusCode)
+	}
+	return err
+}
+
+func (p *poller) askLoad(ctx context.Context) {
+	var load engine.Load
+	err := p.get(ctx, engine.PathLoad, &load)
+	if err != nil {
+		return
+	}
+	e := p.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u := e.board.Upstream(p.number)
+	u.NoteLoad(load.Running, load.Queued, load.Leaving)
+	if u.Version != load.Version {
+		// Other weights mean another cache, and one that is empty.
+		u.Version = load.Version
+		e.board.Directory().ForgetUpstream(p.number)
+	}
+}
+
+// askEvents takes cache events. A gap or a new start means that events were
+// lost: what was thought to be cached there is forgotten, and learned again from
+// the runs that follow.
+func (p *poller) askEvents(ctx context.Context) {
+	var page engine.CacheEvents
+	err := p.get(ctx, engine.PathEvents+"?after="+strconv.FormatUint(p.sequence, 10), &page)
+	if err != nil {
+		return
+	}
+	e := p.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.board.Directory()
+	if page.Start != p.start {
+		if p.start != "" {
+			d.ForgetUpstream(p.number)
+		}
+		p.start = page.Start
+		p.sequence = 0
+		return
+	}
+	for _, event := range page.Events {
+		if p.sequence != 0 && event.Sequence != p.sequence+1 {
+			d.ForgetUpstream(p.number)
+		}
+		p.sequence = event.Sequence
+		key, ok := prefix.ParseKey(event.Key)
+		if ok && event.Removed {
+			d.NoteEvicted(key, p.number)
+		}
+	}
+}
+
+// attemptOf reads the attempt's number from the end of a run's id.
+func attemptOf(run string) (int, bool) {
+	at := strings.LastIndexByte(run, '-')
+	n, err := strconv.Atoi(run[at+1:])
+	return n, err == nil && at > 0
+}
--- /dev/null
+++ b/internal/transport/entry/run.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/coordination/admission"
+	"github.com/shedrock/shedrock/internal/coordination/placement"
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/protocol/classify"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/openai"
+	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+const (
+	// maxAnswerBytes bounds a whole answer, which is held until it is complete.
+	maxAnswerBytes = 16 << 20
+	// cancelTimeout bounds the request that ends a run nobody waits for.
+	cancelTimeout = 2 * time.Second
+)
+
+// job is one admitted prompt.
+type job struct {
+	path   string
+	req    *openai.Request
+	model  declared.Model
+	tokens int
+	salt   string
+	keys   []prefix.Key
+	tried  []int
+	retry  retry.Run
+	// plan and run are those of the present attempt.
+	plan    placement.Plan
+	run     string
+	attempt int
+	began   time.Time
+}
+
+// run makes attempts until the prompt has its final outcome.
+func (e *Entry) run(w http.ResponseWriter, r *http.Request, c caller, j *job) {
+	j.salt = prefix.NewSalt(e.Secrets[0], c.team.Name(), j.model.Name(), j.model.WeightVersion()).String()
+	j.keys = prefix.Chain(j.salt, j.req.Text())
+	s := &sink{w: w, team: c.team.Name(), sealer: e.sealer, flow: c.flow}
+	var step retry.Step = retry.Dispatch{}
+	for {
+		var end retry.End
+		switch next := step.(type) {
+		case retry.Dispatch:
+			if !e.place(j) {
+				step = retry.Stop{Outcome: j.retry.GiveUp(outcome.ReasonNoUpstream)}
+				continue
+			}
+			end = e.dispatch(r.Context(), c, j, s)
+		case retry.Resume:
+			end = e.pickUp(r.Context(), j, s, next.Offset)
+		case retry.Stop:
+			e.conclude(c, j, s, next.Outcome)
+			return
+		default:
+			panic("entry: step outside the sealed set")
+		}
+		if r.Context().Err() != nil && !isWhole(end) {
+			end = retry.CallerGone{}
+		}
+		step = e.after(r.Context(), c, j, end)
+	}
+}
+
+func isWhole(end retry.End) bool {
+	_, ok := end.(retry.Whole)
+	return ok
+}
+
+// place plans the next attempt.
+func (e *Entry) place(j *job) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := placement.Prompt{Model: j.model, Version: j.model.WeightVersion(), Keys: j.keys, Tokens: j.tokens, Tried: j.tried}
+	plan, ok := e.board.Place(p, time.Now())
+	if !ok {
+		return false
+	}
+	j.plan = plan
+	j.tried = append(j.tried, plan.Upstream)
+	e.board.Upstream(plan.Upstream).Begin()
+	return true
+}
+
+// after notes how an attempt ended and decides what follows.
+func (e *Entry) after(ctx context.Context, c caller, j *job, end retry.End) retry.Step {
+	e.metrics.attempts.WithLabelValues(j.plan.Name, endLabel(end)).Inc()
+	e.mu.Lock()
+	step := j.retry.Next(end, j.req.Stream(), e.budget)
+	u := e.board.Upstream(j.plan.Upstream)
+	now := time.Now()
+	switch end.(type) {
+	case retry.Whole:
+		u.NoteSuccess()
+	case retry.Unreached, retry.Broken:
+		u.NoteFailure(now)
+	}
+	_, resumed := step.(retry.Resume)
+	if !resumed {
+		u.End(held(end, j, now))
+	}
+	e.mu.Unlock()
+	e.Log.Info().Str("event", "attempt").Str("request", c.request).Str("run", j.run).Str("upstream", j.plan.Name).Str("end", endLabel(end)).
+		Bool("fetched", j.plan.Fetch).Int("expected_recompute", j.plan.Recompute).Dur("estimate_ms", j.plan.Estimate).Msg("")
+	if !resumed && abandoned(end) {
+		e.cancelRun(context.WithoutCancel(ctx), j)
+	}
+	if isWhole(end) {
+		e.keep(j)
+	}
+	return step
+}
+
+// held is how long an attempt held a slot; 0 when it never did.
+func held(end retry.End, j *job, now time.Time) time.Duration {
+	if isWhole(end) {
+		return now.Sub(j.began)
+	}
+	return 0
+}
+
+// abandoned reports whether a run may go on at the engine with nobody waiting.
+func abandoned(end retry.End) bool {
+	switch end.(type) {
+	case retry.Broken, retry.CallerGone:
+		return true
+	}
+	return false
+}
+
+func endLabel(end retry.End) string {
+	switch end.(type) {
+	case retry.Whole:
+		return "whole"
+	case retry.Refused:
+		return "refused"
+	case retry.Unreached:
+		return "unreached"
+	case retry.Broken:
+		return "broken"
+	case retry.CallerGone:
+		return "caller_gone"
+	}
+	panic("entry: end outside the sealed set")
+}
+
+// conclude gives the caller the final outcome.
+func (e *Entry) conclude(c caller, j *job, s *sink, o outcome.Outcome) {
+	c.flow.ended(o)
+	e.logOutcome(c, o, j.retry.Attempts())
+	if _, ok := o.(outcome.Answered); ok {
+		return
+	}
+	s.fail(o)
+}
+
+// dispatch fetches kept context when that is planned, and runs the prompt.
+func (e *Entry) dispatch(ctx context.Context, c caller, j *job, s *sink) retry.End {
+	j.attempt = j.retry.Begin()
+	j.run = c.request + "-" + strconv.Itoa(j.attempt)
+	j.began = time.Now()
+	if j.plan.Fetch {
+		e.fetch(ctx, j)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+j.plan.Address+j.path, bytes.NewReader(j.req.Body()))
+	if err != nil {
+		return retry.Unreached{}
+	}
+	h := req.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(engine.HeaderRun, j.run)
+	h.Set(engine.HeaderAttempt, strconv.Itoa(j.attempt))
+	h.Set(engine.HeaderSalt, j.salt)
+	h.Set(engine.HeaderVersion, j.model.WeightVersion())
+	h.Set(engine.HeaderPriority, priority(c.class))
+	res, x := e.upstreams.Do(req, j.run, j.attempt)
+	return e.receive(c, j, s, res, x)
+}
+
+func priority(class admission.Class) string {
+	if class == admission.Batch {
+		return "10"
+	}
+	return "0"
+}
+
+// receive takes the answer of a dispatch.
+func (e *Entry) receive(c caller, j *job, s *sink, res *http.Response, x classify.Exchange) retry.End {
+	if res != nil {
+		defer res.Body.Close()
+	}
+	switch o := classify.Outcome(x).(type) {
+	case outcome.NotRun:
+		e.noteRefusal(j, x)
+		if o.Reason == outcome.ReasonUnreachable {
+			return retry.Unreached{}
+		}
+		return retry.Refused{}
+	case outcome.Answered:
+		return e.takeAnswer(c, j, s, res, o.Status)
+	}
+	return retry.Broken{Sent: s.sent}
+}
+
+// noteRefusal learns from a refusal: the upstream leaves, or serves another
+// weight version than was thought.
+func (e *Entry) noteRefusal(j *job, x classify.Exchange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u := e.board.Upstream(j.plan.Upstream)
+	if x.Header.Get(engine.HeaderLeaving) == "true" {
+		u.NoteLeaving(true)
+	}
+	if version := x.Header.Get(engine.HeaderVersion); version != "" {
+		u.Version = version
+	}
+}
+
+func (e *Entry) takeAnswer(c caller, j *job, s *sink, res *http.Response, status int) retry.End {
+	if status >= http.StatusInternalServerError {
+		return retry.Broken{Sent: s.sent}
+	}
+	version := res.Header.Get(engine.HeaderVersion)
+	if status == http.StatusOK && version != j.model.WeightVersion() {
+		// The engine ran other weights than were asked for: nothing of it is used.
+		return retry.Broken{Sent: s.sent}
+	}
+	if status == http.StatusOK {
+		e.noteReuse(c, j, res.Header)
+	}
+	if status == http.StatusOK && j.req.Stream() {
+		return s.stream(res.Body, j)
+	}
+	return s.whole(res, j)
+}
+
+func (e *Entry) noteReuse(c caller, j *job, h http.Header) {
+	cached, err := strconv.Atoi(h.Get(engine.HeaderCached))
+	if err != nil {
+		return
+	}
+	prompt, err := strconv.Atoi(h.Get(engine.HeaderPrompt))
+	if err != nil {
+		prompt = j.tokens
+	}
+	c.flow.prompt(prompt, cached)
+	e.Log.Info().Str("event", "reuse").Str("request", c.request).Str("run", j.run).Int("prompt_tokens", prompt).Int("cached_tokens", cached).Msg("")
+}
+
+// pickUp goes on with a run whose connection broke.
+func (e *Entry) pickUp(ctx context.Context, j *job, s *sink, offset uint64) retry.End {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+j.plan.Address+engine.PathRuns+j.run+"/events", nil)
+	if err != nil {
+		return retry.Broken{Sent: s.sent}
+	}
+	req.Header.Set(engine.HeaderRun, j.run)
+	req.Header.Set(engine.HeaderLastEvent, strconv.FormatUint(offset, 10))
+	res, x := e.upstreams.Do(req, j.run, j.attempt)
+	if res == nil {
+		return retry.Broken{Sent: s.sent}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK || !classify.Echoed(x) {
+		return retry.Broken{Sent: s.sent}
+	}
+	return s.stream(res.Body, j)
+}
+
+// cancelRun tells an engine to end a run, in the background.
+func (e *Entry) cancelRun(ctx context.Context, j *job) {
+	url := "http://" + j.plan.Address + engine.PathRuns + j.run
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+		if err != nil {
+			return
+		}
+		res, err := e.upstreams.HTTP().Do(req)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHeaderBytes))
+		_ = res.Body.Close()
+	}()
+}
--- /dev/null
+++ b/internal/transport/entry/sink.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/protocol/cursor"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/openai"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+const (
+	// writeTimeout is how long a caller may take to read what is written to it
+	// before its request ends and its slot is returned.
+	writeTimeout = 30 * time.Second
+	// deadlineEvery is how often the write deadline is moved on.
+	deadlineEvery = 5 * time.Second
+)
+
+// sink is the caller's side of one request. It checks that each event belongs to
+// the present run before anything of it is passed on.
+type sink struct {
+	w      http.ResponseWriter
+	team   string
+	sealer *cursor.Sealer
+	flow   *flow
+	out    *http.ResponseController
+	// sent counts the events passed on; began is true after the first byte.
+	sent     uint64
+	began    bool
+	deadline time.Time
+	buf      []byte
+}
+
+// stream passes events on until the end mark. The answer is whole only with it.
+func (s *sink) stream(body io.Reader, j *job) retry.End {
+	events := openai.NewEventReader(body)
+	mark := openai.NewRunMark(j.run)
+	place := cursor.Place{Upstream: j.plan.Name, Run: j.run}
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return retry.Broken{Sent: s.sent}
+		}
+		if string(event.Data) == openai.Done {
+			return s.done()
+		}
+		offset, err := strconv.ParseUint(string(event.ID), 10, 64)
+		if err != nil || offset != s.sent+1 || !mark.In(event.Data) {
+			// Another run's event, or a gap: nothing more of this connection counts.
+			return retry.Broken{Sent: s.sent}
+		}
+		place.Offset = offset
+		if !s.event(event.Data, place, events.Buffered()) {
+			return retry.CallerGone{}
+		}
+	}
+}
+
+// event writes one event under a sealed cursor; it reports false when the caller
+// has gone. While more has arrived already, flushing is put off.
+func (s *sink) event(data []byte, place cursor.Place, more bool) bool {
+	s.begin()
+	s.buf = append(s.buf[:0], "id: "...)
+	s.buf = s.sealer.AppendSeal(s.buf, s.team, place)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = append(s.buf, data...)
+	s.buf = append(s.buf, "\n\n"...)
+	_, err := s.w.Write(s.buf)
+	if err == nil && !more {
+		err = s.out.Flush()
+	}
+	if err != nil {
+		return false
+	}
+	s.sent = place.Offset
+	s.flow.token()
+	return true
+}
+
+func (s *sink) begin() {
+	now := time.Now()
+	if s.out == nil {
+		s.out = http.NewResponseController(s.w)
+	}
+	if now.After(s.deadline.Add(-writeTimeout + deadlineEvery)) {
+		s.deadline = now.Add(writeTimeout)
+		_ = s.out.SetWriteDeadline(s.deadline)
+	}
+	if s.began {
+		return
+	}
+	s.began = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set(HeaderOutcome, outcome.Label(outcome.Answered{}))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *sink) done() retry.End {
+	s.begin()
+	_, err := io.WriteString(s.w, "data: "+openai.Done+"\n\n")
+	if err == nil {
+		err = s.out.Flush()
+	}
+	if err != nil {
+		return retry.CallerGone{}
+	}
+	return retry.Whole{Status: http.StatusOK}
+}
+
+// whole holds an answer until it is complete, and passes it on.
+func (s *sink) whole(res *http.Response, j *job) retry.End {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return retry.Broken{}
+	}
+	if res.StatusCode == http.StatusOK && !openai.NewRunMark(j.run).In(body) {
+		return retry.Broken{}
+	}
+	s.flow.token()
+	h := s.w.Header()
+	h.Set("Content-Type", res.Header.Get("Content-Type"))
+	label := outcome.Label(outcome.Answered{})
+	if res.Header.Get(engine.HeaderNotRun) == "true" {
+		label = outcome.Label(outcome.NotRun{})
+	}
+	h.Set(HeaderOutcome, label)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	s.w.WriteHeader(res.StatusCode)
+	_, err = s.w.Write(body)
+	if err != nil {
+		return retry.CallerGone{}
+	}
+	return retry.Whole{Status: res.StatusCode}
+}
+
+// fail gives the final outcome: as an answer of its own when nothing was sent,
+// and otherwise as an error event after which no end mark follows.
+func (s *sink) fail(o outcome.Outcome) {
+	if !s.began {
+		writeOutcome(s.w, o)
+		return
+	}
+	body := openai.ErrorBody(kindUnavailable, "stream_broken", "The answer broke off and cannot be completed.", "")
+	_, _ = io.WriteString(s.w, "data: "+string(body)+"\n\n")
+	_ = s.out.Flush()
+}
--- /dev/null
+++ b/internal/transport/entry/transfer.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/shedrock/shedrock/internal/coordination/placement"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+const (
+	// fetchTimeout bounds a fetch; what it has not brought is recomputed.
+	fetchTimeout = 10 * time.Second
+	// copyTimeout bounds a background copy.
+	copyTimeout = 60 * time.Second
+)
+
+// fetch has the chosen engine import kept context. Requests that want the same
+// context at the same engine wait for one fetch.
+func (e *Entry) fetch(ctx context.Context, j *job) {
+	key := j.plan.Name + "/" + j.keys[j.plan.FetchBlocks-1].String()
+	done := e.fetches.DoChan(key, func() (any, error) {
+		// The fetch serves every waiter, so none of them can cancel it.
+		e.importContext(context.WithoutCancel(ctx), j)
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Entry) importContext(ctx context.Context, j *job) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	e.mu.Lock()
+	e.board.BeginFetch(j.plan.Store)
+	e.mu.Unlock()
+	out, err := e.transfer(ctx, j.plan.Address+engine.PathImport, engine.Transfer{
+		Store:   j.plan.Store,
+		Version: j.model.WeightVersion(),
+		Keys:    engine.KeyStrings(j.keys[:j.plan.FetchBlocks]),
+		Refs:    j.plan.Refs,
+		Bytes:   blockBytes(j),
+	})
+	e.mu.Lock()
+	e.board.EndFetch(j.plan.Store, j.plan.Refs, out.Blocks)
+	e.mu.Unlock()
+	e.metrics.linkBytes.WithLabelValues(j.plan.Store, "out").Add(float64(out.Bytes))
+	line := e.Log.Info().Str("event", "fetch").Str("run", j.run).Str("store", j.plan.Store).Int("blocks", out.Blocks).Int64("bytes", out.Bytes).Str("refused", out.Refused)
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Msg("")
+}
+
+func blockBytes(j *job) int { return int(j.model.BytesPerToken()) * prefix.BlockTokens }
+
+// transfer asks an engine for an import or export.
+func (e *Entry) transfer(ctx context.Context, address string, in engine.Transfer) (engine.Transferred, error) {
+	var out engine.Transferred
+	req, err := sling.New().Post("http://" + address).BodyJSON(in).Request()
+	if err != nil {
+		return out, err
+	}
+	_, err = sling.New().Client(e.upstreams.HTTP()).Do(req.WithContext(ctx), &out, nil)
+	return out, err
+}
+
+// keep notes where a finished prompt's context is, and copies it to a store in
+// the background when that is worth its bytes.
+func (e *Entry) keep(j *job) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.board.NoteRun(j.keys, j.plan.Upstream, now)
+	c, ok := e.board.PlanCopy(j.keys, now)
+	if !ok {
+		return
+	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		e.copyContext(j, c)
+	}()
+}
+
+func (e *Entry) copyContext(j *job, c placement.Copy) {
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	out, err := e.transfer(ctx, j.plan.Address+engine.PathExport, engine.Transfer{
+		Store:   c.Store,
+		Version: j.model.WeightVersion(),
+		Keys:    engine.KeyStrings(j.keys),
+		Refs:    []engine.BlockRef{{Blocks: c.Blocks}},
+		Bytes:   blockBytes(j),
+	})
+	full := strings.Contains(out.Refused, "507")
+	e.mu.Lock()
+	e.board.EndCopy(c, j.keys[len(j.keys)-1], len(j.keys), out.Ref, full, time.Now())
+	e.mu.Unlock()
+	e.metrics.linkBytes.WithLabelValues(c.Store, "in").Add(float64(out.Bytes))
+	line := e.Log.Info().Str("event", "copy").Str("run", j.run).Str("store", c.Store).Int("blocks", out.Blocks).Int64("bytes", out.Bytes).Str("refused", out.Refused)
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Msg("")
+}
