--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -135,8 +135,10 @@
 // Upstreams returns how many upstreams have ever been declared.
 func (b *Board) Upstreams() int { return len(b.upstreams) }
 
-// Name and Address return those of an upstream.
-func (b *Board) Name(n int) string    { return b.names[n] }
+// Name returns an upstream's name.
+func (b *Board) Name(n int) string { return b.names[n] }
+
+// Address returns an upstream's "ip:port".
 func (b *Board) Address(n int) string { return b.addresses[n] }
 
 // Directory returns the board's directory.
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -95,6 +95,14 @@
 	u.ejections = 0
 }
 
+// NoteAnswer ends a row of failures to answer questions; it does not vouch for
+// runs, so an ejection takes its course.
+func (u *Upstream) NoteAnswer() {
+	if u.own == 0 {
+		u.failures = 0
+	}
+}
+
 // NoteFailure counts a failure, and ejects the upstream after several in a row.
 func (u *Upstream) NoteFailure(now time.Time) {
 	u.failures++
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -28,36 +28,36 @@
 	return &cache{capacity: capacity, order: list.New(), blocks: map[prefix.Key]*list.Element{}, gapEvery: gapEvery}
 }
 
-// match returns how many leading keys are cached, and marks them as used.
+// match returns how many leading keys are cached, and marks them as used. The
+// later a block stands in its chain, the earlier it is evicted, because a block
+// is of no use without those before it.
 func (c *cache) match(keys []prefix.Key) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, k := range keys {
-		e, ok := c.blocks[k]
-		if !ok {
-			return i
-		}
-		c.order.MoveToFront(e)
+	n := 0
+	for n < len(keys) && c.blocks[keys[n]] != nil {
+		n++
+	}
+	for i := n - 1; i >= 0; i-- {
+		c.order.MoveToFront(c.blocks[keys[i]])
 	}
-	return len(keys)
+	return n
 }
 
-// add caches keys in order and evicts what no longer fits.
+// add caches keys and evicts what no longer fits.
 func (c *cache) add(keys []prefix.Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range keys {
-		if e, ok := c.blocks[k]; ok {
+	for i := len(keys) - 1; i >= 0; i-- {
+		if e, ok := c.blocks[keys[i]]; ok {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.blocks[k] = c.order.PushFront(k)
-		c.tell(k, false)
-		if c.order.Len() <= c.capacity {
-			continue
-		}
-		last := c.order.Back()
-		gone := c.order.Remove(last).(prefix.Key)
+		c.blocks[keys[i]] = c.order.PushFront(keys[i])
+		c.tell(keys[i], false)
+	}
+	for c.order.Len() > c.capacity {
+		gone := c.order.Remove(c.order.Back()).(prefix.Key)
 		delete(c.blocks, gone)
 		c.tell(gone, true)
 	}
--- a/internal/state/declared/document.go
+++ b/internal/state/declared/document.go
@@ -14,6 +14,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -108,7 +109,7 @@
 	d := &Document{file: file, text: bytes.Clone(text)}
 	tree, err := parser.ParseBytes(text, 0)
 	if err != nil {
-		return nil, []Fault{syntaxFault(file, err)}
+		return nil, []Fault{d.syntaxFault(err)}
 	}
 	if len(tree.Docs) != 1 || tree.Docs[0].Body == nil {
 		return nil, []Fault{{File: file, Line: 1, Field: "document", Reason: "the file must hold exactly one YAML document"}}
@@ -116,7 +117,7 @@
 	d.tree = tree
 	err = yaml.UnmarshalWithOptions(text, &d.body, yaml.Strict())
 	if err != nil {
-		return nil, []Fault{syntaxFault(file, err)}
+		return nil, []Fault{d.syntaxFault(err)}
 	}
 	d.kind = d.body.Document
 	d.version = d.body.Version
@@ -127,23 +128,71 @@
 	return d, nil
 }
 
-// syntaxFault turns the YAML library's error into a fault with its line.
-func syntaxFault(file string, err error) Fault {
-	f := Fault{File: file, Line: 1, Field: "document", Reason: err.Error()}
+// syntaxFault turns the YAML library's error into a fault with its place.
+func (d *Document) syntaxFault(err error) Fault {
+	f := Fault{File: d.file, Line: 1, Field: "document", Reason: err.Error()}
 	var located yaml.Error
 	if !errors.As(err, &located) {
 		return f
 	}
 	f.Reason = located.GetMessage()
+	var wrongType *yaml.TypeError
+	if errors.As(err, &wrongType) {
+		f.Reason = fmt.Sprintf("expected %s, not %s", kindWord(wrongType.DstType), kindWord(wrongType.SrcType))
+	}
 	token := located.GetToken()
 	if token == nil {
 		return f
 	}
 	f.Line = token.Position.Line
 	f.Field = strings.TrimSpace(token.Value)
+	if d.tree != nil {
+		if path := pathOf(d.tree, token.Position.Offset); path != "" {
+			f.Field = path
+		}
+	}
 	return f
 }
 
+// kindWord names a Go type in the words of a YAML author.
+func kindWord(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Map, reflect.Struct:
+		return "a mapping"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
+
+// pathOf finds the path of the node whose token is at an offset.
+func pathOf(tree *ast.File, offset int) string {
+	v := &pathFinder{offset: offset}
+	for _, doc := range tree.Docs {
+		ast.Walk(v, doc)
+	}
+	return strings.TrimPrefix(v.path, "$.")
+}
+
+type pathFinder struct {
+	offset int
+	path   string
+}
+
+// Visit keeps the path of the deepest node at the offset.
+func (v *pathFinder) Visit(n ast.Node) ast.Visitor {
+	if t := n.GetToken(); t != nil && t.Position.Offset == v.offset {
+		v.path = n.GetPath()
+	}
+	return v
+}
+
 // fault makes a fault at a field, found in the text by its path.
 func (d *Document) fault(field, format string, args ...any) Fault {
 	f := Fault{File: d.file, Line: 1, Field: field, Reason: fmt.Sprintf(format, args...)}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -98,6 +98,8 @@
 	board   *placement.Board
 	budget  *retry.Budget
 	polls   map[string]context.CancelFunc
+	// active holds, by upstream, what ends the attempts under way there.
+	active map[int]map[*job]context.CancelFunc
 }
 
 // Run serves until ctx ends, and then until every request in flight has had its
@@ -162,6 +164,7 @@
 		e.board = placement.New(e.FailureDomain, e.Contexts, newSeed())
 		e.budget = retry.NewBudget()
 		e.polls = map[string]context.CancelFunc{}
+		e.active = map[int]map[*job]context.CancelFunc{}
 		e.state.Store(declared.New())
 	})
 	return err
--- /dev/null
+++ b/internal/transport/entry/fixture_test.go
@@ -0,0 +1,284 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/protocol/openai"
+	"github.com/shedrock/shedrock/internal/standin/engine"
+	"github.com/shedrock/shedrock/internal/standin/service"
+	"github.com/shedrock/shedrock/internal/standin/store"
+	"github.com/shedrock/shedrock/internal/transport/control"
+	"github.com/shedrock/shedrock/internal/transport/controlclient"
+	"github.com/shedrock/shedrock/internal/transport/entry"
+	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/rpc"
+)
+
+const (
+	// patience bounds every wait for a condition; no verdict hangs on how much of
+	// it is used.
+	patience   = 20 * time.Second
+	checkEvery = 5 * time.Millisecond
+	demoKey    = "demo-key"
+	otherKey   = "other-key"
+	secret     = "a secret of the tests"
+)
+
+// site is a deployment inside the test process.
+type site struct {
+	t       *testing.T
+	engines []*engine.Engine
+	store   *store.Store
+	service *service.Service
+	// extra are addresses of services that the test serves itself.
+	control *controlclient.Client
+	address string
+	docs    map[string]string
+}
+
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
+}
+
+// engineOptions are those of a quick engine.
+func engineOptions() engine.Options {
+	return engine.Options{
+		Version: "v1", Slots: 8, Queue: 16, PrefillRate: 1e6, TokenInterval: time.Millisecond, CacheBlocks: 1024,
+		ChecksOrders: true, KeepRuns: time.Minute, DefaultTokens: 8, Start: "start",
+	}
+}
+
+// newSite starts a control log of one, engines, a store and a service, and
+// declares them for two teams.
+func newSite(t *testing.T, options ...engine.Options) *site {
+	t.Helper()
+	s := &site{t: t, docs: map[string]string{}}
+	s.address = s.startControl()
+	s.control = controlclient.New(controlclient.Fixed([]string{s.address}))
+	upstreams := "upstreams:\n"
+	for i, o := range options {
+		e := engine.New(o)
+		s.engines = append(s.engines, e)
+		upstreams += fmt.Sprintf("  - {name: u%d, address: %q, failure_domain: d1, model: demo, slots: %d, prefill_tokens_per_second: %g, link_bytes_per_second: 1e9, checks_orders: true}\n",
+			i+1, serve(t, e.Handler()), o.Slots, o.PrefillRate)
+	}
+	s.store = store.New(store.Options{MemoryBytes: 64 << 20, DiskBytes: 1 << 20, LinkRate: 1e9, DiskRate: 1e9, Incarnation: "store"})
+	s.service = &service.Service{}
+	s.docs["models"] = "models:\n  - {name: demo, weight_version: v1, kv_bytes_per_token: 64, max_prompt_tokens: 100000}\n"
+	s.docs["services"] = "services:\n  - {name: orders, instances: [\"" + serve(t, s.service.Handler()) + "\"], not_repeatable: [\"POST *\"]}\n"
+	s.docs["upstreams"] = upstreams
+	s.docs["stores"] = "stores:\n  - {name: s1, address: \"" + serve(t, s.store.Handler()) + "\", failure_domain: d1, memory_bytes: 67108864, link_bytes_per_second: 1e9}\n"
+	s.docs["teams"] = "teams:\n" + team("demo", demoKey) + team("other", otherKey)
+	return s
+}
+
+func team(name, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return fmt.Sprintf("  - {name: %s, key_digests: [%s], models: [demo], services: [orders]}\n", name, hex.EncodeToString(sum[:]))
+}
+
+// declare applies every document in an order that leaves no reference dangling.
+func (s *site) declare() {
+	s.t.Helper()
+	for _, kind := range []string{"models", "services", "upstreams", "stores", "teams"} {
+		s.apply(kind, 1)
+	}
+}
+
+func (s *site) apply(kind string, version int) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	text := fmt.Sprintf("document: %s\nversion: %d\n%s", kind, version, s.docs[kind])
+	answer, err := s.control.Apply(ctx, kind, []byte(text))
+	if err != nil || answer.Revision == 0 {
+		s.t.Fatalf("apply %s: %v %v", kind, answer, err)
+	}
+}
+
+func (s *site) startControl() string {
+	s.t.Helper()
+	folder, restart, ledger, err := control.Open(s.t.TempDir())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	listener := listen(s.t)
+	address := listener.Addr().String()
+	r := &control.Replica{
+		ID: 1, Address: address, Peers: []control.Peer{{ID: 1, Address: address}}, Folder: folder,
+		Restart: restart, Ledger: ledger, Listener: listener, Log: quiet(), Tick: 10 * time.Millisecond,
+	}
+	background(s.t, r.Run)
+	return address
+}
+
+// running is an entry inside the test process.
+type running struct {
+	*entry.Entry
+	url, operators string
+	stop           context.CancelFunc
+	ended          <-chan struct{}
+}
+
+// start starts an entry and waits until the whole declared state is in force.
+func (s *site) start(change ...func(*entry.Entry)) *running {
+	s.t.Helper()
+	callers, operators := listen(s.t), listen(s.t)
+	e := &entry.Entry{
+		Name: "e-" + callers.Addr().String(), FailureDomain: "d1", Callers: callers, Operators: operators,
+		Secrets: [][]byte{[]byte(secret)}, Control: s.control, Notice: time.Millisecond, Log: quiet(),
+	}
+	for _, f := range change {
+		f(e)
+	}
+	if err := e.Init(); err != nil {
+		s.t.Fatal(err)
+	}
+	f := feed.New()
+	follower := &feed.Follower{
+		Feed: f, Self: e.Applied, Enforce: e.Enforce, Client: rpc.NewClient(), Log: quiet(),
+		Source: func() (string, bool) { return s.address, true },
+	}
+	background(s.t, func(ctx context.Context) error { follower.Run(ctx); return nil })
+	stop, ended := background(s.t, e.Run)
+	eventually(s.t, "the declared state is in force", func() bool { return e.Applied().Revision >= 5 })
+	return &running{e, "http://" + callers.Addr().String(), "http://" + operators.Addr().String(), stop, ended}
+}
+
+// background runs f until the test ends or stop is called.
+func background(t *testing.T, f func(context.Context) error) (stop context.CancelFunc, ended <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := f(ctx); err != nil {
+			t.Errorf("background: %v", err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return cancel, done
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// serve serves a handler until the test ends, and returns its address.
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l := listen(t)
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.After(patience)
+	tick := time.NewTicker(checkEvery)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatalf("never came true: %s", what)
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send sends a request as the demo team; more headers come in pairs.
+func (r *running) send(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+demoKey)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{res.StatusCode, res.Header, string(b)}
+}
+
+// chat makes the body of a chat request.
+func chat(content string, stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":"demo","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, content)
+}
+
+// mark is the first word of the right answer to a chat body.
+func mark(t *testing.T, body string) string {
+	t.Helper()
+	req, err := openai.ParseChat([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return engine.Mark(req.Text())
+}
+
+// parsed is a stream as a caller reads it.
+type parsed struct {
+	text  string
+	ids   []string
+	whole bool
+	error string
+}
+
+// parseStream reads a stream's text and cursors.
+func parseStream(t *testing.T, body string) parsed {
+	t.Helper()
+	var p parsed
+	events := openai.NewEventReader(bytes.NewReader([]byte(body)))
+	for {
+		e, err := events.Next()
+		if err != nil {
+			return p
+		}
+		data := string(e.Data)
+		switch {
+		case data == openai.Done:
+			p.whole = true
+		case strings.Contains(data, `"error"`):
+			p.error = data
+		default:
+			p.ids = append(p.ids, string(e.ID))
+			_, rest, _ := strings.Cut(data, `"content":"`)
+			word, _, _ := strings.Cut(rest, `"`)
+			p.text += word
+		}
+	}
+}
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -21,6 +21,9 @@
 	pollInterval = 250 * time.Millisecond
 	// pollTimeout bounds one question.
 	pollTimeout = time.Second
+	// silentAfter is how many unanswered questions in a row end the attempts at an
+	// upstream, about three seconds when it is frozen.
+	silentAfter = 3
 )
 
 // poll keeps one goroutine for each declared upstream; mu must be held.
@@ -58,6 +61,8 @@
 	// start and sequence say up to where cache events were taken.
 	start    string
 	sequence uint64
+	// unanswered counts the questions in a row that had no answer.
+	unanswered int
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -90,12 +95,15 @@
 	var load engine.Load
 	err := p.get(ctx, engine.PathLoad, &load)
 	if err != nil {
+		p.noteSilence(ctx)
 		return
 	}
+	p.unanswered = 0
 	e := p.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := e.board.Upstream(p.number)
+	u.NoteAnswer()
 	u.NoteLoad(load.Running, load.Queued, load.Leaving)
 	if u.Version != load.Version {
 		// Other weights mean another cache, and one that is empty.
@@ -104,6 +112,27 @@
 	}
 }
 
+// noteSilence counts a question without an answer. An upstream that stays silent
+// is ejected, and the attempts under way there end, so that they can go on or run
+// again elsewhere.
+func (p *poller) noteSilence(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	p.unanswered++
+	e := p.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.board.Upstream(p.number).NoteFailure(time.Now())
+	if p.unanswered != silentAfter {
+		return
+	}
+	for _, cancel := range e.active[p.number] {
+		cancel()
+	}
+	e.Log.Warn().Str("event", "upstream_silent").Str("upstream", e.board.Name(p.number)).Int("attempts", len(e.active[p.number])).Msg("")
+}
+
 // askEvents takes cache events. A gap or a new start means that events were
 // lost: what was thought to be cached there is forgotten, and learned again from
 // the runs that follow.
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -57,9 +57,13 @@
 				step = retry.Stop{Outcome: j.retry.GiveUp(outcome.ReasonNoUpstream)}
 				continue
 			}
-			end = e.dispatch(r.Context(), c, j, s)
+			ctx, done := e.watched(r.Context(), j)
+			end = e.dispatch(ctx, c, j, s)
+			done()
 		case retry.Resume:
-			end = e.pickUp(r.Context(), j, s, next.Offset)
+			ctx, done := e.watched(r.Context(), j)
+			end = e.pickUp(ctx, j, s, next.Offset)
+			done()
 		case retry.Stop:
 			e.conclude(c, j, s, next.Outcome)
 			return
@@ -73,6 +77,25 @@
 	}
 }
 
+// watched returns a context for one attempt that also ends when its upstream falls
+// silent: an engine that is frozen keeps its connections open for ever.
+func (e *Entry) watched(ctx context.Context, j *job) (attempt context.Context, done func()) {
+	attempt, cancel := context.WithCancel(ctx)
+	n := j.plan.Upstream
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.active[n] == nil {
+		e.active[n] = map[*job]context.CancelFunc{}
+	}
+	e.active[n][j] = cancel
+	return attempt, func() {
+		cancel()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.active[n], j)
+	}
+}
+
 func isWhole(end retry.End) bool {
 	_, ok := end.(retry.Whole)
 	return ok
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -21,8 +21,6 @@
 	pingTimeout  = 2 * time.Second
 	// readHeaderTimeout bounds a peer that sends half a request.
 	readHeaderTimeout = 5 * time.Second
-	// shutdownTimeout bounds the wait for long polls when a process stops.
-	shutdownTimeout = 2 * time.Second
 )
 
 // NewClient returns a client for twirp calls between processes.
@@ -55,8 +53,6 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	_ = server.Shutdown(stop)
+	// Every call between processes may be asked again, so none is waited for.
 	return errors.Wrap(server.Close(), "close the server")
 }
