--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -18,6 +18,7 @@
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/entry"
+	"github.com/shedrock/shedrock/internal/transport/peers"
 )
 
 type localCommand struct {
@@ -51,13 +52,9 @@
 		defer os.RemoveAll(data)
 	}
 	group, ctx := errgroup.WithContext(p.ctx)
-	var opened []net.Listener
-	for _, l := range []struct{ flag, address string }{{"callers", c.Callers}, {"operators", c.Operators}, {"control", c.Control}} {
-		listener, err := listen(l.flag, l.address)
-		if err != nil {
-			return err
-		}
-		opened = append(opened, listener)
+	opened, err := listenAll([]namedAddress{{"callers", c.Callers}, {"operators", c.Operators}, {"control", c.Control}, {"peers", localHost}})
+	if err != nil {
+		return err
 	}
 	parts, err := startParts(ctx, group)
 	if err != nil {
@@ -71,6 +68,7 @@
 	e := &entry.Entry{
 		Name: "local", FailureDomain: "local", Callers: opened[0], Operators: opened[1],
 		Secrets: [][]byte{[]byte(localSecret)}, Control: client, Log: p.log,
+		Peers: &peers.Peers{Name: "local", FailureDomain: "local", Listener: opened[3], Log: p.log},
 	}
 	group.Go(func() error { return runEntry(ctx, e, []string{address}) })
 	group.Go(func() error { return c.declare(ctx, p, client, parts) })
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -13,6 +13,7 @@
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/peers"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
 
@@ -57,6 +58,8 @@
 	FailureDomain string   `help:"The failure domain in which this instance runs." required:""`
 	Callers       string   `help:"IP:PORT for callers." default:"127.0.0.1:8080"`
 	Operators     string   `help:"IP:PORT for /livez, /readyz and /metrics." default:"127.0.0.1:9090"`
+	Peers         string   `help:"IP:PORT on which other entries reach this one." default:"127.0.0.1:7080"`
+	Seeds         []string `help:"IP:PORT of the peers' listeners of some other entries, to find all."`
 	Control       []string `help:"IP:PORT of each replica of the control log." required:""`
 	SecretFile    string   `help:"File with one secret a line, the same for all entries; the first is used and all are accepted." required:"" type:"path"`
 	MaxBody       int64    `help:"Largest request body in bytes." default:"8388608"`
@@ -66,34 +69,44 @@
 
 // Run runs the entry until it is told to stop and nothing is in flight.
 func (c entryCommand) Run(p *process) error {
-	err := checkAddresses("control", c.Control)
+	err := c.check()
 	if err != nil {
 		return err
 	}
-	if c.MaxBody <= 0 || c.MaxWaiting <= 0 || c.Contexts <= 0 {
-		return usage("--max-body, --max-waiting and --contexts must be above 0")
-	}
 	secrets, err := readSecrets(c.SecretFile)
 	if err != nil {
 		return err
 	}
-	callers, err := listen("callers", c.Callers)
-	if err != nil {
-		return err
-	}
-	operators, err := listen("operators", c.Operators)
+	listeners, err := listenAll([]namedAddress{{"callers", c.Callers}, {"operators", c.Operators}, {"peers", c.Peers}})
 	if err != nil {
 		return err
 	}
 	e := &entry.Entry{
-		Name: c.Name, FailureDomain: c.FailureDomain, Callers: callers, Operators: operators,
+		Name: c.Name, FailureDomain: c.FailureDomain, Callers: listeners[0], Operators: listeners[1],
 		Secrets: secrets, Control: controlclient.New(controlclient.Fixed(c.Control)),
 		MaxBody: c.MaxBody, MaxWaiting: c.MaxWaiting, Contexts: c.Contexts, Log: p.log,
+		Peers: &peers.Peers{Name: c.Name, FailureDomain: c.FailureDomain, Listener: listeners[2], Seeds: c.Seeds, Log: p.log},
 	}
 	return runEntry(p.ctx, e, c.Control)
 }
 
-// runEntry runs an entry and what keeps its declared state up to date.
+func (c entryCommand) check() error {
+	err := checkAddresses("control", c.Control)
+	if err != nil {
+		return err
+	}
+	err = checkAddresses("seeds", c.Seeds)
+	if err != nil {
+		return err
+	}
+	if c.MaxBody <= 0 || c.MaxWaiting <= 0 || c.Contexts <= 0 {
+		return usage("--max-body, --max-waiting and --contexts must be above 0")
+	}
+	return nil
+}
+
+// runEntry runs an entry, its part among the entries, and what keeps its declared
+// state up to date.
 func runEntry(ctx context.Context, e *entry.Entry, control []string) error {
 	f := feed.New()
 	e.Confirmed = func() bool { return !f.Unconfirmed() }
@@ -101,22 +114,46 @@
 	if err != nil {
 		return err
 	}
-	next := 0
+	e.Peers.Feed = f
+	e.Peers.Find = e.Find
+	e.Peers.Apply = e.Apply
 	follower := &feed.Follower{
 		Feed: f, Self: e.Applied, Enforce: e.Enforce, Client: rpc.NewClient(), Log: e.Log,
-		Source: func() (string, bool) {
-			if f.Unconfirmed() {
-				next++
-			}
-			return control[next%len(control)], true
-		},
-	}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { follower.Run(ctx); return nil })
-	group.Go(func() error { return e.Run(ctx) })
+		Source: feedSource(e.Peers, f, control),
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	// Others may need this entry's answers, and its own feed, until it has stopped.
+	helpers, stopHelpers := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error { follower.Run(helpers); return nil })
+	group.Go(func() error { return e.Peers.Run(helpers) })
+	group.Go(func() error {
+		defer stopHelpers()
+		return e.Run(groupCtx)
+	})
 	return group.Wait()
 }
 
+// feedSource follows the domain's relay; the relay itself follows the replicas of
+// the control log, one after another while they fail. An entry whose relay fails
+// asks the replicas itself.
+func feedSource(p *peers.Peers, f *feed.Feed, control []string) func() (string, bool) {
+	next := 0
+	failed := false
+	return func() (string, bool) {
+		failing := f.Unconfirmed()
+		relay, other := p.Relay()
+		if other && !(failing && !failed) {
+			failed = failing
+			return relay, true
+		}
+		failed = failing
+		if failing {
+			next++
+		}
+		return control[next%len(control)], true
+	}
+}
+
 // serveStandin serves a stand-in until ctx ends. Connections are cut: a stand-in
 // has no duty to anybody.
 func serveStandin(ctx context.Context, listener net.Listener, h http.Handler) error {
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -28,6 +28,22 @@
 	return l, nil
 }
 
+// namedAddress is an address with the flag that gave it.
+type namedAddress struct{ flag, address string }
+
+// listenAll opens listeners in order.
+func listenAll(addresses []namedAddress) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, a := range addresses {
+		l, err := listen(a.flag, a.address)
+		if err != nil {
+			return nil, err
+		}
+		opened = append(opened, l)
+	}
+	return opened, nil
+}
+
 // checkAddresses refuses addresses that are not an IP number and port.
 func checkAddresses(flag string, addresses []string) error {
 	for _, address := range addresses {
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -156,6 +156,9 @@
 	Tokens int
 	// Tried lists the upstreams that have been tried.
 	Tried []int
+	// Hints is what the owner of the prompt's part of the directory knows; when
+	// nil, this board's own directory is asked.
+	Hints *Hints
 }
 
 // Plan says where a prompt runs. It is a plain value.
@@ -169,12 +172,19 @@
 	FetchBlocks int
 	// Cached is how many leading blocks the upstream is thought to have.
 	Cached int
+	// Kept is how many leading blocks the store at KeptAt is thought to hold.
+	Kept   int
+	KeptAt string
 }
 
 // Place makes the plan for a prompt; ok is false when no upstream may run it.
 func (b *Board) Place(p Prompt, now time.Time) (Plan, bool) {
-	b.directory.Match(p.Keys, len(b.upstreams), &b.found)
-	stored, rate, storeNumber := b.fetchable(now)
+	if p.Hints != nil {
+		b.take(p.Hints)
+	} else {
+		b.directory.Match(p.Keys, len(b.upstreams), &b.found)
+	}
+	stored, rate, storeNumber := b.fetchable()
 	q := routing.Prompt{
 		Model:         p.Model.Name(),
 		Version:       p.Version,
@@ -193,6 +203,10 @@
 	}
 	out := Plan{Plan: plan, Name: b.names[plan.Upstream], Address: b.addresses[plan.Upstream]}
 	out.Cached = int(b.found.Cached[plan.Upstream])
+	out.Kept = stored
+	if stored > 0 {
+		out.KeptAt = b.stores[storeNumber].address
+	}
 	if plan.Fetch {
 		out.Store = b.stores[storeNumber].address
 		out.FetchBlocks = stored
@@ -212,7 +226,7 @@
 
 // fetchable returns how many leading blocks one store holds, and the bandwidth a
 // fetch would get there now.
-func (b *Board) fetchable(time.Time) (blocks int, rate float64, storeNumber int) {
+func (b *Board) fetchable() (blocks int, rate float64, storeNumber int) {
 	if b.found.Stored == 0 {
 		return 0, 0, 0
 	}
@@ -244,24 +258,21 @@
 	return refs
 }
 
-// BeginFetch and EndFetch count the fetches that callers wait for.
+// BeginFetch counts a fetch that a caller waits for.
 func (b *Board) BeginFetch(address string) { b.stores[b.storeNumber(address)].transfers++ }
 
 // EndFetch ends a fetch; got is how many blocks arrived of those that refs name.
-// The hints to the rest are dropped.
-func (b *Board) EndFetch(address string, refs []engine.BlockRef, got int) {
+// It returns notes of the objects that were refused, whose hints are to be dropped.
+func (b *Board) EndFetch(address string, refs []engine.BlockRef, got int) []Note {
 	b.stores[b.storeNumber(address)].transfers--
+	var notes []Note
 	at := 0
 	for _, ref := range refs {
 		at += ref.Blocks
 		key, ok := prefix.ParseKey(ref.Key)
 		if at > got && ok {
-			b.directory.ForgetObject(key)
+			notes = append(notes, Note{Key: key, Refused: true})
 		}
 	}
-}
-
-// NoteRun says that an upstream ran a prompt and so has its blocks.
-func (b *Board) NoteRun(keys []prefix.Key, upstream int, now time.Time) {
-	b.directory.NoteRun(keys, upstream, uint32(now.Unix()))
+	return notes
 }
--- /dev/null
+++ b/internal/coordination/placement/hints.go
@@ -0,0 +1,141 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/directory"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+// routeBlocks is how deep into a prompt the key lies that says which entry owns its
+// context: deep enough that teams' common openings do not all meet at one entry,
+// and shallow enough that a prompt and its continuations share it.
+const routeBlocks = 8
+
+// Route returns the key by which the owner of a prompt's context is found; ok is
+// false for a prompt without a full block, of which nothing is remembered.
+func Route(keys []prefix.Key) (key prefix.Key, ok bool) {
+	if len(keys) == 0 {
+		return prefix.Key{}, false
+	}
+	return keys[min(len(keys), routeBlocks)-1], true
+}
+
+// Hints is what a directory knows of one prompt, by names that every entry shares.
+// It is a plain value.
+type Hints struct {
+	Cached  []CachedAt
+	Objects []Kept
+}
+
+// CachedAt says how many leading blocks an upstream may have.
+type CachedAt struct {
+	Upstream string
+	Blocks   int
+}
+
+// Kept names an object in a store.
+type Kept struct {
+	// Store is the store's address.
+	Store, Incarnation string
+	Object, Generation uint64
+	// Blocks is how many blocks it holds, and End how many of the prompt there are
+	// up to its end.
+	Blocks, End int
+}
+
+// Note tells the owner of a context what became of it. It is a plain value.
+type Note struct {
+	Key    prefix.Key
+	Blocks int
+	// Upstream ran the context, when it is not empty.
+	Upstream string
+	// Object was sealed with the context's last blocks, when it is not nil; Parent
+	// is the key before them.
+	Object *Kept
+	Parent prefix.Key
+	// Refused says that a store refused the context's object.
+	Refused bool
+}
+
+// Find returns what this board's directory knows of a prompt.
+func (b *Board) Find(keys []prefix.Key) *Hints {
+	b.directory.Match(keys, len(b.upstreams), &b.found)
+	h := &Hints{}
+	for n, blocks := range b.found.Cached[:len(b.upstreams)] {
+		if blocks > 0 {
+			h.Cached = append(h.Cached, CachedAt{b.names[n], int(blocks)})
+		}
+	}
+	for i, o := range b.found.Objects {
+		s := &b.stores[o.Store-1]
+		h.Objects = append(h.Objects, Kept{
+			Store: s.address, Incarnation: s.incarnations[o.Incarnation], Object: o.Object,
+			Generation: o.Generation, Blocks: int(o.Blocks), End: int(b.found.Ends[i]),
+		})
+	}
+	return h
+}
+
+// take puts another entry's hints in the place of a match of this board's own.
+func (b *Board) take(h *Hints) {
+	b.directory.Match(nil, len(b.upstreams), &b.found)
+	for _, c := range h.Cached {
+		if n, ok := b.numbers[c.Upstream]; ok {
+			b.found.Add(n, c.Blocks)
+		}
+	}
+	for _, k := range h.Objects {
+		n := b.storeNumber(k.Store)
+		b.found.Objects = append(b.found.Objects, b.object(n, k))
+		b.found.Ends = append(b.found.Ends, int32(k.End))
+		b.found.Stored = k.End
+	}
+}
+
+func (b *Board) object(store int, k Kept) directory.Object {
+	return directory.Object{
+		Store: uint16(store + 1), Incarnation: b.incarnation(store, k.Incarnation),
+		Blocks: uint32(k.Blocks), Object: k.Object, Generation: k.Generation,
+	}
+}
+
+// Apply takes a note into this board's directory. When it replaces an object that
+// is still held, that one is returned, to be freed.
+func (b *Board) Apply(n Note, now time.Time) (replaced *Kept) {
+	if n.Refused {
+		b.directory.ForgetObject(n.Key)
+		return nil
+	}
+	if number, ok := b.numbers[n.Upstream]; ok {
+		b.directory.NoteRun(n.Key, n.Blocks, number, uint32(now.Unix()))
+	}
+	if n.Object == nil {
+		return nil
+	}
+	store := b.storeNumber(n.Object.Store)
+	o := b.object(store, *n.Object)
+	old, had := b.directory.Stored(n.Key)
+	b.directory.NoteStored(n.Key, n.Parent, n.Blocks, o)
+	if !had || old == o {
+		return nil
+	}
+	return b.kept(old)
+}
+
+func (b *Board) kept(o directory.Object) *Kept {
+	s := &b.stores[o.Store-1]
+	return &Kept{Store: s.address, Incarnation: s.incarnations[o.Incarnation], Object: o.Object, Generation: o.Generation, Blocks: int(o.Blocks)}
+}
+
+// Victims takes the least useful objects of a store out of the directory, until
+// they hold a number of blocks, and returns them, to be freed. The order is by
+// last use: the contexts of this board that were asked for longest ago.
+func (b *Board) Victims(address string, blocks int) []Kept {
+	n := uint16(b.storeNumber(address) + 1)
+	var out []Kept
+	for _, o := range b.directory.OldestObjects(n, blocks) {
+		out = append(out, *b.kept(o))
+	}
+	return out
+}
--- a/internal/coordination/placement/keep.go
+++ b/internal/coordination/placement/keep.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/protocol/engine"
-	"github.com/shedrock/shedrock/internal/state/directory"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
 
@@ -15,7 +14,7 @@
 	// copiesPerStore bounds background copies to one store from one entry.
 	copiesPerStore = 2
 	// fullPause is how long a store without space is left alone.
-	fullPause = 5 * time.Second
+	fullPause = time.Second
 )
 
 // Copy is a background copy from an upstream to a store.
@@ -28,24 +27,20 @@
 	Parent prefix.Key
 }
 
-// PlanCopy says whether the context of a finished prompt is copied to a store.
-// Background copies give way to fetches that callers wait for: while one is
-// under way on a store's link, no copy begins there.
-func (b *Board) PlanCopy(keys []prefix.Key, now time.Time) (Copy, bool) {
+// PlanCopy says whether the context of a finished prompt is copied to a store; p
+// is the plan under which it ran. Background copies give way to fetches that
+// callers wait for: while one is under way on a store's link, no copy begins there.
+func (b *Board) PlanCopy(keys []prefix.Key, p Plan, now time.Time) (Copy, bool) {
 	if len(keys) < minKeepBlocks {
 		return Copy{}, false
 	}
-	if _, ok := b.directory.Stored(keys[len(keys)-1]); ok {
-		return Copy{}, false
-	}
-	n, ok := b.storeForCopy(now)
+	n, ok := b.storeForCopy(p, now)
 	if !ok {
 		return Copy{}, false
 	}
-	b.directory.Match(keys, len(b.upstreams), &b.found)
 	kept := 0
-	if len(b.found.Objects) > 0 && int(b.found.Objects[0].Store) == n+1 {
-		kept = b.found.Stored
+	if b.stores[n].address == p.KeptAt {
+		kept = p.Kept
 	}
 	if len(keys)-kept < minKeepBlocks {
 		return Copy{}, false
@@ -58,14 +53,18 @@
 	return c, true
 }
 
-// storeForCopy prefers the entry's own failure domain, then the idler link.
-func (b *Board) storeForCopy(now time.Time) (int, bool) {
+// storeForCopy takes the store that holds the context's beginning, if one does;
+// else it prefers the entry's own failure domain, then the idler link.
+func (b *Board) storeForCopy(p Plan, now time.Time) (int, bool) {
 	best := -1
 	for i := range b.stores {
 		s := &b.stores[i]
 		if !s.declared || s.transfers > 0 || s.copies >= copiesPerStore || now.Before(s.fullUntil) {
 			continue
 		}
+		if s.address == p.KeptAt {
+			return i, true
+		}
 		if best < 0 || s.near && !b.stores[best].near || s.near == b.stores[best].near && s.copies < b.stores[best].copies {
 			best = i
 		}
@@ -73,25 +72,19 @@
 	return best, best >= 0
 }
 
-// EndCopy ends a copy. When ref names an object, it is sealed, and from now on
-// found; full says that the store had no space.
-func (b *Board) EndCopy(c Copy, key prefix.Key, blocks int, ref engine.BlockRef, full bool, now time.Time) {
-	n := b.storeNumber(c.Store)
-	s := &b.stores[n]
+// EndCopy ends a copy; full says that the store had no space. When ref names an
+// object, it is sealed, and the note that is returned makes it known.
+func (b *Board) EndCopy(c Copy, key prefix.Key, blocks int, ref engine.BlockRef, full bool, now time.Time) (Note, bool) {
+	s := &b.stores[b.storeNumber(c.Store)]
 	s.copies--
 	if full {
 		s.fullUntil = now.Add(fullPause)
 	}
 	if ref.Object == 0 {
-		return
+		return Note{}, false
 	}
-	b.directory.NoteStored(key, c.Parent, blocks, directory.Object{
-		Store:       uint16(n + 1),
-		Incarnation: b.incarnation(n, ref.Incarnation),
-		Blocks:      uint32(c.Blocks),
-		Object:      ref.Object,
-		Generation:  ref.Generation,
-	})
+	kept := &Kept{Store: c.Store, Incarnation: ref.Incarnation, Object: ref.Object, Generation: ref.Generation, Blocks: c.Blocks, End: blocks}
+	return Note{Key: key, Blocks: blocks, Object: kept, Parent: c.Parent}, true
 }
 
 // incarnation numbers a store's blank start; when a new one is seen, the hints to
--- a/internal/coordination/replication/machine_test.go
+++ b/internal/coordination/replication/machine_test.go
@@ -224,6 +224,10 @@
 				n.deliver(i, false, false)
 				continue
 			}
+			if m.To == cut && m.Kind == replication.PreVoteReply {
+				n.deliver(i, false, false)
+				continue
+			}
 			i++
 		}
 	}
@@ -367,3 +371,40 @@
 		t.Fatal("two leaders of one term went unnoticed")
 	}
 }
+
+// TestOldTermDoesNotCommitByCounting gives a new leader an acknowledgement that
+// covers only an entry of the term before: a majority holds it, and it may still be
+// replaced, so it must not commit.
+func TestOldTermDoesNotCommitByCounting(t *testing.T) {
+	n, leader := newSettled(t, 3)
+	n.propose(leader, "old")
+	n.messages = nil
+	machine := n.replicas[leader].machine
+	old := machine.LastIndex()
+	// The leader restarts and leads again; the others do not have the entry.
+	n.restart(leader)
+	for _, node := range n.order {
+		for range replication.ElectionTicks {
+			n.step(node, replication.Tick{}, false)
+		}
+	}
+	n.messages = nil
+	for !n.replicas[leader].machine.Leading() {
+		n.step(leader, replication.Tick{}, false)
+		for len(n.messages) > 0 && !n.replicas[leader].machine.Leading() {
+			n.deliver(0, false, false)
+		}
+	}
+	n.messages = nil
+	machine = n.replicas[leader].machine
+	other := n.order[0]
+	if other == leader {
+		other = n.order[1]
+	}
+	n.step(leader, replication.Receive{Message: replication.Message{
+		Kind: replication.AppendReply, From: other, To: leader, Term: machine.Term(), LogIndex: old,
+	}}, false)
+	if machine.Commit() >= old {
+		t.Fatalf("entry %d of an earlier term was committed by counting", old)
+	}
+}
--- a/internal/protocol/wire/control.twirp.go
+++ b/internal/protocol/wire/control.twirp.go
@@ -39,9 +39,6 @@
 	// Apply submits one document whole.
 	Apply(context.Context, *ApplyRequest) (*ApplyResponse, error)
 
-	// Watch answers when the revision passes the caller's, or after a short wait.
-	Watch(context.Context, *WatchRequest) (*WatchResponse, error)
-
 	// Reserve commits the at-most-once record of one call before its dispatch.
 	Reserve(context.Context, *ReserveRequest) (*ReserveResponse, error)
 
@@ -64,7 +61,7 @@
 
 type controlProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -92,9 +89,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Control")
-	urls := [7]string{
+	urls := [6]string{
 		serviceURL + "Apply",
-		serviceURL + "Watch",
 		serviceURL + "Reserve",
 		serviceURL + "Finish",
 		serviceURL + "Lookup",
@@ -156,52 +152,6 @@
 	return out, nil
 }
 
-func (c *controlProtobufClient) Watch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
-	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "Watch")
-	caller := c.callWatch
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WatchRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
-					}
-					return c.callWatch(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*WatchResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *controlProtobufClient) callWatch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
-	out := new(WatchResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 func (c *controlProtobufClient) Reserve(ctx context.Context, in *ReserveRequest) (*ReserveResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
@@ -233,7 +183,7 @@
 
 func (c *controlProtobufClient) callReserve(ctx context.Context, in *ReserveRequest) (*ReserveResponse, error) {
 	out := new(ReserveResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -279,7 +229,7 @@
 
 func (c *controlProtobufClient) callFinish(ctx context.Context, in *FinishRequest) (*FinishResponse, error) {
 	out := new(FinishResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -325,7 +275,7 @@
 
 func (c *controlProtobufClient) callLookup(ctx context.Context, in *LookupRequest) (*LookupResponse, error) {
 	out := new(LookupResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -371,7 +321,7 @@
 
 func (c *controlProtobufClient) callTakeToken(ctx context.Context, in *TakeTokenRequest) (*TakeTokenResponse, error) {
 	out := new(TakeTokenResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -417,7 +367,7 @@
 
 func (c *controlProtobufClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusResponse, error) {
 	out := new(StatusResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -438,7 +388,7 @@
 
 type controlJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -466,9 +416,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Control")
-	urls := [7]string{
+	urls := [6]string{
 		serviceURL + "Apply",
-		serviceURL + "Watch",
 		serviceURL + "Reserve",
 		serviceURL + "Finish",
 		serviceURL + "Lookup",
@@ -530,52 +479,6 @@
 	return out, nil
 }
 
-func (c *controlJSONClient) Watch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
-	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithMethodName(ctx, "Watch")
-	caller := c.callWatch
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WatchRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
-					}
-					return c.callWatch(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*WatchResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *controlJSONClient) callWatch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
-	out := new(WatchResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 func (c *controlJSONClient) Reserve(ctx context.Context, in *ReserveRequest) (*ReserveResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
@@ -607,7 +510,7 @@
 
 func (c *controlJSONClient) callReserve(ctx context.Context, in *ReserveRequest) (*ReserveResponse, error) {
 	out := new(ReserveResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -653,7 +556,7 @@
 
 func (c *controlJSONClient) callFinish(ctx context.Context, in *FinishRequest) (*FinishResponse, error) {
 	out := new(FinishResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -699,7 +602,7 @@
 
 func (c *controlJSONClient) callLookup(ctx context.Context, in *LookupRequest) (*LookupResponse, error) {
 	out := new(LookupResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -745,7 +648,7 @@
 
 func (c *controlJSONClient) callTakeToken(ctx context.Context, in *TakeTokenRequest) (*TakeTokenResponse, error) {
 	out := new(TakeTokenResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -791,7 +694,7 @@
 
 func (c *controlJSONClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusResponse, error) {
 	out := new(StatusResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -906,9 +809,6 @@
 	case "Apply":
 		s.serveApply(ctx, resp, req)
 		return
-	case "Watch":
-		s.serveWatch(ctx, resp, req)
-		return
 	case "Reserve":
 		s.serveReserve(ctx, resp, req)
 		return
@@ -1111,7 +1011,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveWatch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReserve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1119,9 +1019,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveWatchJSON(ctx, resp, req)
+		s.serveReserveJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveWatchProtobuf(ctx, resp, req)
+		s.serveReserveProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1129,9 +1029,9 @@
 	}
 }
 
-func (s *controlServer) serveWatchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReserveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1144,29 +1044,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(WatchRequest)
+	reqContent := new(ReserveRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Watch
+	handler := s.Control.Reserve
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+		handler = func(ctx context.Context, req *ReserveRequest) (*ReserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WatchRequest)
+					typedReq, ok := req.(*ReserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveRequest) when calling interceptor")
 					}
-					return s.Control.Watch(ctx, typedReq)
+					return s.Control.Reserve(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*WatchResponse)
+				typedResp, ok := resp.(*ReserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1175,7 +1075,7 @@
 	}
 
 	// Call service method
-	var respContent *WatchResponse
+	var respContent *ReserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1186,7 +1086,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *WatchResponse and nil error while calling Watch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveResponse and nil error while calling Reserve. nil responses are not supported"))
 		return
 	}
 
@@ -1212,9 +1112,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveWatchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReserveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1226,28 +1126,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(WatchRequest)
+	reqContent := new(ReserveRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Watch
+	handler := s.Control.Reserve
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+		handler = func(ctx context.Context, req *ReserveRequest) (*ReserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WatchRequest)
+					typedReq, ok := req.(*ReserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveRequest) when calling interceptor")
 					}
-					return s.Control.Watch(ctx, typedReq)
+					return s.Control.Reserve(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*WatchResponse)
+				typedResp, ok := resp.(*ReserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1256,7 +1156,7 @@
 	}
 
 	// Call service method
-	var respContent *WatchResponse
+	var respContent *ReserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1267,7 +1167,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *WatchResponse and nil error while calling Watch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveResponse and nil error while calling Reserve. nil responses are not supported"))
 		return
 	}
 
@@ -1291,7 +1191,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveReserve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveFinish(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1299,9 +1199,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveReserveJSON(ctx, resp, req)
+		s.serveFinishJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveReserveProtobuf(ctx, resp, req)
+		s.serveFinishProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1309,9 +1209,9 @@
 	}
 }
 
-func (s *controlServer) serveReserveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveFinishJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	ctx = ctxsetters.WithMethodName(ctx, "Finish")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1324,29 +1224,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ReserveRequest)
+	reqContent := new(FinishRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Reserve
+	handler := s.Control.Finish
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReserveRequest) (*ReserveResponse, error) {
+		handler = func(ctx context.Context, req *FinishRequest) (*FinishResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReserveRequest)
+					typedReq, ok := req.(*FinishRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReserveRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FinishRequest) when calling interceptor")
 					}
-					return s.Control.Reserve(ctx, typedReq)
+					return s.Control.Finish(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReserveResponse)
+				typedResp, ok := resp.(*FinishResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReserveResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FinishResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1355,7 +1255,7 @@
 	}
 
 	// Call service method
-	var respContent *ReserveResponse
+	var respContent *FinishResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1366,7 +1266,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveResponse and nil error while calling Reserve. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FinishResponse and nil error while calling Finish. nil responses are not supported"))
 		return
 	}
 
@@ -1392,9 +1292,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveReserveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveFinishProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	ctx = ctxsetters.WithMethodName(ctx, "Finish")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1406,28 +1306,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ReserveRequest)
+	reqContent := new(FinishRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Reserve
+	handler := s.Control.Finish
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReserveRequest) (*ReserveResponse, error) {
+		handler = func(ctx context.Context, req *FinishRequest) (*FinishResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReserveRequest)
+					typedReq, ok := req.(*FinishRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReserveRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FinishRequest) when calling interceptor")
 					}
-					return s.Control.Reserve(ctx, typedReq)
+					return s.Control.Finish(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReserveResponse)
+				typedResp, ok := resp.(*FinishResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReserveResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FinishResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1436,7 +1336,7 @@
 	}
 
 	// Call service method
-	var respContent *ReserveResponse
+	var respContent *FinishResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1447,7 +1347,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveResponse and nil error while calling Reserve. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FinishResponse and nil error while calling Finish. nil responses are not supported"))
 		return
 	}
 
@@ -1471,7 +1371,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveFinish(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveLookup(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1479,9 +1379,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFinishJSON(ctx, resp, req)
+		s.serveLookupJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFinishProtobuf(ctx, resp, req)
+		s.serveLookupProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1489,9 +1389,9 @@
 	}
 }
 
-func (s *controlServer) serveFinishJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveLookupJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Finish")
+	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1504,29 +1404,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FinishRequest)
+	reqContent := new(LookupRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Finish
+	handler := s.Control.Lookup
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FinishRequest) (*FinishResponse, error) {
+		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FinishRequest)
+					typedReq, ok := req.(*LookupRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FinishRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
 					}
-					return s.Control.Finish(ctx, typedReq)
+					return s.Control.Lookup(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FinishResponse)
+				typedResp, ok := resp.(*LookupResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FinishResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1535,7 +1435,7 @@
 	}
 
 	// Call service method
-	var respContent *FinishResponse
+	var respContent *LookupResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1546,7 +1446,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FinishResponse and nil error while calling Finish. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
 		return
 	}
 
@@ -1572,9 +1472,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveFinishProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveLookupProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Finish")
+	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1586,72 +1486,1445 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FinishRequest)
+	reqContent := new(LookupRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Finish
+	handler := s.Control.Lookup
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FinishRequest) (*FinishResponse, error) {
+		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FinishRequest)
+					typedReq, ok := req.(*LookupRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+					}
+					return s.Control.Lookup(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookupResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LookupResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveTakeToken(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveTakeTokenJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveTakeTokenProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveTakeTokenJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeToken")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(TakeTokenRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.TakeToken
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeTokenRequest) (*TakeTokenResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeTokenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeTokenRequest) when calling interceptor")
+					}
+					return s.Control.TakeToken(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeTokenResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeTokenResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeTokenResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeTokenResponse and nil error while calling TakeToken. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveTakeTokenProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeToken")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(TakeTokenRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.TakeToken
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeTokenRequest) (*TakeTokenResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeTokenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeTokenRequest) when calling interceptor")
+					}
+					return s.Control.TakeToken(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeTokenResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeTokenResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeTokenResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeTokenResponse and nil error while calling TakeToken. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveStatusJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveStatusProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Control.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Control.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 0
+}
+
+func (s *controlServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *controlServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "shedrock.wire", "Control")
+}
+
+// ==============
+// Feed Interface
+// ==============
+
+// Feed is served by replicas of the control log, and by entries for the other
+// entries of their failure domain.
+type Feed interface {
+	// Watch answers when the revision passes the caller's, or after a short wait.
+	Watch(context.Context, *WatchRequest) (*WatchResponse, error)
+}
+
+// ====================
+// Feed Protobuf Client
+// ====================
+
+type feedProtobufClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFeedProtobufClient creates a Protobuf client that implements the Feed interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewFeedProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Feed {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Feed")
+	urls := [1]string{
+		serviceURL + "Watch",
+	}
+
+	return &feedProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *feedProtobufClient) Watch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Feed")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	caller := c.callWatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+					}
+					return c.callWatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *feedProtobufClient) callWatch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
+	out := new(WatchResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ================
+// Feed JSON Client
+// ================
+
+type feedJSONClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFeedJSONClient creates a JSON client that implements the Feed interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewFeedJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Feed {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Feed")
+	urls := [1]string{
+		serviceURL + "Watch",
+	}
+
+	return &feedJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *feedJSONClient) Watch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Feed")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	caller := c.callWatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+					}
+					return c.callWatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *feedJSONClient) callWatch(ctx context.Context, in *WatchRequest) (*WatchResponse, error) {
+	out := new(WatchResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ===================
+// Feed Server Handler
+// ===================
+
+type feedServer struct {
+	Feed
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewFeedServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewFeedServer(svc Feed, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &feedServer{
+		Feed:             svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *feedServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *feedServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// FeedPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const FeedPathPrefix = "/twirp/shedrock.wire.Feed/"
+
+func (s *feedServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Feed")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "shedrock.wire.Feed" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Watch":
+		s.serveWatch(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *feedServer) serveWatch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveWatchJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveWatchProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *feedServer) serveWatchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(WatchRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Feed.Watch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+					}
+					return s.Feed.Watch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *WatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WatchResponse and nil error while calling Watch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *feedServer) serveWatchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(WatchRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Feed.Watch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WatchRequest) (*WatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WatchRequest) when calling interceptor")
+					}
+					return s.Feed.Watch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *WatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WatchResponse and nil error while calling Watch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *feedServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *feedServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *feedServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "shedrock.wire", "Feed")
+}
+
+// ===============
+// Peers Interface
+// ===============
+
+// Peers is what entries say to one another.
+type Peers interface {
+	// Gossip exchanges what each knows of who is alive.
+	Gossip(context.Context, *GossipMessage) (*GossipMessage, error)
+
+	// Find asks the owner of a part of the directory for a prompt's context.
+	Find(context.Context, *FindRequest) (*FindResponse, error)
+
+	// Note tells the owner what became of contexts.
+	Note(context.Context, *NoteRequest) (*NoteResponse, error)
+}
+
+// =====================
+// Peers Protobuf Client
+// =====================
+
+type peersProtobufClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewPeersProtobufClient creates a Protobuf client that implements the Peers interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewPeersProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Peers {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Peers")
+	urls := [3]string{
+		serviceURL + "Gossip",
+		serviceURL + "Find",
+		serviceURL + "Note",
+	}
+
+	return &peersProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *peersProtobufClient) Gossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	caller := c.callGossip
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return c.callGossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peersProtobufClient) callGossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	out := new(GossipMessage)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peersProtobufClient) Find(ctx context.Context, in *FindRequest) (*FindResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Find")
+	caller := c.callFind
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FindRequest) (*FindResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FindRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FindRequest) when calling interceptor")
+					}
+					return c.callFind(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FindResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FindResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peersProtobufClient) callFind(ctx context.Context, in *FindRequest) (*FindResponse, error) {
+	out := new(FindResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peersProtobufClient) Note(ctx context.Context, in *NoteRequest) (*NoteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	caller := c.callNote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NoteRequest) (*NoteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return c.callNote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peersProtobufClient) callNote(ctx context.Context, in *NoteRequest) (*NoteResponse, error) {
+	out := new(NoteResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =================
+// Peers JSON Client
+// =================
+
+type peersJSONClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewPeersJSONClient creates a JSON client that implements the Peers interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewPeersJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Peers {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Peers")
+	urls := [3]string{
+		serviceURL + "Gossip",
+		serviceURL + "Find",
+		serviceURL + "Note",
+	}
+
+	return &peersJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *peersJSONClient) Gossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	caller := c.callGossip
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return c.callGossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peersJSONClient) callGossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	out := new(GossipMessage)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peersJSONClient) Find(ctx context.Context, in *FindRequest) (*FindResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Find")
+	caller := c.callFind
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FindRequest) (*FindResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FindRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FinishRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FindRequest) when calling interceptor")
 					}
-					return s.Control.Finish(ctx, typedReq)
+					return c.callFind(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FinishResponse)
+				typedResp, ok := resp.(*FindResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FinishResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FindResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
 			return nil, err
 		}
 	}
+	return caller(ctx, in)
+}
 
-	// Call service method
-	var respContent *FinishResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
+func (c *peersJSONClient) callFind(ctx context.Context, in *FindRequest) (*FindResponse, error) {
+	out := new(FindResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peersJSONClient) Note(ctx context.Context, in *NoteRequest) (*NoteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	caller := c.callNote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NoteRequest) (*NoteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return c.callNote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
 
+func (c *peersJSONClient) callNote(ctx context.Context, in *NoteRequest) (*NoteResponse, error) {
+	out := new(NoteResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Peers Server Handler
+// ====================
+
+type peersServer struct {
+	Peers
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewPeersServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewPeersServer(svc Peers, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &peersServer{
+		Peers:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *peersServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *peersServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
 	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FinishResponse and nil error while calling Finish. nil responses are not supported"))
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
 		return
 	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
+// PeersPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const PeersPathPrefix = "/twirp/shedrock.wire.Peers/"
 
-	respBytes, err := proto.Marshal(respContent)
+func (s *peersServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peers")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		s.writeError(ctx, resp, err)
 		return
 	}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "shedrock.wire.Peers" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Gossip":
+		s.serveGossip(ctx, resp, req)
+		return
+	case "Find":
+		s.serveFind(ctx, resp, req)
+		return
+	case "Note":
+		s.serveNote(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
 	}
-	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveLookup(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveGossip(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1659,9 +2932,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveLookupJSON(ctx, resp, req)
+		s.serveGossipJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveLookupProtobuf(ctx, resp, req)
+		s.serveGossipProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1669,9 +2942,9 @@
 	}
 }
 
-func (s *controlServer) serveLookupJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveGossipJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1684,29 +2957,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(LookupRequest)
+	reqContent := new(GossipMessage)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Lookup
+	handler := s.Peers.Gossip
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
+		handler = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookupRequest)
+					typedReq, ok := req.(*GossipMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
 					}
-					return s.Control.Lookup(ctx, typedReq)
+					return s.Peers.Gossip(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LookupResponse)
+				typedResp, ok := resp.(*GossipMessage)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1715,7 +2988,7 @@
 	}
 
 	// Call service method
-	var respContent *LookupResponse
+	var respContent *GossipMessage
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1726,7 +2999,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GossipMessage and nil error while calling Gossip. nil responses are not supported"))
 		return
 	}
 
@@ -1752,9 +3025,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveLookupProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveGossipProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1766,28 +3039,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(LookupRequest)
+	reqContent := new(GossipMessage)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Lookup
+	handler := s.Peers.Gossip
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
+		handler = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookupRequest)
+					typedReq, ok := req.(*GossipMessage)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
 					}
-					return s.Control.Lookup(ctx, typedReq)
+					return s.Peers.Gossip(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LookupResponse)
+				typedResp, ok := resp.(*GossipMessage)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1796,7 +3069,7 @@
 	}
 
 	// Call service method
-	var respContent *LookupResponse
+	var respContent *GossipMessage
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1807,7 +3080,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GossipMessage and nil error while calling Gossip. nil responses are not supported"))
 		return
 	}
 
@@ -1831,7 +3104,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveTakeToken(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveFind(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1839,9 +3112,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveTakeTokenJSON(ctx, resp, req)
+		s.serveFindJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveTakeTokenProtobuf(ctx, resp, req)
+		s.serveFindProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1849,9 +3122,9 @@
 	}
 }
 
-func (s *controlServer) serveTakeTokenJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveFindJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "TakeToken")
+	ctx = ctxsetters.WithMethodName(ctx, "Find")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1864,29 +3137,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(TakeTokenRequest)
+	reqContent := new(FindRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.TakeToken
+	handler := s.Peers.Find
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *TakeTokenRequest) (*TakeTokenResponse, error) {
+		handler = func(ctx context.Context, req *FindRequest) (*FindResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TakeTokenRequest)
+					typedReq, ok := req.(*FindRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TakeTokenRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FindRequest) when calling interceptor")
 					}
-					return s.Control.TakeToken(ctx, typedReq)
+					return s.Peers.Find(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*TakeTokenResponse)
+				typedResp, ok := resp.(*FindResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*TakeTokenResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FindResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1895,7 +3168,7 @@
 	}
 
 	// Call service method
-	var respContent *TakeTokenResponse
+	var respContent *FindResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1906,7 +3179,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeTokenResponse and nil error while calling TakeToken. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FindResponse and nil error while calling Find. nil responses are not supported"))
 		return
 	}
 
@@ -1932,9 +3205,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveTakeTokenProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveFindProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "TakeToken")
+	ctx = ctxsetters.WithMethodName(ctx, "Find")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1946,28 +3219,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(TakeTokenRequest)
+	reqContent := new(FindRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.TakeToken
+	handler := s.Peers.Find
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *TakeTokenRequest) (*TakeTokenResponse, error) {
+		handler = func(ctx context.Context, req *FindRequest) (*FindResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TakeTokenRequest)
+					typedReq, ok := req.(*FindRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TakeTokenRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FindRequest) when calling interceptor")
 					}
-					return s.Control.TakeToken(ctx, typedReq)
+					return s.Peers.Find(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*TakeTokenResponse)
+				typedResp, ok := resp.(*FindResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*TakeTokenResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FindResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1976,7 +3249,7 @@
 	}
 
 	// Call service method
-	var respContent *TakeTokenResponse
+	var respContent *FindResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1987,7 +3260,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeTokenResponse and nil error while calling TakeToken. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FindResponse and nil error while calling Find. nil responses are not supported"))
 		return
 	}
 
@@ -2011,7 +3284,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveNote(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2019,9 +3292,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveStatusJSON(ctx, resp, req)
+		s.serveNoteJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveStatusProtobuf(ctx, resp, req)
+		s.serveNoteProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2029,9 +3302,9 @@
 	}
 }
 
-func (s *controlServer) serveStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveNoteJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2044,29 +3317,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(StatusRequest)
+	reqContent := new(NoteRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Status
+	handler := s.Peers.Note
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+		handler = func(ctx context.Context, req *NoteRequest) (*NoteResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StatusRequest)
+					typedReq, ok := req.(*NoteRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
 					}
-					return s.Control.Status(ctx, typedReq)
+					return s.Peers.Note(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StatusResponse)
+				typedResp, ok := resp.(*NoteResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2075,7 +3348,7 @@
 	}
 
 	// Call service method
-	var respContent *StatusResponse
+	var respContent *NoteResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2086,7 +3359,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NoteResponse and nil error while calling Note. nil responses are not supported"))
 		return
 	}
 
@@ -2112,9 +3385,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveNoteProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2126,28 +3399,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(StatusRequest)
+	reqContent := new(NoteRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Status
+	handler := s.Peers.Note
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+		handler = func(ctx context.Context, req *NoteRequest) (*NoteResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StatusRequest)
+					typedReq, ok := req.(*NoteRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
 					}
-					return s.Control.Status(ctx, typedReq)
+					return s.Peers.Note(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StatusResponse)
+				typedResp, ok := resp.(*NoteResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2156,7 +3429,7 @@
 	}
 
 	// Call service method
-	var respContent *StatusResponse
+	var respContent *NoteResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2167,7 +3440,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NoteResponse and nil error while calling Note. nil responses are not supported"))
 		return
 	}
 
@@ -2191,19 +3464,19 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 0
+func (s *peersServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
 }
 
-func (s *controlServer) ProtocGenTwirpVersion() string {
+func (s *peersServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *controlServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "shedrock.wire", "Control")
+func (s *peersServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "shedrock.wire", "Peers")
 }
 
 // =====================
@@ -2688,7 +3961,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 1
+	return twirpFileDescriptor0, 3
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -3268,112 +4541,135 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1711 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x58, 0xef, 0x92, 0xdb, 0x48,
-	0x11, 0x47, 0xfe, 0x2b, 0xb7, 0xff, 0xac, 0x33, 0x84, 0x45, 0x24, 0x39, 0xce, 0xe8, 0xea, 0x8a,
-	0x00, 0x87, 0xc3, 0x39, 0x1c, 0x05, 0x45, 0x51, 0x47, 0x76, 0xad, 0x25, 0x7b, 0xe7, 0x78, 0x53,
-	0x63, 0x6f, 0x02, 0xd4, 0x51, 0x2e, 0x45, 0x1a, 0xdb, 0x83, 0xa5, 0x91, 0x91, 0x46, 0x9b, 0xec,
-	0x37, 0x8a, 0x4f, 0x54, 0x51, 0x3c, 0x02, 0x9f, 0x78, 0x08, 0x9e, 0x80, 0xcf, 0x54, 0xf1, 0x04,
-	0x3c, 0x03, 0x4f, 0x70, 0x35, 0x7f, 0x64, 0xcb, 0xb2, 0x37, 0xc9, 0x7e, 0x9b, 0x6e, 0xf7, 0xf4,
-	0xf4, 0xfc, 0xfa, 0x37, 0xdd, 0x2d, 0x43, 0xdb, 0x8b, 0x18, 0x8f, 0xa3, 0xa0, 0xbf, 0x8e, 0x23,
-	0x1e, 0xa1, 0x76, 0xb2, 0x24, 0x7e, 0x1c, 0x79, 0xab, 0xfe, 0x6b, 0x1a, 0x13, 0xfb, 0x67, 0xd0,
-	0x7a, 0xb2, 0x5e, 0x07, 0xd7, 0x98, 0xfc, 0x29, 0x25, 0x09, 0x47, 0x08, 0x2a, 0x73, 0x1a, 0x10,
-	0xcb, 0xe8, 0x19, 0x0f, 0x1b, 0x58, 0xae, 0x85, 0x8e, 0x93, 0x37, 0xdc, 0x2a, 0xf5, 0x8c, 0x87,
-	0x2d, 0x2c, 0xd7, 0xf6, 0x1f, 0xa0, 0x7a, 0xe6, 0xa6, 0xc1, 0x8d, 0x1b, 0x02, 0xca, 0x88, 0xdc,
-	0x50, 0xc5, 0x72, 0x8d, 0xee, 0x42, 0x75, 0x4e, 0x49, 0xe0, 0x5b, 0x65, 0x69, 0xa8, 0x04, 0x74,
-	0x0c, 0xb5, 0x98, 0xb8, 0x49, 0xc4, 0xac, 0x8a, 0x54, 0x6b, 0xc9, 0xfe, 0x77, 0x09, 0xda, 0x3a,
-	0xae, 0x64, 0x1d, 0xb1, 0x84, 0xa0, 0x5f, 0x0a, 0xcb, 0x24, 0x0d, 0xb8, 0x3c, 0xa9, 0x33, 0xf8,
-	0xa8, 0xbf, 0x73, 0x91, 0xfe, 0x8e, 0x75, 0x1f, 0x4b, 0x53, 0xac, 0xb7, 0xa0, 0x7b, 0x60, 0xc6,
-	0xe4, 0x8a, 0x26, 0x34, 0x62, 0x32, 0xa8, 0x0a, 0xde, 0xc8, 0x2a, 0x84, 0x84, 0x30, 0x2e, 0x23,
-	0x33, 0xb1, 0x96, 0xd0, 0xf7, 0xe1, 0xc8, 0x4b, 0xe3, 0x98, 0x30, 0x3e, 0xbb, 0x22, 0xb1, 0xdc,
-	0x5a, 0x91, 0x5b, 0x3b, 0x5a, 0xfd, 0x42, 0x69, 0x51, 0x0f, 0x9a, 0x3e, 0x9d, 0xcf, 0x49, 0x4c,
-	0x98, 0x47, 0x12, 0xab, 0xda, 0x2b, 0x3f, 0x6c, 0xe0, 0xbc, 0x0a, 0x7d, 0x02, 0xb5, 0xb9, 0x00,
-	0x2b, 0xb1, 0x6a, 0xbd, 0xf2, 0xc3, 0xe6, 0xe0, 0x6e, 0x21, 0x76, 0x89, 0x24, 0xd6, 0x36, 0xf6,
-	0x17, 0x50, 0x53, 0xe1, 0xa3, 0x63, 0x40, 0xd8, 0x99, 0x5c, 0x8e, 0xa6, 0xb3, 0xcb, 0xf1, 0xe4,
-	0xb9, 0x73, 0x7a, 0x7e, 0x76, 0xee, 0x0c, 0xbb, 0xdf, 0x40, 0x2d, 0x30, 0x9f, 0x9c, 0x9e, 0x3a,
-	0xcf, 0xa7, 0xce, 0xb0, 0x6b, 0x08, 0xe9, 0xf4, 0x62, 0x7c, 0x36, 0x3a, 0x3f, 0x9d, 0x76, 0x4b,
-	0x42, 0xc2, 0xce, 0x17, 0xce, 0xa9, 0xf8, 0xad, 0x6c, 0xff, 0xc5, 0x80, 0xba, 0x40, 0x86, 0x12,
-	0x5f, 0x64, 0x85, 0xb9, 0xe1, 0x26, 0x53, 0x62, 0x8d, 0x3e, 0x86, 0xce, 0xdc, 0xa5, 0x41, 0x1a,
-	0x93, 0x99, 0x1f, 0x85, 0x2e, 0x55, 0xf0, 0x34, 0x70, 0x5b, 0x6b, 0x87, 0x52, 0xb9, 0x83, 0x5f,
-	0xb9, 0x80, 0x5f, 0x0f, 0x9a, 0x29, 0xf3, 0x22, 0x36, 0xa7, 0x71, 0x48, 0x7c, 0x89, 0x91, 0x89,
-	0xf3, 0x2a, 0xfb, 0x1f, 0x06, 0xb4, 0x5e, 0xba, 0xdc, 0x5b, 0x66, 0x24, 0xcb, 0xbb, 0x33, 0x0a,
-	0xee, 0x7e, 0x02, 0x75, 0x57, 0x05, 0x6c, 0x95, 0x24, 0x58, 0xc7, 0x07, 0x12, 0x4d, 0x89, 0x8f,
-	0x33, 0x33, 0xf4, 0x23, 0xb8, 0xf3, 0xda, 0xa5, 0x7c, 0x16, 0xd2, 0x20, 0xa0, 0x09, 0xf1, 0x22,
-	0xe6, 0x27, 0x32, 0xca, 0x36, 0xee, 0x8a, 0x1f, 0x9e, 0xe5, 0xf4, 0x92, 0xae, 0x69, 0x10, 0xe8,
-	0x30, 0xe5, 0xda, 0xfe, 0xa7, 0x01, 0xed, 0x61, 0xe4, 0xa5, 0x21, 0x61, 0x7c, 0x48, 0x02, 0xee,
-	0xbe, 0x35, 0x40, 0x04, 0x95, 0x15, 0x65, 0xbe, 0x06, 0x4a, 0xae, 0x05, 0x87, 0xd6, 0x31, 0x99,
-	0xd3, 0x37, 0xfa, 0x5c, 0x2d, 0x09, 0x7d, 0x92, 0xce, 0x85, 0xbe, 0xa2, 0xf4, 0x4a, 0x12, 0xfa,
-	0x90, 0xfa, 0x7e, 0x40, 0xac, 0xaa, 0x7c, 0x53, 0x5a, 0x12, 0xe7, 0x7a, 0x4b, 0xe2, 0xad, 0x92,
-	0x34, 0xb4, 0x6a, 0xea, 0xdc, 0x4c, 0x16, 0x2f, 0x35, 0x0b, 0x72, 0x4a, 0xde, 0xf0, 0x4d, 0x1c,
-	0x46, 0x2e, 0x8e, 0x43, 0x2f, 0xf5, 0xbf, 0x06, 0xb4, 0x35, 0xfa, 0xfa, 0x29, 0xbd, 0xe3, 0x76,
-	0x12, 0x9f, 0xd2, 0x16, 0x1f, 0xf4, 0x0b, 0x68, 0xf8, 0xfa, 0x64, 0x01, 0xac, 0x48, 0xca, 0xfd,
-	0x42, 0x52, 0xf2, 0x91, 0xe1, 0xad, 0x35, 0xfa, 0x29, 0xd4, 0x7c, 0x81, 0x68, 0x62, 0x55, 0xe4,
-	0xbe, 0x07, 0x37, 0xec, 0x93, 0xb0, 0x63, 0x6d, 0x5b, 0xa4, 0x54, 0x75, 0x9f, 0x52, 0x29, 0x74,
-	0x30, 0x49, 0x48, 0x7c, 0x45, 0x72, 0x85, 0x8b, 0x13, 0x37, 0xcc, 0xe0, 0x10, 0x6b, 0xd4, 0x85,
-	0xf2, 0x8a, 0x5c, 0xeb, 0x4c, 0x89, 0xa5, 0xe0, 0x7b, 0xac, 0x36, 0xcc, 0x7c, 0xba, 0x20, 0x89,
-	0x7a, 0xf4, 0x2d, 0xdc, 0xd6, 0xda, 0xa1, 0x54, 0x8a, 0xfc, 0x2c, 0xa3, 0xc0, 0x27, 0x71, 0x56,
-	0x96, 0x94, 0x64, 0xff, 0xb5, 0x24, 0xde, 0xa6, 0x17, 0xc5, 0x3e, 0xfa, 0x14, 0xaa, 0xeb, 0xa5,
-	0x9b, 0x10, 0x5d, 0x8e, 0x8a, 0x80, 0x28, 0xab, 0xfe, 0x73, 0x61, 0x82, 0x95, 0x65, 0xce, 0x6b,
-	0x29, 0xef, 0x55, 0xb2, 0x84, 0xbb, 0x3c, 0x55, 0xac, 0xad, 0x62, 0x2d, 0xa1, 0xef, 0x41, 0x4b,
-	0xd4, 0x6e, 0x51, 0x81, 0xf8, 0xf5, 0x9a, 0xe8, 0x58, 0x9a, 0x5a, 0x37, 0xbd, 0x5e, 0x4b, 0x97,
-	0x2e, 0x4b, 0x5e, 0x93, 0x38, 0x23, 0x92, 0x92, 0xd0, 0x87, 0xd0, 0x54, 0xab, 0xd9, 0x8a, 0xac,
-	0xb9, 0xe4, 0x92, 0x89, 0x41, 0xa9, 0xbe, 0x24, 0x6b, 0x6e, 0x7f, 0x0e, 0x55, 0x19, 0x1b, 0x02,
-	0xa8, 0x3d, 0x39, 0x99, 0x38, 0xe3, 0xa9, 0xaa, 0x2b, 0xd8, 0x99, 0x38, 0xf8, 0x45, 0x56, 0x57,
-	0xce, 0xce, 0xc7, 0xe7, 0x93, 0xa7, 0xce, 0xb0, 0x5b, 0x42, 0x1d, 0x80, 0xcb, 0x31, 0x76, 0x26,
-	0x17, 0xa3, 0x17, 0xb2, 0xb2, 0xfc, 0xcf, 0x80, 0xa3, 0x4d, 0x0a, 0x34, 0xb1, 0x7e, 0x55, 0xa8,
-	0xd1, 0x1f, 0xef, 0x81, 0xb2, 0x63, 0x5f, 0xac, 0xd2, 0x3f, 0x16, 0xdb, 0x05, 0x6c, 0x12, 0x9f,
-	0xe6, 0xe0, 0x5b, 0x07, 0x31, 0xc5, 0xda, 0xc8, 0x9e, 0xbd, 0xb3, 0x4e, 0x36, 0xa1, 0xfe, 0x1b,
-	0xfc, 0x64, 0xac, 0xca, 0x64, 0x03, 0xaa, 0x5f, 0x8e, 0x2f, 0x5e, 0x8e, 0xd5, 0x5d, 0x2e, 0xa6,
-	0x4f, 0x1d, 0x3c, 0x3b, 0xb9, 0x18, 0xfe, 0xae, 0x5b, 0x16, 0x76, 0xce, 0x6f, 0x9f, 0x9f, 0x63,
-	0x67, 0xd8, 0xad, 0x20, 0x13, 0x2a, 0x67, 0x97, 0xa3, 0x51, 0xb7, 0x6a, 0xff, 0xdf, 0x80, 0xf6,
-	0x19, 0x65, 0x34, 0x59, 0xde, 0x8e, 0x64, 0xdb, 0x3c, 0x97, 0x77, 0xf2, 0x3c, 0x80, 0x32, 0x61,
-	0xaa, 0x42, 0x76, 0x06, 0xbd, 0x62, 0x0f, 0xc8, 0x1f, 0xd4, 0x77, 0x98, 0x8f, 0x85, 0x71, 0x0e,
-	0x93, 0xea, 0xfb, 0x60, 0xf2, 0x6b, 0x28, 0x3b, 0xcc, 0x47, 0xdf, 0x84, 0x23, 0x67, 0x3c, 0x3c,
-	0xd0, 0x35, 0xc6, 0x93, 0x97, 0x0e, 0x96, 0x70, 0x98, 0x50, 0x19, 0x5d, 0x4c, 0x74, 0xc7, 0x18,
-	0x5f, 0x4c, 0x67, 0x92, 0x03, 0x65, 0xfb, 0x13, 0xe8, 0x64, 0xa1, 0xe4, 0xcb, 0x85, 0xf0, 0x4e,
-	0x54, 0xb1, 0x31, 0xf1, 0x46, 0xb6, 0x3f, 0x83, 0xf6, 0x28, 0x8a, 0x56, 0xe9, 0xfa, 0x56, 0x08,
-	0xd9, 0x9f, 0x43, 0x27, 0xdb, 0xa6, 0x0f, 0xd9, 0xde, 0xd3, 0x78, 0x9f, 0x7b, 0xfe, 0x10, 0xba,
-	0x53, 0x77, 0x45, 0xa6, 0xd1, 0x8a, 0xb0, 0xec, 0xe8, 0x2d, 0xec, 0xc6, 0xce, 0xa3, 0xfd, 0x01,
-	0xdc, 0xc9, 0xd9, 0xea, 0xf3, 0xee, 0x42, 0x95, 0x0b, 0x85, 0x2e, 0x80, 0x4a, 0xb0, 0x8f, 0xa0,
-	0x3d, 0x91, 0x6f, 0x4f, 0xfb, 0xb4, 0xff, 0x66, 0x40, 0x1b, 0x93, 0x75, 0x40, 0x3d, 0x57, 0xfd,
-	0x80, 0x3a, 0x50, 0xa2, 0xbe, 0xde, 0x55, 0xa2, 0x3e, 0xb2, 0xa0, 0xee, 0xfa, 0x7e, 0x4c, 0x92,
-	0x44, 0x5f, 0x30, 0x13, 0x45, 0x15, 0xa3, 0xcc, 0x73, 0x63, 0xe6, 0xf2, 0xac, 0x6f, 0x36, 0x70,
-	0x5e, 0x25, 0x82, 0xb8, 0x8a, 0xb8, 0xae, 0x32, 0x26, 0x56, 0x82, 0xf0, 0x18, 0x8a, 0x7a, 0xad,
-	0x2b, 0x5f, 0x05, 0x67, 0xa2, 0xfd, 0xaf, 0x32, 0x74, 0xb2, 0xf8, 0xf4, 0x3d, 0x8a, 0xe1, 0x14,
-	0x0e, 0x2d, 0xed, 0x1f, 0x7a, 0x0c, 0xb5, 0x80, 0xb8, 0x39, 0x76, 0x2a, 0x49, 0x65, 0x2e, 0x0e,
-	0xf5, 0x90, 0x23, 0xd7, 0xe8, 0x01, 0x34, 0xbc, 0x28, 0x0c, 0x29, 0xe7, 0x9b, 0x60, 0xb6, 0x0a,
-	0xf4, 0x11, 0xb4, 0x75, 0x0f, 0x9e, 0x51, 0xe6, 0x93, 0x37, 0xba, 0x65, 0xb5, 0xb4, 0xf2, 0x5c,
-	0xe8, 0x76, 0x9a, 0x4d, 0xbd, 0xd0, 0x6c, 0x7e, 0x2e, 0x7e, 0x93, 0xe0, 0x26, 0x96, 0x79, 0xb0,
-	0x3f, 0xec, 0x60, 0x8f, 0x37, 0xd6, 0xf9, 0x29, 0xa1, 0xf1, 0x7e, 0x53, 0x82, 0x05, 0x75, 0xc5,
-	0x9d, 0xc4, 0x02, 0x85, 0xaa, 0x16, 0xd5, 0x00, 0xb8, 0x76, 0x69, 0x6c, 0x35, 0xb3, 0x19, 0x54,
-	0x48, 0x2a, 0xf2, 0x79, 0x9a, 0x50, 0xb6, 0xb0, 0x5a, 0xf2, 0x97, 0x8d, 0x2c, 0x32, 0xf7, 0x2a,
-	0x70, 0xd9, 0xca, 0x6a, 0xab, 0xcc, 0x49, 0x21, 0xcf, 0x85, 0xce, 0x0e, 0x17, 0xec, 0xaf, 0xa0,
-	0xf6, 0x8c, 0x84, 0xaf, 0x48, 0x7c, 0x0b, 0xfe, 0x88, 0x79, 0x2d, 0xf2, 0x89, 0x4e, 0x93, 0x5c,
-	0x1f, 0x66, 0x8c, 0xfd, 0x77, 0x03, 0xcc, 0x51, 0xb4, 0x70, 0x18, 0x8f, 0xaf, 0x85, 0x89, 0xca,
-	0x86, 0x66, 0xb6, 0x14, 0x36, 0xd9, 0x2d, 0xe5, 0xb2, 0x9b, 0x4d, 0x10, 0x6a, 0x66, 0xd9, 0x4c,
-	0x10, 0xbe, 0xcb, 0x5d, 0xe9, 0xbf, 0x85, 0xe5, 0x1a, 0x3d, 0x82, 0x7a, 0x28, 0x83, 0x57, 0xc3,
-	0xed, 0xfe, 0xe3, 0x54, 0x57, 0xc3, 0x99, 0x95, 0x7d, 0x0d, 0xe6, 0x84, 0xb9, 0xeb, 0x64, 0x19,
-	0xf1, 0x5b, 0x84, 0x93, 0x3b, 0xa6, 0xfc, 0x3e, 0xc7, 0x1c, 0x8a, 0xd5, 0xfe, 0x4f, 0x09, 0xea,
-	0xcf, 0x48, 0x92, 0xb8, 0x0b, 0xb2, 0x33, 0x21, 0xe5, 0xee, 0x37, 0x8f, 0xa3, 0x30, 0x9b, 0xde,
-	0xc4, 0x5a, 0xa4, 0x84, 0x47, 0x1a, 0xe6, 0x12, 0x8f, 0x0e, 0xbe, 0x84, 0xfb, 0xd0, 0x08, 0xa2,
-	0x85, 0xe6, 0xb9, 0x7a, 0x09, 0x66, 0x10, 0x2d, 0x14, 0xc7, 0xbf, 0x03, 0x62, 0x3d, 0x93, 0x9b,
-	0xd4, 0x1b, 0xa8, 0x07, 0xd1, 0x62, 0x2a, 0xf6, 0x1d, 0x43, 0x4d, 0x3d, 0x18, 0x4d, 0x7e, 0x2d,
-	0x89, 0x33, 0x96, 0x94, 0x71, 0xcb, 0x54, 0x67, 0x88, 0xb5, 0x80, 0x2a, 0x8e, 0x52, 0x26, 0x28,
-	0x2d, 0xa1, 0x92, 0x82, 0xa2, 0xe7, 0x1f, 0x89, 0xc7, 0x25, 0x6f, 0xe5, 0xf7, 0x89, 0x90, 0xd0,
-	0xa7, 0x50, 0x27, 0x8c, 0xc7, 0x94, 0x24, 0x56, 0x53, 0xc2, 0xf5, 0xed, 0x02, 0x5c, 0x19, 0x23,
-	0x70, 0x66, 0x87, 0x1e, 0x83, 0x99, 0xe8, 0xbc, 0x48, 0x46, 0xef, 0xef, 0xc9, 0xd2, 0x86, 0x37,
-	0x86, 0xf6, 0x57, 0xd0, 0xd2, 0x80, 0x9e, 0x88, 0x32, 0x84, 0x06, 0x60, 0x86, 0x4a, 0x4e, 0x2c,
-	0xe3, 0xe0, 0xdb, 0xd3, 0xe6, 0x78, 0x63, 0x77, 0x33, 0xc9, 0xed, 0x3b, 0x70, 0x34, 0x24, 0x01,
-	0xbd, 0x22, 0x71, 0x56, 0xd2, 0x06, 0x7f, 0xae, 0x40, 0xfd, 0x54, 0x7d, 0xb3, 0xa2, 0x13, 0xa8,
-	0xca, 0x0f, 0x3b, 0x74, 0xff, 0xf0, 0xe7, 0x9e, 0xac, 0xd2, 0xf7, 0x1e, 0xbc, 0xed, 0x5b, 0x50,
-	0xf8, 0x90, 0xf3, 0xef, 0x9e, 0x8f, 0xfc, 0x37, 0xc9, 0x9e, 0x8f, 0xdd, 0x91, 0xf9, 0x29, 0xd4,
-	0xf5, 0xf0, 0x82, 0x3e, 0xb8, 0x69, 0xa8, 0x51, 0x7e, 0xbe, 0xfb, 0xf6, 0x99, 0x07, 0x39, 0x50,
-	0x53, 0xfd, 0x15, 0x3d, 0x78, 0xdb, 0x04, 0x70, 0xef, 0x83, 0x1b, 0x7e, 0xdd, 0xba, 0x51, 0x1d,
-	0x74, 0xcf, 0xcd, 0x4e, 0x3f, 0xde, 0x73, 0x53, 0x68, 0xbb, 0x63, 0x68, 0x6c, 0x7a, 0x23, 0xfa,
-	0xb0, 0x60, 0x5b, 0xec, 0xb0, 0xf7, 0x7a, 0x37, 0x1b, 0x6c, 0xc3, 0xd2, 0x7d, 0xb2, 0x18, 0xd6,
-	0x4e, 0x5f, 0xdd, 0x0b, 0x6b, 0xb7, 0xab, 0x0d, 0x2e, 0xa1, 0xa9, 0x2b, 0xbf, 0x6c, 0x59, 0x67,
-	0x50, 0xd7, 0x24, 0xd9, 0xcb, 0x61, 0x9e, 0x9a, 0x7b, 0xd8, 0x17, 0x98, 0x75, 0xf2, 0xd9, 0xef,
-	0x1f, 0x2f, 0x28, 0x5f, 0xa6, 0xaf, 0xfa, 0x5e, 0x14, 0x3e, 0xca, 0x6c, 0xb7, 0x0b, 0xca, 0x38,
-	0x89, 0x99, 0x1b, 0x3c, 0x92, 0x7f, 0x95, 0x78, 0x51, 0xf0, 0x48, 0xb8, 0x79, 0x55, 0x93, 0xe2,
-	0xe3, 0xaf, 0x03, 0x00, 0x00, 0xff, 0xff, 0xc0, 0xaf, 0x1d, 0xb0, 0x4a, 0x11, 0x00, 0x00,
+	// 2069 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x58, 0xdd, 0x72, 0xe3, 0x48,
+	0x15, 0x46, 0xfe, 0xf7, 0xf1, 0x4f, 0x3c, 0xcd, 0x10, 0xb4, 0x99, 0xd9, 0xdd, 0xac, 0xb6, 0xb6,
+	0x18, 0x60, 0x49, 0x76, 0x32, 0x2c, 0x05, 0x45, 0x41, 0x48, 0x62, 0x65, 0x27, 0xb3, 0x19, 0x27,
+	0xd5, 0x76, 0x66, 0x80, 0x5a, 0xca, 0xa5, 0x48, 0xed, 0x44, 0x58, 0xee, 0x36, 0xea, 0x56, 0x26,
+	0xb9, 0xe5, 0x8a, 0x2a, 0x8a, 0x47, 0xe0, 0x8a, 0x82, 0x57, 0x80, 0x0b, 0x6e, 0xb9, 0xde, 0x2a,
+	0x9e, 0x80, 0x67, 0xe0, 0x09, 0xb6, 0xfa, 0x47, 0xb6, 0x2c, 0x3b, 0x99, 0xcc, 0xdd, 0x39, 0x47,
+	0xa7, 0xbb, 0x4f, 0x7f, 0xe7, 0xb7, 0x05, 0x2d, 0x9f, 0x51, 0x11, 0xb3, 0x68, 0x6b, 0x1a, 0x33,
+	0xc1, 0x50, 0x8b, 0x5f, 0x92, 0x20, 0x66, 0xfe, 0x78, 0xeb, 0x4d, 0x18, 0x13, 0xe7, 0x27, 0xd0,
+	0xdc, 0x9b, 0x4e, 0xa3, 0x1b, 0x4c, 0xfe, 0x90, 0x10, 0x2e, 0x10, 0x82, 0xd2, 0x28, 0x8c, 0x88,
+	0x6d, 0x6d, 0x5a, 0x4f, 0xea, 0x58, 0xd1, 0x52, 0x26, 0xc8, 0xb5, 0xb0, 0x0b, 0x9b, 0xd6, 0x93,
+	0x26, 0x56, 0xb4, 0xf3, 0x3b, 0x28, 0x1f, 0x7a, 0x49, 0x74, 0xeb, 0x82, 0x28, 0xa4, 0x44, 0x2d,
+	0x28, 0x63, 0x45, 0xa3, 0x87, 0x50, 0x1e, 0x85, 0x24, 0x0a, 0xec, 0xa2, 0x52, 0xd4, 0x0c, 0x5a,
+	0x87, 0x4a, 0x4c, 0x3c, 0xce, 0xa8, 0x5d, 0x52, 0x62, 0xc3, 0x39, 0xff, 0x29, 0x40, 0xcb, 0xd8,
+	0xc5, 0xa7, 0x8c, 0x72, 0x82, 0x7e, 0x2e, 0x35, 0x79, 0x12, 0x09, 0x75, 0x52, 0x7b, 0xe7, 0xe3,
+	0xad, 0x85, 0x8b, 0x6c, 0x2d, 0x68, 0x6f, 0x61, 0xa5, 0x8a, 0xcd, 0x12, 0xb4, 0x01, 0xb5, 0x98,
+	0x5c, 0x85, 0x3c, 0x64, 0x54, 0x19, 0x55, 0xc2, 0x33, 0x5e, 0x9b, 0xc0, 0x09, 0x15, 0xca, 0xb2,
+	0x1a, 0x36, 0x1c, 0xfa, 0x1e, 0xac, 0xf9, 0x49, 0x1c, 0x13, 0x2a, 0x86, 0x57, 0x24, 0x56, 0x4b,
+	0x4b, 0x6a, 0x69, 0xdb, 0x88, 0x5f, 0x69, 0x29, 0xda, 0x84, 0x46, 0x10, 0x8e, 0x46, 0x24, 0x26,
+	0xd4, 0x27, 0xdc, 0x2e, 0x6f, 0x16, 0x9f, 0xd4, 0x71, 0x56, 0x84, 0x3e, 0x85, 0xca, 0x48, 0x82,
+	0xc5, 0xed, 0xca, 0x66, 0xf1, 0x49, 0x63, 0xe7, 0x61, 0xce, 0x76, 0x85, 0x24, 0x36, 0x3a, 0xce,
+	0x0b, 0xa8, 0x68, 0xf3, 0xd1, 0x3a, 0x20, 0xec, 0xf6, 0xcf, 0x8e, 0x07, 0xc3, 0xb3, 0x5e, 0xff,
+	0xd4, 0x3d, 0x38, 0x3a, 0x3c, 0x72, 0xbb, 0x9d, 0x6f, 0xa1, 0x26, 0xd4, 0xf6, 0x0e, 0x0e, 0xdc,
+	0xd3, 0x81, 0xdb, 0xed, 0x58, 0x92, 0x3b, 0x38, 0xe9, 0x1d, 0x1e, 0x1f, 0x1d, 0x0c, 0x3a, 0x05,
+	0xc9, 0x61, 0xf7, 0x85, 0x7b, 0x20, 0xbf, 0x15, 0x9d, 0x3f, 0x5a, 0x50, 0x95, 0xc8, 0x84, 0x24,
+	0x90, 0x5e, 0xa1, 0xde, 0x64, 0xe6, 0x29, 0x49, 0xa3, 0x4f, 0xa0, 0x3d, 0xf2, 0xc2, 0x28, 0x89,
+	0xc9, 0x30, 0x60, 0x13, 0x2f, 0xd4, 0xf0, 0xd4, 0x71, 0xcb, 0x48, 0xbb, 0x4a, 0xb8, 0x80, 0x5f,
+	0x31, 0x87, 0xdf, 0x26, 0x34, 0x12, 0xea, 0x33, 0x3a, 0x0a, 0xe3, 0x09, 0x09, 0x14, 0x46, 0x35,
+	0x9c, 0x15, 0x39, 0x7f, 0xb5, 0xa0, 0xf9, 0xda, 0x13, 0xfe, 0x65, 0x1a, 0x64, 0xd9, 0xed, 0xac,
+	0xdc, 0x76, 0x9f, 0x41, 0xd5, 0xd3, 0x06, 0xdb, 0x05, 0x05, 0xd6, 0xfa, 0x0a, 0x47, 0x87, 0x24,
+	0xc0, 0xa9, 0x1a, 0xfa, 0x21, 0x3c, 0x78, 0xe3, 0x85, 0x62, 0x38, 0x09, 0xa3, 0x28, 0xe4, 0xc4,
+	0x67, 0x34, 0xe0, 0xca, 0xca, 0x16, 0xee, 0xc8, 0x0f, 0x2f, 0x33, 0x72, 0x15, 0xae, 0x49, 0x14,
+	0x19, 0x33, 0x15, 0xed, 0xfc, 0xcd, 0x82, 0x56, 0x97, 0xf9, 0xc9, 0x84, 0x50, 0xd1, 0x25, 0x91,
+	0xf0, 0xee, 0x34, 0x10, 0x41, 0x69, 0x1c, 0xd2, 0xc0, 0x00, 0xa5, 0x68, 0x19, 0x43, 0xd3, 0x98,
+	0x8c, 0xc2, 0x6b, 0x73, 0xae, 0xe1, 0xa4, 0x9c, 0x27, 0x23, 0x29, 0x2f, 0x69, 0xb9, 0xe6, 0xa4,
+	0x7c, 0x12, 0x06, 0x41, 0x44, 0xec, 0xb2, 0xca, 0x29, 0xc3, 0xc9, 0x73, 0xfd, 0x4b, 0xe2, 0x8f,
+	0x79, 0x32, 0xb1, 0x2b, 0xfa, 0xdc, 0x94, 0x97, 0x99, 0x9a, 0x1a, 0x39, 0x20, 0xd7, 0x62, 0x66,
+	0x87, 0x95, 0xb1, 0x63, 0x55, 0xa6, 0xfe, 0xd7, 0x82, 0x96, 0x41, 0xdf, 0xa4, 0xd2, 0x5b, 0x6e,
+	0xa7, 0xf0, 0x29, 0xcc, 0xf1, 0x41, 0x3f, 0x83, 0x7a, 0x60, 0x4e, 0x96, 0xc0, 0x4a, 0xa7, 0x3c,
+	0xca, 0x39, 0x25, 0x6b, 0x19, 0x9e, 0x6b, 0xa3, 0x1f, 0x43, 0x25, 0x90, 0x88, 0x72, 0xbb, 0xa4,
+	0xd6, 0x3d, 0xbe, 0x65, 0x9d, 0x82, 0x1d, 0x1b, 0xdd, 0x7c, 0x48, 0x95, 0x97, 0x43, 0x2a, 0x81,
+	0x36, 0x26, 0x9c, 0xc4, 0x57, 0x24, 0x53, 0xb8, 0x04, 0xf1, 0x26, 0x29, 0x1c, 0x92, 0x46, 0x1d,
+	0x28, 0x8e, 0xc9, 0x8d, 0xf1, 0x94, 0x24, 0x65, 0xbc, 0xc7, 0x7a, 0xc1, 0x30, 0x08, 0x2f, 0x08,
+	0xd7, 0x49, 0xdf, 0xc4, 0x2d, 0x23, 0xed, 0x2a, 0xa1, 0xf4, 0xcf, 0x25, 0x8b, 0x02, 0x12, 0xa7,
+	0x65, 0x49, 0x73, 0xce, 0x9f, 0x0a, 0x32, 0x37, 0x7d, 0x16, 0x07, 0xe8, 0x29, 0x94, 0xa7, 0x97,
+	0x1e, 0x27, 0xa6, 0x1c, 0xe5, 0x01, 0xd1, 0x5a, 0x5b, 0xa7, 0x52, 0x05, 0x6b, 0xcd, 0xcc, 0xae,
+	0x85, 0xec, 0xae, 0x2a, 0x4a, 0x84, 0x27, 0x12, 0x1d, 0xb5, 0x65, 0x6c, 0x38, 0xf4, 0x11, 0x34,
+	0x65, 0xed, 0x96, 0x15, 0x48, 0xdc, 0x4c, 0x89, 0xb1, 0xa5, 0x61, 0x64, 0x83, 0x9b, 0xa9, 0xda,
+	0xd2, 0xa3, 0xfc, 0x0d, 0x89, 0xd3, 0x40, 0xd2, 0x1c, 0xfa, 0x10, 0x1a, 0x9a, 0x1a, 0x8e, 0xc9,
+	0x54, 0xa8, 0x58, 0xaa, 0x61, 0xd0, 0xa2, 0x2f, 0xc9, 0x54, 0x38, 0xbb, 0x50, 0x56, 0xb6, 0x21,
+	0x80, 0xca, 0xde, 0x7e, 0xdf, 0xed, 0x0d, 0x74, 0x5d, 0xc1, 0x6e, 0xdf, 0xc5, 0xaf, 0xd2, 0xba,
+	0x72, 0x78, 0xd4, 0x3b, 0xea, 0x3f, 0x77, 0xbb, 0x9d, 0x02, 0x6a, 0x03, 0x9c, 0xf5, 0xb0, 0xdb,
+	0x3f, 0x39, 0x7e, 0xa5, 0x2a, 0xcb, 0xff, 0x2c, 0x58, 0x9b, 0xb9, 0xc0, 0x04, 0xd6, 0x2f, 0x72,
+	0x35, 0xfa, 0x93, 0x25, 0x50, 0x16, 0xf4, 0xf3, 0x55, 0xfa, 0x47, 0x72, 0xb9, 0x84, 0x4d, 0xe1,
+	0xd3, 0xd8, 0xf9, 0xce, 0x4a, 0x4c, 0xb1, 0x51, 0x72, 0x86, 0x6f, 0xad, 0x93, 0x0d, 0xa8, 0x7e,
+	0x81, 0xf7, 0x7a, 0xba, 0x4c, 0xd6, 0xa1, 0xfc, 0x65, 0xef, 0xe4, 0x75, 0x4f, 0xdf, 0xe5, 0x64,
+	0xf0, 0xdc, 0xc5, 0xc3, 0xfd, 0x93, 0xee, 0x6f, 0x3a, 0x45, 0xa9, 0xe7, 0xfe, 0xfa, 0xf4, 0x08,
+	0xbb, 0xdd, 0x4e, 0x09, 0xd5, 0xa0, 0x74, 0x78, 0x76, 0x7c, 0xdc, 0x29, 0x3b, 0xff, 0xb7, 0xa0,
+	0x75, 0x18, 0xd2, 0x90, 0x5f, 0xbe, 0x5b, 0x90, 0xcd, 0xfd, 0x5c, 0x5c, 0xf0, 0xf3, 0x0e, 0x14,
+	0x09, 0xd5, 0x15, 0xb2, 0xbd, 0xb3, 0x99, 0xef, 0x01, 0xd9, 0x83, 0xb6, 0x5c, 0x1a, 0x60, 0xa9,
+	0x9c, 0xc1, 0xa4, 0x7c, 0x1f, 0x4c, 0x7e, 0x05, 0x45, 0x97, 0x06, 0xe8, 0xdb, 0xb0, 0xe6, 0xf6,
+	0xba, 0x2b, 0xba, 0x46, 0xaf, 0xff, 0xda, 0xc5, 0x0a, 0x8e, 0x1a, 0x94, 0x8e, 0x4f, 0xfa, 0xa6,
+	0x63, 0xf4, 0x4e, 0x06, 0x43, 0x15, 0x03, 0x45, 0xe7, 0x53, 0x68, 0xa7, 0xa6, 0x64, 0xcb, 0x85,
+	0xdc, 0x9d, 0xe8, 0x62, 0x53, 0xc3, 0x33, 0xde, 0xf9, 0x1c, 0x5a, 0xc7, 0x8c, 0x8d, 0x93, 0xe9,
+	0x3b, 0x21, 0xe4, 0xec, 0x42, 0x3b, 0x5d, 0x66, 0x0e, 0x99, 0xdf, 0xd3, 0xba, 0xcf, 0x3d, 0x7f,
+	0x00, 0x9d, 0x81, 0x37, 0x26, 0x03, 0x36, 0x26, 0x34, 0x3d, 0x7a, 0x0e, 0xbb, 0xb5, 0x90, 0xb4,
+	0xdf, 0x87, 0x07, 0x19, 0x5d, 0x73, 0xde, 0x43, 0x28, 0x0b, 0x29, 0x30, 0x05, 0x50, 0x33, 0xce,
+	0x1a, 0xb4, 0xfa, 0x2a, 0xf7, 0xcc, 0x9e, 0xce, 0x9f, 0x2d, 0x68, 0x61, 0x32, 0x8d, 0x42, 0xdf,
+	0xd3, 0x1f, 0x50, 0x1b, 0x0a, 0x61, 0x60, 0x56, 0x15, 0xc2, 0x00, 0xd9, 0x50, 0xf5, 0x82, 0x20,
+	0x26, 0x9c, 0x9b, 0x0b, 0xa6, 0xac, 0xac, 0x62, 0x21, 0xf5, 0xbd, 0x98, 0x7a, 0x22, 0xed, 0x9b,
+	0x75, 0x9c, 0x15, 0x49, 0x23, 0xae, 0x98, 0x30, 0x55, 0xa6, 0x86, 0x35, 0x23, 0x77, 0x9c, 0xc8,
+	0x7a, 0x6d, 0x2a, 0x5f, 0x09, 0xa7, 0xac, 0xf3, 0xcf, 0x22, 0xb4, 0x53, 0xfb, 0xcc, 0x3d, 0xf2,
+	0xe6, 0xe4, 0x0e, 0x2d, 0x2c, 0x1f, 0xba, 0x0e, 0x95, 0x88, 0x78, 0x99, 0xe8, 0xd4, 0x9c, 0xf6,
+	0x5c, 0x3c, 0x31, 0x43, 0x8e, 0xa2, 0xd1, 0x63, 0xa8, 0xfb, 0x6c, 0x32, 0x09, 0x85, 0x98, 0x19,
+	0x33, 0x17, 0xa0, 0x8f, 0xa1, 0x65, 0x7a, 0xf0, 0x30, 0xa4, 0x01, 0xb9, 0x36, 0x2d, 0xab, 0x69,
+	0x84, 0x47, 0x52, 0xb6, 0xd0, 0x6c, 0xaa, 0xb9, 0x66, 0xf3, 0x53, 0xf9, 0x4d, 0x81, 0xcb, 0xed,
+	0xda, 0xca, 0xfe, 0xb0, 0x80, 0x3d, 0x9e, 0x69, 0x67, 0xa7, 0x84, 0xfa, 0xfd, 0xa6, 0x04, 0x1b,
+	0xaa, 0x3a, 0x76, 0xb8, 0x0d, 0x1a, 0x55, 0xc3, 0xea, 0x01, 0x70, 0xea, 0x85, 0xb1, 0xdd, 0x48,
+	0x67, 0x50, 0xc9, 0x69, 0xcb, 0x47, 0x09, 0x0f, 0xe9, 0x85, 0xdd, 0x54, 0x5f, 0x66, 0xbc, 0xf4,
+	0xdc, 0x79, 0xe4, 0xd1, 0xb1, 0xdd, 0xd2, 0x9e, 0x53, 0x4c, 0x36, 0x16, 0xda, 0x0b, 0xb1, 0xe0,
+	0x7c, 0x05, 0x95, 0x97, 0x64, 0x72, 0x4e, 0xe2, 0x77, 0x88, 0x1f, 0x39, 0xaf, 0xb1, 0x80, 0x18,
+	0x37, 0x29, 0x7a, 0x75, 0xc4, 0x38, 0x7f, 0xb1, 0xa0, 0x76, 0xcc, 0x2e, 0x5c, 0x2a, 0xe2, 0x1b,
+	0xa9, 0xa2, 0xbd, 0x61, 0x22, 0x5b, 0x31, 0x33, 0xef, 0x16, 0x32, 0xde, 0x4d, 0x27, 0x08, 0x3d,
+	0xb3, 0xcc, 0x26, 0x88, 0xc0, 0x13, 0x9e, 0xda, 0xbf, 0x89, 0x15, 0x8d, 0xb6, 0xa1, 0x3a, 0x51,
+	0xc6, 0xeb, 0xe1, 0x76, 0x39, 0x39, 0xf5, 0xd5, 0x70, 0xaa, 0xe5, 0xdc, 0x40, 0xad, 0x4f, 0xbd,
+	0x29, 0xbf, 0x64, 0xe2, 0x1d, 0xcc, 0xc9, 0x1c, 0x53, 0xbc, 0xcf, 0x31, 0xab, 0x6c, 0x75, 0xbe,
+	0x2e, 0x40, 0xf5, 0x25, 0xe1, 0xdc, 0xbb, 0x20, 0x0b, 0x13, 0x52, 0xe6, 0x7e, 0xa3, 0x98, 0x4d,
+	0xd2, 0xe9, 0x4d, 0xd2, 0xd2, 0x25, 0x82, 0x19, 0x98, 0x0b, 0x82, 0xad, 0xcc, 0x84, 0x47, 0x50,
+	0x8f, 0xd8, 0x85, 0x89, 0x73, 0x9d, 0x09, 0xb5, 0x88, 0x5d, 0xe8, 0x18, 0x7f, 0x0f, 0x24, 0x3d,
+	0x54, 0x8b, 0x74, 0x0e, 0x54, 0x23, 0x76, 0x31, 0x90, 0xeb, 0xd6, 0xa1, 0xa2, 0x13, 0xc6, 0x04,
+	0xbf, 0xe1, 0xe4, 0x19, 0x97, 0x21, 0x15, 0x76, 0x4d, 0x9f, 0x21, 0x69, 0x09, 0x55, 0xcc, 0x12,
+	0x2a, 0x43, 0x5a, 0x41, 0xa5, 0x18, 0x1d, 0x9e, 0xbf, 0x27, 0xbe, 0x50, 0x71, 0xab, 0xde, 0x27,
+	0x92, 0x43, 0x4f, 0xa1, 0x4a, 0xa8, 0x88, 0x43, 0xc2, 0xed, 0x86, 0x82, 0xeb, 0xbb, 0x39, 0xb8,
+	0xd2, 0x88, 0xc0, 0xa9, 0x1e, 0x7a, 0x06, 0x35, 0x6e, 0xfc, 0xa2, 0x22, 0x7a, 0x79, 0x4d, 0xea,
+	0x36, 0x3c, 0x53, 0x74, 0xbe, 0x82, 0xa6, 0x01, 0x74, 0x5f, 0x96, 0x21, 0xb4, 0x03, 0xb5, 0x89,
+	0xe6, 0xb9, 0x6d, 0xad, 0xcc, 0x3d, 0xa3, 0x8e, 0x67, 0x7a, 0xb7, 0x07, 0xb9, 0xf3, 0x00, 0xd6,
+	0xba, 0x24, 0x0a, 0xaf, 0x48, 0x9c, 0x96, 0x34, 0xe7, 0xef, 0x16, 0x80, 0x32, 0x5c, 0x66, 0x3d,
+	0x59, 0xf9, 0x6c, 0xb9, 0x3d, 0x69, 0x96, 0x1f, 0x34, 0xc5, 0x55, 0x0f, 0x9a, 0x87, 0x50, 0xe6,
+	0xc2, 0x8b, 0x85, 0xf1, 0xb1, 0x66, 0xe4, 0x51, 0xe7, 0xc4, 0x13, 0xc6, 0xbf, 0x8a, 0x96, 0x47,
+	0x45, 0xc4, 0xbb, 0x92, 0x45, 0x40, 0x4f, 0x51, 0x29, 0xeb, 0x74, 0xa1, 0xf5, 0x05, 0xe3, 0x3c,
+	0x9c, 0xa6, 0xf1, 0xf6, 0x6c, 0xee, 0x11, 0x0d, 0xcc, 0x7b, 0x39, 0x60, 0xe6, 0xb7, 0x9a, 0xf9,
+	0xc4, 0xf9, 0x08, 0x1a, 0x87, 0x21, 0x0d, 0x32, 0xfd, 0x73, 0x4c, 0x6e, 0xb8, 0xba, 0x6d, 0x13,
+	0x2b, 0xda, 0xf9, 0x25, 0xd4, 0x0e, 0x3c, 0xd9, 0x00, 0xf6, 0xd4, 0xd3, 0x29, 0x99, 0x72, 0x11,
+	0xcf, 0x7b, 0xec, 0x8c, 0x97, 0x91, 0x72, 0x1e, 0x31, 0x7f, 0xac, 0x41, 0x69, 0x61, 0xc3, 0x39,
+	0xff, 0xb0, 0x00, 0xe4, 0xd0, 0x77, 0x72, 0xae, 0x02, 0x47, 0xdd, 0x9d, 0xc5, 0x29, 0xa2, 0x9a,
+	0xb9, 0x5f, 0xe3, 0x60, 0x6a, 0x07, 0xf3, 0x04, 0x34, 0x1c, 0xfa, 0x00, 0xe0, 0x82, 0x50, 0x12,
+	0xeb, 0x85, 0x1a, 0xd0, 0x8c, 0x24, 0x63, 0x56, 0x39, 0x6b, 0x96, 0x1c, 0x0b, 0xe4, 0x38, 0x54,
+	0x51, 0x42, 0x49, 0x3a, 0x02, 0x9a, 0x1a, 0x0b, 0xd3, 0xdc, 0xb6, 0xa1, 0xe2, 0xab, 0x8b, 0x1b,
+	0x3c, 0xf3, 0xd1, 0x9a, 0xa2, 0x82, 0x8d, 0x9a, 0xf4, 0x80, 0x36, 0x8a, 0x9b, 0xc7, 0x63, 0xde,
+	0x03, 0x73, 0x18, 0x70, 0xaa, 0xe9, 0xfc, 0xcb, 0x82, 0xc6, 0x81, 0x9c, 0xa9, 0xaf, 0x45, 0x8f,
+	0x09, 0x92, 0x8e, 0x2b, 0xda, 0x03, 0xe9, 0x40, 0xb7, 0x0a, 0xd8, 0x05, 0x67, 0x14, 0x73, 0xce,
+	0x78, 0x3a, 0x43, 0x4b, 0x0f, 0x6e, 0x77, 0x58, 0x92, 0x02, 0x29, 0x5f, 0x91, 0x5e, 0x4c, 0xa8,
+	0x9e, 0xd7, 0x9b, 0xd8, 0x70, 0xba, 0x75, 0x8d, 0x12, 0x4e, 0x02, 0x55, 0x44, 0x6a, 0x38, 0x65,
+	0x9d, 0x5d, 0x68, 0x48, 0x93, 0xd3, 0xe0, 0xf9, 0x0c, 0xca, 0x94, 0x89, 0x59, 0xf8, 0x6d, 0xe4,
+	0xe1, 0x9a, 0x5f, 0x12, 0x6b, 0x45, 0xa7, 0x0d, 0x4d, 0xbd, 0x81, 0x46, 0x7c, 0xe7, 0xdf, 0x45,
+	0xa8, 0x1e, 0xe8, 0xff, 0x45, 0x68, 0x1f, 0xca, 0xea, 0xa7, 0x0a, 0x7a, 0xb4, 0xfa, 0x57, 0x8b,
+	0x3a, 0x73, 0xe3, 0xf1, 0x5d, 0xff, 0x61, 0xd0, 0x73, 0xa8, 0x9a, 0xa1, 0x1f, 0xbd, 0x7f, 0xdb,
+	0x63, 0x40, 0xef, 0xf3, 0xc1, 0xdd, 0x6f, 0x05, 0xe4, 0x42, 0x45, 0xcf, 0xa5, 0xe8, 0xf1, 0x5d,
+	0x93, 0xf3, 0xc6, 0xfb, 0xb7, 0x7c, 0x9d, 0x6f, 0xa3, 0x27, 0xcf, 0xa5, 0x6d, 0x16, 0xe6, 0xd8,
+	0xa5, 0x6d, 0x72, 0xe3, 0x6a, 0x0f, 0xea, 0xb3, 0x99, 0x12, 0x7d, 0x98, 0xd3, 0xcd, 0x4f, 0xa6,
+	0x1b, 0x9b, 0xb7, 0x2b, 0xcc, 0xcd, 0x32, 0xf3, 0x65, 0xde, 0xac, 0x85, 0x79, 0x74, 0xc9, 0xac,
+	0xc5, 0x69, 0x70, 0xe7, 0x05, 0x94, 0x0e, 0x09, 0x09, 0xa4, 0xeb, 0xd4, 0x93, 0x7f, 0xc9, 0x75,
+	0xd9, 0xdf, 0x30, 0x4b, 0xae, 0x5b, 0xf8, 0x4b, 0xb0, 0xf3, 0xb5, 0x05, 0xe5, 0x53, 0x22, 0xfb,
+	0x6c, 0x17, 0x2a, 0xba, 0xd0, 0x2d, 0x19, 0xb7, 0x50, 0xff, 0x36, 0xee, 0xfc, 0x8a, 0x76, 0xa1,
+	0x24, 0x93, 0x1b, 0x6d, 0x2c, 0x3b, 0x28, 0xad, 0x7e, 0x1b, 0x8f, 0x56, 0x7e, 0x33, 0x18, 0xed,
+	0x42, 0x49, 0xe5, 0x67, 0x7e, 0x83, 0x4c, 0x06, 0x2c, 0x6d, 0xb0, 0x10, 0xdc, 0x67, 0xd0, 0x30,
+	0xf3, 0xa4, 0xaa, 0x4b, 0x87, 0x50, 0x35, 0xad, 0x67, 0x09, 0xa6, 0x6c, 0xc3, 0x5b, 0x8a, 0xcc,
+	0x5c, 0xbf, 0xda, 0xff, 0xfc, 0xb7, 0xcf, 0x2e, 0x42, 0x71, 0x99, 0x9c, 0x6f, 0xf9, 0x6c, 0xb2,
+	0x9d, 0xea, 0xce, 0x89, 0x90, 0x0a, 0x12, 0x53, 0x2f, 0xda, 0x56, 0x3f, 0x60, 0x7d, 0x16, 0x6d,
+	0xcb, 0x6d, 0xce, 0x2b, 0x8a, 0x7d, 0xf6, 0x4d, 0x00, 0x00, 0x00, 0xff, 0xff, 0xb8, 0x2c, 0x95,
+	0x94, 0xa0, 0x15, 0x00, 0x00,
 }
--- /dev/null
+++ b/internal/protocol/wire/peers.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"github.com/shedrock/shedrock/internal/coordination/membership"
+	"github.com/shedrock/shedrock/internal/coordination/placement"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+// FromKeys gives the wire form of keys: their bytes, one after another.
+func FromKeys(keys []prefix.Key) []byte {
+	out := make([]byte, 0, len(keys)*prefix.KeySize)
+	for _, k := range keys {
+		out = append(out, k[:]...)
+	}
+	return out
+}
+
+// ToKeys is the inverse of FromKeys; ok is false when the length is wrong.
+func ToKeys(b []byte) (keys []prefix.Key, ok bool) {
+	if len(b)%prefix.KeySize != 0 {
+		return nil, false
+	}
+	for ; len(b) > 0; b = b[prefix.KeySize:] {
+		keys = append(keys, prefix.Key(b[:prefix.KeySize]))
+	}
+	return keys, true
+}
+
+// FromEntries gives the wire form of what an entry knows of others.
+func FromEntries(states []membership.EntryState) *GossipMessage {
+	out := &GossipMessage{}
+	for _, s := range states {
+		out.Entries = append(out.Entries, &EntryState{
+			Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Start: s.Start, Beat: s.Beat, Leaving: s.Leaving,
+		})
+	}
+	return out
+}
+
+// ToEntries is the inverse of FromEntries.
+func ToEntries(m *GossipMessage) []membership.EntryState {
+	var out []membership.EntryState
+	for _, s := range m.GetEntries() {
+		out = append(out, membership.EntryState{
+			Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Start: s.Start, Beat: s.Beat, Leaving: s.Leaving,
+		})
+	}
+	return out
+}
+
+// FromHints gives the wire form of what a directory knows of a prompt.
+func FromHints(h *placement.Hints) *FindResponse {
+	out := &FindResponse{}
+	for _, c := range h.Cached {
+		out.Cached = append(out.Cached, &CachedAt{Upstream: c.Upstream, Blocks: uint32(c.Blocks)})
+	}
+	for _, k := range h.Objects {
+		out.Objects = append(out.Objects, fromKept(k))
+	}
+	return out
+}
+
+// ToHints is the inverse of FromHints.
+func ToHints(m *FindResponse) *placement.Hints {
+	h := &placement.Hints{}
+	for _, c := range m.Cached {
+		h.Cached = append(h.Cached, placement.CachedAt{Upstream: c.Upstream, Blocks: int(c.Blocks)})
+	}
+	for _, k := range m.Objects {
+		h.Objects = append(h.Objects, toKept(k))
+	}
+	return h
+}
+
+func fromKept(k placement.Kept) *KeptObject {
+	return &KeptObject{
+		Store: k.Store, Incarnation: k.Incarnation, Object: k.Object, Generation: k.Generation,
+		Blocks: uint32(k.Blocks), End: uint32(k.End),
+	}
+}
+
+func toKept(k *KeptObject) placement.Kept {
+	return placement.Kept{
+		Store: k.Store, Incarnation: k.Incarnation, Object: k.Object, Generation: k.Generation,
+		Blocks: int(k.Blocks), End: int(k.End),
+	}
+}
+
+// FromNote gives the wire form of a note.
+func FromNote(n placement.Note) *ContextNote {
+	out := &ContextNote{Key: n.Key[:], Blocks: uint32(n.Blocks), Upstream: n.Upstream, Refused: n.Refused}
+	if n.Object != nil {
+		out.Object = fromKept(*n.Object)
+		out.Parent = n.Parent[:]
+	}
+	return out
+}
+
+// ToNote is the inverse of FromNote; ok is false when a key has the wrong length.
+func ToNote(m *ContextNote) (n placement.Note, ok bool) {
+	if len(m.Key) != prefix.KeySize {
+		return n, false
+	}
+	n = placement.Note{Key: prefix.Key(m.Key), Blocks: int(m.Blocks), Upstream: m.Upstream, Refused: m.Refused}
+	if m.Object == nil {
+		return n, true
+	}
+	if len(m.Parent) != prefix.KeySize {
+		return n, false
+	}
+	kept := toKept(m.Object)
+	n.Object = &kept
+	n.Parent = prefix.Key(m.Parent)
+	return n, true
+}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -114,16 +114,21 @@
 
 func (d *Directory) noteUpstreams(c *context, blocks, upstreams int, f *Found) {
 	for _, n := range c.upstreams {
-		if n == 0 || int(n) > upstreams {
-			continue
-		}
-		if f.Cached[n-1] == 0 {
-			f.Cached[n-1] = int32(blocks)
-			f.touched = append(f.touched, n-1)
+		if n != 0 && int(n) <= upstreams {
+			f.Add(int(n-1), blocks)
 		}
 	}
 }
 
+// Add notes that an engine may have a number of leading blocks, unless it is known
+// to have more.
+func (f *Found) Add(upstream, blocks int) {
+	if f.Cached[upstream] == 0 {
+		f.touched = append(f.touched, uint16(upstream))
+	}
+	f.Cached[upstream] = max(f.Cached[upstream], int32(blocks))
+}
+
 // noteObjects follows the parents to the prompt's start; a gap on the way makes
 // the objects useless.
 func (d *Directory) noteObjects(c *context, blocks int, f *Found) {
@@ -154,13 +159,11 @@
 	}
 }
 
-// NoteRun says that an engine has just run the prompt with these keys, and so
-// has its blocks. second is the time in seconds.
-func (d *Directory) NoteRun(keys []prefix.Key, upstream int, second uint32) {
-	if len(keys) == 0 {
-		return
-	}
-	c := d.context(keys[len(keys)-1], len(keys))
+// NoteRun says that an engine has just run a prompt, and so has its blocks; key is
+// that of the last one. second is the time in seconds.
+func (d *Directory) NoteRun(key prefix.Key, blocks, upstream int, second uint32) {
+	d.touchParents(key)
+	c := d.context(key, blocks)
 	c.used = second
 	c.uses++
 	n := uint16(upstream + 1)
@@ -175,6 +178,26 @@
 	c.upstreams[0] = n
 }
 
+// maxParents bounds how far the beginnings of a context are followed.
+const maxParents = 64
+
+// touchParents makes the beginnings of a context as new as itself: without their
+// objects its own is of no use.
+func (d *Directory) touchParents(key prefix.Key) {
+	c, ok := d.contexts[key]
+	for range maxParents {
+		if !ok || c.object.Store == 0 {
+			return
+		}
+		key = c.parent
+		c, ok = d.contexts[key]
+		if ok {
+			d.unlink(c)
+			d.link(key, c)
+		}
+	}
+}
+
 // NoteStored says that a store has sealed an object with the last blocks of the
 // chain; parent is the key before them, or the zero key at the prompt's start.
 func (d *Directory) NoteStored(key, parent prefix.Key, blocks int, o Object) {
@@ -232,6 +255,25 @@
 	return c.object, true
 }
 
+// OldestObjects forgets the objects of a store whose contexts were used longest
+// ago, until they hold a number of blocks, and returns them.
+func (d *Directory) OldestObjects(store uint16, blocks int) []Object {
+	var out []Object
+	for key := d.oldest; blocks > 0; {
+		c, ok := d.contexts[key]
+		if !ok {
+			break
+		}
+		if c.object.Store == store {
+			out = append(out, c.object)
+			blocks -= int(c.object.Blocks)
+			c.object = Object{}
+		}
+		key = c.newer
+	}
+	return out
+}
+
 // Uses returns how often the context of a key was asked for.
 func (d *Directory) Uses(key prefix.Key) uint32 {
 	c, ok := d.contexts[key]
--- /dev/null
+++ b/internal/system/process_test.go
@@ -0,0 +1,210 @@
+// Package system_test runs the real processes on loopback, and kills, stops and
+// cuts them.
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/transport/controlclient"
+)
+
+const (
+	patience   = 40 * time.Second
+	checkEvery = 10 * time.Millisecond
+)
+
+var binary string
+
+// TestMain builds the binary once.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "shedrock-system-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(folder, "shedrock")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/shedrock").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// process is one shedrock process, which can be started again.
+type process struct {
+	t    *testing.T
+	args []string
+	env  []string
+	cmd  *exec.Cmd
+	mu   sync.Mutex
+	log  bytes.Buffer
+}
+
+// Write gathers the process's log.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, args: args}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%v\n%s", args, tail(p.text()))
+		}
+	})
+	p.start()
+	return p
+}
+
+func tail(s string) string { return s[max(0, len(s)-4000):] }
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Stdout = p
+	p.cmd.Stderr = p
+	p.cmd.Env = append(os.Environ(), p.env...)
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process at once, also when it is stopped.
+func (p *process) kill() {
+	if p.cmd == nil {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.After(patience)
+	tick := time.NewTicker(checkEvery)
+	defer tick.Stop()
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatalf("never came true: %s", what)
+		}
+	}
+}
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// group is a control log of real processes.
+type group struct {
+	t         *testing.T
+	addresses []string
+	folders   []string
+	replicas  []*process
+	client    *controlclient.Client
+}
+
+func newGroup(t *testing.T, n int) *group {
+	t.Helper()
+	g := &group{t: t}
+	for range n {
+		g.addresses = append(g.addresses, freeAddress(t))
+		g.folders = append(g.folders, filepath.Join(t.TempDir(), "data"))
+	}
+	for i := range n {
+		g.replicas = append(g.replicas, start(t, g.args(i)...))
+	}
+	g.client = controlclient.New(controlclient.Fixed(g.addresses))
+	return g
+}
+
+func (g *group) args(i int) []string {
+	args := []string{"control", "--id", fmt.Sprint(i + 1), "--address", g.addresses[i], "--data", g.folders[i]}
+	for j, address := range g.addresses {
+		args = append(args, "--peers", fmt.Sprintf("%d=%s", j+1, address))
+	}
+	return args
+}
+
+// status returns what the replica at an index reports.
+func (g *group) status(i int) (*wire.StatusResponse, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	all := controlclient.New(controlclient.Fixed(g.addresses[i : i+1])).Status(ctx)
+	if len(all) == 0 {
+		return nil, false
+	}
+	return all[0], true
+}
+
+// leader returns the index of the replica that leads.
+func (g *group) leader() int {
+	g.t.Helper()
+	found := -1
+	eventually(g.t, "somebody leads", func() bool {
+		var term uint64
+		for i := range g.addresses {
+			s, ok := g.status(i)
+			if ok && s.Leader == s.Incarnation && s.Incarnation != "" && s.Term > term {
+				found = i
+				term = s.Term
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// apply submits a document until it is answered.
+func (g *group) apply(kind string, version int, body string) *wire.ApplyResponse {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	answer, err := g.client.Apply(ctx, kind+".yaml", []byte(fmt.Sprintf("document: %s\nversion: %d\n%s", kind, version, body)))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return answer
+}
+
+func models(weights string) string {
+	return "models:\n  - {name: demo, weight_version: " + weights + ", kv_bytes_per_token: 64, max_prompt_tokens: 100000}\n"
+}
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -18,13 +18,13 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-	"github.com/twitchtv/twirp"
 
 	"github.com/shedrock/shedrock/internal/coordination/replication"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/command"
 	"github.com/shedrock/shedrock/internal/state/disk"
 	"github.com/shedrock/shedrock/internal/state/ledger"
+	"github.com/shedrock/shedrock/internal/transport/feed"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
 
@@ -205,9 +205,11 @@
 	r.init()
 	mux := http.NewServeMux()
 	replicationServer := wire.NewReplicationServer(replicationService{r})
-	controlServer := wire.NewControlServer(controlService{r}, twirp.WithServerHooks(nil))
+	controlServer := wire.NewControlServer(controlService{r})
+	feedServer := wire.NewFeedServer(feed.Service{Feed: r.view.feed})
 	mux.Handle(replicationServer.PathPrefix(), replicationServer)
 	mux.Handle(controlServer.PathPrefix(), controlServer)
+	mux.Handle(feedServer.PathPrefix(), feedServer)
 	return mux
 }
 
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -81,11 +81,6 @@
 	return wire.FromApply(result.(ledger.Applied).Result), nil
 }
 
-// Watch answers with what is newer than the caller's revision.
-func (s controlService) Watch(ctx context.Context, in *wire.WatchRequest) (*wire.WatchResponse, error) {
-	return s.r.view.feed.Watch(ctx, in), nil
-}
-
 // Reserve commits the record of one call.
 func (s controlService) Reserve(ctx context.Context, in *wire.ReserveRequest) (*wire.ReserveResponse, error) {
 	c := &command.Command{Body: &command.Command_Reserve{Reserve: &command.Reserve{
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
+	"github.com/shedrock/shedrock/internal/transport/peers"
 	"github.com/shedrock/shedrock/internal/transport/upstream"
 )
 
@@ -62,8 +63,9 @@
 	Control *controlclient.Client
 	// Confirmed, when set, says whether the control log is within reach.
 	Confirmed func() bool
-	// Peers, when set, says how many entries share the upstreams.
-	Peers func() int
+	// Peers, when set, joins this entry with others; somebody else runs it, with
+	// this entry's Find and Apply.
+	Peers *peers.Peers
 	// Ready, when set, can keep the entry from being ready.
 	Ready func() (reason string, ok bool)
 	// MaxBody, Contexts, MaxWaiting and Notice have defaults when zero.
@@ -121,6 +123,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return served(callers.Serve(e.Callers)) })
 	group.Go(func() error { return served(operators.Serve(e.Operators)) })
+	group.Go(func() error { e.keepResizing(groupCtx); return nil })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		e.stop(callers)
@@ -174,6 +177,9 @@
 // every request in flight.
 func (e *Entry) stop(callers *http.Server) {
 	e.unready.Store(true)
+	if e.Peers != nil {
+		e.Peers.Leave(e.work)
+	}
 	e.Log.Info().Str("event", "stopping").Int("in_flight", e.running()).Msg("")
 	time.Sleep(e.Notice)
 	e.stopping.Store(true)
@@ -205,6 +211,25 @@
 	e.poll(e.work, state)
 }
 
+// resizeInterval is how often an entry's part of the slots is worked out again, as
+// entries come and go.
+const resizeInterval = time.Second
+
+func (e *Entry) keepResizing(ctx context.Context) {
+	ticker := time.NewTicker(resizeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.mu.Lock()
+			e.resize()
+			e.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // overcommit is how much more than its part of the slots an entry may use: an
 // upstream's own queue holds the rest, and an entry that has more callers than
 // the others is not held back.
@@ -219,13 +244,13 @@
 			slots += u.Slots
 		}
 	}
-	peers := 1
+	live := 1
 	if e.Peers != nil {
-		peers = max(e.Peers(), 1)
+		live = e.Peers.Live()
 	}
 	running := slots
-	if peers > 1 {
-		running = min(slots, int(float64(slots)*overcommit)/peers+1)
+	if live > 1 {
+		running = min(slots, int(float64(slots)*overcommit)/live+1)
 	}
 	e.carry(e.queue.Step(admission.Resize{Running: running, Waiting: e.MaxWaiting}, time.Now()))
 }
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -53,7 +53,7 @@
 		var end retry.End
 		switch next := step.(type) {
 		case retry.Dispatch:
-			if !e.place(j) {
+			if !e.place(r.Context(), j) {
 				step = retry.Stop{Outcome: j.retry.GiveUp(outcome.ReasonNoUpstream)}
 				continue
 			}
@@ -102,10 +102,14 @@
 }
 
 // place plans the next attempt.
-func (e *Entry) place(j *job) bool {
+func (e *Entry) place(ctx context.Context, j *job) bool {
+	var hints *placement.Hints
+	if e.Peers != nil {
+		hints = e.Peers.Hints(ctx, j.keys)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := placement.Prompt{Model: j.model, Version: j.model.WeightVersion(), Keys: j.keys, Tokens: j.tokens, Tried: j.tried}
+	p := placement.Prompt{Model: j.model, Version: j.model.WeightVersion(), Keys: j.keys, Tokens: j.tokens, Tried: j.tried, Hints: hints}
 	plan, ok := e.board.Place(p, time.Now())
 	if !ok {
 		return false
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
 
 	"github.com/shedrock/shedrock/internal/coordination/placement"
+	"github.com/shedrock/shedrock/internal/protocol/blocks"
 	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
@@ -48,8 +50,9 @@
 		Bytes:   blockBytes(j),
 	})
 	e.mu.Lock()
-	e.board.EndFetch(j.plan.Store, j.plan.Refs, out.Blocks)
+	notes := e.board.EndFetch(j.plan.Store, j.plan.Refs, out.Blocks)
 	e.mu.Unlock()
+	e.note(j.keys, notes...)
 	e.metrics.linkBytes.WithLabelValues(j.plan.Store, "out").Add(float64(out.Bytes))
 	line := e.Log.Info().Str("event", "fetch").Str("run", j.run).Str("store", j.plan.Store).Int("blocks", out.Blocks).Int64("bytes", out.Bytes).Str("refused", out.Refused)
 	if err != nil {
@@ -74,11 +77,13 @@
 // keep notes where a finished prompt's context is, and copies it to a store in
 // the background when that is worth its bytes.
 func (e *Entry) keep(j *job) {
-	now := time.Now()
+	if len(j.keys) == 0 {
+		return
+	}
+	e.note(j.keys, placement.Note{Key: j.keys[len(j.keys)-1], Blocks: len(j.keys), Upstream: j.plan.Name})
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.board.NoteRun(j.keys, j.plan.Upstream, now)
-	c, ok := e.board.PlanCopy(j.keys, now)
+	c, ok := e.board.PlanCopy(j.keys, j.plan, time.Now())
+	e.mu.Unlock()
 	if !ok {
 		return
 	}
@@ -101,8 +106,16 @@
 	})
 	full := strings.Contains(out.Refused, "507")
 	e.mu.Lock()
-	e.board.EndCopy(c, j.keys[len(j.keys)-1], len(j.keys), out.Ref, full, time.Now())
+	note, ok := e.board.EndCopy(c, j.keys[len(j.keys)-1], len(j.keys), out.Ref, full, time.Now())
+	var victims []placement.Kept
+	if full {
+		victims = e.board.Victims(c.Store, c.Blocks)
+	}
 	e.mu.Unlock()
+	if ok {
+		e.note(j.keys, note)
+	}
+	e.free(victims)
 	e.metrics.linkBytes.WithLabelValues(c.Store, "in").Add(float64(out.Bytes))
 	line := e.Log.Info().Str("event", "copy").Str("run", j.run).Str("store", c.Store).Int("blocks", out.Blocks).Int64("bytes", out.Bytes).Str("refused", out.Refused)
 	if err != nil {
@@ -110,3 +123,69 @@
 	}
 	line.Msg("")
 }
+
+// note tells the owner of a prompt's context what became of it.
+func (e *Entry) note(keys []prefix.Key, notes ...placement.Note) {
+	if e.Peers != nil {
+		e.Peers.Note(keys, notes...)
+		return
+	}
+	e.Apply(notes)
+}
+
+// Find returns what this entry's part of the directory knows of a prompt.
+func (e *Entry) Find(keys []prefix.Key) *placement.Hints {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.board.Find(keys)
+}
+
+// Apply takes notes into this entry's part of the directory, and frees the objects
+// that they replace.
+func (e *Entry) Apply(notes []placement.Note) {
+	var replaced []placement.Kept
+	now := time.Now()
+	e.mu.Lock()
+	for _, n := range notes {
+		if old := e.board.Apply(n, now); old != nil {
+			replaced = append(replaced, *old)
+		}
+	}
+	e.mu.Unlock()
+	e.free(replaced)
+}
+
+// free gives objects back to their stores, in the background. Their hints are gone
+// already; a reader that still holds one is refused by the store.
+func (e *Entry) free(objects []placement.Kept) {
+	if len(objects) == 0 {
+		return
+	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+		defer cancel()
+		for _, o := range objects {
+			e.freeOne(ctx, o)
+		}
+	}()
+}
+
+func (e *Entry) freeOne(ctx context.Context, o placement.Kept) {
+	type query struct {
+		Generation  uint64 `url:"generation"`
+		Incarnation string `url:"incarnation"`
+	}
+	path := "http://" + o.Store + blocks.PathObjects + "/" + strconv.FormatUint(o.Object, 10)
+	req, err := sling.New().Delete(path).QueryStruct(query{o.Generation, o.Incarnation}).Request()
+	if err != nil {
+		return
+	}
+	res, err := e.upstreams.HTTP().Do(req.WithContext(ctx))
+	if err != nil {
+		return
+	}
+	_ = res.Body.Close()
+	e.Log.Debug().Str("event", "free").Str("store", o.Store).Uint64("object", o.Object).Int("status", res.StatusCode).Msg("")
+}
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -221,3 +221,11 @@
 	}
 	return out, f.changed
 }
+
+// Service serves a feed to other processes.
+type Service struct{ Feed *Feed }
+
+// Watch answers with what is newer than the caller's revision.
+func (s Service) Watch(ctx context.Context, in *wire.WatchRequest) (*wire.WatchResponse, error) {
+	return s.Feed.Watch(ctx, in), nil
+}
--- a/internal/transport/feed/follower.go
+++ b/internal/transport/feed/follower.go
@@ -81,7 +81,7 @@
 		WaitMilliseconds: uint32(pollWait.Milliseconds()),
 		Full:             f.full,
 	}
-	answer, err := wire.NewControlProtobufClient("http://"+address, f.Client).Watch(ctx, request)
+	answer, err := wire.NewFeedProtobufClient("http://"+address, f.Client).Watch(ctx, request)
 	if err != nil {
 		f.Feed.SetUnconfirmed(true)
 		return err
--- /dev/null
+++ b/internal/transport/peers/peers.go
@@ -0,0 +1,252 @@
+// Package peers joins the entries of a deployment: they learn of each other by
+// gossip, each owns a part of the directory of kept context, and one in each
+// failure domain passes the declared state on.
+//
+// Nothing here is needed to serve: an entry that is cut off from all others serves
+// with what it knows itself.
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/coordination/membership"
+	"github.com/shedrock/shedrock/internal/coordination/placement"
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/rpc"
+)
+
+const (
+	// gossipTimeout bounds one exchange.
+	gossipTimeout = time.Second
+	// findTimeout is how long a prompt waits for the directory's owner; after it
+	// the prompt is placed without hints.
+	findTimeout = 25 * time.Millisecond
+	// noteInterval joins the notes for one owner into one call.
+	noteInterval = 50 * time.Millisecond
+	noteTimeout  = time.Second
+	// maxNotes bounds the notes that wait for one owner; more are lost, and cost a
+	// recomputation.
+	maxNotes = 4096
+)
+
+// Peers is one entry's part. Set the exported fields, then Run.
+type Peers struct {
+	Name, FailureDomain string
+	// Listener takes other entries' calls. Run closes it.
+	Listener net.Listener
+	// Seeds are addresses of other entries to begin with.
+	Seeds []string
+	// Feed is what is passed on.
+	Feed *feed.Feed
+	// Find and Apply ask and change this entry's part of the directory.
+	Find  func([]prefix.Key) *placement.Hints
+	Apply func([]placement.Note)
+	// Log receives one line for each event.
+	Log *log.Logger
+	// Interval has a default when zero.
+	Interval time.Duration
+
+	once   sync.Once
+	client *http.Client
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	entries *membership.Entries
+	notes   map[string][]placement.Note
+	live    int
+}
+
+func (p *Peers) init() {
+	p.once.Do(func() {
+		if p.Interval == 0 {
+			p.Interval = membership.GossipInterval
+		}
+		p.client = rpc.NewClient()
+		p.notes = map[string][]placement.Note{}
+		self := membership.EntryState{
+			Name: p.Name, Address: p.Listener.Addr().String(), FailureDomain: p.FailureDomain, Start: uint64(time.Now().UnixNano()),
+		}
+		p.entries = membership.NewEntries(self, membership.Seed())
+	})
+}
+
+// Run serves and gossips until ctx ends.
+func (p *Peers) Run(ctx context.Context) error {
+	p.init()
+	mux := http.NewServeMux()
+	peersServer := wire.NewPeersServer(service{p})
+	feedServer := wire.NewFeedServer(feed.Service{Feed: p.Feed})
+	mux.Handle(peersServer.PathPrefix(), peersServer)
+	mux.Handle(feedServer.PathPrefix(), feedServer)
+	var group sync.WaitGroup
+	group.Go(func() { p.gossip(ctx) })
+	group.Go(func() { p.flush(ctx) })
+	err := rpc.Serve(ctx, p.Listener, mux)
+	group.Wait()
+	return err
+}
+
+func (p *Peers) gossip(ctx context.Context) {
+	ticker := time.NewTicker(p.Interval)
+	defer ticker.Stop()
+	for {
+		p.tell(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tell exchanges what is known with the entries whose turn it is.
+func (p *Peers) tell(ctx context.Context) {
+	now := time.Now()
+	p.mu.Lock()
+	targets := p.entries.Beat(p.Seeds, now)
+	message := wire.FromEntries(p.entries.State(now))
+	live := len(p.entries.Live(now))
+	changed := live != p.live
+	p.live = live
+	p.mu.Unlock()
+	if changed {
+		p.Log.Info().Str("event", "entries").Int("live", live).Msg("")
+	}
+	for _, address := range targets {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+			defer cancel()
+			answer, err := p.peer(address).Gossip(ctx, message)
+			if err == nil {
+				p.hear(answer)
+			}
+		}()
+	}
+}
+
+func (p *Peers) peer(address string) wire.Peers {
+	return wire.NewPeersProtobufClient("http://"+address, p.client)
+}
+
+func (p *Peers) hear(m *wire.GossipMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries.Hear(wire.ToEntries(m), time.Now())
+}
+
+// Leave tells the others at once that this entry takes no more work.
+func (p *Peers) Leave(ctx context.Context) {
+	p.init()
+	p.mu.Lock()
+	p.entries.Leave()
+	p.mu.Unlock()
+	p.tell(ctx)
+}
+
+// Live returns how many entries share the upstreams, this one included.
+func (p *Peers) Live() int {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.entries.Live(time.Now())), 1)
+}
+
+// Relay returns the address of the entry that follows the control log for this
+// failure domain; ok is false when that is this entry.
+func (p *Peers) Relay() (address string, ok bool) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	relay := p.entries.Relay(time.Now())
+	return relay.Address, relay.Name != p.Name
+}
+
+// owner returns the address of the entry that owns a prompt's context; ok is false
+// when that is this entry.
+func (p *Peers) owner(route prefix.Key) (address string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owner := p.entries.Owner(route[:], time.Now())
+	return owner.Address, owner.Name != p.Name
+}
+
+// Hints returns what the owner of a prompt's context knows of it; nil means that
+// this entry's own directory is to be asked. An owner that does not answer in time
+// is not waited for.
+func (p *Peers) Hints(ctx context.Context, keys []prefix.Key) *placement.Hints {
+	route, ok := placement.Route(keys)
+	if !ok {
+		return nil
+	}
+	address, other := p.owner(route)
+	if !other {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	answer, err := p.peer(address).Find(ctx, &wire.FindRequest{Keys: wire.FromKeys(keys)})
+	if err != nil {
+		return &placement.Hints{}
+	}
+	return wire.ToHints(answer)
+}
+
+// Note tells the owner of a prompt's context what became of it; keys are the
+// prompt's. Notes for this entry are applied at once.
+func (p *Peers) Note(keys []prefix.Key, notes ...placement.Note) {
+	route, ok := placement.Route(keys)
+	if !ok {
+		return
+	}
+	address, other := p.owner(route)
+	if !other {
+		p.Apply(notes)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.notes[address]) < maxNotes {
+		p.notes[address] = append(p.notes[address], notes...)
+	}
+}
+
+// flush sends the notes that wait.
+func (p *Peers) flush(ctx context.Context) {
+	ticker := time.NewTicker(noteInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		p.mu.Lock()
+		waiting := p.notes
+		if len(waiting) > 0 {
+			p.notes = map[string][]placement.Note{}
+		}
+		p.mu.Unlock()
+		for address, notes := range waiting {
+			go p.sendNotes(ctx, address, notes)
+		}
+	}
+}
+
+func (p *Peers) sendNotes(ctx context.Context, address string, notes []placement.Note) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	request := &wire.NoteRequest{}
+	for _, n := range notes {
+		request.Notes = append(request.Notes, wire.FromNote(n))
+	}
+	// A lost note costs a recomputation, and says nothing that must be known.
+	_, _ = p.peer(address).Note(ctx, request)
+}
--- a/spec/log.pml
+++ b/spec/log.pml
@@ -10,8 +10,9 @@
  * Property: an entry that was committed is in the log of every later leader, and a
  * term has at most one leader.
  *
- * With RECONFIG the disk is lost and replaced, over three terms; without it a
- * replica restarts with its disk, over four terms.
+ * With RECONFIG the disk is lost and replaced, over two terms and three entries;
+ * without it a replica restarts with its disk, over four terms and one entry, which
+ * is enough for each mutant and small enough to be searched whole.
  *
  * MUTANT 1: a lost disk comes back under its old incarnation.
  * MUTANT 2: a vote is not durable.
@@ -29,12 +30,12 @@
 
 #if RECONFIG
 #define N 4
-#define TERMS 3
+#define TERMS 2
 #define LENGTH 3
 #else
 #define N 3
 #define TERMS 4
-#define LENGTH 2
+#define LENGTH 1
 #endif
 
 #define VALUE 0
@@ -215,7 +216,11 @@
 	do
 	:: atomic { /* an election begins */
 		pick(i);
-		(alive[i] && role[i] != LEADER && term[i] < TERMS && (voters[i] & bit(i)) && length[i] + 1 > (i / 3));
+		(alive[i] && role[i] != LEADER && term[i] < TERMS && (voters[i] & bit(i)));
+#if RECONFIG
+		/* Nodes 0 and 1 are alike until one of them has led: let it be node 0. */
+		(i != 1 || term[i] > 0);
+#endif
 		term[i] = term[i] + 1; vote[i] = i + 1; role[i] = CANDIDATE; votes[i] = bit(i);
 		i = 0
 	}
@@ -245,6 +250,10 @@
 	:: atomic { /* a command is proposed */
 		pick(i);
 		(alive[i] && role[i] == LEADER && length[i] < LENGTH);
+#if RECONFIG
+		/* One command a term: a second one behaves as the first. */
+		(length[i] == 0 || termof(log[at(i, length[i] - 1)]) != term[i]);
+#endif
 		appendentry(i, VALUE);
 		i = 0
 	}
