Kept contexts are spread over the stores by hashing

Ruled out: the choice between fetch and recomputation, and hints dropped too early. Change: the store that holds the beginning, else rendezvous hashing of the first key.

--- a/internal/coordination/placement/keep.go
+++ b/internal/coordination/placement/keep.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
@@ -34,7 +36,7 @@
 	if len(keys) < minKeepBlocks {
 		return Copy{}, false
 	}
-	n, ok := b.storeForCopy(p, now)
+	n, ok := b.storeForCopy(keys[0], p, now)
 	if !ok {
 		return Copy{}, false
 	}
@@ -53,23 +55,42 @@
 	return c, true
 }
 
-// storeForCopy takes the store that holds the context's beginning, if one does;
-// else it prefers the entry's own failure domain, then the idler link.
-func (b *Board) storeForCopy(p Plan, now time.Time) (int, bool) {
-	best := -1
+// storeForCopy takes the store that holds the context's beginning, if one does.
+// Otherwise contexts are spread over the stores of the entry's own failure domain,
+// or over all when it has none, by rendezvous hashing of their first key, so that
+// every entry picks the same one.
+func (b *Board) storeForCopy(first prefix.Key, p Plan, now time.Time) (int, bool) {
+	best, bestNear := -1, false
+	var bestWeight uint64
 	for i := range b.stores {
 		s := &b.stores[i]
-		if !s.declared || s.transfers > 0 || s.copies >= copiesPerStore || now.Before(s.fullUntil) {
+		if !s.declared {
 			continue
 		}
 		if s.address == p.KeptAt {
-			return i, true
-		}
-		if best < 0 || s.near && !b.stores[best].near || s.near == b.stores[best].near && s.copies < b.stores[best].copies {
 			best = i
+			break
+		}
+		weight := s.weight(first)
+		if best < 0 || s.near && !bestNear || s.near == bestNear && weight > bestWeight {
+			best, bestNear, bestWeight = i, s.near, weight
 		}
 	}
-	return best, best >= 0
+	if best < 0 {
+		return 0, false
+	}
+	s := &b.stores[best]
+	busy := s.transfers > 0 || s.copies >= copiesPerStore || now.Before(s.fullUntil)
+	return best, !busy
+}
+
+// weight is the store's weight for a context in rendezvous hashing.
+func (s *store) weight(first prefix.Key) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.Write(first[:])
+	_, _ = h.WriteString(s.address)
+	return h.Sum64()
 }
 
 // EndCopy ends a copy; full says that the store had no space. When ref names an
