A refused fetch corrects what is thought kept; the rate of late fetches is believed

And a link at a tenth of its speed was still estimated at its declared one. Ruled out: late eviction events (telling all of them changed nothing), the choice itself. Change: a fetch's end sets what the plan says is kept; a store's rate is learned from fetches and doubted after ten seconds.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -7,6 +7,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,10 @@
 	copies int
 	// incarnations lists the blank starts seen, oldest first.
 	incarnations []string
+	// observed is the rate of late fetches in bytes a second, as of observedAt; 0
+	// before the first.
+	observed   float64
+	observedAt time.Time
 	// fullUntil is when a store that had no space may be tried again.
 	fullUntil time.Time
 }
@@ -184,7 +189,7 @@
 	} else {
 		b.directory.Match(p.Keys, len(b.upstreams), &b.found)
 	}
-	stored, rate, storeNumber := b.fetchable()
+	stored, rate, storeNumber := b.fetchable(now)
 	q := routing.Prompt{
 		Model:         p.Model.Name(),
 		Version:       p.Version,
@@ -226,7 +231,7 @@
 
 // fetchable returns how many leading blocks one store holds, and the bandwidth a
 // fetch would get there now.
-func (b *Board) fetchable() (blocks int, rate float64, storeNumber int) {
+func (b *Board) fetchable(now time.Time) (blocks int, rate float64, storeNumber int) {
 	if b.found.Stored == 0 {
 		return 0, 0, 0
 	}
@@ -240,7 +245,7 @@
 	if !s.declared {
 		return 0, 0, 0
 	}
-	return b.found.Stored, s.linkRate / float64(s.transfers+1), storeNumber
+	return b.found.Stored, s.rate(now) / float64(s.transfers+1), storeNumber
 }
 
 func (b *Board) refs(keys []prefix.Key) []engine.BlockRef {
@@ -261,18 +266,57 @@
 // BeginFetch counts a fetch that a caller waits for.
 func (b *Board) BeginFetch(address string) { b.stores[b.storeNumber(address)].transfers++ }
 
-// EndFetch ends a fetch; got is how many blocks arrived of those that refs name.
-// It returns notes of the objects that were refused, whose hints are to be dropped.
-func (b *Board) EndFetch(address string, refs []engine.BlockRef, got int) []Note {
-	b.stores[b.storeNumber(address)].transfers--
+// EndFetch ends a fetch of a plan's objects: got is how many blocks arrived, bytes
+// how much went over the link, and took how long that was. The plan then says what
+// the store really holds. The notes that are returned drop the hints to objects
+// that were refused.
+func (b *Board) EndFetch(p *Plan, got int, bytes int64, took time.Duration, now time.Time) []Note {
+	s := &b.stores[b.storeNumber(p.Store)]
+	s.transfers--
+	s.observe(bytes, took, now)
 	var notes []Note
-	at := 0
-	for _, ref := range refs {
+	kept, at := 0, 0
+	for _, ref := range p.Refs {
 		at += ref.Blocks
-		key, ok := prefix.ParseKey(ref.Key)
-		if at > got && ok {
+		if at <= got {
+			kept = at
+			continue
+		}
+		if key, ok := prefix.ParseKey(ref.Key); ok {
 			notes = append(notes, Note{Key: key, Refused: true})
 		}
 	}
+	p.Kept = kept
 	return notes
 }
+
+const (
+	// observedLifetime is how long a measured rate stands before it is doubted: it
+	// doubles each such time, until the declared rate is reached.
+	observedLifetime = 10 * time.Second
+	// minObservedBytes is the shortest fetch that says anything about a link.
+	minObservedBytes = 1 << 20
+	// observedWeight is the weight of a new measurement.
+	observedWeight = 0.3
+)
+
+// observe takes the rate of a fetch: what the link had left for it, whoever else
+// used it.
+func (s *store) observe(bytes int64, took time.Duration, now time.Time) {
+	if bytes < minObservedBytes || took <= 0 {
+		return
+	}
+	rate := float64(bytes) / took.Seconds()
+	before := s.rate(now)
+	s.observed = before + observedWeight*(rate-before)
+	s.observedAt = now
+}
+
+// rate is what a fetch is expected to get from the link, in bytes a second.
+func (s *store) rate(now time.Time) float64 {
+	if s.observed == 0 {
+		return s.linkRate
+	}
+	age := now.Sub(s.observedAt).Seconds() / observedLifetime.Seconds()
+	return min(s.linkRate, s.observed*math.Exp2(age))
+}
--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -437,7 +437,9 @@
 		if kept > have {
 			ready = w.transfer(k, a.at, kept-have, rate)
 		}
-		for _, note := range board.EndFetch(plan.Store, plan.Refs, got) {
+		bytes := int64(float64(max(kept-have, 0)*prefix.BlockTokens) * w.bytesPerToken)
+		took := time.Duration((ready - a.at) * float64(time.Second))
+		for _, note := range board.EndFetch(&plan, got, bytes, took, now) {
 			owner.Apply(note, now)
 		}
 		have = got
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -39,6 +39,7 @@
 func (e *Entry) importContext(ctx context.Context, j *job) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	began := time.Now()
 	e.mu.Lock()
 	e.board.BeginFetch(j.plan.Store)
 	e.mu.Unlock()
@@ -50,7 +51,8 @@
 		Bytes:   blockBytes(j),
 	})
 	e.mu.Lock()
-	notes := e.board.EndFetch(j.plan.Store, j.plan.Refs, out.Blocks)
+	now := time.Now()
+	notes := e.board.EndFetch(&j.plan, out.Blocks, out.Bytes, now.Sub(began), now)
 	e.mu.Unlock()
 	e.note(j.keys, notes...)
 	e.metrics.linkBytes.WithLabelValues(j.plan.Store, "out").Add(float64(out.Bytes))
