Copies wait for a link that is free, and are not lost by waiting

Change: a copy is postponed while a fetch is under way, one copy runs, or late fetches got less than half of the declared rate; postponed copies follow when the link is free, newest first. What a link was seen to give is believed for a minute, no longer ten seconds.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -52,6 +52,9 @@
 	found     directory.Found
 	weights   routing.Weights
 	random    *rand.Rand
+	// postponed holds copies that wait for their store's link, oldest first, at
+	// most maxPostponed.
+	postponed []Postponed
 }
 
 // New returns a board for an entry in a failure domain.
@@ -293,7 +296,7 @@
 const (
 	// observedLifetime is how long a measured rate stands before it is doubted: it
 	// doubles each such time, until the declared rate is reached.
-	observedLifetime = 10 * time.Second
+	observedLifetime = time.Minute
 	// minObservedBytes is the shortest fetch that says anything about a link.
 	minObservedBytes = 1 << 20
 	// observedWeight is the weight of a new measurement.
--- a/internal/coordination/placement/keep.go
+++ b/internal/coordination/placement/keep.go
@@ -14,7 +14,12 @@
 	// shorter one is recomputed faster than it is fetched.
 	minKeepBlocks = 2
 	// copiesPerStore bounds background copies to one store from one entry.
-	copiesPerStore = 2
+	copiesPerStore = 1
+	// maxPostponed bounds the copies that wait.
+	maxPostponed = 256
+	// crowdedShare is the part of a link's declared rate below which late fetches say
+	// that the link is crowded, and copies wait for a better time.
+	crowdedShare = 0.5
 	// fullPause is how long a store without space is left alone.
 	fullPause = time.Second
 )
@@ -29,37 +34,91 @@
 	Parent prefix.Key
 }
 
-// PlanCopy says whether the context of a finished prompt is copied to a store; p
-// is the plan under which it ran. Background copies give way to fetches that
-// callers wait for: while one is under way on a store's link, no copy begins there.
-func (b *Board) PlanCopy(keys []prefix.Key, p Plan, now time.Time) (Copy, bool) {
-	if len(keys) < minKeepBlocks {
+// Postponed is a copy that waits for its store's link. It is a plain value.
+type Postponed struct {
+	Keys []prefix.Key
+	Plan Plan
+	// Tag is the caller's own, to know the prompt again.
+	Tag any
+}
+
+// PlanCopy says whether the context of a finished prompt is copied to a store now;
+// p.Plan is the plan under which it ran. Background copies give way to fetches that
+// callers wait for: while one is under way on a store's link, or the link is
+// crowded, the copy is postponed.
+func (b *Board) PlanCopy(p Postponed, now time.Time) (Copy, bool) {
+	c, store, ok := b.copyOf(p)
+	if !ok {
 		return Copy{}, false
 	}
-	n, ok := b.storeForCopy(keys[0], p, now)
-	if !ok {
+	s := &b.stores[store]
+	if s.busy(now) {
+		b.postpone(p)
 		return Copy{}, false
 	}
+	s.copies++
+	return c, true
+}
+
+func (b *Board) postpone(p Postponed) {
+	b.postponed = append(b.postponed, p)
+	if len(b.postponed) > maxPostponed {
+		b.postponed = append([]Postponed(nil), b.postponed[1:]...)
+	}
+}
+
+// NextCopy takes the newest postponed copy whose store's link is free now: the
+// newest is the likeliest to be still in its engine's memory.
+func (b *Board) NextCopy(now time.Time) (Postponed, Copy, bool) {
+	for i := len(b.postponed) - 1; i >= 0; i-- {
+		p := b.postponed[i]
+		c, store, ok := b.copyOf(p)
+		if ok && b.stores[store].busy(now) {
+			continue
+		}
+		b.postponed = append(b.postponed[:i:i], b.postponed[i+1:]...)
+		if ok {
+			b.stores[store].copies++
+			return p, c, true
+		}
+	}
+	return Postponed{}, Copy{}, false
+}
+
+// copyOf says what would be copied where.
+func (b *Board) copyOf(p Postponed) (c Copy, store int, ok bool) {
+	if len(p.Keys) < minKeepBlocks {
+		return Copy{}, 0, false
+	}
+	n, ok := b.storeForCopy(p.Keys[0], p.Plan)
+	if !ok {
+		return Copy{}, 0, false
+	}
 	kept := 0
-	if b.stores[n].address == p.KeptAt {
-		kept = p.Kept
+	if b.stores[n].address == p.Plan.KeptAt {
+		kept = p.Plan.Kept
 	}
-	if len(keys)-kept < minKeepBlocks {
-		return Copy{}, false
+	if len(p.Keys)-kept < minKeepBlocks {
+		return Copy{}, 0, false
 	}
-	c := Copy{Store: b.stores[n].address, Blocks: len(keys) - kept}
+	c = Copy{Store: b.stores[n].address, Blocks: len(p.Keys) - kept}
 	if kept > 0 {
-		c.Parent = keys[kept-1]
+		c.Parent = p.Keys[kept-1]
 	}
-	b.stores[n].copies++
-	return c, true
+	return c, n, true
+}
+
+// busy reports whether no copy may begin on the store's link now.
+func (s *store) busy(now time.Time) bool {
+	crowded := s.rate(now) < s.linkRate*crowdedShare
+	return crowded || s.transfers > 0 || s.copies >= copiesPerStore || now.Before(s.fullUntil)
 }
 
 // storeForCopy takes the store that holds the context's beginning, if one does.
 // Otherwise contexts are spread over the stores of the entry's own failure domain,
 // or over all when it has none, by rendezvous hashing of their first key, so that
 // every entry picks the same one.
-func (b *Board) storeForCopy(first prefix.Key, p Plan, now time.Time) (int, bool) {
+func (b *Board) storeForCopy(first prefix.Key, p Plan) (int, bool) {
 	best, bestNear := -1, false
 	var bestWeight uint64
 	for i := range b.stores {
@@ -76,12 +135,7 @@
 			best, bestNear, bestWeight = i, s.near, weight
 		}
 	}
-	if best < 0 {
-		return 0, false
-	}
-	s := &b.stores[best]
-	busy := s.transfers > 0 || s.copies >= copiesPerStore || now.Before(s.fullUntil)
-	return best, !busy
+	return best, best >= 0
 }
 
 // weight is the store's weight for a context in rendezvous hashing.
--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -233,11 +233,10 @@
 	turn    int
 }
 
+// ending is something that happens at a later time.
 type ending struct {
-	at    float64
-	board *placement.Board
-	n     int
-	held  float64
+	at float64
+	do func()
 }
 
 func newWorld(s setup, seed uint64) *world {
@@ -414,7 +413,7 @@
 	for len(w.ends) > 0 && w.ends[0].at <= a.at {
 		e := w.ends[0]
 		w.ends = w.ends[1:]
-		e.board.Upstream(e.n).End(time.Duration(e.held * float64(time.Second)))
+		e.do()
 	}
 	board := w.boards[w.random.IntN(entries)]
 	blocks := w.blocks[a.context]
@@ -439,20 +438,36 @@
 		}
 		bytes := int64(float64(max(kept-have, 0)*prefix.BlockTokens) * w.bytesPerToken)
 		took := time.Duration((ready - a.at) * float64(time.Second))
-		for _, note := range board.EndFetch(&plan, got, bytes, took, now) {
-			owner.Apply(note, now)
-		}
+		ended := plan
+		w.later(ready, func() {
+			for _, note := range board.EndFetch(&ended, got, bytes, took, instant(ready)) {
+				owner.Apply(note, instant(ready))
+			}
+			w.nextCopy(board, ready)
+		})
+		// What the shell knows when the run ends, and the copy is planned.
+		plan.Kept = got
 		have = got
 	}
 	end := w.serve(plan.Upstream, a, ready, blocks-have)
 	board.Upstream(plan.Upstream).Begin()
-	w.ends = append(w.ends, ending{end, board, plan.Upstream, end - a.at})
-	slices.SortFunc(w.ends, func(a, b ending) int { return int(math.Copysign(1, a.at-b.at)) })
+	w.later(end, func() { board.Upstream(plan.Upstream).End(time.Duration((end - a.at) * float64(time.Second))) })
 	for _, gone := range m.cache.put(a.context, blocks) {
 		w.evicted(gone, plan.Upstream)
 	}
 	owner.Apply(placement.Note{Key: keys[blocks-1], Blocks: blocks, Upstream: plan.Name}, now)
-	w.keep(board, owner, a, keys, plan, rate)
+	w.keep(board, owner, a, keys, plan)
+}
+
+// later has something happen at a time.
+func (w *world) later(at float64, do func()) {
+	i, _ := slices.BinarySearchFunc(w.ends, at, func(e ending, at float64) int {
+		if e.at <= at {
+			return -1
+		}
+		return 1
+	})
+	w.ends = slices.Insert(w.ends, i, ending{at, do})
 }
 
 // evicted tells every directory, as cache events do.
@@ -474,21 +489,43 @@
 }
 
 // keep copies a finished prompt's context when the decisions say so.
-func (w *world) keep(board, owner *placement.Board, a arrival, keys []prefix.Key, plan placement.Plan, rate float64) {
-	now := instant(a.at)
-	c, ok := board.PlanCopy(keys, plan, now)
-	if !ok {
-		return
+func (w *world) keep(board, owner *placement.Board, a arrival, keys []prefix.Key, plan placement.Plan) {
+	p := placement.Postponed{Keys: keys, Plan: plan, Tag: copying{owner, a.context, len(keys)}}
+	if c, ok := board.PlanCopy(p, instant(a.at)); ok {
+		w.copy(board, p, c, a.at)
 	}
+}
+
+// copying says whose context a copy is.
+type copying struct {
+	owner           *placement.Board
+	context, blocks int
+}
+
+// copy moves a context to a store, if its engine still has it.
+func (w *world) copy(board *placement.Board, p placement.Postponed, c placement.Copy, at float64) {
+	tag := p.Tag.(copying)
 	k := w.keeper(c.Store)
-	w.transfer(k, a.at, c.Blocks, rate)
-	w.objects++
-	ref := engine.BlockRef{Object: w.objects, Generation: w.objects, Incarnation: "i", Blocks: c.Blocks}
-	note, ok := board.EndCopy(c, keys[len(keys)-1], len(keys), ref, false, now)
-	if ok {
-		owner.Apply(note, now)
-	}
-	k.cache.put(a.context, len(keys))
+	ref := engine.BlockRef{}
+	if w.machines[p.Plan.Upstream].cache.blocks(tag.context) >= tag.blocks {
+		at = w.transfer(k, at, c.Blocks, w.rate(at))
+		w.objects++
+		ref = engine.BlockRef{Object: w.objects, Generation: w.objects, Incarnation: "i", Blocks: c.Blocks}
+	}
+	w.later(at, func() {
+		note, ok := board.EndCopy(c, p.Keys[tag.blocks-1], tag.blocks, ref, false, instant(at))
+		if ok {
+			tag.owner.Apply(note, instant(at))
+			k.cache.put(tag.context, max(tag.blocks, k.cache.blocks(tag.context)))
+		}
+		w.nextCopy(board, at)
+	})
+}
+
+func (w *world) nextCopy(board *placement.Board, at float64) {
+	if p, c, ok := board.NextCopy(instant(at)); ok {
+		w.copy(board, p, c, at)
+	}
 }
 
 // replay runs one policy over one seed's arrivals.
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -55,6 +55,7 @@
 	notes := e.board.EndFetch(&j.plan, out.Blocks, out.Bytes, now.Sub(began), now)
 	e.mu.Unlock()
 	e.note(j.keys, notes...)
+	e.nextCopy()
 	e.metrics.linkBytes.WithLabelValues(j.plan.Store, "out").Add(float64(out.Bytes))
 	line := e.Log.Info().Str("event", "fetch").Str("run", j.run).Str("store", j.plan.Store).Int("blocks", out.Blocks).Int64("bytes", out.Bytes).Str("refused", out.Refused)
 	if err != nil {
@@ -84,15 +85,32 @@
 	}
 	e.note(j.keys, placement.Note{Key: j.keys[len(j.keys)-1], Blocks: len(j.keys), Upstream: j.plan.Name})
 	e.mu.Lock()
-	c, ok := e.board.PlanCopy(j.keys, j.plan, time.Now())
+	p := placement.Postponed{Keys: j.keys, Plan: j.plan, Tag: j}
+	c, ok := e.board.PlanCopy(p, time.Now())
 	e.mu.Unlock()
-	if !ok {
-		return
+	if ok {
+		e.startCopy(j, c)
 	}
+}
+
+// nextCopy begins a copy that had been postponed, if a link is free for it.
+func (e *Entry) nextCopy() {
+	e.mu.Lock()
+	p, c, ok := e.board.NextCopy(time.Now())
+	e.mu.Unlock()
+	if ok {
+		e.startCopy(p.Tag.(*job), c)
+	}
+}
+
+func (e *Entry) startCopy(j *job, c placement.Copy) {
 	e.background.Add(1)
 	go func() {
 		defer e.background.Done()
 		e.copyContext(j, c)
+		if e.work.Err() == nil {
+			e.nextCopy()
+		}
 	}()
 }
 
