Prompts that wait to be computed count in the estimate

Cause: an engine computes one prompt after another, and the estimate counted only slots. Change: an upstream's wait includes the prompt tokens that this entry has sent and not seen a first token of, and those of others from the load report.

--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -316,7 +316,8 @@
 	for n, m := range w.machines {
 		w.reported[n] = m.occupied(now)
 		for _, board := range w.boards {
-			board.Upstream(n).NoteLoad(w.reported[n], 0, false)
+			reading := max(m.prefillFree-now, 0) * w.prefillRate
+			board.Upstream(n).NoteLoad(w.reported[n], 0, int(reading), false)
 		}
 	}
 }
@@ -341,11 +342,11 @@
 	w.figures.first = append(w.figures.first, first-a.at)
 }
 
-func (w *world) serve(n int, a arrival, ready float64, recomputed int) (end float64) {
+func (w *world) serve(n int, a arrival, ready float64, recomputed int) (first, end float64) {
 	decode := w.random.ExpFloat64() * w.outTokens * tokenTime
-	first, end := w.machines[n].start(ready, float64(recomputed*prefix.BlockTokens)/w.prefillRate, decode)
+	first, end = w.machines[n].start(ready, float64(recomputed*prefix.BlockTokens)/w.prefillRate, decode)
 	w.finish(a, recomputed, first)
-	return end
+	return first, end
 }
 
 // baseline places one prompt by a baseline.
@@ -449,9 +450,11 @@
 		plan.Kept = got
 		have = got
 	}
-	end := w.serve(plan.Upstream, a, ready, blocks-have)
-	board.Upstream(plan.Upstream).Begin()
-	w.later(end, func() { board.Upstream(plan.Upstream).End(time.Duration((end - a.at) * float64(time.Second))) })
+	first, end := w.serve(plan.Upstream, a, ready, blocks-have)
+	u := board.Upstream(plan.Upstream)
+	u.Begin(plan.Recompute)
+	w.later(first, func() { u.FirstToken(plan.Recompute) })
+	w.later(end, func() { u.End(time.Duration((end - a.at) * float64(time.Second))) })
 	for _, gone := range m.cache.put(a.context, blocks) {
 		w.evicted(gone, plan.Upstream)
 	}
@@ -595,3 +598,61 @@
 		}
 	}
 }
+
+// TestReplayAgainstBaselines holds the decisions to what they gained, at a size that
+// takes a second or two. Nothing in it depends on time.
+func TestReplayAgainstBaselines(t *testing.T) {
+	s := nordmjol()
+	s.contexts, s.storeBlocks, s.cacheBlocks, s.hours = 6000, 125000, 2000, 3
+	of := map[policy]*figures{}
+	for _, p := range policies() {
+		of[p] = replay(t, s, p, 1)
+	}
+	ours := of[shedrock]
+	for _, p := range []policy{roundRobin, leastLoad, affinity} {
+		if ours.share() > 0.5*of[p].share() || quantile(ours.first, 0.95) > 0.7*quantile(of[p].first, 0.95) {
+			t.Errorf("%s: recomputed %.3f against %.3f, first token p95 %.3f against %.3f s", p, ours.share(), of[p].share(), quantile(ours.first, 0.95), quantile(of[p].first, 0.95))
+		}
+	}
+	lru := of[lruKeeping]
+	if ours.share() > 1.1*lru.share() || quantile(ours.first, 0.5) > 0.7*quantile(lru.first, 0.5) || ours.linkBytes > 0.85*lru.linkBytes {
+		t.Errorf("LRU keeping: recomputed %.3f against %.3f, first token p50 %.3f against %.3f s, link bytes %.2f of its", ours.share(), lru.share(), quantile(ours.first, 0.5), quantile(lru.first, 0.5), ours.linkBytes/lru.linkBytes)
+	}
+}
+
+// TestSlowLinkIsNotWaitedFor holds the first token to what it is with links at a
+// tenth of their speed: waiting for fetches must not be worse than a few times
+// recomputing.
+func TestSlowLinkIsNotWaitedFor(t *testing.T) {
+	s := nordmjol()
+	s.contexts, s.storeBlocks, s.cacheBlocks, s.hours, s.slowLink = 6000, 125000, 2000, 3, true
+	s.linkRate /= 4
+	ours, recomputing := replay(t, s, shedrock, 1), replay(t, s, affinity, 1)
+	if a, b := quantile(ours.first, 0.95), quantile(recomputing.first, 0.95); a > 3*b {
+		t.Errorf("first token p95 %.3f s; without any store %.3f s", a, b)
+	}
+}
+
+// BenchmarkPlace is one decision at the letter's size of a failure domain: 240
+// upstreams and a shard of 7,000 contexts.
+func BenchmarkPlace(b *testing.B) {
+	s := nordmjol()
+	s.engines, s.contexts = 240, 7000
+	w := newWorld(s, 1)
+	w.declare(b)
+	board := w.boards[0]
+	now := time.Unix(0, 0)
+	prompts := make([]placement.Prompt, s.contexts)
+	for i := range prompts {
+		keys := keysOf(i, 64)
+		board.Apply(placement.Note{Key: keys[59], Blocks: 60, Upstream: fmt.Sprintf("u%d", i%240)}, now)
+		prompts[i] = placement.Prompt{Model: w.model, Version: "v", Keys: keys, Tokens: 64 * prefix.BlockTokens}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if _, ok := board.Place(prompts[i%len(prompts)], now); !ok {
+			b.Fatal("no plan")
+		}
+	}
+}
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -49,6 +49,9 @@
 	ownAtReport int
 	// own is how many of this entry's runs are there now.
 	own int
+	// reading, readingAtReport and reportedReading are the same for prompt tokens
+	// that wait to be computed: an engine computes one prompt after another.
+	reading, readingAtReport, reportedReading int
 	// mean is the running mean of how long runs hold a slot.
 	mean time.Duration
 	// failures counts failures in a row; ejections those that ended in one.
@@ -57,10 +60,13 @@
 	returningUntil      time.Time
 }
 
-// NoteLoad takes a load report.
-func (u *Upstream) NoteLoad(running, queued int, leaving bool) {
+// NoteLoad takes a load report; reading is the prompt tokens that wait there to be
+// computed.
+func (u *Upstream) NoteLoad(running, queued, reading int, leaving bool) {
 	u.reported = running + queued
 	u.ownAtReport = u.own
+	u.reportedReading = reading
+	u.readingAtReport = u.reading
 	u.leaving = u.leaving || leaving
 }
 
@@ -73,8 +79,14 @@
 // Own returns how many of this entry's runs are there.
 func (u *Upstream) Own() int { return u.own }
 
-// Begin notes a dispatch.
-func (u *Upstream) Begin() { u.own++ }
+// Begin notes a dispatch; tokens is how many of the prompt are to be computed.
+func (u *Upstream) Begin(tokens int) {
+	u.own++
+	u.reading += tokens
+}
+
+// FirstToken notes that the tokens of a dispatch are computed, or never will be.
+func (u *Upstream) FirstToken(tokens int) { u.reading -= tokens }
 
 // End notes the end of a run that held a slot for d; d is 0 when it never ran.
 func (u *Upstream) End(d time.Duration) {
@@ -132,8 +144,14 @@
 	return u.own + max(u.reported-u.ownAtReport, 0)
 }
 
-// wait estimates in seconds how long a new run waits for a slot.
+// wait estimates in seconds how long a new run waits for a slot and for the prompts
+// before it.
 func (u *Upstream) wait() float64 {
+	waiting := u.reading + max(u.reportedReading-u.readingAtReport, 0)
+	return float64(waiting)/u.PrefillRate + u.waitForSlot()
+}
+
+func (u *Upstream) waitForSlot() float64 {
 	ahead := u.occupied() - u.Slots + 1
 	if ahead <= 0 {
 		return 0
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -48,6 +48,8 @@
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
 	Slots   int `json:"slots"`
+	// Reading counts the prompt tokens that wait to be computed.
+	Reading int `json:"reading"`
 	// Version is the weight version being served.
 	Version string `json:"version"`
 	// Leaving is true once the engine takes no new work.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -59,13 +59,15 @@
 
 	mu sync.Mutex
 	// waiting holds the queue, best priority first.
-	waiting  []*ticket
-	running  int
-	runs     map[string]*run
-	ran      map[string]int
-	version  string
-	token    uint64
-	loading  string
+	waiting []*ticket
+	running int
+	runs    map[string]*run
+	ran     map[string]int
+	version string
+	token   uint64
+	loading string
+	// reading counts the prompt tokens that wait to be computed.
+	reading  int
 	reported protocol.Load
 	reportAt time.Time
 	events   []lateEvents
@@ -272,7 +274,10 @@
 	}()
 	missing := n.prompt - n.cached
 	prefill := time.Duration(float64(missing) / e.options.PrefillRate * float64(time.Second))
-	if !pause(n, prefill+f.Slow) {
+	e.read(missing)
+	whole := pause(n, prefill+f.Slow)
+	e.read(-missing)
+	if !whole {
 		return
 	}
 	e.cache.add(keys)
@@ -293,6 +298,12 @@
 	}
 }
 
+func (e *Engine) read(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reading += tokens
+}
+
 // pause waits; it reports false when the run was cancelled.
 func pause(n *run, d time.Duration) bool {
 	if d <= 0 {
@@ -405,7 +416,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Since(e.reportAt) >= e.options.LoadLag && !f.FreezeLoad {
-		e.reported = protocol.Load{Running: e.running, Queued: len(e.waiting), Slots: e.options.Slots, Version: e.version, Leaving: f.Leaving}
+		e.reported = protocol.Load{Running: e.running, Queued: len(e.waiting), Slots: e.options.Slots, Reading: e.reading, Version: e.version, Leaving: f.Leaving}
 		e.reportAt = time.Now()
 	}
 	writeJSON(w, e.reported)
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -104,7 +104,7 @@
 	defer e.mu.Unlock()
 	u := e.board.Upstream(p.number)
 	u.NoteAnswer()
-	u.NoteLoad(load.Running, load.Queued, load.Leaving)
+	u.NoteLoad(load.Running, load.Queued, load.Reading, load.Leaving)
 	if u.Version != load.Version {
 		// Other weights mean another cache, and one that is empty.
 		u.Version = load.Version
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -41,6 +41,9 @@
 	run     string
 	attempt int
 	began   time.Time
+	// reading is how many tokens the upstream has yet to compute before the first
+	// token; it is guarded by the entry's mu.
+	reading int
 }
 
 // run makes attempts until the prompt has its final outcome.
@@ -48,6 +51,7 @@
 	j.salt = prefix.NewSalt(e.Secrets[0], c.team.Name(), j.model.Name(), j.model.WeightVersion()).String()
 	j.keys = prefix.Chain(j.salt, j.req.Text())
 	s := &sink{w: w, team: c.team.Name(), sealer: e.sealer, flow: c.flow}
+	s.onFirst = func() { e.noteFirstToken(j) }
 	var step retry.Step = retry.Dispatch{}
 	for {
 		var end retry.End
@@ -116,7 +120,8 @@
 	}
 	j.plan = plan
 	j.tried = append(j.tried, plan.Upstream)
-	e.board.Upstream(plan.Upstream).Begin()
+	e.board.Upstream(plan.Upstream).Begin(plan.Recompute)
+	j.reading = plan.Recompute
 	return true
 }
 
@@ -135,6 +140,8 @@
 	}
 	_, resumed := step.(retry.Resume)
 	if !resumed {
+		u.FirstToken(j.reading)
+		j.reading = 0
 		u.End(held(end, j, now))
 	}
 	e.mu.Unlock()
@@ -149,6 +156,14 @@
 	return step
 }
 
+// noteFirstToken says that an attempt's prompt is computed.
+func (e *Entry) noteFirstToken(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.board.Upstream(j.plan.Upstream).FirstToken(j.reading)
+	j.reading = 0
+}
+
 // held is how long an attempt held a slot; 0 when it never did.
 func held(end retry.End, j *job, now time.Time) time.Duration {
 	if isWhole(end) {
--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -34,6 +34,8 @@
 	began    bool
 	deadline time.Time
 	buf      []byte
+	// onFirst, when set, is called before the first event is passed on.
+	onFirst func()
 }
 
 // stream passes events on until the end mark. The answer is whole only with it.
@@ -95,6 +97,9 @@
 		return
 	}
 	s.began = true
+	if s.onFirst != nil {
+		s.onFirst()
+	}
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
