A fetch is given as long as its tokens would take to compute

Cause: a test with links forty times too slow found a first token p95 of 21 s where computing everything took 1.4 s: a fetch, once begun, was waited for. Change: a fetch is given up after the time that computing its tokens would take; giving up tells the estimate about the link, and drops no hints.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -269,19 +269,32 @@
 // BeginFetch counts a fetch that a caller waits for.
 func (b *Board) BeginFetch(address string) { b.stores[b.storeNumber(address)].transfers++ }
 
-// EndFetch ends a fetch of a plan's objects: got is how many blocks arrived, bytes
-// how much went over the link, and took how long that was. The plan then says what
-// the store really holds. The notes that are returned drop the hints to objects
-// that were refused.
-func (b *Board) EndFetch(p *Plan, got int, bytes int64, took time.Duration, now time.Time) []Note {
+// Fetched says how a fetch ended. It is a plain value.
+type Fetched struct {
+	// Blocks is how many arrived, and Took how long that was.
+	Blocks int
+	Took   time.Duration
+	// Bytes went over the link; when the fetch was given up, it is what should have
+	// gone in that time.
+	Bytes int64
+	// GaveUp says that time ran out, which tells nothing about the objects.
+	GaveUp bool
+}
+
+// EndFetch ends a fetch of a plan's objects. The plan then says what the store really
+// holds. The notes that are returned drop the hints to objects that were refused.
+func (b *Board) EndFetch(p *Plan, f Fetched, now time.Time) []Note {
 	s := &b.stores[b.storeNumber(p.Store)]
 	s.transfers--
-	s.observe(bytes, took, now)
+	s.observe(f.Bytes, f.Took, now)
+	if f.GaveUp {
+		return nil
+	}
 	var notes []Note
 	kept, at := 0, 0
 	for _, ref := range p.Refs {
 		at += ref.Blocks
-		if at <= got {
+		if at <= f.Blocks {
 			kept = at
 			continue
 		}
--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -330,6 +330,21 @@
 	return k.linkFree
 }
 
+// fetch is a transfer that a caller waits for, and that is given up after a limit.
+func (w *world) fetch(k *keeper, now float64, bytes int64, limit, rate float64) (ready float64, gaveUp bool) {
+	begin := max(k.linkFree, now)
+	ready = begin + float64(bytes)/rate
+	if ready > now+limit {
+		ready = now + limit
+		gaveUp = true
+	}
+	if ready > begin {
+		w.figures.linkBytes += (ready - begin) * rate
+		k.linkFree = ready
+	}
+	return ready, gaveUp
+}
+
 // finish notes the figures of one prompt.
 func (w *world) finish(a arrival, recomputed int, first float64) {
 	if a.at < warmUpShare*w.hours*3600 || w.uses[a.context] < 2 {
@@ -434,20 +449,25 @@
 		kept := min(k.cache.blocks(a.context), plan.FetchBlocks)
 		got := max(kept, have)
 		board.BeginFetch(plan.Store)
+		took := placement.Fetched{Blocks: got, Bytes: int64(float64(max(kept-have, 0)*prefix.BlockTokens) * w.bytesPerToken)}
 		if kept > have {
-			ready = w.transfer(k, a.at, kept-have, rate)
+			ready, took.GaveUp = w.fetch(k, a.at, took.Bytes, plan.FetchLimit.Seconds(), rate)
+		}
+		took.Took = time.Duration((ready - a.at) * float64(time.Second))
+		if took.GaveUp {
+			got = have
 		}
-		bytes := int64(float64(max(kept-have, 0)*prefix.BlockTokens) * w.bytesPerToken)
-		took := time.Duration((ready - a.at) * float64(time.Second))
 		ended := plan
 		w.later(ready, func() {
-			for _, note := range board.EndFetch(&ended, got, bytes, took, instant(ready)) {
+			for _, note := range board.EndFetch(&ended, took, instant(ready)) {
 				owner.Apply(note, instant(ready))
 			}
 			w.nextCopy(board, ready)
 		})
 		// What the shell knows when the run ends, and the copy is planned.
-		plan.Kept = got
+		if !took.GaveUp {
+			plan.Kept = got
+		}
 		have = got
 	}
 	first, end := w.serve(plan.Upstream, a, ready, blocks-have)
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -16,6 +16,8 @@
 	// fetchOverhead is the fixed cost of a fetch in seconds: two round trips and
 	// the check after the last byte.
 	fetchOverhead = 0.004
+	// minFetchLimit is the shortest time that a fetch is given, in seconds.
+	minFetchLimit = 0.050
 )
 
 // Weights say what the deployment cares for.
@@ -53,6 +55,9 @@
 	Upstream int
 	// Fetch is true when its kept context is fetched from the store first.
 	Fetch bool
+	// FetchLimit is how long a fetch may take: as long as it would take to compute
+	// what it brings, and no less than a few round trips.
+	FetchLimit time.Duration
 	// Estimate is the expected time to the first token.
 	Estimate time.Duration
 	// Recompute is how many tokens are expected to be computed.
@@ -130,6 +135,7 @@
 	recompute := p.Tokens - cached
 	seconds := float64(recompute) / u.PrefillRate
 	fetch := false
+	limit := max(float64(p.Stored-cached)/u.PrefillRate, minFetchLimit)
 	if p.Stored > cached {
 		rate := min(u.LinkRate, p.StoreRate)
 		fetched := fetchOverhead + float64(p.Stored-cached)*p.BytesPerToken/rate
@@ -147,5 +153,6 @@
 	}
 	score := seconds*p.Weights.FirstToken + float64(recompute)*p.Weights.Recompute
 	plan := Plan{Upstream: i, Fetch: fetch, Estimate: time.Duration(seconds * float64(time.Second)), Recompute: recompute}
+	plan.FetchLimit = time.Duration(limit * float64(time.Second))
 	return option{plan: plan, score: score, own: u.own}, true
 }
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// fetchTimeout bounds a fetch; what it has not brought is recomputed.
-	fetchTimeout = 10 * time.Second
 	// copyTimeout bounds a background copy.
 	copyTimeout = 60 * time.Second
 )
@@ -37,7 +35,7 @@
 }
 
 func (e *Entry) importContext(ctx context.Context, j *job) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, j.plan.FetchLimit)
 	defer cancel()
 	began := time.Now()
 	e.mu.Lock()
@@ -52,7 +50,11 @@
 	})
 	e.mu.Lock()
 	now := time.Now()
-	notes := e.board.EndFetch(&j.plan, out.Blocks, out.Bytes, now.Sub(began), now)
+	fetched := placement.Fetched{Blocks: out.Blocks, Bytes: out.Bytes, Took: now.Sub(began), GaveUp: err != nil}
+	if fetched.GaveUp {
+		fetched.Bytes = int64(j.plan.FetchBlocks-j.plan.Cached) * int64(blockBytes(j))
+	}
+	notes := e.board.EndFetch(&j.plan, fetched, now)
 	e.mu.Unlock()
 	e.note(j.keys, notes...)
 	e.nextCopy()
