One routing decision in a pass and a half, without allocation

Change: scores go into room kept by the board, ties are counted from them, and only the winner's plan is made.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -50,8 +50,10 @@
 	stores    []store
 	directory *directory.Directory
 	found     directory.Found
-	weights   routing.Weights
-	random    *rand.Rand
+	// scores is as long as upstreams; it saves an allocation for each decision.
+	scores  []float64
+	weights routing.Weights
+	random  *rand.Rand
 	// postponed holds copies that wait for their store's link, oldest first, at
 	// most maxPostponed.
 	postponed []Postponed
@@ -92,6 +94,7 @@
 		b.names = append(b.names, u.Name())
 		b.addresses = append(b.addresses, "")
 		b.upstreams = append(b.upstreams, routing.Upstream{})
+		b.scores = append(b.scores, 0)
 	}
 	known := &b.upstreams[n]
 	if b.addresses[n] != u.Address() {
@@ -197,13 +200,15 @@
 		Model:         p.Model.Name(),
 		Version:       p.Version,
 		Tokens:        p.Tokens,
-		Cached:        func(n int) int { return int(b.found.Cached[n]) * prefix.BlockTokens },
+		Cached:        b.found.Cached,
+		BlockTokens:   prefix.BlockTokens,
 		Stored:        stored * prefix.BlockTokens,
 		BytesPerToken: float64(p.Model.BytesPerToken()),
 		StoreRate:     rate,
 		Weights:       b.weights,
-		Excluded:      func(n int) bool { return tried(p.Tried, n) },
+		Tried:         p.Tried,
 		Random:        b.random.Uint64(),
+		Scores:        b.scores[:len(b.upstreams)],
 	}
 	plan, ok := routing.Choose(b.upstreams, &q, now)
 	if !ok {
@@ -223,15 +228,6 @@
 	return out, true
 }
 
-func tried(list []int, n int) bool {
-	for _, other := range list {
-		if other == n {
-			return true
-		}
-	}
-	return false
-}
-
 // fetchable returns how many leading blocks one store holds, and the bandwidth a
 // fetch would get there now.
 func (b *Board) fetchable(now time.Time) (blocks int, rate float64, storeNumber int) {
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -34,8 +35,10 @@
 	Version string
 	// Tokens is the length of the prompt.
 	Tokens int
-	// Cached holds, for each upstream, how many leading tokens it may have.
-	Cached func(upstream int) int
+	// Cached holds, for each upstream, how many leading blocks it may have, and
+	// BlockTokens the length of a block.
+	Cached      []int32
+	BlockTokens int
 	// Stored is how many leading tokens stores may have.
 	Stored int
 	// BytesPerToken is the size of kept context.
@@ -43,10 +46,12 @@
 	// StoreRate is the bandwidth that the store's link has left, in bytes a second.
 	StoreRate float64
 	Weights   Weights
-	// Excluded reports whether an upstream was tried already.
-	Excluded func(upstream int) bool
+	// Tried lists the upstreams that were tried already.
+	Tried []int
 	// Random is any number; it breaks ties.
 	Random uint64
+	// Scores is room for one number for each upstream, to be used again.
+	Scores []float64
 }
 
 // Plan says where a prompt runs.
@@ -64,11 +69,12 @@
 	Recompute int
 }
 
-// option is the plan for one upstream with its score.
-type option struct {
-	plan  Plan
-	score float64
-	own   int
+// estimate is what is expected of one upstream.
+type estimate struct {
+	// seconds is the time to the first token, and limit what a fetch may take.
+	seconds, limit, score float64
+	recompute             int
+	fetch                 bool
 }
 
 // Choose returns the best plan; ok is false when no upstream may run the prompt.
@@ -80,9 +86,11 @@
 func Choose(upstreams []Upstream, p *Prompt, now time.Time) (plan Plan, ok bool) {
 	best := math.Inf(1)
 	for i := range upstreams {
-		o, ok := evaluate(upstreams, i, p, now)
-		if ok && o.score < best {
-			best = o.score
+		p.Scores[i] = math.Inf(1)
+		u := &upstreams[i]
+		if u.mayRun(i, p, now) {
+			p.Scores[i] = u.estimate(i, p).score
+			best = min(best, p.Scores[i])
 		}
 	}
 	if math.IsInf(best, 1) {
@@ -90,69 +98,72 @@
 	}
 	limit := best + max(tieSeconds*p.Weights.FirstToken, best*tieShare)
 	tied := 0
-	for i := range upstreams {
-		o, ok := evaluate(upstreams, i, p, now)
-		if ok && o.score <= limit {
+	for _, score := range p.Scores {
+		if score <= limit {
 			tied++
 		}
 	}
 	first := int(p.Random % uint64(tied))
 	second := int(p.Random >> 32 % uint64(tied))
-	return drawn(upstreams, p, now, limit, first, second), true
+	winner := drawn(upstreams, p, limit, first, second)
+	e := upstreams[winner].estimate(winner, p)
+	return Plan{
+		Upstream: winner, Fetch: e.fetch, Recompute: e.recompute,
+		Estimate:   time.Duration(e.seconds * float64(time.Second)),
+		FetchLimit: time.Duration(e.limit * float64(time.Second)),
+	}, true
 }
 
-// drawn returns the better of the first-th and second-th tied options.
-func drawn(upstreams []Upstream, p *Prompt, now time.Time, limit float64, first, second int) Plan {
-	var winner option
-	found := false
+// drawn returns the better of the first-th and second-th tied upstreams.
+func drawn(upstreams []Upstream, p *Prompt, limit float64, first, second int) int {
+	winner := -1
 	nth := 0
-	for i := range upstreams {
-		o, ok := evaluate(upstreams, i, p, now)
-		if !ok || o.score > limit {
+	for i, score := range p.Scores {
+		if score > limit {
 			continue
 		}
-		if nth == first || nth == second {
-			if !found || o.own < winner.own {
-				winner = o
-				found = true
-			}
+		if (nth == first || nth == second) && (winner < 0 || upstreams[i].own < upstreams[winner].own) {
+			winner = i
 		}
 		nth++
 	}
-	return winner.plan
+	return winner
 }
 
-// evaluate makes the plan for one upstream.
-func evaluate(upstreams []Upstream, i int, p *Prompt, now time.Time) (option, bool) {
-	u := &upstreams[i]
-	// An upstream whose version is not known yet may be tried: it refuses a run
-	// that expects another one.
-	wrong := u.Model != p.Model || u.Version != "" && u.Version != p.Version
-	if wrong || u.leaving || u.Ejected(now) || p.Excluded(i) {
-		return option{}, false
+// mayRun reports whether a prompt may be sent to the upstream at all. One whose
+// version is not known yet may be tried: it refuses a run that expects another one.
+func (u *Upstream) mayRun(i int, p *Prompt, now time.Time) bool {
+	if u.leaving || u.Model != p.Model || u.Version != "" && u.Version != p.Version {
+		return false
 	}
-	cached := p.Cached(i)
-	recompute := p.Tokens - cached
-	seconds := float64(recompute) / u.PrefillRate
-	fetch := false
-	limit := max(float64(p.Stored-cached)/u.PrefillRate, minFetchLimit)
+	return !slices.Contains(p.Tried, i) && !u.Ejected(now)
+}
+
+// estimate works out what is expected of the upstream with number i.
+func (u *Upstream) estimate(i int, p *Prompt) estimate {
+	cached := int(p.Cached[i]) * p.BlockTokens
+	e := estimate{recompute: p.Tokens - cached}
+	e.seconds = float64(e.recompute) / u.PrefillRate
 	if p.Stored > cached {
-		rate := min(u.LinkRate, p.StoreRate)
-		fetched := fetchOverhead + float64(p.Stored-cached)*p.BytesPerToken/rate
+		e.limit = max(float64(p.Stored-cached)/u.PrefillRate, minFetchLimit)
 		rest := p.Tokens - p.Stored
-		with := fetched + float64(rest)/u.PrefillRate
-		if with*p.Weights.FirstToken+float64(rest)*p.Weights.Recompute < seconds*p.Weights.FirstToken+float64(recompute)*p.Weights.Recompute {
-			seconds = with
-			recompute = rest
-			fetch = true
+		rate := min(u.LinkRate, p.StoreRate)
+		with := fetchOverhead + float64(p.Stored-cached)*p.BytesPerToken/rate + float64(rest)/u.PrefillRate
+		if p.Weights.cost(with, rest) < p.Weights.cost(e.seconds, e.recompute) {
+			e.seconds = with
+			e.recompute = rest
+			e.fetch = true
 		}
 	}
-	seconds += u.wait()
+	e.seconds += u.wait()
 	if !u.Near {
-		seconds += farPenalty
+		e.seconds += farPenalty
 	}
-	score := seconds*p.Weights.FirstToken + float64(recompute)*p.Weights.Recompute
-	plan := Plan{Upstream: i, Fetch: fetch, Estimate: time.Duration(seconds * float64(time.Second)), Recompute: recompute}
-	plan.FetchLimit = time.Duration(limit * float64(time.Second))
-	return option{plan: plan, score: score, own: u.own}, true
+	e.score = p.Weights.cost(e.seconds, e.recompute)
+	return e
+}
+
+// cost weighs a time to the first token, in seconds, and tokens to compute.
+func (w Weights) cost(seconds float64, recompute int) float64 {
+	return seconds*w.FirstToken + float64(recompute)*w.Recompute
 }
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -132,6 +132,9 @@
 
 // Ejected reports whether the upstream is out of use for its failures.
 func (u *Upstream) Ejected(now time.Time) bool {
+	if u.ejections == 0 {
+		return false
+	}
 	if now.Before(u.ejectedUntil) {
 		return true
 	}
