--- /dev/null
+++ b/internal/coordination/retry/retry_test.go
@@ -0,0 +1,73 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+func TestNext(t *testing.T) {
+	notRun := func(r outcome.Reason) retry.Step {
+		return retry.Stop{Outcome: outcome.NotRun{RetryAfter: 1e9, Reason: r}}
+	}
+	cases := []struct {
+		name     string
+		ends     []retry.End
+		streamed bool
+		want     retry.Step
+	}{
+		{"whole", []retry.End{retry.Whole{Status: 200}}, true, retry.Stop{Outcome: outcome.Answered{Status: 200}}},
+		{"refused once", []retry.End{retry.Refused{}}, false, retry.Dispatch{}},
+		{"refused everywhere", []retry.End{retry.Refused{}, retry.Refused{}, retry.Refused{}}, false, notRun(outcome.ReasonRefused)},
+		{"unreached everywhere", []retry.End{retry.Unreached{}, retry.Unreached{}, retry.Unreached{}}, true, notRun(outcome.ReasonUnreachable)},
+		{"broken, then refused: it may have run", []retry.End{retry.Broken{}, retry.Refused{}, retry.Refused{}}, false,
+			retry.Stop{Outcome: outcome.Failed{Detail: "no upstream gave a whole answer"}}},
+		{"a broken stream goes on", []retry.End{retry.Broken{Sent: 5}}, true, retry.Resume{Offset: 5}},
+		{"a broken stream that cannot go on is never spliced", []retry.End{retry.Broken{Sent: 5}, retry.Broken{Sent: 7}, retry.Broken{Sent: 7}}, true,
+			retry.Stop{Outcome: outcome.Failed{Detail: "the answer broke off and its run cannot go on"}}},
+		{"a stream of which nothing was sent may run elsewhere", []retry.End{retry.Broken{}, retry.Broken{}, retry.Broken{}}, true, retry.Dispatch{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var r retry.Run
+			budget := retry.NewBudget()
+			var step retry.Step = retry.Dispatch{}
+			for _, end := range c.ends {
+				if _, ok := step.(retry.Dispatch); ok {
+					r.Begin()
+				}
+				step = r.Next(end, c.streamed, budget)
+			}
+			if diff := cmp.Diff(c.want, step); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+// TestNoRetryStorm has every upstream fail for every request: beyond what was saved
+// up, retries are a tenth of the requests.
+func TestNoRetryStorm(t *testing.T) {
+	const requests = 1000
+	budget := retry.NewBudget()
+	attempts := 0
+	for range requests {
+		budget.Earn()
+		var r retry.Run
+		var step retry.Step = retry.Dispatch{}
+		for {
+			if _, ok := step.(retry.Dispatch); !ok {
+				break
+			}
+			r.Begin()
+			step = r.Next(retry.Refused{}, false, budget)
+		}
+		attempts += r.Attempts()
+	}
+	if attempts > requests*112/100+20 {
+		t.Fatalf("%d attempts for %d requests", attempts, requests)
+	}
+}
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -97,15 +97,23 @@
 		return Plan{}, false
 	}
 	limit := best + max(tieSeconds*p.Weights.FirstToken, best*tieShare)
-	tied := 0
-	for _, score := range p.Scores {
-		if score <= limit {
-			tied++
+	tied, near := 0, 0
+	for i, score := range p.Scores {
+		if score > limit {
+			continue
 		}
+		tied++
+		if upstreams[i].Near {
+			near++
+		}
+	}
+	if near > 0 {
+		// Among equals only the own failure domain's count.
+		tied = near
 	}
 	first := int(p.Random % uint64(tied))
 	second := int(p.Random >> 32 % uint64(tied))
-	winner := drawn(upstreams, p, limit, first, second)
+	winner := drawn(upstreams, p, limit, near > 0, first, second)
 	e := upstreams[winner].estimate(winner, p)
 	return Plan{
 		Upstream: winner, Fetch: e.fetch, Recompute: e.recompute,
@@ -114,12 +122,13 @@
 	}, true
 }
 
-// drawn returns the better of the first-th and second-th tied upstreams.
-func drawn(upstreams []Upstream, p *Prompt, limit float64, first, second int) int {
+// drawn returns the better of the first-th and second-th tied upstreams, of the own
+// failure domain only when near is set.
+func drawn(upstreams []Upstream, p *Prompt, limit float64, near bool, first, second int) int {
 	winner := -1
 	nth := 0
 	for i, score := range p.Scores {
-		if score > limit {
+		if score > limit || near && !upstreams[i].Near {
 			continue
 		}
 		if (nth == first || nth == second) && (winner < 0 || upstreams[i].own < upstreams[winner].own) {
--- /dev/null
+++ b/internal/coordination/routing/choose_test.go
@@ -0,0 +1,134 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/routing"
+)
+
+var now = time.Unix(1000, 0)
+
+func upstream() routing.Upstream {
+	return routing.Upstream{Slots: 4, PrefillRate: 1000, LinkRate: 1e6, Model: "m", Version: "v", Near: true}
+}
+
+func prompt(n int) *routing.Prompt {
+	return &routing.Prompt{
+		Model: "m", Version: "v", Tokens: 1000, Cached: make([]int32, n), BlockTokens: 10, BytesPerToken: 100, StoreRate: 1e6,
+		Weights: routing.Weights{FirstToken: 1}, Scores: make([]float64, n),
+	}
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(u []routing.Upstream, p *routing.Prompt)
+		want  int // -1 for none
+		fetch bool
+	}{
+		{"the one that has the context", func(_ []routing.Upstream, p *routing.Prompt) { p.Cached[1] = 90 }, 1, false},
+		{"not when its wait is longer than computing", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Cached[1] = 50
+			u[1].NoteLoad(4, 4, 0, false)
+			u[0].Near = false
+		}, 2, false},
+		{"prompts that wait to be computed count", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Cached[1] = 50
+			u[1].NoteLoad(1, 0, 2000, false)
+			u[0].Near = false
+		}, 2, false},
+		{"a fetch, when the link is faster", func(u []routing.Upstream, p *routing.Prompt) { p.Stored = 900; u[0].LinkRate, u[2].LinkRate = 1, 1 }, 1, true},
+		{"no fetch over a slow link", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Stored, p.StoreRate = 900, 1e4
+			u[0].Near, u[2].Near = false, false
+		}, 1, false},
+		{"recomputing may cost more than time", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Stored, p.StoreRate = 900, 8e4
+			p.Weights.Recompute = 0.01
+			u[0].Near, u[2].Near = false, false
+		}, 1, true},
+		{"own failure domain first", func(u []routing.Upstream, _ *routing.Prompt) { u[0].Near, u[1].Near = false, false }, 2, false},
+		{"another domain when it pays", func(u []routing.Upstream, p *routing.Prompt) { u[0].Near = false; p.Cached[0] = 90 }, 0, false},
+		{"never another model", func(u []routing.Upstream, p *routing.Prompt) { p.Cached[0] = 90; u[0].Model = "x"; u[1].Model = "x" }, 2, false},
+		{"never another weight version", func(u []routing.Upstream, p *routing.Prompt) { p.Cached[0] = 90; u[0].Version, u[1].Version = "w", "w" }, 2, false},
+		{"never one that leaves", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Cached[0] = 90
+			u[0].NoteLoad(0, 0, 0, true)
+			u[1].NoteLeaving(true)
+		}, 2, false},
+		{"never one that was tried", func(_ []routing.Upstream, p *routing.Prompt) { p.Cached[0] = 90; p.Tried = []int{0, 1} }, 2, false},
+		{"never one that fails again and again", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Cached[0] = 90
+			for range 3 {
+				u[0].NoteFailure(now)
+				u[1].NoteFailure(now)
+			}
+		}, 2, false},
+		{"none", func(_ []routing.Upstream, p *routing.Prompt) { p.Tried = []int{0, 1, 2} }, -1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := []routing.Upstream{upstream(), upstream(), upstream()}
+			p := prompt(3)
+			c.setup(u, p)
+			plan, ok := routing.Choose(u, p, now)
+			got := plan.Upstream
+			if !ok {
+				got = -1
+			}
+			if diff := cmp.Diff([]any{c.want, c.fetch}, []any{got, plan.Fetch}); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+// TestEjectionEndsSlowly checks that a failing upstream comes back with one run at a
+// time, and that each next ejection is longer.
+func TestEjectionEndsSlowly(t *testing.T) {
+	u := upstream()
+	for range 3 {
+		u.NoteFailure(now)
+	}
+	at := func(d time.Duration) bool { return u.Ejected(now.Add(d)) }
+	u.Begin(0)
+	got := []bool{at(900 * time.Millisecond), at(1100 * time.Millisecond), at(3100 * time.Millisecond)}
+	u.End(0)
+	got = append(got, at(1100*time.Millisecond))
+	u.NoteFailure(now.Add(3 * time.Second))
+	got = append(got, at(4900*time.Millisecond), at(5100*time.Millisecond))
+	if diff := cmp.Diff([]bool{true, true, false, false, true, false}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// TestEntriesDoNotHerd has eight entries hold one old report in which one upstream
+// is idle and the rest nearly so: they must not all send their prompts to it.
+func TestEntriesDoNotHerd(t *testing.T) {
+	const entries, upstreams, prompts = 8, 20, 4
+	counts := make([]int, upstreams)
+	for e := range entries {
+		u := make([]routing.Upstream, upstreams)
+		for i := range u {
+			u[i] = upstream()
+			u[i].NoteLoad(i%2, 0, 0, false)
+		}
+		random := rand.New(rand.NewPCG(uint64(e), 7))
+		for range prompts {
+			p := prompt(upstreams)
+			p.Random = random.Uint64()
+			plan, _ := routing.Choose(u, p, now)
+			u[plan.Upstream].Begin(plan.Recompute)
+			counts[plan.Upstream]++
+		}
+	}
+	for i, n := range counts {
+		if n > 6 {
+			t.Errorf("upstream %d got %d of %d prompts", i, n, entries*prompts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/ledger/ledger_test.go
@@ -0,0 +1,137 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shedrock/shedrock/internal/state/command"
+	"github.com/shedrock/shedrock/internal/state/ledger"
+)
+
+const day = 24 * time.Hour
+
+// log executes commands and restarts the ledger from a snapshot after each.
+type log struct {
+	t *testing.T
+	l *ledger.Ledger
+}
+
+func (g *log) execute(at time.Duration, c *command.Command) ledger.Result {
+	g.t.Helper()
+	c.At = at.Milliseconds()
+	data, err := proto.Marshal(c)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	result := g.l.Execute(data)
+	b, err := g.l.Marshal()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.l, err = ledger.Unmarshal(b)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return result
+}
+
+func (g *log) reserve(at time.Duration, key, holder, body string) string {
+	g.t.Helper()
+	r := g.execute(at, &command.Command{Body: &command.Command_Reserve{Reserve: &command.Reserve{Team: "t", Key: key, Digest: []byte(body), Holder: holder}}})
+	switch r := r.(ledger.Reservation).Result.(type) {
+	case ledger.Granted:
+		return "granted"
+	case ledger.Known:
+		return fmt.Sprint("known ", r.Record.Phase(), " ", r.Record.Holder())
+	default:
+		return fmt.Sprintf("%T", r)
+	}
+}
+
+func (g *log) finish(at time.Duration, key, holder string, answered bool) bool {
+	c := &command.Finish{Team: "t", Key: key, Holder: holder}
+	if answered {
+		c.Answer = &command.Answer{Status: 200, Body: []byte("ok"), Kept: true}
+	}
+	return g.execute(at, &command.Command{Body: &command.Command_Finish{Finish: c}}).(ledger.Recorded).OK
+}
+
+func (g *log) release(at time.Duration, key, holder string) bool {
+	return g.execute(at, &command.Command{Body: &command.Command_Release{Release: &command.Release{Team: "t", Key: key, Holder: holder}}}).(ledger.Recorded).OK
+}
+
+func TestRecords(t *testing.T) {
+	g := &log{t, ledger.New()}
+	got := []any{
+		g.reserve(0, "k", "a", "x"),
+		g.reserve(0, "k", "a", "x"), // the answer was lost
+		g.reserve(0, "k", "b", "x"),
+		g.reserve(0, "k", "b", "y"),
+		g.release(0, "k", "b"), // not its own
+		g.release(0, "k", "a"),
+		g.reserve(0, "k", "b", "x"),
+		g.finish(0, "k", "a", true), // not its own
+		g.reserve(11*time.Minute, "k", "c", "x"),
+		g.finish(12*time.Minute, "k", "b", true), // late, but the truth
+		g.reserve(12*time.Minute, "k", "c", "x"),
+		g.finish(12*time.Minute, "k", "b", false),
+		g.release(12*time.Minute, "k", "b"),
+		g.reserve(2*day, "k", "d", "x"),   // beyond the retention
+		g.reserve(300*day, "k", "d", "x"), // the tombstone still stands
+		g.reserve(day, "other", "a", "x"), // time never falls
+	}
+	want := []any{
+		"granted", "granted", "known 1 a", "ledger.OtherBody", false, true, "granted", false,
+		"known 3 b", true, "known 2 b", false, false, "ledger.Expired", "ledger.Expired", "granted",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// uuid7 is a key that carries a time.
+func uuid7(at time.Duration, n int) string {
+	hex := fmt.Sprintf("%012x", at.Milliseconds())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", hex[:8], hex[8:], n)
+}
+
+// TestDatedKeys are refused by their own time, so nothing is remembered for long.
+func TestDatedKeys(t *testing.T) {
+	g := &log{t, ledger.New()}
+	base := 1000 * day
+	old, fresh, future := uuid7(base-25*time.Hour, 1), uuid7(base, 2), uuid7(base+time.Hour, 3)
+	got := []string{
+		g.reserve(base, old, "a", "x"),
+		g.reserve(base, fresh, "a", "x"),
+		g.reserve(base, future, "a", "x"),
+		g.reserve(base+2*day, fresh, "a", "x"),
+		g.reserve(base+900*day, fresh, "a", "x"),
+	}
+	want := []string{"ledger.Expired", "granted", "ledger.Expired", "ledger.Expired", "ledger.Expired"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestTokensOnlyRise(t *testing.T) {
+	g := &log{t, ledger.New()}
+	for want := uint64(1); want <= 3; want++ {
+		r := g.execute(0, &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: "h"}}})
+		if diff := cmp.Diff(ledger.Token{Value: want}, r); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
+
+func TestUnknownCommandsChangeNothing(t *testing.T) {
+	l := ledger.New()
+	for _, data := range [][]byte{nil, []byte("garbage"), {0x08, 0x01}} {
+		if _, ok := l.Execute(data).(ledger.Malformed); !ok {
+			t.Fatalf("%v was executed", data)
+		}
+	}
+}
