Rollout of weight versions with fenced orders

Cause: a changed weight version had no effect on the engines, and would have left new prompts without any. Change: the leading replica reads every engine back and orders what follows, two loads at a time and enough serving; new prompts run under the version that most engines serve until the one in force has caught up.

--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
@@ -105,9 +107,16 @@
 	return nil
 }
 
+// entryGCPercent trades processor time for memory in an entry.
+const entryGCPercent = 40
+
 // runEntry runs an entry, its part among the entries, and what keeps its declared
 // state up to date.
 func runEntry(ctx context.Context, e *entry.Entry, control []string) error {
+	if os.Getenv("GOGC") == "" {
+		// Small instances: a thousand open streams are to fit into 64 MB.
+		debug.SetGCPercent(entryGCPercent)
+	}
 	f := feed.New()
 	e.Confirmed = func() bool { return !f.Unconfirmed() }
 	err := e.Init()
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -158,6 +158,31 @@
 // Weights returns the deployment's declared weights.
 func (b *Board) Weights() routing.Weights { return b.weights }
 
+// ServingVersion returns the weight version under which a new prompt should run: the
+// one in force as soon as enough upstreams serve it, and until then the one that most
+// upstreams serve. While a rollout goes on both are served, each to its own prompts;
+// their kept contexts never meet, because the version is part of every key.
+func (b *Board) ServingVersion(m declared.Model) string {
+	wanted := m.WeightVersion()
+	counts := map[string]int{}
+	for i := range b.upstreams {
+		u := &b.upstreams[i]
+		if u.Model == m.Name() && !u.Leaving() && u.Version != "" {
+			counts[u.Version]++
+		}
+	}
+	most, best := wanted, 0
+	for version, n := range counts {
+		if version != wanted && (n > best || n == best && version > most) {
+			most, best = version, n
+		}
+	}
+	if counts[wanted] >= best || m.MinServing() > 0 && counts[wanted] >= m.MinServing() {
+		return wanted
+	}
+	return most
+}
+
 // Prompt is a request to be placed.
 type Prompt struct {
 	Model   declared.Model
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -25,6 +25,7 @@
 	"github.com/shedrock/shedrock/internal/state/disk"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/orders"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
 
@@ -161,6 +162,8 @@
 	served := make(chan error, 1)
 	go func() { served <- rpc.Serve(ctx, r.Listener, r.Handler()) }()
 	go r.found(ctx)
+	orderer := &orders.Orderer{Leading: r.view.leading, TakeToken: r.takeToken, State: r.view.feed.State, Log: r.Log}
+	go orderer.Run(ctx)
 	r.loop(ctx)
 	cancel()
 	err := <-served
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -119,14 +119,14 @@
 	return &wire.LookupResponse{Record: <-found}, nil
 }
 
-// TakeToken commits a new fencing token.
-func (s controlService) TakeToken(ctx context.Context, in *wire.TakeTokenRequest) (*wire.TakeTokenResponse, error) {
-	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: in.Holder}}}
-	result, err := s.commit(ctx, c)
+// takeToken commits a new fencing token for this replica's orders.
+func (r *Replica) takeToken(ctx context.Context) (uint64, error) {
+	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: r.Folder.Incarnation()}}}
+	result, err := controlService{r}.commit(ctx, c)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
-	return &wire.TakeTokenResponse{Token: result.(ledger.Token).Value}, nil
+	return result.(ledger.Token).Value, nil
 }
 
 // Status reports the replica's view; it is not linearizable.
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -46,6 +46,13 @@
 	return out
 }
 
+// leading says whether this replica leads, and in which term.
+func (v *view) leading() (term uint64, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.status.Term, v.status.Leader == v.status.Incarnation && v.status.Incarnation != ""
+}
+
 // publish shows the loop's present state to the services.
 func (r *Replica) publish() {
 	m := r.machine
--- a/internal/transport/controlclient/client.go
+++ b/internal/transport/controlclient/client.go
@@ -91,16 +91,6 @@
 	return out.GetRecord(), err
 }
 
-// TakeToken commits a new fencing token for a holder.
-func (c *Client) TakeToken(ctx context.Context, holder string) (uint64, error) {
-	var out *wire.TakeTokenResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.TakeToken(ctx, &wire.TakeTokenRequest{Holder: holder})
-		return err
-	})
-	return out.GetToken(), err
-}
-
 // Status asks every replica; those that do not answer are left out.
 func (c *Client) Status(ctx context.Context) []*wire.StatusResponse {
 	var out []*wire.StatusResponse
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -32,10 +32,13 @@
 	req    *openai.Request
 	model  declared.Model
 	tokens int
-	salt   string
-	keys   []prefix.Key
-	tried  []int
-	retry  retry.Run
+	// version is the weight version under which the prompt runs; salt and keys
+	// follow from it.
+	version string
+	salt    string
+	keys    []prefix.Key
+	tried   []int
+	retry   retry.Run
 	// plan and run are those of the present attempt.
 	plan    placement.Plan
 	run     string
@@ -48,8 +51,6 @@
 
 // run makes attempts until the prompt has its final outcome.
 func (e *Entry) run(w http.ResponseWriter, r *http.Request, c caller, j *job) {
-	j.salt = prefix.NewSalt(e.Secrets[0], c.team.Name(), j.model.Name(), j.model.WeightVersion()).String()
-	j.keys = prefix.Chain(j.salt, j.req.Text())
 	s := &sink{w: w, team: c.team.Name(), sealer: e.sealer, flow: c.flow}
 	s.onFirst = func() { e.noteFirstToken(j) }
 	var step retry.Step = retry.Dispatch{}
@@ -57,6 +58,7 @@
 		var end retry.End
 		switch next := step.(type) {
 		case retry.Dispatch:
+			e.setVersion(c, j)
 			if !e.place(r.Context(), j) {
 				step = retry.Stop{Outcome: j.retry.GiveUp(outcome.ReasonNoUpstream)}
 				continue
@@ -105,6 +107,20 @@
 	return ok
 }
 
+// setVersion picks the weight version for the next attempt. An attempt starts only
+// while nothing of an answer was passed on, so two attempts may differ in it.
+func (e *Entry) setVersion(c caller, j *job) {
+	e.mu.Lock()
+	version := e.board.ServingVersion(j.model)
+	e.mu.Unlock()
+	if version == j.version {
+		return
+	}
+	j.version = version
+	j.salt = prefix.NewSalt(e.Secrets[0], c.team.Name(), j.model.Name(), version).String()
+	j.keys = prefix.Chain(j.salt, j.req.Text())
+}
+
 // place plans the next attempt.
 func (e *Entry) place(ctx context.Context, j *job) bool {
 	var hints *placement.Hints
@@ -113,7 +129,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := placement.Prompt{Model: j.model, Version: j.model.WeightVersion(), Keys: j.keys, Tokens: j.tokens, Tried: j.tried, Hints: hints}
+	p := placement.Prompt{Model: j.model, Version: j.version, Keys: j.keys, Tokens: j.tokens, Tried: j.tried, Hints: hints}
 	plan, ok := e.board.Place(p, time.Now())
 	if !ok {
 		return false
@@ -224,7 +240,7 @@
 	h.Set(engine.HeaderRun, j.run)
 	h.Set(engine.HeaderAttempt, strconv.Itoa(j.attempt))
 	h.Set(engine.HeaderSalt, j.salt)
-	h.Set(engine.HeaderVersion, j.model.WeightVersion())
+	h.Set(engine.HeaderVersion, j.version)
 	h.Set(engine.HeaderPriority, priority(c.class))
 	res, x := e.upstreams.Do(req, j.run, j.attempt)
 	return e.receive(c, j, s, res, x)
@@ -274,7 +290,7 @@
 		return retry.Broken{Sent: s.sent}
 	}
 	version := res.Header.Get(engine.HeaderVersion)
-	if status == http.StatusOK && version != j.model.WeightVersion() {
+	if status == http.StatusOK && version != j.version {
 		// The engine ran other weights than were asked for: nothing of it is used.
 		return retry.Broken{Sent: s.sent}
 	}
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -43,7 +43,7 @@
 	e.mu.Unlock()
 	out, err := e.transfer(ctx, j.plan.Address+engine.PathImport, engine.Transfer{
 		Store:   j.plan.Store,
-		Version: j.model.WeightVersion(),
+		Version: j.version,
 		Keys:    engine.KeyStrings(j.keys[:j.plan.FetchBlocks]),
 		Refs:    j.plan.Refs,
 		Bytes:   blockBytes(j),
@@ -121,7 +121,7 @@
 	defer cancel()
 	out, err := e.transfer(ctx, j.plan.Address+engine.PathExport, engine.Transfer{
 		Store:   c.Store,
-		Version: j.model.WeightVersion(),
+		Version: j.version,
 		Keys:    engine.KeyStrings(j.keys),
 		Refs:    []engine.BlockRef{{Blocks: c.Blocks}},
 		Bytes:   blockBytes(j),
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -24,7 +24,7 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleTimeout     = 90 * time.Second
 	idlePerUpstream = 64
-	bufferBytes     = 4 << 10
+	bufferBytes     = 2 << 10
 	// maxHeaderBytes bounds what an upstream may send before its body.
 	maxHeaderBytes = 64 << 10
 )
