Gossip in few bytes; entries keep the declared state, or take it from peers while cut off

And a failure domain that was cut off could not restart an entry for half a minute, because each frozen replica was waited for in full. Change: messages hold pulses of seven bytes for entries that have not changed, and answers are empty unless the sender is new; a follower without a source passes over those that do not answer within a second, and asks its live peers too. An entry with a disk keeps the declared state; one without says that it is unconfirmed.

--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -70,7 +70,7 @@
 		Secrets: [][]byte{[]byte(localSecret)}, Control: client, Log: p.log,
 		Peers: &peers.Peers{Name: "local", FailureDomain: "local", Listener: opened[3], Log: p.log},
 	}
-	group.Go(func() error { return runEntry(ctx, e, []string{address}) })
+	group.Go(func() error { return runEntry(ctx, e, []string{address}, "") })
 	group.Go(func() error { return c.declare(ctx, p, client, parts) })
 	return group.Wait()
 }
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -64,6 +64,7 @@
 	Seeds         []string `help:"IP:PORT of the peers' listeners of some other entries, to find all."`
 	Control       []string `help:"IP:PORT of each replica of the control log." required:""`
 	SecretFile    string   `help:"File with one secret a line, the same for all entries; the first is used and all are accepted." required:"" type:"path"`
+	Data          string   `help:"Folder in which the entry keeps the declared state, when it has a disk." type:"path"`
 	MaxBody       int64    `help:"Largest request body in bytes." default:"8388608"`
 	MaxWaiting    int      `help:"How many requests may wait at this entry." default:"1024"`
 	Contexts      int      `help:"How many kept contexts this entry remembers." default:"200000"`
@@ -89,7 +90,7 @@
 		MaxBody: c.MaxBody, MaxWaiting: c.MaxWaiting, Contexts: c.Contexts, Log: p.log,
 		Peers: &peers.Peers{Name: c.Name, FailureDomain: c.FailureDomain, Listener: listeners[2], Seeds: c.Seeds, Log: p.log},
 	}
-	return runEntry(p.ctx, e, c.Control)
+	return runEntry(p.ctx, e, c.Control, c.Data)
 }
 
 func (c entryCommand) check() error {
@@ -112,7 +113,7 @@
 
 // runEntry runs an entry, its part among the entries, and what keeps its declared
 // state up to date.
-func runEntry(ctx context.Context, e *entry.Entry, control []string) error {
+func runEntry(ctx context.Context, e *entry.Entry, control []string, data string) error {
 	if os.Getenv("GOGC") == "" {
 		// Small instances: a thousand open streams are to fit into 64 MB.
 		debug.SetGCPercent(entryGCPercent)
@@ -130,6 +131,16 @@
 		Feed: f, Self: e.Applied, Enforce: e.Enforce, Client: rpc.NewClient(), Log: e.Log,
 		Source: feedSource(e.Peers, f, control),
 	}
+	if data != "" {
+		follower.Keep = feed.KeepIn(data)
+		kept, err := feed.Kept(data)
+		if err != nil {
+			return failure{exitFailed, errors.Wrapf(err, "open %s", data)}
+		}
+		f.SetUnconfirmed(true)
+		e.Enforce(kept)
+		f.Publish(kept)
+	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	// Others may need this entry's answers, and its own feed, until it has stopped.
 	helpers, stopHelpers := context.WithCancel(context.WithoutCancel(ctx))
@@ -143,23 +154,22 @@
 }
 
 // feedSource follows the domain's relay; the relay itself follows the replicas of
-// the control log, one after another while they fail. An entry whose relay fails
-// asks the replicas itself.
+// the control log. While that fails, replicas and the other entries are asked in
+// turn: an entry that started while cut off takes what its live peers have, and says
+// that it is unconfirmed.
 func feedSource(p *peers.Peers, f *feed.Feed, control []string) func() (string, bool) {
 	next := 0
-	failed := false
 	return func() (string, bool) {
-		failing := f.Unconfirmed()
 		relay, other := p.Relay()
-		if other && !(failing && !failed) {
-			failed = failing
-			return relay, true
-		}
-		failed = failing
-		if failing {
-			next++
+		if !f.Unconfirmed() {
+			if other {
+				return relay, true
+			}
+			return control[next%len(control)], true
 		}
-		return control[next%len(control)], true
+		next++
+		all := append(p.Others(), control...)
+		return all[next%len(all)], true
 	}
 }
 
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"hash/maphash"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,9 +19,13 @@
 	gossipTargets = 2
 	// suspectAfter is how long an entry may be silent before it is suspected: it
 	// then owns nothing new, but is still told and asked about.
-	suspectAfter = 4 * time.Second
+	suspectAfter = 6 * time.Second
 	// deadAfter is how long it may be silent before it counts as dead.
-	deadAfter = 10 * time.Second
+	deadAfter = 12 * time.Second
+	// newsAfter is how long a change of an entry is told in full.
+	newsAfter = 4 * time.Second
+	// seedEvery is how many beats lie between two messages to a seed.
+	seedEvery = 8
 	// forgetAfter is how long a dead entry is remembered, so that old gossip does
 	// not bring it back.
 	forgetAfter = time.Minute
@@ -35,10 +41,35 @@
 	Leaving bool
 }
 
+// Pulse says that an entry was alive, in few bytes.
+type Pulse struct {
+	// ID is a digest of the entry's name and start.
+	ID   uint32
+	Beat uint64
+}
+
+// Gossip is what one entry tells another. It is a plain value.
+type Gossip struct {
+	// States tell of the sender, of entries that changed lately, and of one other.
+	States []EntryState
+	// Pulses tell of all that are not dead.
+	Pulses []Pulse
+}
+
+// id is the digest by which pulses name an entry's run.
+func (s EntryState) id() uint32 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(s.Name)
+	_, _ = h.WriteString(strconv.FormatUint(s.Start, 16))
+	return uint32(h.Sum64())
+}
+
 type known struct {
 	state EntryState
-	// heard is when Beat last rose here.
-	heard time.Time
+	id    uint32
+	// heard is when Beat last rose here, and changed when anything else did.
+	heard, changed time.Time
 }
 
 // Entries is what one entry knows of the others. It is a pure state machine and
@@ -78,41 +109,73 @@
 	if len(live) > gossipTargets && !e.self.Leaving {
 		live = live[:gossipTargets]
 	}
-	// One of the seeds is always told too, so that two halves that were cut off
-	// from each other for long find together again.
-	if len(seeds) > 0 {
+	// Now and then a seed is told too, so that two halves that were cut off from each
+	// other for long find together again.
+	if len(seeds) > 0 && (len(live) == 0 || e.self.Beat%seedEvery == 0) {
 		live = append(live, seeds[e.random.IntN(len(seeds))])
 	}
 	return live
 }
 
-// State returns what is to be told: this entry and all that are not dead.
-func (e *Entries) State(now time.Time) []EntryState {
-	out := []EntryState{e.self}
-	for _, k := range e.others {
+// Tell returns what is to be told now. Everything is told to an entry that may be new.
+func (e *Entries) Tell(everything bool, now time.Time) Gossip {
+	g := Gossip{States: []EntryState{e.self}}
+	other := 0
+	if len(e.others) > 0 {
+		other = e.random.IntN(len(e.others))
+	}
+	for _, name := range slices.Sorted(maps.Keys(e.others)) {
+		k := e.others[name]
 		if now.Sub(k.heard) <= deadAfter {
-			out = append(out, k.state)
+			if everything || now.Sub(k.changed) < newsAfter || other == 0 {
+				g.States = append(g.States, k.state)
+			} else {
+				g.Pulses = append(g.Pulses, Pulse{k.id, k.state.Beat})
+			}
 		}
+		other--
 	}
-	slices.SortFunc(out, func(a, b EntryState) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return g
 }
 
-// Hear takes what another entry told.
-func (e *Entries) Hear(states []EntryState, now time.Time) {
-	for _, s := range states {
-		if s.Name == e.self.Name {
-			continue
-		}
-		k, ok := e.others[s.Name]
-		switch {
-		case !ok:
-			e.others[s.Name] = &known{state: s, heard: now}
-		case s.Start > k.state.Start, s.Start == k.state.Start && s.Beat > k.state.Beat:
-			k.state = s
+// Hear takes what another entry told; it reports whether the sender, which is the
+// first of the states, was not known.
+func (e *Entries) Hear(g Gossip, now time.Time) (stranger bool) {
+	if len(g.States) > 0 {
+		_, known := e.others[g.States[0].Name]
+		stranger = !known
+	}
+	for _, s := range g.States {
+		e.hearState(s, now)
+	}
+	byID := make(map[uint32]*known, len(e.others))
+	for _, k := range e.others {
+		byID[k.id] = k
+	}
+	for _, p := range g.Pulses {
+		if k, ok := byID[p.ID]; ok && p.Beat > k.state.Beat {
+			k.state.Beat = p.Beat
 			k.heard = now
 		}
 	}
+	return stranger
+}
+
+func (e *Entries) hearState(s EntryState, now time.Time) {
+	if s.Name == e.self.Name {
+		return
+	}
+	k, ok := e.others[s.Name]
+	switch {
+	case !ok || s.Start > k.state.Start:
+		e.others[s.Name] = &known{state: s, id: s.id(), heard: now, changed: now}
+	case s.Start == k.state.Start && s.Beat > k.state.Beat:
+		if s.Leaving != k.state.Leaving {
+			k.changed = now
+		}
+		k.state = s
+		k.heard = now
+	}
 }
 
 // Live returns the entries that are neither leaving nor suspected, this one
--- a/internal/protocol/wire/peers.go
+++ b/internal/protocol/wire/peers.go
@@ -26,25 +26,34 @@
 	return keys, true
 }
 
-// FromEntries gives the wire form of what an entry knows of others.
-func FromEntries(states []membership.EntryState) *GossipMessage {
+// FromGossip gives the wire form of what an entry tells another.
+func FromGossip(g membership.Gossip) *GossipMessage {
 	out := &GossipMessage{}
-	for _, s := range states {
+	for _, s := range g.States {
 		out.Entries = append(out.Entries, &EntryState{
 			Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Start: s.Start, Beat: s.Beat, Leaving: s.Leaving,
 		})
 	}
+	for _, p := range g.Pulses {
+		out.Ids = append(out.Ids, p.ID)
+		out.Beats = append(out.Beats, p.Beat)
+	}
 	return out
 }
 
-// ToEntries is the inverse of FromEntries.
-func ToEntries(m *GossipMessage) []membership.EntryState {
-	var out []membership.EntryState
+// ToGossip is the inverse of FromGossip; pulses without a beat are left out.
+func ToGossip(m *GossipMessage) membership.Gossip {
+	var out membership.Gossip
 	for _, s := range m.GetEntries() {
-		out = append(out, membership.EntryState{
+		out.States = append(out.States, membership.EntryState{
 			Name: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Start: s.Start, Beat: s.Beat, Leaving: s.Leaving,
 		})
 	}
+	for i, id := range m.GetIds() {
+		if i < len(m.Beats) {
+			out.Pulses = append(out.Pulses, membership.Pulse{ID: id, Beat: m.Beats[i]})
+		}
+	}
 	return out
 }
 
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -57,6 +57,9 @@
 	size  int64
 	cut   int64
 	image *command.Image
+	// Before, when set, is asked before each write, and its error stands for the
+	// disk's; tests use it as a full disk.
+	Before func() error
 }
 
 // Open opens a data folder, and makes it when it is not there. entries receives
@@ -88,7 +91,7 @@
 		_ = f.log.Close()
 		return nil, err
 	}
-	return f, f.syncFolder()
+	return f, syncFolder(path)
 }
 
 func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
@@ -244,6 +247,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a frame")
 	}
+	if f.Before != nil {
+		if err := f.Before(); err != nil {
+			return err
+		}
+	}
 	b := makeFrame(payload)
 	_, err = f.log.WriteAt(b, f.size)
 	if err != nil {
@@ -297,17 +305,28 @@
 
 // replace puts a file's whole content in place durably.
 func (f *Folder) replace(name string, content []byte) error {
-	temporary := f.file(name + temporarySuffix)
+	if f.Before != nil {
+		if err := f.Before(); err != nil {
+			return err
+		}
+	}
+	return Replace(f.file(name), content)
+}
+
+// Replace puts a file's whole content in place durably: after a crash the file holds
+// either what it held or all of the new.
+func Replace(path string, content []byte) error {
+	temporary := path + temporarySuffix
 	err := writeSynced(temporary, content)
 	if err != nil {
 		_ = os.Remove(temporary)
-		return errors.Wrapf(err, "write %s", name)
+		return errors.Wrapf(err, "write %s", path)
 	}
-	err = os.Rename(temporary, f.file(name))
+	err = os.Rename(temporary, path)
 	if err != nil {
-		return errors.Wrapf(err, "put %s in place", name)
+		return errors.Wrapf(err, "put %s in place", path)
 	}
-	return f.syncFolder()
+	return syncFolder(filepath.Dir(path))
 }
 
 func writeSynced(path string, content []byte) error {
@@ -326,8 +345,8 @@
 	return closeErr
 }
 
-func (f *Folder) syncFolder() error {
-	folder, err := os.Open(f.path)
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
 	if err != nil {
 		return errors.Wrap(err, "open the data folder")
 	}
--- /dev/null
+++ b/internal/system/domain_test.go
@@ -0,0 +1,120 @@
+package system_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/shedrock/shedrock/internal/transport/controlclient"
+)
+
+// applied returns what the control log heard of an entry.
+func (f *fleet) applied(name string) (revision uint64, unconfirmed, ok bool) {
+	for _, s := range controlclient.New(controlclient.Fixed(f.addresses)).Status(context.Background()) {
+		for _, a := range s.Applied {
+			if a.Name == name && a.Revision >= revision {
+				revision, unconfirmed, ok = a.Revision, a.Unconfirmed, true
+			}
+		}
+	}
+	return revision, unconfirmed, ok
+}
+
+// TestDomainCutOff takes the whole control log out of reach of two entries, as when
+// their failure domain is cut off: they serve prompts, refuse orders with the truth,
+// one of them restarts without a disk and takes what its peer has, and after the heal
+// both have every change in force.
+func TestDomainCutOff(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	for _, r := range f.replicas {
+		r.signal(syscall.SIGSTOP)
+	}
+	for i := range f.entries {
+		if outcome, status := f.prompt(i); outcome != "ran" || status != http.StatusOK {
+			t.Fatalf("prompt at entry %d: %q %d", i, outcome, status)
+		}
+	}
+	f.entries[0].kill()
+	f.entries[0].start()
+	f.ready(0)
+	if outcome, status := f.prompt(0); outcome != "ran" || status != http.StatusOK {
+		t.Fatalf("prompt after the restart: %q %d", outcome, status)
+	}
+	if outcome, status, _ := f.order(0, "k", "bread"); outcome != "not run" || status != http.StatusServiceUnavailable {
+		t.Fatalf("order while cut off: %q %d", outcome, status)
+	}
+	for _, r := range f.replicas {
+		r.signal(syscall.SIGCONT)
+	}
+	f.apply("models", 2, models("v1"))
+	eventually(t, "both entries have the change in force, confirmed", func() bool {
+		for i := range f.entries {
+			revision, unconfirmed, ok := f.applied(fmt.Sprint("e", i+1))
+			if !ok || revision != 5 || unconfirmed {
+				return false
+			}
+		}
+		return true
+	})
+	if n := f.ran("bread"); n != 0 {
+		t.Fatalf("a refused order ran %d times", n)
+	}
+}
+
+// TestEntryWithDiskStartsAlone restarts an entry that has a disk while nobody else is
+// in reach.
+func TestEntryWithDiskStartsAlone(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.entries[0].kill()
+	f.entries[0].args = append(f.entries[0].args, "--data", t.TempDir())
+	f.entries[0].start()
+	f.ready(0)
+	f.entries[0].kill()
+	f.replicas[0].signal(syscall.SIGSTOP)
+	f.entries[0].start()
+	f.ready(0)
+	if outcome, _ := f.prompt(0); outcome != "ran" {
+		t.Fatalf("prompt: %q", outcome)
+	}
+}
+
+// TestContextIsFoundThroughAnotherEntry sends a long prompt through one entry and its
+// continuation through the other: the engine that has it must be chosen of four.
+func TestContextIsFoundThroughAnotherEntry(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	upstreams := "upstreams:\n"
+	for i := range 4 {
+		address := freeAddress(t)
+		start(t, "standin", "upstream", "--address", address, "--token-interval", "1ms", "--load-lag", "10ms")
+		upstreams += fmt.Sprintf("  - {name: w%d, address: %q, failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 8000, link_bytes_per_second: 1e9}\n", i, address)
+	}
+	f.apply("upstreams", 2, upstreams)
+	eventually(t, "both entries know each other", func() bool {
+		return strings.Contains(f.entries[0].text(), "event=entries live=2") && strings.Contains(f.entries[1].text(), "event=entries live=2")
+	})
+	reused := 0
+	const manuals = 12
+	for n := range manuals {
+		manual := strings.Repeat(fmt.Sprintf("manual %d, a page; ", n), 200)
+		body := `{"model":"demo","max_tokens":1,"messages":[{"role":"user","content":"` + manual + `"}]}`
+		if _, status, text := f.call(0, "POST", "/v1/chat/completions", "", body); status != http.StatusOK {
+			t.Fatalf("%d %s", status, text)
+		}
+		eventually(t, "the note has arrived", func() bool {
+			before := strings.Count(f.entries[1].text(), "event=reuse")
+			_, status, _ := f.call(1, "POST", "/v1/chat/completions", "", body)
+			if status != http.StatusOK || strings.Count(f.entries[1].text(), "event=reuse") <= before {
+				return false
+			}
+			lines := strings.Split(f.entries[1].text(), "event=reuse")
+			return !strings.Contains(lines[len(lines)-1], "cached_tokens=0")
+		})
+		reused++
+	}
+	if reused != manuals {
+		t.Fatalf("%d of %d", reused, manuals)
+	}
+}
--- a/internal/transport/feed/follower.go
+++ b/internal/transport/feed/follower.go
@@ -20,6 +20,8 @@
 	pollWait = 5 * time.Second
 	// pollSlack is added to pollWait before a source counts as out of reach.
 	pollSlack = 2 * time.Second
+	// searchTimeout bounds a poll while no source is known to be in reach.
+	searchTimeout = time.Second
 	// retryWait is the shortest wait after a failure, and retryJitter is added.
 	retryWait   = 100 * time.Millisecond
 	retryJitter = 200 * time.Millisecond
@@ -56,9 +58,12 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.poll(ctx)
-		if err == nil {
+		if err == nil && f.Feed.State().Revision() > 0 && !f.Feed.Unconfirmed() {
 			continue
 		}
+		if err == nil {
+			err = errors.New("the source has nothing, or is cut off itself")
+		}
 		f.Log.Debug().Str("event", "feed_retry").Str("error", err.Error()).Msg("")
 		select {
 		case <-ctx.Done():
@@ -73,12 +78,17 @@
 		f.Feed.SetUnconfirmed(true)
 		return errors.New("no source is in reach")
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
+	wait, limit := pollWait, pollWait+pollSlack
+	if f.Feed.Unconfirmed() || f.Feed.State().Revision() == 0 {
+		// Looking for a source: one that does not answer at once is passed over.
+		wait, limit = 0, searchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request := &wire.WatchRequest{
 		Revision:         f.Feed.State().Revision(),
 		Applied:          append(f.Feed.Applied(2*pollWait), f.Self()),
-		WaitMilliseconds: uint32(pollWait.Milliseconds()),
+		WaitMilliseconds: uint32(wait.Milliseconds()),
 		Full:             f.full,
 	}
 	answer, err := wire.NewFeedProtobufClient("http://"+address, f.Client).Watch(ctx, request)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -112,7 +112,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.entries.Beat(p.Seeds, now)
-	message := wire.FromEntries(p.entries.State(now))
+	message := wire.FromGossip(p.entries.Tell(false, now))
 	live := len(p.entries.Live(now))
 	changed := live != p.live
 	p.live = live
@@ -136,10 +136,11 @@
 	return wire.NewPeersProtobufClient("http://"+address, p.client)
 }
 
-func (p *Peers) hear(m *wire.GossipMessage) {
+// hear takes what another entry told; it reports whether that one is new here.
+func (p *Peers) hear(m *wire.GossipMessage) (stranger bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.entries.Hear(wire.ToEntries(m), time.Now())
+	return p.entries.Hear(wire.ToGossip(m), time.Now())
 }
 
 // Leave tells the others at once that this entry takes no more work.
@@ -159,6 +160,20 @@
 	return max(len(p.entries.Live(time.Now())), 1)
 }
 
+// Others returns the addresses of the other live entries of this failure domain.
+func (p *Peers) Others() []string {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, s := range p.entries.Live(time.Now()) {
+		if s.Name != p.Name && s.FailureDomain == p.FailureDomain {
+			out = append(out, s.Address)
+		}
+	}
+	return out
+}
+
 // Relay returns the address of the entry that follows the control log for this
 // failure domain; ok is false when that is this entry.
 func (p *Peers) Relay() (address string, ok bool) {
--- a/internal/transport/peers/service.go
+++ b/internal/transport/peers/service.go
@@ -13,12 +13,15 @@
 // service answers other entries.
 type service struct{ p *Peers }
 
-// Gossip takes what another entry knows, and tells what this one does.
+// Gossip takes what another entry knows. One that is new here is told everything; the
+// others hear of the rest when it is their turn.
 func (s service) Gossip(_ context.Context, in *wire.GossipMessage) (*wire.GossipMessage, error) {
-	s.p.hear(in)
+	if !s.p.hear(in) {
+		return &wire.GossipMessage{}, nil
+	}
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
-	return wire.FromEntries(s.p.entries.State(time.Now())), nil
+	return wire.FromGossip(s.p.entries.Tell(true, time.Now())), nil
 }
 
 // Find answers from this entry's part of the directory.
