--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 TOOLS := go tool -modfile=tools/go.mod
 GENERATED := \.(pb|twirp)\.go$$
 
-.PHONY: all build run test unit check spec bench capacity soak generate
+.PHONY: all build run test unit check spec bench capacity soak generate settings
 
 all: build
 
@@ -38,6 +38,12 @@
 # Figures as a table, and as CSV files under bench/.
 bench: build
 	go run ./bench
+	go test -run XXX -bench . ./internal/coordination/placement
+	SHEDROCK_BENCH=1 go test -count=1 -v -run ReplayTable ./internal/coordination/placement | tee bench/replay.csv
+
+# docs/settings.md, from the flags.
+settings:
+	SHEDROCK_WRITE=1 go test -count=1 -run SettingsPage ./internal/cli
 
 # The slopes behind docs/CAPACITY.md.
 capacity: build
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,14 +62,7 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var c commands
-	parser, err := kong.New(&c,
-		kong.Name("shedrock"),
-		kong.Description(description),
-		kong.DefaultEnvars("SHEDROCK"),
-		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
-		kong.UsageOnError(),
-		kong.Writers(out, errOut),
-	)
+	parser, err := newParser(&c, out, errOut)
 	if err != nil {
 		panic("cli: the command line does not parse: " + err.Error())
 	}
@@ -93,6 +86,16 @@
 	return exitFailed
 }
 
+func newParser(c *commands, out, errOut io.Writer) (*kong.Kong, error) {
+	return kong.New(c,
+		kong.Name("shedrock"),
+		kong.Description(description),
+		kong.DefaultEnvars("SHEDROCK"),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+		kong.Writers(out, errOut),
+	)
+}
+
 // process is what every command gets.
 type process struct {
 	// ctx ends at SIGINT and SIGTERM.
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,83 @@
+package cli_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/cli"
+)
+
+// TestSettingsPage keeps docs/settings.md and the flags together.
+func TestSettingsPage(t *testing.T) {
+	const page = "../../docs/settings.md"
+	if os.Getenv("SHEDROCK_WRITE") != "" {
+		if err := os.WriteFile(page, []byte(cli.SettingsTable()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(cli.SettingsTable(), string(got)); diff != "" {
+		t.Fatalf("run make settings: %s", diff)
+	}
+}
+
+// TestExamplesAreValid checks the declared files of both example deployments.
+func TestExamplesAreValid(t *testing.T) {
+	for _, site := range []string{"compressor-host", "nordmjol"} {
+		files, err := filepath.Glob("../../deploy/example/" + site + "/*.yaml")
+		if err != nil || len(files) != 6 {
+			t.Fatal(files, err)
+		}
+		var out, errOut bytes.Buffer
+		if code := cli.Main(append([]string{"check"}, files...), &out, &errOut); code != 0 {
+			t.Fatalf("%s: %s%s", site, out.String(), errOut.String())
+		}
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	if err := os.WriteFile(bad, []byte("document: teams\nversion: 1\nteams:\n  - name: a\n    colour: red\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	secret := filepath.Join(t.TempDir(), "secret")
+	if err := os.WriteFile(secret, []byte("short\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	entry := []string{"entry", "--name", "e", "--failure-domain", "d", "--control", "127.0.0.1:1"}
+	cases := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"version", []string{"version"}, 0, "shedrock " + cli.Version},
+		{"unknown command", []string{"frobnicate"}, 2, "unexpected argument frobnicate"},
+		{"unknown flag", []string{"status", "--frobnicate"}, 2, "unknown flag --frobnicate"},
+		{"bad file", []string{"check", bad}, 1, `bad.yaml:5: teams[0].colour: unknown field "colour"`},
+		{"no such file", []string{"check", bad + "x"}, 1, "no such file"},
+		{"missing setting", []string{"entry"}, 2, "missing flags: --control=CONTROL,..., --failure-domain=STRING, --name=STRING, --secret-file=STRING"},
+		{"a name for an address", append(entry, "--secret-file", secret, "--callers", "localhost:1"), 2, ":1: a secret needs at least 16 bytes"},
+		{"bad peers", []string{"control", "--data", t.TempDir(), "--peers", "one=127.0.0.1:1"}, 2, `--peers: "one=127.0.0.1:1": expected NUMBER=IP:PORT`},
+		{"bad address", []string{"control", "--data", t.TempDir(), "--address", "localhost:1"}, 2, `--address: "localhost:1" is not an address`},
+		{"nobody there", []string{"status", "--control", "127.0.0.1:1", "--timeout", "100ms"}, 1, "no replica of the control log answers"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			code := cli.Main(c.args, &out, &errOut)
+			text := out.String() + errOut.String()
+			if code != c.code || !strings.Contains(text, c.want) {
+				t.Fatalf("exit %d, %q", code, text)
+			}
+		})
+	}
+}
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/routing"
-	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/directory"
 	"github.com/shedrock/shedrock/internal/state/prefix"
@@ -204,7 +203,7 @@
 	Name, Address string
 	// Store, Refs and FetchBlocks say what to fetch first, when Fetch is true.
 	Store       string
-	Refs        []engine.BlockRef
+	Refs        []Kept
 	FetchBlocks int
 	// Cached is how many leading blocks the upstream is thought to have.
 	Cached int
@@ -248,7 +247,7 @@
 	if plan.Fetch {
 		out.Store = b.stores[storeNumber].address
 		out.FetchBlocks = stored
-		out.Refs = b.refs(p.Keys)
+		out.Refs = b.refs()
 	}
 	return out, true
 }
@@ -272,17 +271,10 @@
 	return b.found.Stored, s.rate(now) / float64(s.transfers+1), storeNumber
 }
 
-func (b *Board) refs(keys []prefix.Key) []engine.BlockRef {
-	var refs []engine.BlockRef
+func (b *Board) refs() []Kept {
+	var refs []Kept
 	for i, o := range b.found.Objects {
-		end := int(b.found.Ends[i])
-		refs = append(refs, engine.BlockRef{
-			Key:         keys[end-1].String(),
-			Blocks:      int(o.Blocks),
-			Object:      o.Object,
-			Generation:  o.Generation,
-			Incarnation: b.stores[o.Store-1].incarnations[o.Incarnation],
-		})
+		refs = append(refs, *b.kept(o, int(b.found.Ends[i])))
 	}
 	return refs
 }
@@ -302,9 +294,9 @@
 	GaveUp bool
 }
 
-// EndFetch ends a fetch of a plan's objects. The plan then says what the store really
+// EndFetch ends a fetch of a plan's objects; keys are the prompt's. The plan then says what the store really
 // holds. The notes that are returned drop the hints to objects that were refused.
-func (b *Board) EndFetch(p *Plan, f Fetched, now time.Time) []Note {
+func (b *Board) EndFetch(p *Plan, keys []prefix.Key, f Fetched, now time.Time) []Note {
 	s := &b.stores[b.storeNumber(p.Store)]
 	s.transfers--
 	s.observe(f.Bytes, f.Took, now)
@@ -312,16 +304,13 @@
 		return nil
 	}
 	var notes []Note
-	kept, at := 0, 0
+	kept := 0
 	for _, ref := range p.Refs {
-		at += ref.Blocks
-		if at <= f.Blocks {
-			kept = at
+		if ref.End <= f.Blocks {
+			kept = ref.End
 			continue
 		}
-		if key, ok := prefix.ParseKey(ref.Key); ok {
-			notes = append(notes, Note{Key: key, Refused: true})
-		}
+		notes = append(notes, Note{Key: keys[ref.End-1], Refused: true})
 	}
 	p.Kept = kept
 	return notes
--- a/internal/coordination/placement/hints.go
+++ b/internal/coordination/placement/hints.go
@@ -68,11 +68,7 @@
 		}
 	}
 	for i, o := range b.found.Objects {
-		s := &b.stores[o.Store-1]
-		h.Objects = append(h.Objects, Kept{
-			Store: s.address, Incarnation: s.incarnations[o.Incarnation], Object: o.Object,
-			Generation: o.Generation, Blocks: int(o.Blocks), End: int(b.found.Ends[i]),
-		})
+		h.Objects = append(h.Objects, *b.kept(o, int(b.found.Ends[i])))
 	}
 	return h
 }
@@ -120,12 +116,17 @@
 	if !had || old == o {
 		return nil
 	}
-	return b.kept(old)
+	return b.kept(old, n.Blocks)
 }
 
-func (b *Board) kept(o directory.Object) *Kept {
+// kept names an object as every entry knows it; end is how many blocks of a prompt
+// there are up to its end.
+func (b *Board) kept(o directory.Object, end int) *Kept {
 	s := &b.stores[o.Store-1]
-	return &Kept{Store: s.address, Incarnation: s.incarnations[o.Incarnation], Object: o.Object, Generation: o.Generation, Blocks: int(o.Blocks)}
+	return &Kept{
+		Store: s.address, Incarnation: s.incarnations[o.Incarnation], Object: o.Object, Generation: o.Generation,
+		Blocks: int(o.Blocks), End: end,
+	}
 }
 
 // Victims takes the least useful objects of a store out of the directory, until
@@ -135,7 +136,7 @@
 	n := uint16(b.storeNumber(address) + 1)
 	var out []Kept
 	for _, o := range b.directory.OldestObjects(n, blocks) {
-		out = append(out, *b.kept(o))
+		out = append(out, *b.kept(o, 0))
 	}
 	return out
 }
--- a/internal/coordination/placement/keep.go
+++ b/internal/coordination/placement/keep.go
@@ -5,7 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
 
@@ -147,19 +146,19 @@
 	return h.Sum64()
 }
 
-// EndCopy ends a copy; full says that the store had no space. When ref names an
-// object, it is sealed, and the note that is returned makes it known.
-func (b *Board) EndCopy(c Copy, key prefix.Key, blocks int, ref engine.BlockRef, full bool, now time.Time) (Note, bool) {
+// EndCopy ends a copy of the context with a key and a number of blocks; full says that
+// the store had no space. When object is not nil it is sealed, and the note that is
+// returned makes it known.
+func (b *Board) EndCopy(c Copy, key prefix.Key, blocks int, object *Kept, full bool, now time.Time) (Note, bool) {
 	s := &b.stores[b.storeNumber(c.Store)]
 	s.copies--
 	if full {
 		s.fullUntil = now.Add(fullPause)
 	}
-	if ref.Object == 0 {
+	if object == nil {
 		return Note{}, false
 	}
-	kept := &Kept{Store: c.Store, Incarnation: ref.Incarnation, Object: ref.Object, Generation: ref.Generation, Blocks: c.Blocks, End: blocks}
-	return Note{Key: key, Blocks: blocks, Object: kept, Parent: c.Parent}, true
+	return Note{Key: key, Blocks: blocks, Object: object, Parent: c.Parent}, true
 }
 
 // incarnation numbers a store's blank start; when a new one is seen, the hints to
--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/placement"
-	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
@@ -459,7 +458,7 @@
 		}
 		ended := plan
 		w.later(ready, func() {
-			for _, note := range board.EndFetch(&ended, took, instant(ready)) {
+			for _, note := range board.EndFetch(&ended, keys, took, instant(ready)) {
 				owner.Apply(note, instant(ready))
 			}
 			w.nextCopy(board, ready)
@@ -529,14 +528,14 @@
 func (w *world) copy(board *placement.Board, p placement.Postponed, c placement.Copy, at float64) {
 	tag := p.Tag.(copying)
 	k := w.keeper(c.Store)
-	ref := engine.BlockRef{}
+	var object *placement.Kept
 	if w.machines[p.Plan.Upstream].cache.blocks(tag.context) >= tag.blocks {
 		at = w.transfer(k, at, c.Blocks, w.rate(at))
 		w.objects++
-		ref = engine.BlockRef{Object: w.objects, Generation: w.objects, Incarnation: "i", Blocks: c.Blocks}
+		object = &placement.Kept{Store: c.Store, Object: w.objects, Generation: w.objects, Incarnation: "i", Blocks: c.Blocks, End: tag.blocks}
 	}
 	w.later(at, func() {
-		note, ok := board.EndCopy(c, p.Keys[tag.blocks-1], tag.blocks, ref, false, instant(at))
+		note, ok := board.EndCopy(c, p.Keys[tag.blocks-1], tag.blocks, object, false, instant(at))
 		if ok {
 			tag.owner.Apply(note, instant(at))
 			k.cache.put(tag.context, max(tag.blocks, k.cache.blocks(tag.context)))
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -6,7 +6,11 @@
 // belongs to. That is what makes a late answer on a reused connection visible.
 package engine
 
-import "github.com/shedrock/shedrock/internal/state/prefix"
+import (
+	"fmt"
+
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
 
 // Headers of requests and answers.
 const (
@@ -28,6 +32,8 @@
 	HeaderCached = "X-Cached-Tokens"
 	// HeaderPrompt counts the prompt's tokens.
 	HeaderPrompt = "X-Prompt-Tokens"
+	// HeaderLoad carries the engine's load on each answer, as "running queued reading".
+	HeaderLoad = "X-Load"
 	// HeaderLastEvent resumes a stream after an offset.
 	HeaderLastEvent = "Last-Event-ID"
 )
@@ -56,6 +62,15 @@
 	Leaving bool `json:"leaving"`
 }
 
+// String gives the form that HeaderLoad carries.
+func (l Load) String() string { return fmt.Sprintf("%d %d %d", l.Running, l.Queued, l.Reading) }
+
+// ParseLoad reads a HeaderLoad; ok is false when there is none.
+func ParseLoad(s string) (l Load, ok bool) {
+	n, err := fmt.Sscanf(s, "%d %d %d", &l.Running, &l.Queued, &l.Reading)
+	return l, err == nil && n == 3
+}
+
 // CacheEvent tells of one block that entered or left an engine's memory.
 type CacheEvent struct {
 	// Sequence rises by one for each event of one engine start; a gap means
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -198,6 +198,7 @@
 	w.Header().Set(protocol.HeaderRun, id)
 	w.Header().Set(protocol.HeaderAttempt, n.attempt)
 	w.Header().Set(protocol.HeaderVersion, n.version)
+	w.Header().Set(protocol.HeaderLoad, e.lateLoad(f).String())
 }
 
 // enter waits for a slot; it reports false when the queue is full or the caller
@@ -412,14 +413,18 @@
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	f := e.Faults.Get()
+	writeJSON(w, e.lateLoad(e.Faults.Get()))
+}
+
+// lateLoad is the load as of the last report.
+func (e *Engine) lateLoad(f fault.Settings) protocol.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Since(e.reportAt) >= e.options.LoadLag && !f.FreezeLoad {
 		e.reported = protocol.Load{Running: e.running, Queued: len(e.waiting), Slots: e.options.Slots, Reading: e.reading, Version: e.version, Leaving: f.Leaving}
 		e.reportAt = time.Now()
 	}
-	writeJSON(w, e.reported)
+	return e.reported
 }
 
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -17,13 +17,16 @@
 )
 
 const (
-	// pollInterval is how often an upstream is asked for its load and events.
-	pollInterval = 250 * time.Millisecond
+	// pollInterval is how often an upstream is asked for its load; between two
+	// questions its answers to prompts carry it.
+	pollInterval = time.Second
+	// eventsEvery is how many questions for load come with one for cache events.
+	eventsEvery = 3
 	// pollTimeout bounds one question.
 	pollTimeout = time.Second
 	// silentAfter is how many unanswered questions in a row end the attempts at an
-	// upstream, about three seconds when it is frozen.
-	silentAfter = 3
+	// upstream, a few seconds when it is frozen.
+	silentAfter = 2
 )
 
 // poll keeps one goroutine for each declared upstream; mu must be held.
@@ -66,9 +69,11 @@
 }
 
 func (p *poller) run(ctx context.Context) {
-	for {
+	for n := 0; ; n++ {
 		p.askLoad(ctx)
-		p.askEvents(ctx)
+		if n%eventsEvery == 0 {
+			p.askEvents(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -257,6 +257,7 @@
 func (e *Entry) receive(c caller, j *job, s *sink, res *http.Response, x classify.Exchange) retry.End {
 	if res != nil {
 		defer res.Body.Close()
+		e.noteLoad(j, x)
 	}
 	switch o := classify.Outcome(x).(type) {
 	case outcome.NotRun:
@@ -271,6 +272,18 @@
 	return retry.Broken{Sent: s.sent}
 }
 
+// noteLoad takes the load that comes with an answer: where there is traffic, reports
+// cost no messages of their own.
+func (e *Entry) noteLoad(j *job, x classify.Exchange) {
+	load, ok := engine.ParseLoad(x.Header.Get(engine.HeaderLoad))
+	if !ok || !classify.Echoed(x) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.board.Upstream(j.plan.Upstream).NoteLoad(load.Running, load.Queued, load.Reading, false)
+}
+
 // noteRefusal learns from a refusal: the upstream leaves, or serves another
 // weight version than was thought.
 func (e *Entry) noteRefusal(j *job, x classify.Exchange) {
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -45,7 +45,7 @@
 		Store:   j.plan.Store,
 		Version: j.version,
 		Keys:    engine.KeyStrings(j.keys[:j.plan.FetchBlocks]),
-		Refs:    j.plan.Refs,
+		Refs:    blockRefs(j),
 		Bytes:   blockBytes(j),
 	})
 	e.mu.Lock()
@@ -54,7 +54,7 @@
 	if fetched.GaveUp {
 		fetched.Bytes = int64(j.plan.FetchBlocks-j.plan.Cached) * int64(blockBytes(j))
 	}
-	notes := e.board.EndFetch(&j.plan, fetched, now)
+	notes := e.board.EndFetch(&j.plan, j.keys, fetched, now)
 	e.mu.Unlock()
 	e.note(j.keys, notes...)
 	e.nextCopy()
@@ -66,6 +66,17 @@
 	line.Msg("")
 }
 
+// blockRefs names the objects of a job's plan to an engine.
+func blockRefs(j *job) []engine.BlockRef {
+	var refs []engine.BlockRef
+	for _, k := range j.plan.Refs {
+		refs = append(refs, engine.BlockRef{
+			Key: j.keys[k.End-1].String(), Blocks: k.Blocks, Object: k.Object, Generation: k.Generation, Incarnation: k.Incarnation,
+		})
+	}
+	return refs
+}
+
 func blockBytes(j *job) int { return int(j.model.BytesPerToken()) * prefix.BlockTokens }
 
 // transfer asks an engine for an import or export.
@@ -127,8 +138,15 @@
 		Bytes:   blockBytes(j),
 	})
 	full := strings.Contains(out.Refused, "507")
+	var object *placement.Kept
+	if out.Ref.Object != 0 {
+		object = &placement.Kept{
+			Store: c.Store, Incarnation: out.Ref.Incarnation, Object: out.Ref.Object, Generation: out.Ref.Generation,
+			Blocks: c.Blocks, End: len(j.keys),
+		}
+	}
 	e.mu.Lock()
-	note, ok := e.board.EndCopy(c, j.keys[len(j.keys)-1], len(j.keys), out.Ref, full, time.Now())
+	note, ok := e.board.EndCopy(c, j.keys[len(j.keys)-1], len(j.keys), object, full, time.Now())
 	var victims []placement.Kept
 	if full {
 		victims = e.board.Victims(c.Store, c.Blocks)
