The platform's list of live and leaving instances ends new work

Cause: the list was not read, so an upstream that only the platform knew to be leaving got new work until it refused.

--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -63,6 +63,7 @@
 	Peers         string   `help:"IP:PORT on which other entries reach this one." default:"127.0.0.1:7080"`
 	Seeds         []string `help:"IP:PORT of the peers' listeners of some other entries, to find all."`
 	Control       []string `help:"IP:PORT of each replica of the control log." required:""`
+	Instances     string   `help:"URL of the platform's list of live and leaving instances."`
 	SecretFile    string   `help:"File with one secret a line, the same for all entries; the first is used and all are accepted." required:"" type:"path"`
 	Data          string   `help:"Folder in which the entry keeps the declared state, when it has a disk." type:"path"`
 	MaxBody       int64    `help:"Largest request body in bytes." default:"8388608"`
@@ -87,7 +88,7 @@
 	e := &entry.Entry{
 		Name: c.Name, FailureDomain: c.FailureDomain, Callers: listeners[0], Operators: listeners[1],
 		Secrets: secrets, Control: controlclient.New(controlclient.Fixed(c.Control)),
-		MaxBody: c.MaxBody, MaxWaiting: c.MaxWaiting, Contexts: c.Contexts, Log: p.log,
+		Instances: c.Instances, MaxBody: c.MaxBody, MaxWaiting: c.MaxWaiting, Contexts: c.Contexts, Log: p.log,
 		Peers: &peers.Peers{Name: c.Name, FailureDomain: c.FailureDomain, Listener: listeners[2], Seeds: c.Seeds, Log: p.log},
 	}
 	return runEntry(p.ctx, e, c.Control, c.Data)
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -142,7 +142,7 @@
 // mayRun reports whether a prompt may be sent to the upstream at all. One whose
 // version is not known yet may be tried: it refuses a run that expects another one.
 func (u *Upstream) mayRun(i int, p *Prompt, now time.Time) bool {
-	if u.leaving || u.Model != p.Model || u.Version != "" && u.Version != p.Version {
+	if u.Leaving() || u.Model != p.Model || u.Version != "" && u.Version != p.Version {
 		return false
 	}
 	return !slices.Contains(p.Tried, i) && !u.Ejected(now)
--- a/internal/coordination/routing/choose_test.go
+++ b/internal/coordination/routing/choose_test.go
@@ -60,6 +60,13 @@
 			u[0].NoteLoad(0, 0, 0, true)
 			u[1].NoteLeaving(true)
 		}, 2, false},
+		{"never one that the platform lists as leaving", func(u []routing.Upstream, p *routing.Prompt) {
+			p.Cached[0] = 90
+			u[0].NoteListed(true)
+			u[1].NoteListed(true)
+			// A report that lags behind the list does not bring it back.
+			u[1].NoteLoad(0, 0, 0, false)
+		}, 2, false},
 		{"never one that was tried", func(_ []routing.Upstream, p *routing.Prompt) { p.Cached[0] = 90; p.Tried = []int{0, 1} }, 2, false},
 		{"never one that fails again and again", func(u []routing.Upstream, p *routing.Prompt) {
 			p.Cached[0] = 90
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -41,8 +41,9 @@
 	Version string
 	Near    bool
 
-	// leaving is set by declaration, list, report or refusal; the earliest wins.
-	leaving bool
+	// leaving is set by declaration, report or refusal, and listed by the platform's
+	// list; either ends new work.
+	leaving, listed bool
 	// reported is what the last report said: running plus queued.
 	reported int
 	// ownAtReport is how many of this entry's runs were there at the report.
@@ -73,8 +74,11 @@
 // NoteLeaving ends new work there, or begins it again.
 func (u *Upstream) NoteLeaving(leaving bool) { u.leaving = leaving }
 
+// NoteListed takes what the platform's list says.
+func (u *Upstream) NoteListed(leaving bool) { u.listed = leaving }
+
 // Leaving reports whether the upstream takes no new work.
-func (u *Upstream) Leaving() bool { return u.leaving }
+func (u *Upstream) Leaving() bool { return u.leaving || u.listed }
 
 // Own returns how many of this entry's runs are there.
 func (u *Upstream) Own() int { return u.own }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -61,6 +61,9 @@
 	Secrets [][]byte
 	// Control calls the control log.
 	Control *controlclient.Client
+	// Instances, when not empty, is the URL of the platform's list of live and leaving
+	// instances.
+	Instances string
 	// Confirmed, when set, says whether the control log is within reach.
 	Confirmed func() bool
 	// Peers, when set, joins this entry with others; somebody else runs it, with
@@ -124,6 +127,9 @@
 	group.Go(func() error { return served(callers.Serve(e.Callers)) })
 	group.Go(func() error { return served(operators.Serve(e.Operators)) })
 	group.Go(func() error { e.keepResizing(groupCtx); return nil })
+	if e.Instances != "" {
+		group.Go(func() error { e.followInstances(groupCtx); return nil })
+	}
 	group.Go(func() error {
 		<-groupCtx.Done()
 		e.stop(callers)
--- a/internal/transport/entry/traps_test.go
+++ b/internal/transport/entry/traps_test.go
@@ -317,3 +317,35 @@
 		t.Fatalf("answer %+v", a)
 	}
 }
+
+// TestListedLeavingUpstreamGetsNoNewWork has the platform's list name an engine as
+// leaving while the declared state and the engine itself say nothing.
+func TestListedLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	s := newSite(t, engineOptions(), engineOptions())
+	var list atomic.Value
+	list.Store(`{"instances":[]}`)
+	platform := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, list.Load().(string))
+	}))
+	s.declare()
+	e := s.start(func(e *entry.Entry) { e.Instances = "http://" + platform + "/instances" })
+	_, rest, _ := strings.Cut(s.docs["upstreams"], "address: \"")
+	address, _, _ := strings.Cut(rest, "\"")
+	list.Store(`{"instances":[{"address":"` + address + `","state":"leaving"}]}`)
+	eventually(t, "new work goes elsewhere only", func() bool {
+		before := s.engines[0].Ran()
+		for i := range 8 {
+			e.send(t, "POST", "/v1/chat/completions", chat(fmt.Sprint("prompt ", i), false, 1))
+		}
+		return s.engines[0].Ran() == before
+	})
+	list.Store(`{"instances":[{"address":"` + address + `","state":"live"}]}`)
+	eventually(t, "it is used again", func() bool {
+		before := s.engines[0].Ran()
+		for i := range 8 {
+			e.send(t, "POST", "/v1/chat/completions", chat(fmt.Sprint("prompt ", i), false, 1))
+		}
+		return s.engines[0].Ran() > before
+	})
+}
--- a/internal/transport/feed/follower.go
+++ b/internal/transport/feed/follower.go
@@ -27,11 +27,6 @@
 	retryJitter = 200 * time.Millisecond
 )
 
-// Watcher is a source of declared state: a control replica or another entry.
-type Watcher interface {
-	Watch(context.Context, *wire.WatchRequest) (*wire.WatchResponse, error)
-}
-
 // Follower keeps a feed up to date from a source. Set the fields, then Run.
 type Follower struct {
 	// Feed receives the changes.
