--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,7 +8,6 @@
 package engine
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -75,11 +74,6 @@
 	imported int
 }
 
-type ticket struct {
-	priority int
-	ready    chan struct{}
-}
-
 // lateEvents delays the sequence up to which cache events may be seen.
 type lateEvents struct {
 	at       time.Time
@@ -201,62 +195,6 @@
 	w.Header().Set(protocol.HeaderLoad, e.lateLoad(f).String())
 }
 
-// enter waits for a slot; it reports false when the queue is full or the caller
-// has gone.
-func (e *Engine) enter(r *http.Request) bool {
-	priority, _ := strconv.Atoi(r.Header.Get(protocol.HeaderPriority))
-	t := &ticket{priority: priority, ready: make(chan struct{})}
-	e.mu.Lock()
-	if e.running < e.options.Slots {
-		e.running++
-		e.mu.Unlock()
-		return true
-	}
-	if len(e.waiting) >= e.options.Queue {
-		e.mu.Unlock()
-		return false
-	}
-	at := len(e.waiting)
-	for at > 0 && e.waiting[at-1].priority > priority {
-		at--
-	}
-	e.waiting = append(e.waiting, nil)
-	copy(e.waiting[at+1:], e.waiting[at:])
-	e.waiting[at] = t
-	e.mu.Unlock()
-	select {
-	case <-t.ready:
-		return true
-	case <-r.Context().Done():
-		e.withdraw(t)
-		return false
-	}
-}
-
-// withdraw takes a ticket from the queue, or gives its slot on.
-func (e *Engine) withdraw(t *ticket) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for i, other := range e.waiting {
-		if other == t {
-			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
-			return
-		}
-	}
-	e.release()
-}
-
-// release gives a slot to the next in the queue; mu must be held.
-func (e *Engine) release() {
-	if len(e.waiting) == 0 {
-		e.running--
-		return
-	}
-	next := e.waiting[0]
-	e.waiting = e.waiting[1:]
-	close(next.ready)
-}
-
 func (e *Engine) begin(n *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -412,100 +350,6 @@
 	n.cancel()
 }
 
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, e.lateLoad(e.Faults.Get()))
-}
-
-// lateLoad is the load as of the last report.
-func (e *Engine) lateLoad(f fault.Settings) protocol.Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if time.Since(e.reportAt) >= e.options.LoadLag && !f.FreezeLoad {
-		e.reported = protocol.Load{Running: e.running, Queued: len(e.waiting), Slots: e.options.Slots, Reading: e.reading, Version: e.version, Leaving: f.Leaving}
-		e.reportAt = time.Now()
-	}
-	return e.reported
-}
-
-func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	events := e.cache.after(after)
-	seen := e.visible(events)
-	writeJSON(w, protocol.CacheEvents{Start: e.options.Start, Events: seen})
-}
-
-// visible hides events that are younger than the event lag.
-func (e *Engine) visible(events []protocol.CacheEvent) []protocol.CacheEvent {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	if len(events) > 0 {
-		e.events = append(e.events, lateEvents{now, events[len(events)-1].Sequence})
-	}
-	var limit uint64
-	for len(e.events) > 0 && now.Sub(e.events[0].at) >= e.options.EventLag {
-		limit = e.events[0].sequence
-		if len(e.events) == 1 {
-			break
-		}
-		e.events = e.events[1:]
-	}
-	n := 0
-	for n < len(events) && events[n].Sequence <= limit {
-		n++
-	}
-	return events[:n]
-}
-
-// Version returns the weight version being served.
-func (e *Engine) Version() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.version
-}
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var in protocol.Order
-	err := json.NewDecoder(r.Body).Decode(&in)
-	if err != nil || in.Version == "" {
-		http.Error(w, "version: a weight version is needed", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.options.ChecksOrders && in.Token < e.token {
-		http.Error(w, "an order with a higher token was seen", http.StatusConflict)
-		return
-	}
-	e.token = max(e.token, in.Token)
-	if in.Version != e.version && in.Version != e.loading {
-		e.loading = in.Version
-		time.AfterFunc(e.options.LoadTime, func() { e.loaded(in.Version) })
-	}
-	writeJSON(w, protocol.OrderState{Token: e.token, Version: e.version, Loading: e.loading})
-}
-
-// loaded puts a loaded version in force, unless another load has replaced it.
-func (e *Engine) loaded(version string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.loading != version {
-		return
-	}
-	e.loading = ""
-	e.version = version
-	e.cache.clear()
-}
-
-func (e *Engine) orders(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	writeJSON(w, protocol.OrderState{Token: e.token, Version: e.version, Loading: e.loading})
-}
-
-// transferContext bounds a transfer by its request.
-func transferContext(r *http.Request) context.Context { return r.Context() }
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -58,7 +58,7 @@
 			break
 		}
 		part := in.Keys[out.Blocks : out.Blocks+ref.Blocks]
-		n, err := fetch(transferContext(r), in, ref, part)
+		n, err := fetch(r.Context(), in, ref, part)
 		out.Bytes += n
 		if err != nil {
 			out.Refused = err.Error()
@@ -145,7 +145,7 @@
 		return
 	}
 	part := in.Keys[len(keys)-in.Refs[0].Blocks:]
-	ref, n, err := put(transferContext(r), in, part)
+	ref, n, err := put(r.Context(), in, part)
 	out := protocol.Transferred{Blocks: len(part), Bytes: n, Ref: ref}
 	if err != nil {
 		out = protocol.Transferred{Bytes: n, Refused: err.Error()}
