--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -60,7 +60,7 @@
 			if len(entries) == 0 {
 				peers = seed
 			}
-			cmd, _ := l.entry(fmt.Sprintf("e%03d", len(entries)), peers, seed, control)
+			cmd, _, _ := l.entry(fmt.Sprintf("e%03d", len(entries)), peers, seed, control)
 			entries = append(entries, cmd)
 		}
 		time.Sleep(5 * time.Second)
--- a/bench/control.go
+++ b/bench/control.go
@@ -132,9 +132,7 @@
 			at := time.Now()
 			apply(client, "models", version, modelsBody(fmt.Sprint("v", version)))
 			w.waitFor(uint64(version))
-			for _, seen := range w.times(at) {
-				times = append(times, seen)
-			}
+			times = append(times, w.times(at)...)
 		}
 		t.add(fmt.Sprintf("a change in force on %d watchers behind %d relays", shape.relays*(1+shape.each), shape.relays), "99th under 1 s",
 			"median %.0f ms, 99th %.0f ms, most %.0f ms", float64(quantile(times, .5))/1e6, float64(quantile(times, .99))/1e6, float64(quantile(times, 1))/1e6)
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -97,15 +98,32 @@
 	return args
 }
 
-// entry starts an entry and returns where callers reach it.
-func (l *lab) entry(name, peers, seeds string, control []string) (cmd *exec.Cmd, callers string) {
-	callers = freeAddress()
-	args := []string{"entry", "--name", name, "--failure-domain", "d1", "--callers", callers, "--operators", freeAddress(),
+// entry starts an entry and returns where callers and operators reach it.
+func (l *lab) entry(name, peers, seeds string, control []string) (cmd *exec.Cmd, callers, operators string) {
+	callers, operators = freeAddress(), freeAddress()
+	args := []string{"entry", "--name", name, "--failure-domain", "d1", "--callers", callers, "--operators", operators,
 		"--peers", peers, "--secret-file", l.secret(), "--control", strings.Join(control, ",")}
 	if seeds != "" {
 		args = append(args, "--seeds", seeds)
 	}
-	return l.start(args...), callers
+	return l.start(args...), callers, operators
+}
+
+// gauge reads one metric without labels from an operators' listener.
+func gauge(operators, name string) float64 {
+	res, err := http.Get("http://" + operators + "/metrics")
+	check(err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	check(err)
+	for _, line := range strings.Split(string(b), "\n") {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			v, err := strconv.ParseFloat(rest, 64)
+			check(err)
+			return v
+		}
+	}
+	panic("no " + name)
 }
 
 // apply submits a document.
--- a/bench/path.go
+++ b/bench/path.go
@@ -106,7 +106,7 @@
 	slow := freeAddress()
 	l.start("standin", "upstream", "--address", slow, "--slots", fmt.Sprint(slots), "--prefill-rate", "1e7", "--token-interval", "1s")
 	_, control, client := l.control(1)
-	entry, callers := l.entry("e1", freeAddress(), "", control)
+	entry, callers, operators := l.entry("e1", freeAddress(), "", control)
 	apply(client, "models", 1, modelsBody("v1"))
 	apply(client, "upstreams", 1, upstreamsBody(addresses, slots))
 	apply(client, "teams", 1, teamsBody)
@@ -131,14 +131,14 @@
 	t.add("added time to first token, 99th", "under 3 ms", "%.3f ms (%.3f through, %.3f straight)", ms(quantile(with, .99)-quantile(without, .99)), ms(quantile(with, .99)), ms(quantile(without, .99)))
 	t.add("requests that failed meanwhile", "0", "%d of %d", failed, 6*rate*rateSeconds)
 
-	throughput(t, entry.Process.Pid, func() time.Duration { return cpu(entry) }, through)
+	throughput(t, func() time.Duration { return cpu(entry) }, through)
 	apply(client, "upstreams", 2, upstreamsBody([]string{slow}, slots))
 	time.Sleep(time.Second)
-	openStreams(t, through, func() int { return memory(entry) })
+	openStreams(t, through, operators, func() int { return memory(entry) })
 }
 
 // throughput streams as many tokens as the machine gives for a while.
-func throughput(t *table, _ int, used func() time.Duration, c *caller) {
+func throughput(t *table, used func() time.Duration, c *caller) {
 	const streams, tokens = 160, 6000
 	var events atomic.Int64
 	var wg sync.WaitGroup
@@ -159,7 +159,7 @@
 }
 
 // openStreams holds a thousand streams open.
-func openStreams(t *table, c *caller, resident func() int) {
+func openStreams(t *table, c *caller, operators string, resident func() int) {
 	const streams = 1000
 	before := resident()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -184,6 +184,10 @@
 	}
 	time.Sleep(2 * time.Second)
 	t.add("entry memory with 1,000 open streams", "under 64 MB", "%.1f MB (%.1f before; %d open)", float64(resident())/1e6, float64(before)/1e6, open.Load())
+	mb := func(name string) float64 { return gauge(operators, name) / 1e6 }
+	t.add("of it, as the runtime counts", "", "heap in use %.1f, stacks %.1f, idle heap %.1f MB; %.0f goroutines",
+		mb("go_memstats_heap_inuse_bytes"), mb("go_memstats_stack_inuse_bytes"),
+		mb("go_memstats_heap_idle_bytes")-mb("go_memstats_heap_released_bytes"), gauge(operators, "go_goroutines"))
 	cancel()
 	wg.Wait()
 }
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -80,9 +80,6 @@
 // Leaving reports whether the upstream takes no new work.
 func (u *Upstream) Leaving() bool { return u.leaving || u.listed }
 
-// Own returns how many of this entry's runs are there.
-func (u *Upstream) Own() int { return u.own }
-
 // Begin notes a dispatch; tokens is how many of the prompt are to be computed.
 func (u *Upstream) Begin(tokens int) {
 	u.own++
--- a/internal/state/declared/fields.go
+++ b/internal/state/declared/fields.go
@@ -172,9 +172,6 @@
 // LinkRate returns the bandwidth of the store's link, in bytes a second.
 func (s Store) LinkRate() float64 { return s.f.LinkRate }
 
-// CapacityBytes returns the store's memory and disk together.
-func (s Store) CapacityBytes() int64 { return s.f.MemoryBytes + s.f.DiskBytes }
-
 // Service is one plain service beside the model engines.
 type Service struct{ f serviceFields }
 
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -40,8 +40,6 @@
 	blocks uint32
 	// used is when the context was last asked for, in seconds.
 	used uint32
-	// uses counts how often it was.
-	uses uint32
 	// older and newer make a list by age, for eviction.
 	older, newer prefix.Key
 }
@@ -165,7 +163,6 @@
 	d.touchParents(key)
 	c := d.context(key, blocks)
 	c.used = second
-	c.uses++
 	n := uint16(upstream + 1)
 	at := MaxUpstreams - 1
 	for i, other := range c.upstreams {
@@ -274,15 +271,6 @@
 	return out
 }
 
-// Uses returns how often the context of a key was asked for.
-func (d *Directory) Uses(key prefix.Key) uint32 {
-	c, ok := d.contexts[key]
-	if !ok {
-		return 0
-	}
-	return c.uses
-}
-
 // context returns the context of a key as the newest one, and makes room for it.
 func (d *Directory) context(key prefix.Key, blocks int) *context {
 	c, ok := d.contexts[key]
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -69,8 +69,6 @@
 	// Peers, when set, joins this entry with others; somebody else runs it, with
 	// this entry's Find and Apply.
 	Peers *peers.Peers
-	// Ready, when set, can keep the entry from being ready.
-	Ready func() (reason string, ok bool)
 	// MaxBody, Contexts, MaxWaiting and Notice have defaults when zero.
 	MaxBody    int64
 	Contexts   int
--- a/internal/transport/entry/operators.go
+++ b/internal/transport/entry/operators.go
@@ -33,8 +33,5 @@
 	if e.state.Load().Revision() == 0 {
 		return "no declared state is in force yet", false
 	}
-	if e.Ready != nil {
-		return e.Ready()
-	}
 	return "", true
 }
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -144,13 +144,6 @@
 	return f.unconfirmed
 }
 
-// Changed returns a channel that is closed at the next change.
-func (f *Feed) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
-
 // Watch answers a long poll.
 func (f *Feed) Watch(ctx context.Context, in *wire.WatchRequest) *wire.WatchResponse {
 	f.note(in.Applied)
