--- a/internal/coordination/replication/machine_test.go
+++ b/internal/coordination/replication/machine_test.go
@@ -64,7 +64,7 @@
 	members := slices.Clone(n.replicas[leader].machine.Members())
 	members = append(members, replication.Member{ID: 9, Node: "new"})
 	change := func(next []replication.Member) {
-		n.step(leader, replication.ProposeMembers{Members: next}, false)
+		n.step(leader, replication.ProposeMembers{Members: next}, noCrash)
 		n.settle(rounds, without(lost))
 		if diff := cmp.Diff(next, n.replicas[leader].machine.Members()); diff != "" || !n.replicas[leader].machine.MembersCommitted() {
 			t.Fatalf("the change was not committed: %s", diff)
@@ -99,21 +99,21 @@
 	// It holds all there is, and asks for votes.
 	asked := 0
 	for range 20 * rounds {
-		n.step(cut, replication.Tick{}, false)
-		n.step(leader, replication.Tick{}, false)
+		n.step(cut, replication.Tick{}, noCrash)
+		n.step(leader, replication.Tick{}, noCrash)
 		for i := 0; i < len(n.messages); {
 			m := n.messages[i]
 			if m.From == leader && m.To != cut || m.To == leader && m.From != cut {
-				n.deliver(i, false, false)
+				n.deliver(i, false, noCrash)
 				continue
 			}
 			if m.From == cut && m.Kind == replication.PreVoteRequest {
 				asked++
-				n.deliver(i, false, false)
+				n.deliver(i, false, noCrash)
 				continue
 			}
 			if m.To == cut && m.Kind == replication.PreVoteReply {
-				n.deliver(i, false, false)
+				n.deliver(i, false, noCrash)
 				continue
 			}
 			i++
@@ -153,7 +153,7 @@
 	n.settle(rounds, without(frozen))
 	n.replies = nil
 	n.propose(frozen, "stale")
-	n.step(frozen, replication.Read{ID: 77}, false)
+	n.step(frozen, replication.Read{ID: 77}, noCrash)
 	n.settle(rounds, everyone)
 	if n.holds("stale") || !n.holds("new") {
 		t.Fatal("the thawed leader's proposal was committed, or the new leader's lost")
@@ -172,7 +172,7 @@
 func TestLonelyLeaderStepsDown(t *testing.T) {
 	n, leader := newSettled(t, 3)
 	for range 3 * replication.ElectionTicks {
-		n.step(leader, replication.Tick{}, false)
+		n.step(leader, replication.Tick{}, noCrash)
 	}
 	if n.replicas[leader].machine.Leading() {
 		t.Fatal("a leader that hears nobody still leads")
@@ -186,7 +186,7 @@
 	n.propose(leader, "x")
 	n.settle(rounds, everyone)
 	n.replies = nil
-	n.step(leader, replication.Read{ID: 5}, false)
+	n.step(leader, replication.Read{ID: 5}, noCrash)
 	n.settle(rounds, everyone)
 	for _, e := range n.replies {
 		if ready, ok := e.(replication.ReadReady); ok && ready.ID == 5 {
@@ -210,14 +210,14 @@
 			break
 		}
 	}
-	n.step(leader, replication.ProposeMembers{Members: swapped}, false)
+	n.step(leader, replication.ProposeMembers{Members: swapped}, noCrash)
 	if diff := cmp.Diff(members, n.replicas[leader].machine.Members()); diff != "" {
 		t.Fatal(diff)
 	}
 	one := append(slices.Clone(members), replication.Member{ID: 8, Node: "a", Voter: true})
-	n.step(leader, replication.ProposeMembers{Members: one}, false)
+	n.step(leader, replication.ProposeMembers{Members: one}, noCrash)
 	two := append(slices.Clone(one), replication.Member{ID: 9, Node: "b", Voter: true})
-	n.step(leader, replication.ProposeMembers{Members: two}, false)
+	n.step(leader, replication.ProposeMembers{Members: two}, noCrash)
 	if diff := cmp.Diff(one, n.replicas[leader].machine.Members()); diff != "" {
 		t.Fatal("a second change began before the first was committed", diff)
 	}
@@ -237,7 +237,7 @@
 				i++
 				continue
 			}
-			n.deliver(i, false, false)
+			n.deliver(i, false, noCrash)
 			i = 0
 		}
 	}
@@ -245,8 +245,8 @@
 		return (m.Kind == replication.PreVoteRequest && m.To == "n3") || (m.Kind == replication.PreVoteReply && m.From == "n3")
 	}
 	for range 3 * replication.ElectionTicks {
-		n.step("n1", replication.Tick{}, false)
-		n.step("n2", replication.Tick{}, false)
+		n.step("n1", replication.Tick{}, noCrash)
+		n.step("n2", replication.Tick{}, noCrash)
 		pass(preliminary)
 	}
 	for _, candidate := range []replication.Node{"n1", "n2"} {
@@ -273,14 +273,14 @@
 	n.restart(leader)
 	for _, node := range n.order {
 		for range replication.ElectionTicks {
-			n.step(node, replication.Tick{}, false)
+			n.step(node, replication.Tick{}, noCrash)
 		}
 	}
 	n.messages = nil
 	for !n.replicas[leader].machine.Leading() {
-		n.step(leader, replication.Tick{}, false)
+		n.step(leader, replication.Tick{}, noCrash)
 		for len(n.messages) > 0 && !n.replicas[leader].machine.Leading() {
-			n.deliver(0, false, false)
+			n.deliver(0, false, noCrash)
 		}
 	}
 	n.messages = nil
@@ -291,7 +291,7 @@
 	}
 	n.step(leader, replication.Receive{Message: replication.Message{
 		Kind: replication.AppendReply, From: other, To: leader, Term: machine.Term(), LogIndex: old,
-	}}, false)
+	}}, noCrash)
 	if machine.Commit() >= old {
 		t.Fatalf("entry %d of an earlier term was committed by counting", old)
 	}
--- a/internal/coordination/replication/network_test.go
+++ b/internal/coordination/replication/network_test.go
@@ -63,21 +63,28 @@
 	r.up = true
 }
 
-// step gives a replica an input and carries out the effects. When crash is true it
-// stops after the step, before anything of it was synced or sent.
-func (n *network) step(node replication.Node, in replication.Input, crash bool) {
+// crash says where a replica stops after a step.
+type crash int
+
+const (
+	// noCrash goes on.
+	noCrash crash = iota
+	// beforeSync stops after early messages, before anything is durable.
+	beforeSync
+	// afterSync stops when the step is durable, before it is answered or applied.
+	afterSync
+)
+
+// step gives a replica an input and carries out the effects, up to a crash.
+func (n *network) step(node replication.Node, in replication.Input, at crash) {
 	r := n.replicas[node]
 	if !r.up {
 		return
 	}
 	effects := r.machine.Step(in)
-	if crash {
+	if at != noCrash {
 		r.up = false
-		for _, e := range effects {
-			if send, ok := e.(replication.Send); ok && send.Early {
-				n.messages = append(n.messages, send.Message)
-			}
-		}
+		n.crashed(r, effects, at)
 		return
 	}
 	for _, e := range effects {
@@ -93,6 +100,22 @@
 	}
 }
 
+// crashed carries out what a replica still did of a step.
+func (n *network) crashed(r *replica, effects []replication.Effect, at crash) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case replication.Send:
+			if e.Early {
+				n.messages = append(n.messages, e.Message)
+			}
+		case replication.Persist, replication.Restore:
+			if at == afterSync {
+				n.carry(r, e)
+			}
+		}
+	}
+}
+
 func (n *network) carry(r *replica, e replication.Effect) {
 	switch e := e.(type) {
 	case replication.Persist:
@@ -159,7 +182,7 @@
 }
 
 // deliver hands over the i-th waiting message; keep leaves a copy waiting.
-func (n *network) deliver(i int, keep, crash bool) {
+func (n *network) deliver(i int, keep bool, at crash) {
 	msg := n.messages[i]
 	if !keep {
 		n.messages = slices.Delete(n.messages, i, i+1)
@@ -171,7 +194,7 @@
 	if msg.Kind == replication.SnapshotRequest {
 		msg.Snapshot.Data = []byte("state")
 	}
-	n.step(msg.To, replication.Receive{Message: msg}, crash)
+	n.step(msg.To, replication.Receive{Message: msg}, at)
 }
 
 // maxDelivered is far more than any exchange needs between two ticks.
@@ -183,7 +206,7 @@
 	for range rounds {
 		for _, node := range n.order {
 			if reach(node) {
-				n.step(node, replication.Tick{}, false)
+				n.step(node, replication.Tick{}, noCrash)
 			}
 		}
 		for delivered := 0; len(n.messages) > 0; delivered++ {
@@ -195,7 +218,7 @@
 				n.messages = n.messages[1:]
 				continue
 			}
-			n.deliver(0, false, false)
+			n.deliver(0, false, noCrash)
 		}
 	}
 }
@@ -222,7 +245,7 @@
 // propose asks a node to commit a command.
 func (n *network) propose(node replication.Node, data string) {
 	n.nextID++
-	n.step(node, replication.Propose{Commands: []replication.Command{{ID: n.nextID, Data: []byte(data)}}}, false)
+	n.step(node, replication.Propose{Commands: []replication.Command{{ID: n.nextID, Data: []byte(data)}}}, noCrash)
 }
 
 // holds reports whether a command is committed.
--- a/internal/coordination/replication/random_test.go
+++ b/internal/coordination/replication/random_test.go
@@ -54,9 +54,9 @@
 		node := n.order[draw(len(n.order))]
 		switch action := draw(24); {
 		case action < 6:
-			n.step(node, replication.Tick{}, draw(40) == 0)
+			n.step(node, replication.Tick{}, randomCrash(draw))
 		case action < 14 && len(n.messages) > 0:
-			n.deliver(draw(min(len(n.messages), 6)), draw(10) == 0, draw(40) == 0)
+			n.deliver(draw(min(len(n.messages), 6)), draw(10) == 0, randomCrash(draw))
 		case action == 14 && len(n.messages) > 0:
 			n.messages = n.messages[1:]
 		case action < 17:
@@ -81,6 +81,17 @@
 	return n
 }
 
+// randomCrash crashes one step in twenty, half of them on each side of the sync.
+func randomCrash(draw func(int) int) crash {
+	switch draw(40) {
+	case 0:
+		return beforeSync
+	case 1:
+		return afterSync
+	}
+	return noCrash
+}
+
 // randomChange moves a leader's configuration one step towards the replacement of
 // a replica by a blank one.
 func randomChange(n *network, node replication.Node, fresh *int, draw func(int) int) {
@@ -104,7 +115,7 @@
 		n.add(added, replication.Restart{})
 		members = append(members, replication.Member{ID: members[i].ID, Node: added})
 	}
-	n.step(node, replication.ProposeMembers{Members: members}, false)
+	n.step(node, replication.ProposeMembers{Members: members}, noCrash)
 }
 
 func compact(n *network, node replication.Node) {
@@ -116,7 +127,7 @@
 	term, _ := r.machine.TermOf(index)
 	members := r.machine.MembersAt(index)
 	rest := r.machine.EntriesAfter(index)
-	n.step(node, replication.Compacted{Index: index}, false)
+	n.step(node, replication.Compacted{Index: index}, noCrash)
 	r.stored.Snapshot = replication.Snapshot{Index: index, Term: term, Members: members}
 	r.stored.Entries = slices.Clone(rest)
 }
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -14,6 +14,7 @@
 
 var (
 	secondsBuckets = []float64{.005, .01, .025, .05, .1, .2, .35, .56, .8, 1.2, 2, 4, 8, 16, 60}
+	shareBuckets   = []float64{0, .02, .05, .1, .2, .35, .5, .75, .95, 1}
 	tokenBuckets   = []float64{.002, .005, .01, .02, .031, .05, .1, .25, 1, 5}
 )
 
@@ -23,6 +24,7 @@
 	firstToken *prometheus.HistogramVec
 	between    *prometheus.HistogramVec
 	queue      *prometheus.HistogramVec
+	share      *prometheus.HistogramVec
 	recomputed *prometheus.CounterVec
 	reused     *prometheus.CounterVec
 	linkBytes  *prometheus.CounterVec
@@ -43,6 +45,7 @@
 		firstToken: histogram("first_token_seconds", "Time from a request's arrival to its first token, or to a whole answer.", secondsBuckets),
 		between:    histogram("between_tokens_seconds", "Time between the events of a stream.", tokenBuckets),
 		queue:      histogram("queue_seconds", "Time that a request waited at the entry.", secondsBuckets),
+		share:      histogram("recomputed_share", "Part of a prompt's tokens that an engine computed.", shareBuckets),
 		recomputed: counter("recomputed_tokens_total", "Prompt tokens that an engine computed.", byTeam...),
 		reused:     counter("reused_tokens_total", "Prompt tokens that an engine reused.", byTeam...),
 		linkBytes:  counter("link_bytes_total", "Bytes of kept context over the links of stores.", "store", "direction"),
@@ -51,7 +54,7 @@
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.firstToken, m.between, m.queue, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts,
+		m.firstToken, m.between, m.queue, m.share, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts,
 	)
 	return m
 }
@@ -88,6 +91,9 @@
 func (f *flow) prompt(tokens, cached int) {
 	f.m.recomputed.WithLabelValues(f.team, f.class).Add(float64(max(tokens-cached, 0)))
 	f.m.reused.WithLabelValues(f.team, f.class).Add(float64(min(cached, tokens)))
+	if tokens > 0 {
+		f.m.share.WithLabelValues(f.team, f.class).Observe(float64(max(tokens-cached, 0)) / float64(tokens))
+	}
 }
 
 func (f *flow) ended(o outcome.Outcome) {
