check leaves references alone whose document was not given

Cause: trying the README as a newcomer, 'check teams.yaml' said that the model in force did not exist, since it only knew the files it was given. Change: references are checked into kinds of which a file was given; apply checks all. Before: three faults for a valid file; after: none, and a wrong reference among given files is still found.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -48,6 +48,11 @@
 	if err := os.WriteFile(bad, []byte("document: teams\nversion: 1\nteams:\n  - name: a\n    colour: red\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	other := filepath.Join(t.TempDir(), "other.yaml")
+	text := "document: teams\nversion: 1\nteams:\n  - {name: a, key_digests: [\"" + strings.Repeat("a", 64) + "\"], models: [elsewhere]}\n"
+	if err := os.WriteFile(other, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	secret := filepath.Join(t.TempDir(), "secret")
 	if err := os.WriteFile(secret, []byte("short\n"), 0o600); err != nil {
 		t.Fatal(err)
@@ -63,6 +68,8 @@
 		{"unknown command", []string{"frobnicate"}, 2, "unexpected argument frobnicate"},
 		{"unknown flag", []string{"status", "--frobnicate"}, 2, "unknown flag --frobnicate"},
 		{"bad file", []string{"check", bad}, 1, `bad.yaml:5: teams[0].colour: unknown field "colour"`},
+		{"a file by itself", []string{"check", "../../deploy/example/nordmjol/teams.yaml"}, 0, "1 files are valid"},
+		{"a reference that can be checked", []string{"check", "../../deploy/example/nordmjol/models.yaml", other}, 1, `teams[0].models[0]: there is no model "elsewhere"`},
 		{"no such file", []string{"check", bad + "x"}, 1, "no such file"},
 		{"missing setting", []string{"entry"}, 2, "missing flags: --control=CONTROL,..., --failure-domain=STRING, --name=STRING, --secret-file=STRING"},
 		{"a name for an address", append(entry, "--secret-file", secret, "--callers", "localhost:1"), 2, ":1: a secret needs at least 16 bytes"},
--- a/internal/state/declared/state.go
+++ b/internal/state/declared/state.go
@@ -116,7 +116,7 @@
 	if d.version != current+1 {
 		return Conflict{Current: current, Differences: differences(old, d)}
 	}
-	faults := s.dangling(d)
+	faults := s.dangling(d, false)
 	if len(faults) > 0 {
 		return Rejected{Faults: faults}
 	}
@@ -147,8 +147,9 @@
 	s.index = newIndex(s.docs)
 }
 
-// dangling checks every reference between documents, as if d were in force.
-func (s *State) dangling(d *Document) []Fault {
+// dangling checks every reference between documents, as if d were in force. With
+// partial set, references into a kind of which there is no document are left alone.
+func (s *State) dangling(d *Document, partial bool) []Fault {
 	docs := map[Kind]*Document{}
 	for k, v := range s.docs {
 		docs[k] = v
@@ -165,12 +166,13 @@
 		reason := fmt.Sprintf(format, args...)
 		faults = append(faults, d.fault(string(d.kind), "the %s document in force still needs it: %s: %s", owner, field, reason))
 	}
+	skip := func(kind Kind) bool { return partial && docs[kind] == nil }
 	if teams, ok := docs[KindTeams]; ok {
-		checkTeams(teams, ix, report)
+		checkTeams(teams, ix, skip, report)
 	}
 	if upstreams, ok := docs[KindUpstreams]; ok {
 		for i, u := range upstreams.body.Upstreams {
-			if _, ok := ix.models[u.Model]; !ok {
+			if _, ok := ix.models[u.Model]; !ok && !skip(KindModels) {
 				report(KindUpstreams, fmt.Sprintf("upstreams[%d].model", i), "there is no model %q", u.Model)
 			}
 		}
@@ -178,15 +180,15 @@
 	return faults
 }
 
-func checkTeams(teams *Document, ix index, report func(Kind, string, string, ...any)) {
+func checkTeams(teams *Document, ix index, skip func(Kind) bool, report func(Kind, string, string, ...any)) {
 	for i, t := range teams.body.Teams {
 		for j, m := range t.Models {
-			if _, ok := ix.models[m]; !ok {
+			if _, ok := ix.models[m]; !ok && !skip(KindModels) {
 				report(KindTeams, fmt.Sprintf("teams[%d].models[%d]", i, j), "there is no model %q", m)
 			}
 		}
 		for j, name := range t.Services {
-			if _, ok := ix.services[name]; !ok {
+			if _, ok := ix.services[name]; !ok && !skip(KindServices) {
 				report(KindTeams, fmt.Sprintf("teams[%d].services[%d]", i, j), "there is no service %q", name)
 			}
 		}
@@ -322,7 +324,8 @@
 }
 
 // CheckTogether returns the dangling references that would be left if all the
-// documents were in force together.
+// documents were in force together. References into a kind of which no document is
+// given cannot be checked here, and are left to Apply.
 func (s *State) CheckTogether(docs []*Document) []Fault {
 	together := s.Clone()
 	for _, d := range docs {
@@ -334,7 +337,7 @@
 			faults = append(faults, d.fault("document", "another file also declares %s", d.kind))
 			continue
 		}
-		for _, f := range together.dangling(d) {
+		for _, f := range together.dangling(d, true) {
 			// Faults of other documents are reported with their own file.
 			if !strings.Contains(f.Reason, "document in force still needs it") {
 				faults = append(faults, f)
