A request can be followed by its id through every process's log

Cause: entries logged it, the control log and the stand-ins did not. Checked: the tests of the packages touched, and the process tests of at-most-once calls.

--- a/bench/main.go
+++ b/bench/main.go
@@ -10,8 +10,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -70,6 +72,14 @@
 			continue
 		}
 		l := newLab()
+		// Cut short, it leaves no process behind.
+		stopped := make(chan os.Signal, 1)
+		signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+		go func() {
+			<-stopped
+			l.close()
+			os.Exit(1)
+		}()
 		t := &table{name: name}
 		parts[name](l, t)
 		l.close()
--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -56,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	parts, err := startParts(ctx, group)
+	parts, err := startParts(ctx, p.log, group)
 	if err != nil {
 		return err
 	}
@@ -81,7 +82,7 @@
 	store, service string
 }
 
-func startParts(ctx context.Context, group *errgroup.Group) (parts, error) {
+func startParts(ctx context.Context, logger *log.Logger, group *errgroup.Group) (parts, error) {
 	var out parts
 	for i := range out.upstreams {
 		e := engine.New(engine.Options{
@@ -89,29 +90,29 @@
 			CacheBlocks: 4096, LoadLag: 300 * time.Millisecond, EventLag: 300 * time.Millisecond,
 			LoadTime: time.Second, ChecksOrders: true, KeepRuns: time.Minute, DefaultTokens: 16, Start: startID(),
 		})
-		err := startPart(ctx, group, e.Handler(), &out.upstreams[i])
+		err := startPart(ctx, logger, group, e.Handler(), &out.upstreams[i])
 		if err != nil {
 			return out, err
 		}
 	}
 	s := store.New(store.Options{MemoryBytes: 64 << 20, DiskBytes: 256 << 20, LinkRate: 200e6, DiskRate: 100e6, Incarnation: startID()})
-	err := startPart(ctx, group, s.Handler(), &out.store)
+	err := startPart(ctx, logger, group, s.Handler(), &out.store)
 	if err != nil {
 		return out, err
 	}
 	var v service.Service
-	err = startPart(ctx, group, v.Handler(), &out.service)
+	err = startPart(ctx, logger, group, v.Handler(), &out.service)
 	return out, err
 }
 
 // startPart serves one stand-in and says where.
-func startPart(ctx context.Context, group *errgroup.Group, h http.Handler, address *string) error {
+func startPart(ctx context.Context, logger *log.Logger, group *errgroup.Group, h http.Handler, address *string) error {
 	listener, err := net.Listen("tcp", localHost)
 	if err != nil {
 		return failure{exitFailed, err}
 	}
 	*address = listener.Addr().String()
-	group.Go(func() error { return serveStandin(ctx, listener, h) })
+	group.Go(func() error { return serveStandin(ctx, logger, listener, h) })
 	return nil
 }
 
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/entry"
@@ -174,10 +175,16 @@
 	}
 }
 
-// serveStandin serves a stand-in until ctx ends. Connections are cut: a stand-in
-// has no duty to anybody.
-func serveStandin(ctx context.Context, listener net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h}
+// serveStandin serves a stand-in until ctx ends, with a line for each request that
+// belongs to a run. Connections are cut: a stand-in has no duty to anybody.
+func serveStandin(ctx context.Context, logger *log.Logger, listener net.Listener, h http.Handler) error {
+	logged := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if run := r.Header.Get(engine.HeaderRun); run != "" {
+			logger.Info().Str("event", "standin_run").Str("run", run).Str("method", r.Method).Str("path", r.URL.Path).Msg("")
+		}
+		h.ServeHTTP(w, r)
+	})
+	server := &http.Server{Handler: logged}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.Serve(listener)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	return serveStandin(p.ctx, listener, h)
+	return serveStandin(p.ctx, p.log, listener, h)
 }
 
 type standinStore struct {
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	return serveStandin(p.ctx, listener, s.Handler())
+	return serveStandin(p.ctx, p.log, listener, s.Handler())
 }
 
 type standinService struct {
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	return serveStandin(p.ctx, listener, s.Handler())
+	return serveStandin(p.ctx, p.log, listener, s.Handler())
 }
 
 // startID identifies one start of a stand-in.
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -90,7 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return wire.FromReserve(result.(ledger.Reservation).Result), nil
+	answer := wire.FromReserve(result.(ledger.Reservation).Result)
+	s.r.Log.Info().Str("event", "reserve").Str("run", in.Holder).Str("team", in.Team).Str("result", answer.Result.String()).Msg("")
+	return answer, nil
 }
 
 // Finish commits the end of a reserved call.
@@ -99,7 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire.FinishResponse{Recorded: result.(ledger.Recorded).OK}, nil
+	recorded := result.(ledger.Recorded).OK
+	s.r.Log.Info().Str("event", "finish").Str("run", in.Holder).Str("team", in.Team).Str("end", in.End.String()).Bool("recorded", recorded).Msg("")
+	return &wire.FinishResponse{Recorded: recorded}, nil
 }
 
 // Lookup reads one record.
