Two owners of one part of the directory do no harm; a question before the start is safe

Cause: writing the test of two owners, a note given before Run panicked: the members were made only there. In the product a change of the declared state always came first. Change: whoever asks for the owner makes them. Before: panic; after: the test passes five times under the race detector.

--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -187,6 +187,7 @@
 // owner returns the address of the entry that owns a prompt's context; ok is false
 // when that is this entry.
 func (p *Peers) owner(route prefix.Key) (address string, ok bool) {
+	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	owner := p.entries.Owner(route[:], time.Now())
