--- /dev/null
+++ b/internal/coordination/placement/arrivals_test.go
@@ -0,0 +1,73 @@
+package placement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// setup is one deployment's size and mix.
+type setup struct {
+	name                string
+	engines, slots      int
+	contexts            int
+	meanBlocks          int
+	shortestGap         float64 // seconds
+	longestGap          float64
+	cacheBlocks         int // of one engine
+	storeBlocks         int // of one store
+	stores              int
+	linkRate            float64 // bytes a second
+	bytesPerToken       float64
+	prefillRate         float64
+	outTokens           float64
+	hours               float64
+	recompute           float64 // weight
+	loseStore, slowLink bool
+	noEvents            bool
+}
+
+func compressor() setup {
+	return setup{
+		name: "compressor host", engines: 20, slots: 16, contexts: 16000, meanBlocks: 180, shortestGap: 120, longestGap: 86400,
+		cacheBlocks: 14000, storeBlocks: 1000000, stores: 2, linkRate: 1.25e9, bytesPerToken: 32768, prefillRate: 8000,
+		outTokens: 150, hours: 5, recompute: 0.0005,
+	}
+}
+
+func nordmjol() setup {
+	return setup{
+		name: "Nordmjöl", engines: 15, slots: 16, contexts: 24000, meanBlocks: 60, shortestGap: 60, longestGap: 86400,
+		cacheBlocks: 8000, storeBlocks: 500000, stores: 2, linkRate: 1.25e9, bytesPerToken: 32768, prefillRate: 8000,
+		outTokens: 60, hours: 5, recompute: 0.00002,
+	}
+}
+
+// arrival is one returning prompt.
+type arrival struct {
+	at      float64
+	context int
+}
+
+// arrivals makes the same prompts for every policy.
+func arrivals(s setup, random *rand.Rand) []arrival {
+	gap := func() float64 {
+		return s.shortestGap * math.Exp(random.Float64()*math.Log(s.longestGap/s.shortestGap))
+	}
+	var out []arrival
+	end := s.hours * 3600
+	for context := range s.contexts {
+		at := gap() * random.Float64()
+		for at < end {
+			out = append(out, arrival{at, context})
+			at += gap()
+		}
+	}
+	slices.SortFunc(out, func(a, b arrival) int {
+		if a.at != b.at {
+			return int(math.Copysign(1, a.at-b.at))
+		}
+		return a.context - b.context
+	})
+	return out
+}
--- a/internal/transport/entry/keep_test.go
+++ b/internal/transport/entry/keep_test.go
@@ -101,21 +101,30 @@
 	}
 }
 
-// TestWeightSwapReusesNothing swaps the weights between two equal prompts.
+// TestWeightSwapReusesNothing swaps the weights between two equal prompts, the first of
+// which is kept in a store that knows nothing of weights.
 func TestWeightSwapReusesNothing(t *testing.T) {
 	quick := engineOptions()
 	quick.LoadTime = time.Millisecond
+	quick.PrefillRate = 4000
 	s := newSite(t, quick)
 	s.declare()
 	e := s.start()
 	body := chat(manual, false, 1)
 	e.send(t, "POST", "/v1/chat/completions", body)
+	eventually(t, "the context is kept", func() bool {
+		return strings.Contains(e.get(t, "/metrics"), `shedrock_link_bytes_total{direction="in"`)
+	})
 	s.docs["models"] = strings.Replace(s.docs["models"], "v1", "v2", 1)
 	s.apply("models", 2)
 	eventually(t, "the engine serves the new version", func() bool { return s.engines[0].Version() == "v2" })
-	eventually(t, "a prompt is answered under it", func() bool {
-		return strings.Contains(e.send(t, "POST", "/v1/chat/completions", body).body, mark(t, body))
+	eventually(t, "prompts are answered under it", func() bool {
+		return strings.Contains(e.send(t, "POST", "/v1/chat/completions", body).body, mark(t, body)) &&
+			strings.Contains(e.get(t, "/metrics"), `outcome="ran"`) && s.engines[0].Ran() >= 2
 	})
+	if s.engines[0].Imported() != 0 {
+		t.Fatal("a context of other weights was fetched from the store")
+	}
 	if !strings.Contains(e.get(t, "/metrics"), `shedrock_reused_tokens_total{class="interactive",team="demo"} 0`) {
 		t.Fatal("a context of other weights was reused")
 	}
