Prompts pass dead upstreams and swapped weights without being lost

(1) Upstreams that are not reached used up a prompt's three attempts, and dead ones look idle, so they are met first. (3) An engine that refused the old weight version counted as tried for the new one. Ruled out: the rollout's plan (never more than two loads), the control log, slots. Change: unreached dispatches have a bound of their own (8) and take no retry from the budget; versions are counted over upstreams that may take this prompt; a refusal of the version leaves the upstream open to the right one. Before: TestDeadUpstreamsAreGoneRound and TestVersionRefusalIsNoFailure fail with 503 no upstream.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/routing"
@@ -162,14 +163,15 @@
 
 // ServingVersion returns the weight version under which a new prompt should run: the
 // one in force as soon as enough upstreams serve it, and until then the one that most
-// upstreams serve. While a rollout goes on both are served, each to its own prompts;
-// their kept contexts never meet, because the version is part of every key.
-func (b *Board) ServingVersion(m declared.Model) string {
+// upstreams serve. Only upstreams that may take the prompt count: not those that leave,
+// are ejected or were tried. While a rollout goes on both are served, each to its own
+// prompts; their kept contexts never meet, because the version is part of every key.
+func (b *Board) ServingVersion(m declared.Model, tried []int, now time.Time) string {
 	wanted := m.WeightVersion()
 	counts := map[string]int{}
 	for i := range b.upstreams {
 		u := &b.upstreams[i]
-		if u.Model == m.Name() && !u.Leaving() && u.Version != "" {
+		if u.Model == m.Name() && u.Version != "" && !u.Leaving() && !u.Ejected(now) && !slices.Contains(tried, i) {
 			counts[u.Version]++
 		}
 	}
@@ -179,7 +181,8 @@
 			most, best = version, n
 		}
 	}
-	if counts[wanted] >= best || m.MinServing() > 0 && counts[wanted] >= m.MinServing() {
+	enough := m.MinServing() > 0 && counts[wanted] >= m.MinServing()
+	if counts[wanted] >= best || enough {
 		return wanted
 	}
 	return most
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// MaxAttempts bounds the dispatches of one prompt, the first included.
+	// MaxAttempts bounds the dispatches of one prompt that reached an upstream, the
+	// first included.
 	MaxAttempts = 3
+	// MaxUnreached bounds the dispatches that reached none. They cost no upstream
+	// anything, and dead upstreams look idle, so that several are met in a row.
+	MaxUnreached = 8
 	// maxResumes bounds how often one run is picked up again.
 	maxResumes = 2
 	// retryAfter is what a caller is told when no upstream took the prompt.
@@ -65,9 +69,9 @@
 
 // Run is the state of one prompt's attempts. The zero value has made none.
 type Run struct {
-	// attempts counts dispatches, and resumes how often the present run was
-	// picked up.
-	attempts, resumes int
+	// attempts counts dispatches, unreached those of them that reached no upstream,
+	// and resumes how often the present run was picked up.
+	attempts, unreached, resumes int
 	// reached is true once any attempt may have run.
 	reached bool
 }
@@ -93,7 +97,7 @@
 	case Refused:
 		return r.again(outcome.ReasonRefused, budget)
 	case Unreached:
-		return r.again(outcome.ReasonUnreachable, budget)
+		return r.elsewhere()
 	case Broken:
 		r.reached = true
 		if streamed && r.resumes < maxResumes {
@@ -110,12 +114,22 @@
 
 // again dispatches anew within the bounds, or ends the request.
 func (r *Run) again(reason outcome.Reason, budget *Budget) Step {
-	if r.attempts < MaxAttempts && budget.Take() {
+	if r.attempts-r.unreached < MaxAttempts && budget.Take() {
 		return Dispatch{}
 	}
 	return Stop{r.GiveUp(reason)}
 }
 
+// elsewhere dispatches anew after an upstream was not reached. That is no retry in
+// the budget's sense: nothing was asked of anybody.
+func (r *Run) elsewhere() Step {
+	r.unreached++
+	if r.unreached < MaxUnreached {
+		return Dispatch{}
+	}
+	return Stop{r.GiveUp(outcome.ReasonUnreachable)}
+}
+
 // GiveUp is the outcome when no further attempt is made: NotRun only when no
 // attempt can have run.
 func (r *Run) GiveUp(reason outcome.Reason) outcome.Outcome {
--- a/internal/standin/engine/reports.go
+++ b/internal/standin/engine/reports.go
@@ -69,18 +69,27 @@
 		http.Error(w, "version: a weight version is needed", http.StatusBadRequest)
 		return
 	}
+	state, ok := e.Take(in)
+	if !ok {
+		http.Error(w, "an order with a higher token was seen", http.StatusConflict)
+		return
+	}
+	writeJSON(w, state)
+}
+
+// Take takes an order; ok is false when a higher token was seen.
+func (e *Engine) Take(in protocol.Order) (state protocol.OrderState, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.options.ChecksOrders && in.Token < e.token {
-		http.Error(w, "an order with a higher token was seen", http.StatusConflict)
-		return
+		return protocol.OrderState{}, false
 	}
 	e.token = max(e.token, in.Token)
 	if in.Version != e.version && in.Version != e.loading {
 		e.loading = in.Version
 		time.AfterFunc(e.options.LoadTime, func() { e.loaded(in.Version) })
 	}
-	writeJSON(w, protocol.OrderState{Token: e.token, Version: e.version, Loading: e.loading})
+	return protocol.OrderState{Token: e.token, Version: e.version, Loading: e.loading}, true
 }
 
 // loaded puts a loaded version in force, unless another load has replaced it.
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -116,7 +117,7 @@
 // while nothing of an answer was passed on, so two attempts may differ in it.
 func (e *Entry) setVersion(c caller, j *job) {
 	e.mu.Lock()
-	version := e.board.ServingVersion(j.model)
+	version := e.board.ServingVersion(j.model, j.tried, time.Now())
 	e.mu.Unlock()
 	if version == j.version {
 		return
@@ -299,8 +300,14 @@
 	if x.Header.Get(engine.HeaderLeaving) == "true" {
 		u.NoteLeaving(true)
 	}
-	if version := x.Header.Get(engine.HeaderVersion); version != "" {
-		u.Version = version
+	version := x.Header.Get(engine.HeaderVersion)
+	if version == "" {
+		return
+	}
+	u.Version = version
+	if version != j.version {
+		// It refused the version, not the prompt, which may come back with the right one.
+		j.tried = slices.DeleteFunc(j.tried, func(n int) bool { return n == j.plan.Upstream })
 	}
 }
 
--- /dev/null
+++ b/internal/transport/entry/stale_test.go
@@ -0,0 +1,56 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+)
+
+// TestDeadUpstreamsAreGoneRound declares more dead upstreams than a prompt has
+// attempts: they look idle, so all are met before the one that lives.
+func TestDeadUpstreamsAreGoneRound(t *testing.T) {
+	slow := engineOptions()
+	slow.PrefillRate = 1000
+	s := newSite(t, slow)
+	for i := range 5 {
+		l := listen(t)
+		l.Close()
+		s.docs["upstreams"] += fmt.Sprintf("  - {name: dead%d, address: %q, failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 1e6, link_bytes_per_second: 1e9}\n", i, l.Addr())
+	}
+	s.declare()
+	e := s.start()
+	a := e.send(t, "POST", "/v1/chat/completions", chat("which valve sticks", false, 1))
+	if a.status != http.StatusOK {
+		t.Fatalf("status %d: %s", a.status, a.body)
+	}
+}
+
+// TestVersionRefusalIsNoFailure swaps the weights of the preferred engine behind the
+// entry's back: the refusal tells what it serves, and the prompt still runs, there or
+// at the engine with the old weights.
+func TestVersionRefusalIsNoFailure(t *testing.T) {
+	slow := engineOptions()
+	slow.PrefillRate = 1000
+	s := newSite(t, engineOptions(), slow)
+	s.declare()
+	e := s.start()
+	eventually(t, "the versions are known", func() bool {
+		a := e.send(t, "POST", "/v1/chat/completions", chat("hello", false, 1))
+		return a.status == http.StatusOK && s.engines[0].Ran() > 0
+	})
+	s.docs["models"] = strings.Replace(s.docs["models"], "v1", "v2", 1)
+	s.engines[0].Take(engine.Order{Token: 1, Version: "v2"})
+	eventually(t, "the weights are swapped", func() bool { return s.engines[0].Version() == "v2" })
+	revision := e.Applied().Revision
+	s.apply("models", 2)
+	eventually(t, "the new version is declared", func() bool { return e.Applied().Revision > revision })
+	for range 5 {
+		a := e.send(t, "POST", "/v1/chat/completions", chat("which valve sticks", false, 1))
+		if a.status != http.StatusOK {
+			t.Fatalf("status %d: %s", a.status, a.body)
+		}
+	}
+}
