Process tests wait until stand-ins listen, on ports that nothing else is given

Cause: of the failures of TestRolloutWhileLeadersDie some were the test's own: it asked engines before they listened (connection refused in orders()). Its addresses also came from the range of outgoing connections, which another test process can be given between choice and use. Change: stand-ins are waited for; ports come from below that range, by process id. Nothing is judged more mildly: every assertion stands.

--- a/internal/system/domain_test.go
+++ b/internal/system/domain_test.go
@@ -88,7 +88,7 @@
 	upstreams := "upstreams:\n"
 	for i := range 4 {
 		address := freeAddress(t)
-		start(t, "standin", "upstream", "--address", address, "--token-interval", "1ms", "--load-lag", "10ms")
+		startStandin(t, "upstream", address, "--token-interval", "1ms", "--load-lag", "10ms")
 		upstreams += fmt.Sprintf("  - {name: w%d, address: %q, failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 8000, link_bytes_per_second: 1e9}\n", i, address)
 	}
 	f.apply("upstreams", 2, upstreams)
--- a/internal/system/once_test.go
+++ b/internal/system/once_test.go
@@ -39,8 +39,8 @@
 func newFleet(t *testing.T, control, entries int) *fleet {
 	t.Helper()
 	f := &fleet{group: newGroup(t, control), engine: freeAddress(t), service: freeAddress(t)}
-	f.engineProcess = start(t, "standin", "upstream", "--address", f.engine, "--token-interval", "1ms", "--load-lag", "10ms")
-	start(t, "standin", "service", "--address", f.service)
+	f.engineProcess = startStandin(t, "upstream", f.engine, "--token-interval", "1ms", "--load-lag", "10ms")
+	startStandin(t, "service", f.service)
 	secret := filepath.Join(t.TempDir(), "secret")
 	if err := os.WriteFile(secret, []byte("a secret of the system tests\n"), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -122,15 +122,46 @@
 	}
 }
 
+const (
+	// firstPort and portSpan stay below the ports that systems give to outgoing
+	// connections, so that none of those takes an address between its choice and its
+	// use. portsEach keeps test processes that run side by side apart.
+	firstPort = 12000
+	portSpan  = 18000
+	portsEach = 200
+)
+
+// nextPort counts the ports that this test process has tried.
+var nextPort = os.Getpid() * portsEach
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portsEach {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portSpan))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
+}
+
+// startStandin starts a stand-in and waits until it listens.
+func startStandin(t *testing.T, kind, address string, args ...string) *process {
+	t.Helper()
+	p := start(t, append([]string{"standin", kind, "--address", address}, args...)...)
+	eventually(t, "the stand-in listens", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	return p
 }
 
 // group is a control log of real processes.
--- a/internal/system/rollout_test.go
+++ b/internal/system/rollout_test.go
@@ -38,12 +38,12 @@
 	for i := range engines {
 		address := freeAddress(t)
 		addresses = append(addresses, address)
-		args := []string{"standin", "upstream", "--address", address, "--token-interval", "1ms", "--load-lag", "10ms", "--load-time", "300ms"}
+		args := []string{"--token-interval", "1ms", "--load-lag", "10ms", "--load-time", "300ms"}
 		checks := i > 0
 		if !checks {
 			args = append(args, "--no-order-check")
 		}
-		start(t, args...)
+		startStandin(t, "upstream", address, args...)
 		upstreams += fmt.Sprintf("  - {name: w%d, address: %q, failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 8000, link_bytes_per_second: 1e9, checks_orders: %v}\n", i, address, checks)
 	}
 	f.apply("upstreams", 2, upstreams)
