Entries of other failure domains are known through relays; regions bound where prompts run

Cause: every entry gossiped with every other, so that an entry's bytes grew with all entries: 6.2 KB/s among 144 (12 domains of 12), and 27 KB/s extrapolated to 390, where 4 are allowed. Ruled out as causes: the pulses' size (7 bytes), the number of targets (2). Change: within a failure domain as before; between domains relays pass one pulse a domain, and its list of members on demand. control.regions declares which domains share a directory, upstreams and stores; undeclared, all do.

--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -12,6 +12,9 @@
 // span is how long a slope's point is measured.
 const span = 8 * time.Second
 
+// settleTime is how long new entries have to find each other before a measurement.
+const settleTime = 15 * time.Second
+
 // point is what one entry used over a span.
 type point struct{ bytes, cores, megabytes float64 }
 
@@ -60,7 +63,7 @@
 			if len(entries) == 0 {
 				peers = seed
 			}
-			cmd, _, _ := l.entry(fmt.Sprintf("e%03d", len(entries)), peers, seed, control)
+			cmd, _, _ := l.entry(fmt.Sprintf("e%03d", len(entries)), "d1", peers, seed, control)
 			entries = append(entries, cmd)
 		}
 		time.Sleep(5 * time.Second)
@@ -97,3 +100,29 @@
 		t.add(fmt.Sprintf("an entry, among 24, 120 upstreams, %d teams", n), "4 KB/s, 1.6%, 64 MB", "%v", measure(entries[23], idle))
 	}
 }
+
+// benchDomains measures what entries of other failure domains cost one that does not
+// serve them.
+func benchDomains(l *lab, t *table) {
+	const each = 12
+	_, control, client := l.control(3)
+	apply(client, "models", 1, modelsBody("v1"))
+	seed := freeAddress()
+	var entries []*exec.Cmd
+	for domain := range 12 {
+		for i := range each {
+			peers := freeAddress()
+			if len(entries) == 0 {
+				peers = seed
+			}
+			cmd, _, _ := l.entry(fmt.Sprintf("e%02d-%02d", domain, i), fmt.Sprint("d", domain+1), peers, seed, control)
+			entries = append(entries, cmd)
+		}
+		if domain != 0 && domain != 3 && domain != 11 {
+			continue
+		}
+		time.Sleep(settleTime)
+		t.add(fmt.Sprintf("an entry that is no relay, %d domains of %d", domain+1, each), "4 KB/s, 1.6%, 64 MB", "%v", measure(entries[each-1], idle))
+		t.add(fmt.Sprintf("a relay, %d domains of %d", domain+1, each), "4 KB/s, 1.6%, 64 MB", "%v", measure(entries[0], idle))
+	}
+}
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -99,9 +99,9 @@
 }
 
 // entry starts an entry and returns where callers and operators reach it.
-func (l *lab) entry(name, peers, seeds string, control []string) (cmd *exec.Cmd, callers, operators string) {
+func (l *lab) entry(name, domain, peers, seeds string, control []string) (cmd *exec.Cmd, callers, operators string) {
 	callers, operators = freeAddress(), freeAddress()
-	args := []string{"entry", "--name", name, "--failure-domain", "d1", "--callers", callers, "--operators", operators,
+	args := []string{"entry", "--name", name, "--failure-domain", domain, "--callers", callers, "--operators", operators,
 		"--peers", peers, "--secret-file", l.secret(), "--control", strings.Join(control, ",")}
 	if seeds != "" {
 		args = append(args, "--seeds", seeds)
--- a/bench/main.go
+++ b/bench/main.go
@@ -64,8 +64,8 @@
 	parts := map[string]func(*lab, *table){"path": benchPath, "control": benchControl}
 	names := []string{"path", "control"}
 	if *capacity {
-		parts = map[string]func(*lab, *table){"capacity": benchCapacity}
-		names = []string{"capacity"}
+		parts = map[string]func(*lab, *table){"capacity": benchCapacity, "domains": benchDomains}
+		names = []string{"capacity", "domains"}
 	}
 	for _, name := range names {
 		if *only != "" && *only != name {
--- a/bench/path.go
+++ b/bench/path.go
@@ -106,7 +106,7 @@
 	slow := freeAddress()
 	l.start("standin", "upstream", "--address", slow, "--slots", fmt.Sprint(slots), "--prefill-rate", "1e7", "--token-interval", "1s")
 	_, control, client := l.control(1)
-	entry, callers, operators := l.entry("e1", freeAddress(), "", control)
+	entry, callers, operators := l.entry("e1", "d1", freeAddress(), "", control)
 	apply(client, "models", 1, modelsBody("v1"))
 	apply(client, "upstreams", 1, upstreamsBody(addresses, slots))
 	apply(client, "teams", 1, teamsBody)
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -129,6 +129,7 @@
 	e.Peers.Feed = f
 	e.Peers.Find = e.Find
 	e.Peers.Apply = e.Apply
+	e.Peers.Near = e.InRegion
 	follower := &feed.Follower{
 		Feed: f, Self: e.Applied, Enforce: e.Enforce, Client: rpc.NewClient(), Log: e.Log,
 		Source: feedSource(e.Peers, f, control),
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -24,7 +24,8 @@
 	deadAfter = 12 * time.Second
 	// newsAfter is how long a change of an entry is told in full.
 	newsAfter = 4 * time.Second
-	// seedEvery is how many beats lie between two messages to a seed.
+	// seedEvery is how many beats lie between two messages of a failure domain to a
+	// seed; its entries share them out.
 	seedEvery = 8
 	// forgetAfter is how long a dead entry is remembered, so that old gossip does
 	// not bring it back.
@@ -50,10 +51,16 @@
 
 // Gossip is what one entry tells another. It is a plain value.
 type Gossip struct {
-	// States tell of the sender, of entries that changed lately, and of one other.
+	// States tell of the sender, and within a failure domain of entries that changed
+	// lately and of one other.
 	States []EntryState
-	// Pulses tell of all that are not dead.
+	// Pulses tell of all in the failure domain that are not dead.
 	Pulses []Pulse
+	// DomainPulses tell of the failure domains, Domains of those that were asked for,
+	// and Asked asks for some.
+	DomainPulses []DomainPulse
+	Domains      []DomainState
+	Asked        []uint32
 }
 
 // id is the digest by which pulses name an entry's run.
@@ -76,49 +83,103 @@
 // not safe for concurrent use.
 type Entries struct {
 	self EntryState
-	// others never holds self, nor two runs of one entry.
+	// others holds entries of self's failure domain; never self, nor two runs of one
+	// entry.
 	others map[string]*known
+	// domains is what is known of each failure domain, self's included, by its digest.
+	domains map[uint32]*domain
+	// found holds addresses in the failure domain that another domain named; they are
+	// told at the next beat.
+	found  []string
 	random *rand.Rand
 }
 
 // NewEntries returns an entry's view that holds only itself.
 func NewEntries(self EntryState, seed uint64) *Entries {
-	return &Entries{self: self, others: map[string]*known{}, random: rand.New(rand.NewPCG(seed, 0xe9717))}
+	e := &Entries{self: self, others: map[string]*known{}, domains: map[uint32]*domain{}, random: rand.New(rand.NewPCG(seed, 0xe9717))}
+	e.domains[domainID(self.FailureDomain)] = &domain{name: self.FailureDomain}
+	return e
 }
 
 // Leave marks this entry as leaving; the next gossip tells.
 func (e *Entries) Leave() { e.self.Leaving = true }
 
-// Beat counts one interval and returns whom to tell now: some known entries, drawn
-// at random, or the given seeds while none is known.
-func (e *Entries) Beat(seeds []string, now time.Time) (addresses []string) {
+// Targets says whom to tell now. It is a plain value.
+type Targets struct {
+	// Near are addresses in this failure domain; Far are those of other domains and of
+	// entries of which nothing is known.
+	Near, Far []string
+}
+
+// Beat counts one interval and returns whom to tell now: some entries of the failure
+// domain, drawn at random; relays of other domains, if this entry relays; or the given
+// seeds while nobody is known.
+func (e *Entries) Beat(seeds []string, now time.Time) Targets {
 	e.self.Beat++
 	for name, k := range e.others {
 		if now.Sub(k.heard) > forgetAfter {
 			delete(e.others, name)
 		}
 	}
+	e.beatDomains(now)
 	var live []string
 	for _, k := range e.others {
 		if now.Sub(k.heard) <= deadAfter {
 			live = append(live, k.state.Address)
 		}
 	}
-	slices.Sort(live)
-	e.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	if len(live) > gossipTargets && !e.self.Leaving {
-		live = live[:gossipTargets]
+	t := Targets{Near: e.draw(live, e.self.Leaving)}
+	if e.relays(now) {
+		t.Far = e.draw(e.otherRelays(now), false)
 	}
+	t.Far = append(t.Far, e.found...)
+	e.found = nil
 	// Now and then a seed is told too, so that two halves that were cut off from each
 	// other for long find together again.
-	if len(seeds) > 0 && (len(live) == 0 || e.self.Beat%seedEvery == 0) {
-		live = append(live, seeds[e.random.IntN(len(seeds))])
+	turn := uint64(seedEvery * max(len(live), 1))
+	if len(seeds) > 0 && (len(t.Near)+len(t.Far) == 0 || e.self.Beat%turn == 0) {
+		t.Far = append(t.Far, seeds[e.random.IntN(len(seeds))])
+	}
+	return t
+}
+
+// draw returns some of the addresses at random, or all.
+func (e *Entries) draw(addresses []string, all bool) []string {
+	slices.Sort(addresses)
+	e.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if len(addresses) > gossipTargets && !all {
+		return addresses[:gossipTargets]
 	}
-	return live
+	return addresses
 }
 
-// Tell returns what is to be told now. Everything is told to an entry that may be new.
-func (e *Entries) Tell(everything bool, now time.Time) Gossip {
+// TellNear returns what entries of this failure domain are told now.
+func (e *Entries) TellNear(now time.Time) Gossip {
+	g := e.tellEntries(false, now)
+	if e.self.Beat%domainEvery == 0 || e.relays(now) {
+		g.DomainPulses = e.domainPulses(false, now)
+	}
+	return g
+}
+
+// TellFar returns what entries of other failure domains are told now.
+func (e *Entries) TellFar(now time.Time) Gossip {
+	return Gossip{States: []EntryState{e.self}, DomainPulses: e.domainPulses(false, now)}
+}
+
+// tellStranger returns everything that is of use to an entry that may be new.
+func (e *Entries) tellStranger(domain string, now time.Time) Gossip {
+	g := Gossip{States: []EntryState{e.self}}
+	if domain == e.self.FailureDomain {
+		g = e.tellEntries(true, now)
+	}
+	g.DomainPulses = e.domainPulses(true, now)
+	return g
+}
+
+// tellEntries tells of the entries of this failure domain: in full of this one, of those
+// that changed lately and of one other, or of all.
+func (e *Entries) tellEntries(all bool, now time.Time) Gossip {
 	g := Gossip{States: []EntryState{e.self}}
 	other := 0
 	if len(e.others) > 0 {
@@ -127,7 +188,7 @@
 	for _, name := range slices.Sorted(maps.Keys(e.others)) {
 		k := e.others[name]
 		if now.Sub(k.heard) <= deadAfter {
-			if everything || now.Sub(k.changed) < newsAfter || other == 0 {
+			if all || now.Sub(k.changed) < newsAfter || other == 0 {
 				g.States = append(g.States, k.state)
 			} else {
 				g.Pulses = append(g.Pulses, Pulse{k.id, k.state.Beat})
@@ -138,13 +199,23 @@
 	return g
 }
 
-// Hear takes what another entry told; it reports whether the sender, which is the
-// first of the states, was not known.
-func (e *Entries) Hear(g Gossip, now time.Time) (stranger bool) {
-	if len(g.States) > 0 {
-		_, known := e.others[g.States[0].Name]
-		stranger = !known
+// Heard is what follows from what another entry told. It is a plain value.
+type Heard struct {
+	// Answer is for the sender; it has no states when there is nothing to say.
+	Answer Gossip
+	// Ask lists the failure domains of which the sender knows more.
+	Ask []uint32
+}
+
+// Hear takes what another entry told; the sender is the first of the states. One that
+// asks for failure domains is told of those; one that is new here is told everything;
+// the others hear of the rest when it is their turn.
+func (e *Entries) Hear(g Gossip, now time.Time) Heard {
+	if len(g.States) == 0 {
+		return Heard{}
 	}
+	sender := g.States[0]
+	stranger := !e.knows(sender)
 	for _, s := range g.States {
 		e.hearState(s, now)
 	}
@@ -158,10 +229,35 @@
 			k.heard = now
 		}
 	}
-	return stranger
+	for _, d := range g.Domains {
+		e.hearDomain(d, now)
+	}
+	out := Heard{Ask: e.hearDomainPulses(sender.FailureDomain, g.DomainPulses, now)}
+	switch {
+	case len(g.Asked) > 0:
+		out.Answer = e.tellDomains(g.Asked, now)
+	case stranger:
+		out.Answer = e.tellStranger(sender.FailureDomain, now)
+	}
+	return out
+}
+
+// knows reports whether an entry is known: in this failure domain by itself, in others
+// as one of those that its domain's relay listed.
+func (e *Entries) knows(s EntryState) bool {
+	if s.FailureDomain == e.self.FailureDomain {
+		_, ok := e.others[s.Name]
+		return ok
+	}
+	d, ok := e.domains[domainID(s.FailureDomain)]
+	return ok && slices.Contains(d.members, Contact{s.Name, s.Address})
 }
 
 func (e *Entries) hearState(s EntryState, now time.Time) {
+	if s.FailureDomain != e.self.FailureDomain {
+		e.meet(s, now)
+		return
+	}
 	if s.Name == e.self.Name {
 		return
 	}
@@ -178,8 +274,8 @@
 	}
 }
 
-// Live returns the entries that are neither leaving nor suspected, this one
-// included unless it leaves, by name.
+// Live returns the entries of this failure domain that are neither leaving nor
+// suspected, this one included unless it leaves, by name.
 func (e *Entries) Live(now time.Time) []EntryState {
 	var out []EntryState
 	if !e.self.Leaving {
@@ -195,30 +291,32 @@
 }
 
 // Relay returns the live entry that follows the control log for its failure
-// domain: the first by name. While opinions differ there may be two, which costs
-// one more poll and nothing else.
+// domain, and speaks for it to the others: the first by name. While opinions differ
+// there may be two, which costs one more poll and nothing else.
 func (e *Entries) Relay(now time.Time) EntryState {
-	for _, s := range e.Live(now) {
-		if s.FailureDomain == e.self.FailureDomain {
-			return s
-		}
+	live := e.Live(now)
+	if len(live) == 0 {
+		return e.self
 	}
-	return e.self
+	return live[0]
 }
 
-// Owner returns the live entry that owns a key, by rendezvous hashing: when an
-// entry comes or goes, only its own part changes hands.
-func (e *Entries) Owner(key []byte, now time.Time) EntryState {
-	owner := e.self
+func (e *Entries) relays(now time.Time) bool { return e.Relay(now).Name == e.self.Name }
+
+// Owner returns the live entry that owns a key, by rendezvous hashing over the failure
+// domains that near accepts: when an entry comes or goes, only its own part changes
+// hands.
+func (e *Entries) Owner(key []byte, near func(domain string) bool, now time.Time) Contact {
+	owner := Contact{Name: e.self.Name, Address: e.self.Address}
 	var best uint64
-	for _, s := range e.Live(now) {
+	for _, c := range e.Contacts(near, now) {
 		var h xxhash.Digest
 		h.Reset()
 		_, _ = h.Write(key)
-		_, _ = h.WriteString(s.Name)
+		_, _ = h.WriteString(c.Name)
 		if weight := h.Sum64(); weight >= best {
 			best = weight
-			owner = s
+			owner = c
 		}
 	}
 	return owner
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -72,11 +72,12 @@
 	}
 }
 
-// Declare makes the board agree with the declared state.
+// Declare makes the board agree with the declared state. Only upstreams and stores of
+// the entry's own region are used.
 func (b *Board) Declare(s *declared.State) {
 	b.weights = routing.Weights{FirstToken: s.Control().FirstTokenWeight(), Recompute: s.Control().RecomputeWeight()}
 	present := map[string]bool{}
-	for _, u := range s.Upstreams() {
+	for _, u := range s.UpstreamsNear(b.domain) {
 		present[u.Name()] = true
 		b.declareUpstream(u)
 	}
@@ -86,7 +87,7 @@
 			b.upstreams[i].Model = ""
 		}
 	}
-	b.declareStores(s.Stores())
+	b.declareStores(s)
 }
 
 func (b *Board) declareUpstream(u declared.Upstream) {
@@ -113,11 +114,14 @@
 	known.NoteLeaving(u.Leaving())
 }
 
-func (b *Board) declareStores(stores []declared.Store) {
+func (b *Board) declareStores(state *declared.State) {
 	for i := range b.stores {
 		b.stores[i].declared = false
 	}
-	for _, s := range stores {
+	for _, s := range state.Stores() {
+		if !state.SameRegion(s.FailureDomain(), b.domain) {
+			continue
+		}
 		n := b.storeNumber(s.Address())
 		known := &b.stores[n]
 		known.name = s.Name()
--- a/internal/protocol/wire/peers.go
+++ b/internal/protocol/wire/peers.go
@@ -38,10 +38,25 @@
 		out.Ids = append(out.Ids, p.ID)
 		out.Beats = append(out.Beats, p.Beat)
 	}
+	for _, p := range g.DomainPulses {
+		out.DomainIds = append(out.DomainIds, p.ID)
+		out.DomainBeats = append(out.DomainBeats, p.Beat)
+		out.DomainDigests = append(out.DomainDigests, p.Digest)
+	}
+	for _, d := range g.Domains {
+		m := &DomainState{Name: d.Name, Beat: d.Beat}
+		for _, c := range d.Members {
+			m.Names = append(m.Names, c.Name)
+			m.Addresses = append(m.Addresses, c.Address)
+		}
+		out.Domains = append(out.Domains, m)
+	}
+	out.Asked = g.Asked
 	return out
 }
 
-// ToGossip is the inverse of FromGossip; pulses without a beat are left out.
+// ToGossip is the inverse of FromGossip; what lacks its counterpart, such as a pulse
+// without a beat, is left out.
 func ToGossip(m *GossipMessage) membership.Gossip {
 	var out membership.Gossip
 	for _, s := range m.GetEntries() {
@@ -54,6 +69,21 @@
 			out.Pulses = append(out.Pulses, membership.Pulse{ID: id, Beat: m.Beats[i]})
 		}
 	}
+	for i, id := range m.GetDomainIds() {
+		if i < len(m.DomainBeats) && i < len(m.DomainDigests) {
+			out.DomainPulses = append(out.DomainPulses, membership.DomainPulse{ID: id, Beat: m.DomainBeats[i], Digest: m.DomainDigests[i]})
+		}
+	}
+	for _, d := range m.GetDomains() {
+		state := membership.DomainState{Name: d.Name, Beat: d.Beat}
+		for i, name := range d.Names {
+			if i < len(d.Addresses) {
+				state.Members = append(state.Members, membership.Contact{Name: name, Address: d.Addresses[i]})
+			}
+		}
+		out.Domains = append(out.Domains, state)
+	}
+	out.Asked = m.GetAsked()
 	return out
 }
 
--- a/internal/state/declared/declared_test.go
+++ b/internal/state/declared/declared_test.go
@@ -37,6 +37,8 @@
 		{"another kind's part", "document: teams\nversion: 1\nteams: []\nstores: []\n", `f.yaml:4: stores: does not belong in a document of kind "teams"`},
 		{"twice", "document: teams\nversion: 1\nversion: 2\n", `f.yaml:3: version: mapping key "version" already defined at [2:1]`},
 		{"two documents", "document: teams\n---\nversion: 1\n", "f.yaml:1: document: the file must hold exactly one YAML document"},
+		{"a domain in two regions", "document: control\nversion: 1\ncontrol:\n  replicas: [{id: 1, address: \"127.0.0.1:1\", failure_domain: d}]\n  regions:\n    - {name: north, failure_domains: [d]}\n    - {name: south, failure_domains: [d]}\n",
+			`f.yaml:7: control.regions[1].failure_domains[0]: "d" already belongs to region "north"`},
 		{"majority in one domain", "document: control\nversion: 1\ncontrol:\n  replicas:\n    - {id: 1, address: \"127.0.0.1:1\", failure_domain: d}\n    - {id: 2, address: \"127.0.0.1:2\", failure_domain: d}\n    - {id: 3, address: \"127.0.0.1:3\", failure_domain: e}\n",
 			`f.yaml:6: control.replicas[1].failure_domain: "d" would hold a majority of the replicas`},
 		{"address", "document: stores\nversion: 1\nstores:\n  - {name: s, address: host, failure_domain: d, memory_bytes: 1, link_bytes_per_second: 1}\n",
--- a/internal/state/declared/fields.go
+++ b/internal/state/declared/fields.go
@@ -50,11 +50,17 @@
 
 type controlFields struct {
 	Replicas        []replicaFields `yaml:"replicas"`
+	Regions         []regionFields  `yaml:"regions"`
 	RecomputeWeight float64         `yaml:"recompute_weight"`
 	FirstTokenWt    float64         `yaml:"first_token_weight"`
 	Retention       time.Duration   `yaml:"record_retention"`
 }
 
+type regionFields struct {
+	Name           string   `yaml:"name"`
+	FailureDomains []string `yaml:"failure_domains"`
+}
+
 type replicaFields struct {
 	ID            uint64 `yaml:"id"`
 	Address       string `yaml:"address"`
@@ -225,6 +231,18 @@
 	return out
 }
 
+// Region returns the region of a failure domain: entries share a directory of kept
+// context, upstreams and stores within it. Domains that are declared in none share one,
+// whose name is empty.
+func (c Control) Region(failureDomain string) string {
+	for _, r := range c.f.Regions {
+		if contains(r.FailureDomains, failureDomain) {
+			return r.Name
+		}
+	}
+	return ""
+}
+
 // RecomputeWeight returns what one recomputed token costs in the routing score,
 // in seconds.
 func (c Control) RecomputeWeight() float64 { return c.f.RecomputeWeight }
--- a/internal/state/declared/state.go
+++ b/internal/state/declared/state.go
@@ -263,6 +263,24 @@
 // Stores returns every declared store, in the order of the document.
 func (s *State) Stores() []Store { return s.index.stores }
 
+// UpstreamsNear returns the declared upstreams in the region of a failure domain, in
+// the order of the document.
+func (s *State) UpstreamsNear(failureDomain string) []Upstream {
+	var out []Upstream
+	for _, u := range s.index.upstreams {
+		if s.SameRegion(u.FailureDomain(), failureDomain) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// SameRegion reports whether two failure domains belong to one region.
+func (s *State) SameRegion(a, b string) bool {
+	c := s.Control()
+	return a == b || c.Region(a) == c.Region(b)
+}
+
 // Teams returns the number of declared teams.
 func (s *State) Teams() int { return len(s.index.teams) }
 
--- a/internal/state/declared/validate.go
+++ b/internal/state/declared/validate.go
@@ -231,7 +231,30 @@
 			c.add(field+".failure_domain", "%q would hold a majority of the replicas", r.FailureDomain)
 		}
 	}
+	c.regions(f.Regions)
 	c.notNegative("control.recompute_weight", f.RecomputeWeight)
 	c.notNegative("control.first_token_weight", f.FirstTokenWt)
 	c.notNegative("control.record_retention", float64(f.Retention))
 }
+
+func (c *checker) regions(regions []regionFields) {
+	seen := map[string]bool{}
+	owner := map[string]string{}
+	for i, r := range regions {
+		field := fmt.Sprintf("control.regions[%d]", i)
+		c.name(field, r.Name, seen)
+		if len(r.FailureDomains) == 0 {
+			c.add(field+".failure_domains", "at least one failure domain is needed")
+		}
+		for j, domain := range r.FailureDomains {
+			at := fmt.Sprintf("%s.failure_domains[%d]", field, j)
+			if !namePattern.MatchString(domain) {
+				c.add(at, "%q is not a name: use 1 to 63 of a-z 0-9 . _ -", domain)
+			}
+			if other, ok := owner[domain]; ok {
+				c.add(at, "%q already belongs to region %q", domain, other)
+			}
+			owner[domain] = r.Name
+		}
+	}
+}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -182,7 +182,7 @@
 func (e *Entry) stop(callers *http.Server) {
 	e.unready.Store(true)
 	if e.Peers != nil {
-		e.Peers.Leave(e.work)
+		e.Peers.Leave()
 	}
 	e.Log.Info().Str("event", "stopping").Int("in_flight", e.running()).Msg("")
 	time.Sleep(e.Notice)
@@ -277,6 +277,12 @@
 	}
 }
 
+// InRegion reports whether a failure domain is in this entry's region. It may be called
+// after Init.
+func (e *Entry) InRegion(failureDomain string) bool {
+	return e.state.Load().SameRegion(failureDomain, e.FailureDomain)
+}
+
 // Applied says what this entry has in force, for the acknowledgement tree. It may
 // be called after Init.
 func (e *Entry) Applied() *wire.Applied {
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -38,7 +38,7 @@
 // poll keeps one goroutine for each declared upstream; mu must be held.
 func (e *Entry) poll(ctx context.Context, state *declared.State) {
 	present := map[string]bool{}
-	for _, u := range state.Upstreams() {
+	for _, u := range state.UpstreamsNear(e.FailureDomain) {
 		key := u.Name() + " " + u.Address()
 		present[key] = true
 		if _, ok := e.polls[key]; ok {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -49,6 +49,9 @@
 	// Find and Apply ask and change this entry's part of the directory.
 	Find  func([]prefix.Key) *placement.Hints
 	Apply func([]placement.Note)
+	// Near says whether a failure domain is in this entry's region, whose entries share
+	// one directory; when nil, all are.
+	Near func(domain string) bool
 	// Log receives one line for each event.
 	Log *log.Logger
 	// Interval has a default when zero.
@@ -69,6 +72,9 @@
 		if p.Interval == 0 {
 			p.Interval = membership.GossipInterval
 		}
+		if p.Near == nil {
+			p.Near = func(string) bool { return true }
+		}
 		p.client = rpc.NewClient()
 		p.notes = map[string][]placement.Note{}
 		self := membership.EntryState{
@@ -98,7 +104,7 @@
 	ticker := time.NewTicker(p.Interval)
 	defer ticker.Stop()
 	for {
-		p.tell(ctx)
+		p.tell()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -108,56 +114,72 @@
 }
 
 // tell exchanges what is known with the entries whose turn it is.
-func (p *Peers) tell(ctx context.Context) {
+func (p *Peers) tell() {
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.entries.Beat(p.Seeds, now)
-	message := wire.FromGossip(p.entries.Tell(false, now))
-	live := len(p.entries.Live(now))
+	near := wire.FromGossip(p.entries.TellNear(now))
+	far := wire.FromGossip(p.entries.TellFar(now))
+	live := len(p.entries.Contacts(p.Near, now))
 	changed := live != p.live
 	p.live = live
 	p.mu.Unlock()
 	if changed {
 		p.Log.Info().Str("event", "entries").Int("live", live).Msg("")
 	}
-	for _, address := range targets {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
-			defer cancel()
-			answer, err := p.peer(address).Gossip(ctx, message)
-			if err == nil {
-				p.hear(answer)
-			}
-		}()
+	for _, address := range targets.Near {
+		p.send(address, near)
+	}
+	for _, address := range targets.Far {
+		p.send(address, far)
 	}
 }
 
+// send sends a message in the background and takes the answer.
+func (p *Peers) send(address string, message *wire.GossipMessage) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+		defer cancel()
+		answer, err := p.peer(address).Gossip(ctx, message)
+		if err == nil {
+			p.hear(answer)
+		}
+	}()
+}
+
 func (p *Peers) peer(address string) wire.Peers {
 	return wire.NewPeersProtobufClient("http://"+address, p.client)
 }
 
-// hear takes what another entry told; it reports whether that one is new here.
-func (p *Peers) hear(m *wire.GossipMessage) (stranger bool) {
+// hear takes what another entry told, asks it for what it knows more of, and returns
+// the answer for it.
+func (p *Peers) hear(m *wire.GossipMessage) (answer membership.Gossip) {
+	g := wire.ToGossip(m)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.entries.Hear(wire.ToGossip(m), time.Now())
+	heard := p.entries.Hear(g, time.Now())
+	question := p.entries.Ask(heard.Ask)
+	p.mu.Unlock()
+	if len(heard.Ask) > 0 {
+		p.send(g.States[0].Address, wire.FromGossip(question))
+	}
+	return heard.Answer
 }
 
 // Leave tells the others at once that this entry takes no more work.
-func (p *Peers) Leave(ctx context.Context) {
+func (p *Peers) Leave() {
 	p.init()
 	p.mu.Lock()
 	p.entries.Leave()
 	p.mu.Unlock()
-	p.tell(ctx)
+	p.tell()
 }
 
-// Live returns how many entries share the upstreams, this one included.
+// Live returns how many entries share the region's upstreams, this one included.
 func (p *Peers) Live() int {
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(len(p.entries.Live(time.Now())), 1)
+	return max(len(p.entries.Contacts(p.Near, time.Now())), 1)
 }
 
 // Others returns the addresses of the other live entries of this failure domain.
@@ -167,7 +189,7 @@
 	defer p.mu.Unlock()
 	var out []string
 	for _, s := range p.entries.Live(time.Now()) {
-		if s.Name != p.Name && s.FailureDomain == p.FailureDomain {
+		if s.Name != p.Name {
 			out = append(out, s.Address)
 		}
 	}
@@ -190,7 +212,7 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	owner := p.entries.Owner(route[:], time.Now())
+	owner := p.entries.Owner(route[:], p.Near, time.Now())
 	return owner.Address, owner.Name != p.Name
 }
 
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -167,7 +167,7 @@
 		_, farOther := far.Relay()
 		return other && address == seed && !own && !farOther && far.Live() == 3
 	})
-	first.Leave(context.Background())
+	first.Leave()
 	eventually(t, "the next one relays", func() bool {
 		_, other := second.Relay()
 		return !other
--- a/internal/transport/peers/service.go
+++ b/internal/transport/peers/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -13,15 +12,9 @@
 // service answers other entries.
 type service struct{ p *Peers }
 
-// Gossip takes what another entry knows. One that is new here is told everything; the
-// others hear of the rest when it is their turn.
+// Gossip takes what another entry knows, and answers with what it should know.
 func (s service) Gossip(_ context.Context, in *wire.GossipMessage) (*wire.GossipMessage, error) {
-	if !s.p.hear(in) {
-		return &wire.GossipMessage{}, nil
-	}
-	s.p.mu.Lock()
-	defer s.p.mu.Unlock()
-	return wire.FromGossip(s.p.entries.Tell(true, time.Now())), nil
+	return wire.FromGossip(s.p.hear(in)), nil
 }
 
 // Find answers from this entry's part of the directory.
