A seeded mix of faults over five replicas and three entries, with real cuts between processes

Matter: cuts were stood in for by stopped processes, five replicas never ran as processes, and faults came one at a time. Change: links forward connections between the processes of a test, tell who opened one by the socket it holds, and cut one way or both in silence: bytes wait and arrive late after the heal. The mix draws kills, freezes, cuts both ways and one way, entries cut off from some replicas, two at once, from a seed, while callers order under keys at changing entries and an operator changes the declared state; in the end no order ran twice, none that was answered 'ran' is lost, none that was only ever refused as 'not run' ran, every revision is in force everywhere and none ever fell. The replica now advertises its address of the founding list, not where it listens, so that it may be reached through a forwarded port.

--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -43,13 +43,24 @@
 	return runControl(p.ctx, p.log, c.ID, peers, listener, c.Data)
 }
 
+// advertised is where others reach the replica: as the founding list says, which may lead
+// there through a forwarded port, or else where it listens.
+func advertised(id uint64, peers []control.Peer, listener net.Listener) string {
+	for _, p := range peers {
+		if p.ID == id {
+			return p.Address
+		}
+	}
+	return listener.Addr().String()
+}
+
 func runControl(ctx context.Context, logger *log.Logger, id uint64, peers []control.Peer, listener net.Listener, data string) error {
 	folder, restart, ledger, err := control.Open(data)
 	if err != nil {
 		return failure{exitFailed, errors.Wrapf(err, "open %s", data)}
 	}
 	r := &control.Replica{
-		ID: id, Address: listener.Addr().String(), Peers: peers, Folder: folder,
+		ID: id, Address: advertised(id, peers, listener), Peers: peers, Folder: folder,
 		Restart: restart, Ledger: ledger, Listener: listener, Log: logger,
 	}
 	logger.Info().Str("event", "control_serves").Uint64("id", id).Str("address", r.Address).Str("incarnation", folder.Incarnation()).Bool("blank", folder.Fresh()).Int64("cut_bytes", folder.Cut()).Msg("")
--- a/internal/coordination/membership/entries_test.go
+++ b/internal/coordination/membership/entries_test.go
@@ -153,7 +153,9 @@
 	c := newCrowd(t, 4, 2)
 	c.run(30)
 	for _, length := range []int{60, 600} {
-		c.cut = func(from, to membership.EntryState) bool { return (from.FailureDomain == "d3") != (to.FailureDomain == "d3") }
+		c.cut = func(from, to membership.EntryState) bool {
+			return (from.FailureDomain == "d3") != (to.FailureDomain == "d3")
+		}
 		c.run(length)
 		if n := len(c.entries[c.states["e03-00"].Address].Contacts(everywhere, c.now)); n != 2 {
 			t.Fatalf("inside the cut %d are counted", n)
--- a/internal/system/once_test.go
+++ b/internal/system/once_test.go
@@ -34,11 +34,19 @@
 	callers         []string
 	operators       []string
 	peers           []string
+	// callPatience is how long callers wait for an answer.
+	callPatience time.Duration
 }
 
 func newFleet(t *testing.T, control, entries int) *fleet {
 	t.Helper()
-	f := &fleet{group: newGroup(t, control), engine: freeAddress(t), service: freeAddress(t)}
+	return startFleet(t, newGroup(t, control), entries)
+}
+
+// startFleet starts entries, an engine and a service for a control log.
+func startFleet(t *testing.T, g *group, entries int) *fleet {
+	t.Helper()
+	f := &fleet{group: g, engine: freeAddress(t), service: freeAddress(t), callPatience: patience}
 	f.engineProcess = startStandin(t, "upstream", f.engine, "--token-interval", "1ms", "--load-lag", "10ms")
 	startStandin(t, "service", f.service)
 	secret := filepath.Join(t.TempDir(), "secret")
@@ -54,6 +62,7 @@
 		args := []string{"entry", "--name", fmt.Sprint("e", i+1), "--failure-domain", "d1", "--callers", f.callers[i],
 			"--operators", f.operators[i], "--secret-file", secret, "--peers", f.peers[i], "--seeds", strings.Join(f.peers, ","), "--control", strings.Join(f.addresses, ",")}
 		f.entries = append(f.entries, start(t, args...))
+		g.links.attach(entryName(i), f.entries[i])
 	}
 	f.apply("models", 1, models("v1"))
 	f.apply("services", 1, "services:\n  - {name: orders, instances: ["+quote(f.service)+"], not_repeatable: [\"POST *\"]}\n")
@@ -65,6 +74,8 @@
 	return f
 }
 
+func entryName(i int) string { return fmt.Sprint("entry ", i+1) }
+
 func (f *fleet) ready(i int) {
 	f.t.Helper()
 	eventually(f.t, "the declared state is in force", func() bool {
@@ -75,7 +86,7 @@
 
 // call sends a request to an entry; the outcome is empty when there was no answer.
 func (f *fleet) call(i int, method, path, key, body string) (outcome string, status int, text string) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), f.callPatience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.callers[i]+path, strings.NewReader(body))
 	if err != nil {
--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -49,8 +50,10 @@
 	args []string
 	env  []string
 	cmd  *exec.Cmd
-	mu   sync.Mutex
-	log  bytes.Buffer
+	// pid is 0 while the process does not run.
+	pid atomic.Int64
+	mu  sync.Mutex
+	log bytes.Buffer
 }
 
 // Write gathers the process's log.
@@ -90,6 +93,7 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 }
 
 func (p *process) signal(s syscall.Signal) {
@@ -105,6 +109,7 @@
 	}
 	p.signal(syscall.SIGKILL)
 	_ = p.cmd.Wait()
+	p.pid.Store(0)
 	p.cmd = nil
 }
 
@@ -166,29 +171,46 @@
 
 // group is a control log of real processes.
 type group struct {
-	t         *testing.T
-	addresses []string
-	folders   []string
-	replicas  []*process
-	client    *controlclient.Client
+	t *testing.T
+	// addresses are where others reach the replicas; with links they lead to listening.
+	addresses, listening []string
+	folders              []string
+	replicas             []*process
+	client               *controlclient.Client
+	links                *links
 }
 
 func newGroup(t *testing.T, n int) *group {
 	t.Helper()
-	g := &group{t: t}
-	for range n {
-		g.addresses = append(g.addresses, freeAddress(t))
+	return startGroup(t, n, nil)
+}
+
+// startGroup starts replicas that reach each other over links, or directly.
+func startGroup(t *testing.T, n int, l *links) *group {
+	t.Helper()
+	g := &group{t: t, links: l}
+	for i := range n {
+		address := freeAddress(t)
+		g.listening = append(g.listening, address)
+		if l != nil {
+			address = l.forward(replicaName(i), address)
+		}
+		g.addresses = append(g.addresses, address)
 		g.folders = append(g.folders, filepath.Join(t.TempDir(), "data"))
 	}
 	for i := range n {
-		g.replicas = append(g.replicas, start(t, g.args(i)...))
+		p := start(t, g.args(i)...)
+		g.replicas = append(g.replicas, p)
+		l.attach(replicaName(i), p)
 	}
 	g.client = controlclient.New(controlclient.Fixed(g.addresses))
 	return g
 }
 
+func replicaName(i int) string { return fmt.Sprint("replica ", i+1) }
+
 func (g *group) args(i int) []string {
-	args := []string{"control", "--id", fmt.Sprint(i + 1), "--address", g.addresses[i], "--data", g.folders[i]}
+	args := []string{"control", "--id", fmt.Sprint(i + 1), "--address", g.listening[i], "--data", g.folders[i]}
 	for j, address := range g.addresses {
 		args = append(args, "--peers", fmt.Sprintf("%d=%s", j+1, address))
 	}
