Test processes that run side by side hold their range of ports

Two test processes drew their ports from one range, because the range was chosen by process id modulo 90. Change: a test process takes the first range whose first port it can hold.

--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -128,23 +128,36 @@
 }
 
 const (
-	// firstPort and portSpan stay below the ports that systems give to outgoing
+	// firstPort and the windows stay below the ports that systems give to outgoing
 	// connections, so that none of those takes an address between its choice and its
-	// use. portsEach keeps test processes that run side by side apart.
-	firstPort = 12000
-	portSpan  = 18000
-	portsEach = 200
+	// use, or while a process is restarted.
+	firstPort   = 12000
+	portWindows = 90
+	windowPorts = 200
 )
 
-// nextPort counts the ports that this test process has tried.
-var nextPort = os.Getpid() * portsEach
+// window is this test process's own range of ports: nobody else can listen on its first
+// port, which is held until the process ends.
+var window = sync.OnceValue(func() int {
+	for n := range portWindows {
+		first := firstPort + (os.Getpid()+n)%portWindows*windowPorts
+		_, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			return first
+		}
+	}
+	panic("every window of ports is taken")
+})
+
+// nextPort counts the ports that were tried.
+var nextPort int
 
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portsEach {
+	for range windowPorts {
 		nextPort++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portSpan))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", window()+1+nextPort%(windowPorts-1)))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String()
