A directory that was lost is learned again from the stores, and nothing holds space for ever

Cause: an entry's part of the directory went with its process, so each restart forgot a shard, and the objects stayed in the store with nobody left to free them. So did objects whose context gave way in a full directory, and those of writers that died while writing. Ruled out: hand-over at a planned stop (does nothing for kills), a second owner. Ownership is worked out when entries come and go, no longer for each prompt. Seen failing without the guard: freeing of contexts that give way, freeing of unsealed objects, relearning at all. The rule that an older listed generation is freed passed its mutant: no test causes it yet. Conclusion: a restart costs a list of one shard.

--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -192,7 +192,7 @@
 func (e *Entries) Ask(ids []uint32) Gossip { return Gossip{States: []EntryState{e.self}, Asked: ids} }
 
 // Contacts returns the live entries of the failure domains that near accepts, this
-// entry's own domain always among them.
+// entry's own domain always among them, by name.
 func (e *Entries) Contacts(near func(domain string) bool, now time.Time) []Contact {
 	own := e.own(now)
 	out := slices.Clone(own.members)
@@ -201,5 +201,6 @@
 			out = append(out, d.members...)
 		}
 	}
+	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -303,16 +303,24 @@
 
 func (e *Entries) relays(now time.Time) bool { return e.Relay(now).Name == e.self.Name }
 
-// Owner returns the live entry that owns a key, by rendezvous hashing over the failure
-// domains that near accepts: when an entry comes or goes, only its own part changes
-// hands.
-func (e *Entries) Owner(key []byte, near func(domain string) bool, now time.Time) Contact {
+// Owners returns who owns each of a number of parts of the directory, by rendezvous
+// hashing over contacts: when an entry comes or goes, only its own parts change hands.
+// Without any contact this entry owns all.
+func (e *Entries) Owners(parts int, contacts []Contact) []Contact {
+	owners := make([]Contact, parts)
+	for part := range owners {
+		owners[part] = e.ownerOf(uint16(part), contacts)
+	}
+	return owners
+}
+
+func (e *Entries) ownerOf(part uint16, contacts []Contact) Contact {
 	owner := Contact{Name: e.self.Name, Address: e.self.Address}
 	var best uint64
-	for _, c := range e.Contacts(near, now) {
+	for _, c := range contacts {
 		var h xxhash.Digest
 		h.Reset()
-		_, _ = h.Write(key)
+		_, _ = h.Write([]byte{byte(part >> 8), byte(part)})
 		_, _ = h.WriteString(c.Name)
 		if weight := h.Sum64(); weight >= best {
 			best = weight
--- a/internal/coordination/membership/entries_test.go
+++ b/internal/coordination/membership/entries_test.go
@@ -119,14 +119,15 @@
 	owner := ""
 	for _, address := range c.addresses() {
 		var got []string
-		for _, m := range c.entries[address].Contacts(everywhere, c.now) {
+		contacts := c.entries[address].Contacts(everywhere, c.now)
+		for _, m := range contacts {
 			got = append(got, m.Address)
 		}
 		slices.Sort(got)
 		if diff := cmp.Diff(want, got); diff != "" {
 			c.t.Fatalf("%s: at %s: %s", what, address, diff)
 		}
-		o := c.entries[address].Owner([]byte("a key"), everywhere, c.now).Name
+		o := c.entries[address].Owners(1, contacts)[0].Name
 		if owner != "" && o != owner {
 			c.t.Fatalf("%s: owners %s and %s", what, owner, o)
 		}
@@ -192,8 +193,7 @@
 	c.run(30)
 	near := func(domain string) bool { return domain == "d0" || domain == "d1" }
 	e := c.entries[c.states["e00-00"].Address]
-	for i := range 200 {
-		o := e.Owner(fmt.Append(nil, i), near, c.now)
+	for _, o := range e.Owners(200, e.Contacts(near, c.now)) {
 		if s := c.states[o.Name]; !near(s.FailureDomain) {
 			t.Fatalf("%s in %s owns a key", o.Name, s.FailureDomain)
 		}
--- a/internal/coordination/placement/hints.go
+++ b/internal/coordination/placement/hints.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/state/directory"
@@ -21,6 +22,12 @@
 	return keys[min(len(keys), routeBlocks)-1], true
 }
 
+// Parts is into how many parts the directory is divided among entries.
+const Parts = 4096
+
+// Part returns the part of the directory to which the contexts of a route belong.
+func Part(route prefix.Key) uint16 { return binary.BigEndian.Uint16(route[:]) % Parts }
+
 // Hints is what a directory knows of one prompt, by names that every entry shares.
 // It is a plain value.
 type Hints struct {
@@ -98,9 +105,9 @@
 	}
 }
 
-// Apply takes a note into this board's directory. When it replaces an object that
-// is still held, that one is returned, to be freed.
-func (b *Board) Apply(n Note, now time.Time) (replaced *Kept) {
+// Apply takes a note into this board's directory. It returns the objects that are of no
+// more use, to be freed: the one that it replaces, and those of contexts that gave way.
+func (b *Board) Apply(n Note, now time.Time) (useless []Kept) {
 	if n.Refused {
 		b.directory.ForgetObject(n.Key)
 		return nil
@@ -108,17 +115,39 @@
 	if number, ok := b.numbers[n.Upstream]; ok {
 		b.directory.NoteRun(n.Key, n.Blocks, number, uint32(now.Unix()))
 	}
-	if n.Object == nil {
-		return nil
+	if n.Object != nil {
+		o := b.object(b.storeNumber(n.Object.Store), *n.Object)
+		old, had := b.directory.Stored(n.Key)
+		b.directory.NoteStored(n.Key, n.Parent, n.Blocks, o)
+		if had && old != o {
+			useless = append(useless, *b.kept(old, n.Blocks))
+		}
+	}
+	for _, dropped := range b.directory.Dropped() {
+		useless = append(useless, *b.kept(dropped, 0))
 	}
-	store := b.storeNumber(n.Object.Store)
-	o := b.object(store, *n.Object)
+	return useless
+}
+
+// Learn takes an object that a store listed into this board's directory, unless it knows
+// a newer one. It returns the objects that are of no use: a listed one that was replaced,
+// or those that it replaces itself.
+func (b *Board) Learn(n Note, now time.Time) (useless []Kept) {
 	old, had := b.directory.Stored(n.Key)
-	b.directory.NoteStored(n.Key, n.Parent, n.Blocks, o)
-	if !had || old == o {
-		return nil
+	if !had || !b.stores[old.Store-1].declared {
+		return b.Apply(n, now)
+	}
+	known := b.kept(old, n.Blocks)
+	switch {
+	case known.Store != n.Object.Store:
+		return []Kept{*n.Object}
+	case known.Incarnation != n.Object.Incarnation || known.Generation < n.Object.Generation:
+		// The store has started blank since, or the object was replaced unheard.
+		return b.Apply(n, now)
+	case known.Generation > n.Object.Generation:
+		return []Kept{*n.Object}
 	}
-	return b.kept(old, n.Blocks)
+	return nil
 }
 
 // kept names an object as every entry knows it; end is how many blocks of a prompt
--- a/internal/protocol/blocks/blocks.go
+++ b/internal/protocol/blocks/blocks.go
@@ -11,6 +11,7 @@
 // Paths and parameters of a store. An object's path is PathObjects + "/" + id.
 const (
 	PathObjects = "/v1/objects"
+	PathList    = PathObjects + "/list"
 	PathStore   = "/v1/store"
 	// ParamGeneration and ParamIncarnation name the object beside its id.
 	ParamGeneration  = "generation"
@@ -32,6 +33,52 @@
 	Checksum uint64 `json:"checksum"`
 }
 
+// Label says whose and what an object is. The store keeps it as it is given, and gives it
+// back in lists, so that a directory that was lost can be made again.
+type Label struct {
+	Team string `json:"team"`
+	// Part is the part of the directory to which the context belongs.
+	Part uint16 `json:"part"`
+	// Key is the chain key of the object's last block, and Parent the one before its
+	// first.
+	Key    string `json:"key"`
+	Parent string `json:"parent"`
+	// Blocks is how many blocks the object holds, and End how many the context has up
+	// to the object's end.
+	Blocks int `json:"blocks"`
+	End    int `json:"end"`
+}
+
+// Create begins an object.
+type Create struct {
+	// Length is its size in bytes.
+	Length int64 `json:"length"`
+	Label  Label `json:"label"`
+}
+
+// ListRequest asks for the objects of parts of the directory.
+type ListRequest struct {
+	Parts []uint16 `json:"parts"`
+	// After is the last object that was listed before; 0 begins.
+	After uint64 `json:"after"`
+	Limit int    `json:"limit"`
+}
+
+// Listed is one object of a list.
+type Listed struct {
+	Name
+	Label Label `json:"label"`
+	// Sealed is false while the object is written.
+	Sealed bool `json:"sealed"`
+}
+
+// ListResponse holds objects in the order of their numbers.
+type ListResponse struct {
+	Objects []Listed `json:"objects"`
+	// More says that the limit was reached.
+	More bool `json:"more"`
+}
+
 // Usage is a store's own report.
 type Usage struct {
 	// Incarnation changes whenever the store starts blank.
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 
+	"github.com/shedrock/shedrock/internal/protocol/blocks"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
 
@@ -111,6 +112,8 @@
 	Refs []BlockRef `json:"refs,omitempty"`
 	// Bytes is the size of one block in the store.
 	Bytes int `json:"bytes"`
+	// Label is given to the store with the object of an export.
+	Label blocks.Label `json:"label"`
 }
 
 // Transferred is the engine's answer to a Transfer.
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -160,9 +160,7 @@
 	}
 	base := "http://" + in.Store + blocks.PathObjects
 	var name blocks.Name
-	create := struct {
-		Length int `json:"length"`
-	}{len(data)}
+	create := blocks.Create{Length: int64(len(data)), Label: in.Label}
 	req, err := sling.New().Post(base).BodyJSON(create).Request()
 	if err != nil {
 		return protocol.BlockRef{}, 0, err
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -9,7 +9,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -32,6 +34,7 @@
 
 type object struct {
 	generation uint64
+	label      blocks.Label
 	phase      phase
 	data       []byte
 	length     int64
@@ -84,6 +87,7 @@
 	mux.Handle(fault.Path, &s.Faults)
 	mux.HandleFunc("GET "+blocks.PathStore, s.usage)
 	mux.HandleFunc("POST "+blocks.PathObjects, s.create)
+	mux.HandleFunc("POST "+blocks.PathList, s.list)
 	mux.HandleFunc("PUT "+blocks.PathObjects+"/{id}", s.write)
 	mux.HandleFunc("POST "+blocks.PathObjects+"/{id}/seal", s.seal)
 	mux.HandleFunc("GET "+blocks.PathObjects+"/{id}", s.read)
@@ -122,9 +126,7 @@
 }
 
 func (s *Store) create(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		Length int64 `json:"length"`
-	}
+	var in blocks.Create
 	err := json.NewDecoder(r.Body).Decode(&in)
 	if err != nil || in.Length <= 0 {
 		http.Error(w, "length: a number above 0 is needed", http.StatusBadRequest)
@@ -140,6 +142,7 @@
 	s.generation++
 	s.objects[s.next] = &object{
 		generation: s.generation,
+		label:      in.Label,
 		length:     in.Length,
 		onDisk:     s.used+in.Length > s.options.MemoryBytes,
 	}
@@ -147,6 +150,35 @@
 	writeJSON(w, blocks.Name{Object: s.next, Generation: s.generation, Incarnation: s.incarnation})
 }
 
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	var in blocks.ListRequest
+	err := json.NewDecoder(r.Body).Decode(&in)
+	if err != nil || in.Limit <= 0 {
+		http.Error(w, "limit: a number above 0 is needed", http.StatusBadRequest)
+		return
+	}
+	wanted := map[uint16]bool{}
+	for _, part := range in.Parts {
+		wanted[part] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out blocks.ListResponse
+	for _, id := range slices.Sorted(maps.Keys(s.objects)) {
+		o := s.objects[id]
+		if id <= in.After || o.phase == freeing || !wanted[o.label.Part] {
+			continue
+		}
+		if len(out.Objects) == in.Limit {
+			out.More = true
+			break
+		}
+		name := blocks.Name{Object: id, Generation: o.generation, Incarnation: s.incarnation}
+		out.Objects = append(out.Objects, blocks.Listed{Name: name, Label: o.label, Sealed: o.phase == sealed})
+	}
+	writeJSON(w, out)
+}
+
 // named finds the object that a request names, whole and in the wanted phase.
 func (s *Store) named(r *http.Request, want phase) (*object, bool) {
 	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
@@ -287,3 +319,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Len returns how many objects there are, sealed or not.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -51,6 +51,8 @@
 	limit    int
 	newest   prefix.Key
 	oldest   prefix.Key
+	// dropped holds the objects of contexts that gave way to others.
+	dropped []Object
 }
 
 // New returns an empty directory for a number of contexts.
@@ -296,9 +298,20 @@
 	return c
 }
 
+// Dropped returns, once, the objects of contexts that gave way to others: nobody else
+// knows of them, so they are to be freed.
+func (d *Directory) Dropped() []Object {
+	out := d.dropped
+	d.dropped = nil
+	return out
+}
+
 func (d *Directory) evict() {
 	c := d.contexts[d.oldest]
 	key := d.oldest
+	if c.object.Store != 0 {
+		d.dropped = append(d.dropped, c.object)
+	}
 	d.unlink(c)
 	delete(d.contexts, key)
 }
--- a/internal/system/domain_test.go
+++ b/internal/system/domain_test.go
@@ -118,3 +118,47 @@
 		t.Fatalf("%d of %d", reused, manuals)
 	}
 }
+
+// relearned sums what an entry learned from stores.
+func (p *process) relearned() int {
+	sum := 0
+	for line := range strings.Lines(p.text()) {
+		_, rest, ok := strings.Cut(line, "event=relearned")
+		if !ok {
+			continue
+		}
+		_, rest, _ = strings.Cut(rest, "objects=")
+		n := 0
+		_, _ = fmt.Sscan(rest, &n)
+		sum += n
+	}
+	return sum
+}
+
+// TestDeadOwnersPartIsRelearned kills one of two entries that share the directory: the
+// other learns the dead one's part from the store.
+func TestDeadOwnersPartIsRelearned(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	store := freeAddress(t)
+	startStandin(t, "store", store)
+	f.apply("stores", 1, "stores:\n  - {name: s1, address: "+quote(store)+", failure_domain: d1, memory_bytes: 67108864, link_bytes_per_second: 1e9}\n")
+	eventually(t, "both entries know each other", func() bool {
+		return strings.Contains(f.entries[0].text(), "event=entries live=2") && strings.Contains(f.entries[1].text(), "event=entries live=2")
+	})
+	const manuals = 16
+	copies := func() int { return strings.Count(f.entries[0].text(), "event=copy") }
+	for n := range manuals {
+		before := copies()
+		body := `{"model":"demo","max_tokens":1,"messages":[{"role":"user","content":"` + strings.Repeat(fmt.Sprintf("manual %d, a page; ", n), 100) + `"}]}`
+		if _, status, text := f.call(0, "POST", "/v1/chat/completions", "", body); status != http.StatusOK {
+			t.Fatalf("%d %s", status, text)
+		}
+		eventually(t, "its context is kept", func() bool { return copies() > before })
+	}
+	before := f.entries[1].relearned()
+	f.entries[0].kill()
+	eventually(t, "the other has learned the dead one's part", func() bool { return f.entries[1].relearned() > before })
+	if n := f.entries[1].relearned(); n > manuals {
+		t.Fatalf("%d objects of %d", n, manuals)
+	}
+}
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -146,7 +146,7 @@
 			return
 		}
 		defer e.release(id)
-		e.run(w, r, c, &job{path: path, req: req, model: model, tokens: tokens})
+		e.run(w, r, c, &job{team: c.team.Name(), path: path, req: req, model: model, tokens: tokens})
 	}
 }
 
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -69,11 +69,12 @@
 	// Peers, when set, joins this entry with others; somebody else runs it, with
 	// this entry's Find and Apply.
 	Peers *peers.Peers
-	// MaxBody, Contexts, MaxWaiting and Notice have defaults when zero.
+	// MaxBody, Contexts, MaxWaiting, Notice and Relearn have defaults when zero.
 	MaxBody    int64
 	Contexts   int
 	MaxWaiting int
 	Notice     time.Duration
+	Relearn    time.Duration
 	// Log receives one line for each event.
 	Log *log.Logger
 
@@ -125,6 +126,7 @@
 	group.Go(func() error { return served(callers.Serve(e.Callers)) })
 	group.Go(func() error { return served(operators.Serve(e.Operators)) })
 	group.Go(func() error { e.keepResizing(groupCtx); return nil })
+	group.Go(func() error { e.keepRelearning(groupCtx); return nil })
 	if e.Instances != "" {
 		group.Go(func() error { e.followInstances(groupCtx); return nil })
 	}
@@ -163,6 +165,9 @@
 		if e.Notice == 0 {
 			e.Notice = DefaultNotice
 		}
+		if e.Relearn == 0 {
+			e.Relearn = DefaultRelearn
+		}
 		e.sealer, err = cursor.NewSealer(e.Secrets...)
 		e.upstreams = upstream.New()
 		e.metrics = newMetrics()
--- a/internal/transport/entry/fixture_test.go
+++ b/internal/transport/entry/fixture_test.go
@@ -44,7 +44,9 @@
 	t       *testing.T
 	engines []*engine.Engine
 	store   *store.Store
-	service *service.Service
+	// storeAddress is where the store is reached.
+	storeAddress string
+	service      *service.Service
 	// extra are addresses of services that the test serves itself.
 	control *controlclient.Client
 	address string
@@ -82,7 +84,8 @@
 	s.docs["models"] = "models:\n  - {name: demo, weight_version: v1, kv_bytes_per_token: 64, max_prompt_tokens: 100000}\n"
 	s.docs["services"] = "services:\n  - {name: orders, instances: [\"" + serve(t, s.service.Handler()) + "\"], not_repeatable: [\"POST *\"]}\n"
 	s.docs["upstreams"] = upstreams
-	s.docs["stores"] = "stores:\n  - {name: s1, address: \"" + serve(t, s.store.Handler()) + "\", failure_domain: d1, memory_bytes: 67108864, link_bytes_per_second: 1e9}\n"
+	s.storeAddress = serve(t, s.store.Handler())
+	s.docs["stores"] = "stores:\n  - {name: s1, address: \"" + s.storeAddress + "\", failure_domain: d1, memory_bytes: 67108864, link_bytes_per_second: 1e9}\n"
 	s.docs["teams"] = "teams:\n" + team("demo", demoKey) + team("other", otherKey)
 	return s
 }
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -30,6 +30,7 @@
 	linkBytes  *prometheus.CounterVec
 	outcomes   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	relearned  *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -51,10 +52,11 @@
 		linkBytes:  counter("link_bytes_total", "Bytes of kept context over the links of stores.", "store", "direction"),
 		outcomes:   counter("outcomes_total", "Requests by their final outcome.", "team", "class", "outcome"),
 		attempts:   counter("attempts_total", "Dispatches to upstreams.", "upstream", "end"),
+		relearned:  counter("relearned_objects_total", "Objects learned from the lists of stores.", "store"),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.firstToken, m.between, m.queue, m.share, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts,
+		m.firstToken, m.between, m.queue, m.share, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned,
 	)
 	return m
 }
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -30,6 +30,7 @@
 
 // job is one admitted prompt.
 type job struct {
+	team   string
 	path   string
 	req    *openai.Request
 	model  declared.Model
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -136,6 +136,7 @@
 		Keys:    engine.KeyStrings(j.keys),
 		Refs:    []engine.BlockRef{{Blocks: c.Blocks}},
 		Bytes:   blockBytes(j),
+		Label:   label(j, c),
 	})
 	full := strings.Contains(out.Refused, "507")
 	var object *placement.Kept
@@ -164,6 +165,15 @@
 	line.Msg("")
 }
 
+// label says to the store whose and what the object of a copy is.
+func label(j *job, c placement.Copy) blocks.Label {
+	route, _ := placement.Route(j.keys)
+	return blocks.Label{
+		Team: j.team, Part: placement.Part(route), Key: j.keys[len(j.keys)-1].String(), Parent: c.Parent.String(),
+		Blocks: c.Blocks, End: len(j.keys),
+	}
+}
+
 // note tells the owner of a prompt's context what became of it.
 func (e *Entry) note(keys []prefix.Key, notes ...placement.Note) {
 	if e.Peers != nil {
@@ -181,18 +191,16 @@
 }
 
 // Apply takes notes into this entry's part of the directory, and frees the objects
-// that they replace.
+// that are of no more use.
 func (e *Entry) Apply(notes []placement.Note) {
-	var replaced []placement.Kept
+	var useless []placement.Kept
 	now := time.Now()
 	e.mu.Lock()
 	for _, n := range notes {
-		if old := e.board.Apply(n, now); old != nil {
-			replaced = append(replaced, *old)
-		}
+		useless = append(useless, e.board.Apply(n, now)...)
 	}
 	e.mu.Unlock()
-	e.free(replaced)
+	e.free(useless)
 }
 
 // free gives objects back to their stores, in the background. Their hints are gone
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,7 +65,9 @@
 	// The fields below are guarded by mu.
 	entries *membership.Entries
 	notes   map[string][]placement.Note
-	live    int
+	// contacts are the entries that share the directory, and owners says who owns each
+	// part of it.
+	contacts, owners []membership.Contact
 }
 
 func (p *Peers) init() {
@@ -81,6 +84,7 @@
 			Name: p.Name, Address: p.Listener.Addr().String(), FailureDomain: p.FailureDomain, Start: uint64(time.Now().UnixNano()),
 		}
 		p.entries = membership.NewEntries(self, membership.Seed())
+		p.refresh(time.Now())
 	})
 }
 
@@ -120,13 +124,8 @@
 	targets := p.entries.Beat(p.Seeds, now)
 	near := wire.FromGossip(p.entries.TellNear(now))
 	far := wire.FromGossip(p.entries.TellFar(now))
-	live := len(p.entries.Contacts(p.Near, now))
-	changed := live != p.live
-	p.live = live
+	p.refresh(now)
 	p.mu.Unlock()
-	if changed {
-		p.Log.Info().Str("event", "entries").Int("live", live).Msg("")
-	}
 	for _, address := range targets.Near {
 		p.send(address, near)
 	}
@@ -156,7 +155,9 @@
 func (p *Peers) hear(m *wire.GossipMessage) (answer membership.Gossip) {
 	g := wire.ToGossip(m)
 	p.mu.Lock()
-	heard := p.entries.Hear(g, time.Now())
+	now := time.Now()
+	heard := p.entries.Hear(g, now)
+	p.refresh(now)
 	question := p.entries.Ask(heard.Ask)
 	p.mu.Unlock()
 	if len(heard.Ask) > 0 {
@@ -179,7 +180,8 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(len(p.entries.Contacts(p.Near, time.Now())), 1)
+	p.refresh(time.Now())
+	return max(len(p.contacts), 1)
 }
 
 // Others returns the addresses of the other live entries of this failure domain.
@@ -212,10 +214,36 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	owner := p.entries.Owner(route[:], p.Near, time.Now())
+	owner := p.owners[placement.Part(route)]
 	return owner.Address, owner.Name != p.Name
 }
 
+// Owned returns the parts of the directory that this entry owns, in order.
+func (p *Peers) Owned() []uint16 {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []uint16
+	for part, owner := range p.owners {
+		if owner.Name == p.Name {
+			out = append(out, uint16(part))
+		}
+	}
+	return out
+}
+
+// refresh works out who owns what, if other entries share the directory than before;
+// mu must be held.
+func (p *Peers) refresh(now time.Time) {
+	contacts := p.entries.Contacts(p.Near, now)
+	if p.owners != nil && slices.Equal(contacts, p.contacts) {
+		return
+	}
+	p.contacts = contacts
+	p.owners = p.entries.Owners(placement.Parts, contacts)
+	p.Log.Info().Str("event", "entries").Int("live", len(contacts)).Msg("")
+}
+
 // Hints returns what the owner of a prompt's context knows of it; nil means that
 // this entry's own directory is to be asked. An owner that does not answer in time
 // is not waited for.
