Each team's share of a store is guarded

Cause: a full store gave up what was used longest ago, whoever's it was, so one team that reads twenty times as much as each other and never returns emptied it for all. Ruled out: fixed quotas, which leave space empty. Seen failing: the guard, the order of use, passing over guarded teams.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -50,6 +50,10 @@
 	stores    []store
 	directory *directory.Directory
 	found     directory.Found
+	// teams numbers the teams whose contexts were noted, and shares holds their declared
+	// shares by number.
+	teams  map[string]uint16
+	shares []float64
 	// retentions holds what was learned for each model.
 	retentions map[string]*retention
 	// scores is as long as upstreams; it saves an allocation for each decision.
@@ -66,6 +70,7 @@
 	return &Board{
 		domain:     domain,
 		numbers:    map[string]int{},
+		teams:      map[string]uint16{},
 		retentions: map[string]*retention{},
 		directory:  directory.New(contexts),
 		random:     rand.New(rand.NewPCG(seed, 0xb0a2d)),
@@ -88,6 +93,7 @@
 		}
 	}
 	b.declareStores(s)
+	b.declareTeams(s)
 }
 
 func (b *Board) declareUpstream(u declared.Upstream) {
--- a/internal/coordination/placement/hints.go
+++ b/internal/coordination/placement/hints.go
@@ -55,6 +55,8 @@
 
 // Note tells the owner of a context what became of it. It is a plain value.
 type Note struct {
+	// Team is whose context it is.
+	Team   string
 	Key    prefix.Key
 	Blocks int
 	// Upstream ran the context, when it is not empty.
@@ -118,7 +120,7 @@
 	if n.Object != nil {
 		o := b.object(b.storeNumber(n.Object.Store), *n.Object)
 		old, had := b.directory.Stored(n.Key)
-		b.directory.NoteStored(n.Key, n.Parent, n.Blocks, o)
+		b.directory.NoteStored(n.Key, n.Parent, n.Blocks, b.team(n.Team), o)
 		if had && old != o {
 			useless = append(useless, *b.kept(old, n.Blocks))
 		}
@@ -159,15 +161,3 @@
 		Blocks: int(o.Blocks), End: end,
 	}
 }
-
-// Victims takes the least useful objects of a store out of the directory, until
-// they hold a number of blocks, and returns them, to be freed. The order is by
-// last use: the contexts of this board that were asked for longest ago.
-func (b *Board) Victims(address string, blocks int) []Kept {
-	n := uint16(b.storeNumber(address) + 1)
-	var out []Kept
-	for _, o := range b.directory.OldestObjects(n, blocks) {
-		out = append(out, *b.kept(o, 0))
-	}
-	return out
-}
--- a/internal/protocol/wire/peers.go
+++ b/internal/protocol/wire/peers.go
@@ -131,6 +131,7 @@
 	if n.Object != nil {
 		out.Object = fromKept(*n.Object)
 		out.Parent = n.Parent[:]
+		out.Team = n.Team
 	}
 	return out
 }
@@ -149,6 +150,7 @@
 	}
 	kept := toKept(m.Object)
 	n.Object = &kept
+	n.Team = m.Team
 	n.Parent = prefix.Key(m.Parent)
 	return n, true
 }
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -38,6 +38,13 @@
 	upstreams [MaxUpstreams]uint16
 	// blocks is the length of the chain up to the key.
 	blocks uint32
+	// team is the number of the team whose context it is.
+	team uint16
+	// turn rises with every use of any context: a higher one was used later.
+	turn uint64
+	// staler and fresher are its neighbours among the objects that its team holds in
+	// the same store, when it has one.
+	staler, fresher *context
 	// used is when the context was last asked for, in seconds.
 	used uint32
 	// older and newer make a list by age, for eviction.
@@ -51,13 +58,17 @@
 	limit    int
 	newest   prefix.Key
 	oldest   prefix.Key
+	// held lists the contexts that have objects, by store and team.
+	held map[holding]*held
+	// turns counts uses of contexts.
+	turns uint64
 	// dropped holds the objects of contexts that gave way to others.
 	dropped []Object
 }
 
 // New returns an empty directory for a number of contexts.
 func New(limit int) *Directory {
-	return &Directory{contexts: make(map[prefix.Key]*context), limit: limit}
+	return &Directory{contexts: make(map[prefix.Key]*context), limit: limit, held: map[holding]*held{}}
 }
 
 // Len returns the number of contexts.
@@ -207,10 +218,13 @@
 }
 
 // NoteStored says that a store has sealed an object with the last blocks of the
-// chain; parent is the key before them, or the zero key at the prompt's start.
-func (d *Directory) NoteStored(key, parent prefix.Key, blocks int, o Object) {
+// chain of a team's context; parent is the key before them, or the zero key at the
+// prompt's start.
+func (d *Directory) NoteStored(key, parent prefix.Key, blocks int, team uint16, o Object) {
 	c := d.context(key, blocks)
-	c.object = o
+	d.setObject(c, Object{})
+	c.team = team
+	d.setObject(c, o)
 	c.parent = parent
 }
 
@@ -241,7 +255,7 @@
 func (d *Directory) ForgetObject(key prefix.Key) {
 	c, ok := d.contexts[key]
 	if ok {
-		c.object = Object{}
+		d.setObject(c, Object{})
 	}
 }
 
@@ -249,7 +263,7 @@
 func (d *Directory) ForgetStore(store, incarnation uint16) {
 	for _, c := range d.contexts {
 		if c.object.Store == store && c.object.Incarnation == incarnation {
-			c.object = Object{}
+			d.setObject(c, Object{})
 		}
 	}
 }
@@ -263,25 +277,6 @@
 	return c.object, true
 }
 
-// OldestObjects forgets the objects of a store whose contexts were used longest
-// ago, until they hold a number of blocks, and returns them.
-func (d *Directory) OldestObjects(store uint16, blocks int) []Object {
-	var out []Object
-	for key := d.oldest; blocks > 0; {
-		c, ok := d.contexts[key]
-		if !ok {
-			break
-		}
-		if c.object.Store == store {
-			out = append(out, c.object)
-			blocks -= int(c.object.Blocks)
-			c.object = Object{}
-		}
-		key = c.newer
-	}
-	return out
-}
-
 // context returns the context of a key as the newest one, and makes room for it.
 func (d *Directory) context(key prefix.Key, blocks int) *context {
 	c, ok := d.contexts[key]
@@ -311,12 +306,16 @@
 	key := d.oldest
 	if c.object.Store != 0 {
 		d.dropped = append(d.dropped, c.object)
+		d.setObject(c, Object{})
 	}
 	d.unlink(c)
 	delete(d.contexts, key)
 }
 
 func (d *Directory) link(key prefix.Key, c *context) {
+	d.turns++
+	c.turn = d.turns
+	d.refresh(c)
 	c.older = d.newest
 	c.newer = prefix.Key{}
 	if front, ok := d.contexts[d.newest]; ok {
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -47,8 +47,8 @@
 	prompt := keys(1, 11)
 	d.NoteRun(prompt[3], 4, 0, 1)
 	d.NoteRun(prompt[7], 8, 1, 2)
-	d.NoteStored(prompt[3], prefix.Key{}, 4, object(1, 4))
-	d.NoteStored(prompt[7], prompt[3], 8, object(2, 4))
+	d.NoteStored(prompt[3], prefix.Key{}, 4, 0, object(1, 4))
+	d.NoteStored(prompt[7], prompt[3], 8, 0, object(2, 4))
 	steps := []struct {
 		name string
 		do   func()
@@ -58,11 +58,11 @@
 		{"an engine evicts", func() { d.NoteEvicted(prompt[7], 1) }, found{[]int32{4, 0, 0}, []int32{4, 8}, 8}},
 		{"a store refuses the newest", func() { d.ForgetObject(prompt[7]) }, found{[]int32{4, 0, 0}, []int32{4}, 4}},
 		{"the newest without its beginning is of no use", func() {
-			d.NoteStored(prompt[7], prompt[3], 8, object(3, 4))
+			d.NoteStored(prompt[7], prompt[3], 8, 0, object(3, 4))
 			d.ForgetObject(prompt[3])
 		}, found{[]int32{4, 0, 0}, nil, 0}},
 		{"a store restarts blank", func() {
-			d.NoteStored(prompt[3], prefix.Key{}, 4, object(4, 4))
+			d.NoteStored(prompt[3], prefix.Key{}, 4, 0, object(4, 4))
 			d.ForgetStore(1, 0)
 		}, found{[]int32{4, 0, 0}, nil, 0}},
 		{"events were lost", func() { d.ForgetUpstream(0) }, found{[]int32{0, 0, 0}, nil, 0}},
--- /dev/null
+++ b/internal/state/directory/held_test.go
@@ -0,0 +1,78 @@
+package directory_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/shedrock/shedrock/internal/state/directory"
+	"github.com/shedrock/shedrock/internal/state/prefix"
+)
+
+// TestHeldFollowsObjects draws what happens to contexts and objects, and compares what
+// teams hold, and what leaves first, with a plain list.
+func TestHeldFollowsObjects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const contexts = 12
+		d := directory.New(100)
+		var order []int // contexts by use, stalest first
+		stored := map[int]uint64{}
+		use := func(n int) {
+			order = append(slices.DeleteFunc(order, func(o int) bool { return o == n }), n)
+		}
+		team := func(n int) uint16 { return uint16(n % 3) }
+		for step := range uint64(80) {
+			n := rapid.IntRange(0, contexts-1).Draw(t, "context")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				d.NoteRun(key(n+1), 1, 0, 1)
+				use(n)
+			case 1:
+				d.NoteStored(key(n+1), prefix.Key{}, 1, team(n), directory.Object{Store: 1, Blocks: 1, Object: step + 1})
+				stored[n] = step + 1
+				use(n)
+			case 2:
+				d.ForgetObject(key(n + 1))
+				delete(stored, n)
+			case 3:
+				guards := map[uint16]int{0: 2}
+				var got []uint64
+				for _, o := range d.StalestObjects(1, 1, guards) {
+					got = append(got, o.Object)
+				}
+				var want []uint64
+				if gone, ok := stalest(order, stored, team, guards); ok {
+					want = append(want, stored[gone])
+					delete(stored, gone)
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+			if diff := cmp.Diff(count(stored, team), d.Held(1)); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+	})
+}
+
+func count(stored map[int]uint64, team func(int) uint16) map[uint16]int {
+	out := map[uint16]int{}
+	for n := range stored {
+		out[team(n)]++
+	}
+	return out
+}
+
+// stalest is the first context in the order of use whose team holds more than its guard.
+func stalest(order []int, stored map[int]uint64, team func(int) uint16, guards map[uint16]int) (n int, ok bool) {
+	held := count(stored, team)
+	for _, n := range order {
+		if _, ok := stored[n]; ok && held[team(n)] > guards[team(n)] {
+			return n, true
+		}
+	}
+	return 0, false
+}
--- a/internal/transport/entry/relearn.go
+++ b/internal/transport/entry/relearn.go
@@ -161,7 +161,7 @@
 	if !ok || l.Blocks <= 0 || l.End < l.Blocks {
 		return n, false
 	}
-	return placement.Note{Key: key, Blocks: l.End, Object: &kept, Parent: parent}, true
+	return placement.Note{Team: l.Team, Key: key, Blocks: l.End, Object: &kept, Parent: parent}, true
 }
 
 // owned returns the parts of the directory that this entry owns.
--- a/internal/transport/entry/transfer.go
+++ b/internal/transport/entry/transfer.go
@@ -154,6 +154,7 @@
 	}
 	e.mu.Unlock()
 	if ok {
+		note.Team = j.team
 		e.note(j.keys, note)
 	}
 	e.free(victims)
