The fault mix loses answers of orders, and notices a doubled one

Cause: with the check of the record's grant taken out, the mix passed: orders took no time and few were on the way when a fault came, so hardly any was sent again after it had run. Change: an order takes 20 ms, and one kind of fault has orders run and loses their answers. A mutant that answers 'not run' to a quarter of the orders that ran failed before and after.

--- a/internal/system/mix_test.go
+++ b/internal/system/mix_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/standin/fault"
 )
 
 // mixSeeds are the seeds that CI runs; make soak runs soakSeeds more.
@@ -24,6 +25,8 @@
 	// between two changes.
 	mixPatience = 4 * time.Second
 	changeEvery = 10 * time.Millisecond
+	// serviceTime is how long an order takes, so that faults meet some on the way.
+	serviceTime = 20 * time.Millisecond
 )
 
 func TestFaultMix(t *testing.T) {
@@ -67,6 +70,7 @@
 		accepted: 1,
 	}
 	m.callPatience = mixPatience
+	m.faults(m.service, fault.Settings{Slow: serviceTime})
 	for worker := range 3 {
 		m.workers.Go(func() { m.order(worker, rand.New(rand.NewPCG(seed, uint64(worker)))) })
 	}
@@ -90,7 +94,7 @@
 	nothing := func() {}
 	replica := m.replicas[m.random.IntN(len(m.replicas))]
 	entry := m.random.IntN(len(m.entries))
-	kind := m.random.IntN(7)
+	kind := m.random.IntN(8)
 	m.t.Log("fault ", kind)
 	switch kind {
 	case 0:
@@ -115,6 +119,10 @@
 	case 6:
 		one, _ := m.split()
 		m.links.cut([]string{entryName(entry)}, one)
+	case 7:
+		// Orders run, and their answers are lost.
+		m.faults(m.service, fault.Settings{CloseBeforeReply: true})
+		return func() { m.faults(m.service, fault.Settings{Slow: serviceTime}) }
 	}
 	return nothing
 }
