A team's token rate is shared among entries by loans

Matter: teams had shares and queues, and no limit that holds over all entries. Change: tokens_per_second of a team; its owner lends from a bucket, entries borrow for some requests at once; an owner lends only for failure domains that are not silent, and an entry that cannot reach the owner has its domain's part by declared slots. Over the rate a request is refused at once, 429 team_rate, with Retry-After.

--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -164,6 +164,7 @@
 	if ok && s.Beat <= d.beat {
 		return
 	}
+	e.seen[s.Name] = true
 	e.domains[id] = &domain{name: s.Name, beat: s.Beat, members: s.Members, digest: digestOf(s.Members), heard: now}
 }
 
@@ -204,3 +205,14 @@
 	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
+
+// SilentDomains returns the names of the failure domains that have had entries since this
+// one started, and have none in reach now.
+func (e *Entries) SilentDomains(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for name := range e.seen {
+		d, ok := e.domains[domainID(name)]
+		out[name] = !ok || now.Sub(d.heard) > domainSilentAfter || len(d.members) == 0
+	}
+	return out
+}
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -88,6 +88,8 @@
 	others map[string]*known
 	// domains is what is known of each failure domain, self's included, by its digest.
 	domains map[uint32]*domain
+	// seen holds the names of other failure domains that have had entries.
+	seen map[string]bool
 	// found holds addresses in the failure domain that another domain named; they are
 	// told at the next beat.
 	found  []string
@@ -96,7 +98,7 @@
 
 // NewEntries returns an entry's view that holds only itself.
 func NewEntries(self EntryState, seed uint64) *Entries {
-	e := &Entries{self: self, others: map[string]*known{}, domains: map[uint32]*domain{}, random: rand.New(rand.NewPCG(seed, 0xe9717))}
+	e := &Entries{self: self, others: map[string]*known{}, domains: map[uint32]*domain{}, seen: map[string]bool{}, random: rand.New(rand.NewPCG(seed, 0xe9717))}
 	e.domains[domainID(self.FailureDomain)] = &domain{name: self.FailureDomain}
 	return e
 }
--- a/internal/coordination/membership/entries_test.go
+++ b/internal/coordination/membership/entries_test.go
@@ -161,6 +161,9 @@
 		if n := len(c.entries[c.states["e03-00"].Address].Contacts(everywhere, c.now)); n != 2 {
 			t.Fatalf("inside the cut %d are counted", n)
 		}
+		if diff := cmp.Diff(map[string]bool{"d1": false, "d2": false, "d3": true}, c.entries[c.states["e00-00"].Address].SilentDomains(c.now)); diff != "" {
+			t.Fatal(diff)
+		}
 		if n := len(c.entries[c.states["e00-00"].Address].Contacts(everywhere, c.now)); n != 6 {
 			t.Fatalf("outside the cut %d are counted", n)
 		}
--- a/internal/state/declared/fields.go
+++ b/internal/state/declared/fields.go
@@ -9,6 +9,7 @@
 	Services   []string `yaml:"services"`
 	Share      float64  `yaml:"share"`
 	MaxQueued  int      `yaml:"max_queued"`
+	TokenRate  float64  `yaml:"tokens_per_second"`
 }
 
 type modelFields struct {
@@ -94,6 +95,10 @@
 	return t.f.MaxQueued
 }
 
+// TokenRate returns how many tokens of prompts and answers a second all entries of a
+// region admit for the team together; 0 means no limit.
+func (t Team) TokenRate() float64 { return t.f.TokenRate }
+
 // DefaultMaxQueued is used for a team that declares no bound of its own.
 const DefaultMaxQueued = 64
 
--- a/internal/state/declared/validate.go
+++ b/internal/state/declared/validate.go
@@ -129,6 +129,7 @@
 		}
 		c.notNegative(field+".share", t.Share)
 		c.notNegative(field+".max_queued", float64(t.MaxQueued))
+		c.notNegative(field+".tokens_per_second", t.TokenRate)
 	}
 }
 
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -50,6 +50,7 @@
 const (
 	ReasonQueueFull     Reason = "queue_full"
 	ReasonTeamQueueFull Reason = "team_queue_full"
+	ReasonTeamRate      Reason = "team_rate"
 	ReasonDeadline      Reason = "deadline"
 	ReasonNoUpstream    Reason = "no_upstream"
 	ReasonRefused       Reason = "upstream_refused"
--- a/internal/transport/entry/answer.go
+++ b/internal/transport/entry/answer.go
@@ -76,7 +76,7 @@
 func notRunProblem(o outcome.NotRun) problem {
 	p := problem{status: http.StatusServiceUnavailable, kind: kindUnavailable, code: string(o.Reason)}
 	switch o.Reason {
-	case outcome.ReasonQueueFull, outcome.ReasonTeamQueueFull, outcome.ReasonDeadline:
+	case outcome.ReasonQueueFull, outcome.ReasonTeamQueueFull, outcome.ReasonTeamRate, outcome.ReasonDeadline:
 		p.status = http.StatusTooManyRequests
 		p.kind = kindRate
 	}
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -139,7 +139,11 @@
 			refuse(w, problem{status: http.StatusBadRequest, kind: kindInvalid, code: "context_length_exceeded", message: message, param: "messages"})
 			return
 		}
-		cost := float64(tokens + req.MaxTokens())
+		cost := float64(max(tokens+req.MaxTokens(), 1))
+		if refused, ok := e.withinRate(r.Context(), c, cost); !ok {
+			e.finish(w, c, refused)
+			return
+		}
 		id, refused, ok := e.admit(r.Context(), c, cost)
 		if !ok {
 			e.finish(w, c, refused)
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/shedrock/shedrock/internal/coordination/admission"
+	"github.com/shedrock/shedrock/internal/coordination/limits"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/cursor"
@@ -101,7 +102,10 @@
 	waiting map[uint64]chan admission.Effect
 	board   *placement.Board
 	budget  *retry.Budget
-	polls   map[string]context.CancelFunc
+	// lender and borrower hold what this entry lends and has of teams' token rates.
+	lender   *limits.Lender
+	borrower *limits.Borrower
+	polls    map[string]context.CancelFunc
 	// active holds, by upstream, what ends the attempts under way there.
 	active map[int]map[*job]context.CancelFunc
 }
@@ -175,6 +179,8 @@
 		e.waiting = map[uint64]chan admission.Effect{}
 		e.board = placement.New(e.FailureDomain, e.Contexts, newSeed())
 		e.budget = retry.NewBudget()
+		e.lender = limits.NewLender()
+		e.borrower = limits.NewBorrower()
 		e.polls = map[string]context.CancelFunc{}
 		e.active = map[int]map[*job]context.CancelFunc{}
 		e.state.Store(declared.New())
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -14,8 +14,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/coordination/limits"
 	"github.com/shedrock/shedrock/internal/coordination/membership"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
@@ -50,6 +52,8 @@
 	// Find and Apply ask and change this entry's part of the directory.
 	Find  func([]prefix.Key) *placement.Hints
 	Apply func([]placement.Note)
+	// Lend lends tokens of a team's limit that this entry owns.
+	Lend func(team string, cost float64) limits.Loan
 	// Near says whether a failure domain is in this entry's region, whose entries share
 	// one directory; when nil, all are.
 	Near func(domain string) bool
@@ -218,6 +222,42 @@
 	return owner.Address, owner.Name != p.Name
 }
 
+// Borrow asks the owner of a team's limit for tokens; own is true when that is this
+// entry, and err is set when the owner does not answer in time.
+func (p *Peers) Borrow(ctx context.Context, team string, cost float64) (loan limits.Loan, own bool, err error) {
+	part := xxhash.Sum64String(team) % placement.Parts
+	p.init()
+	p.mu.Lock()
+	owner := p.owners[part]
+	p.mu.Unlock()
+	if owner.Name == p.Name {
+		return limits.Loan{}, true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	answer, err := p.peer(owner.Address).Lend(ctx, &wire.LendRequest{Team: team, Cost: cost})
+	if err != nil {
+		return limits.Loan{}, false, err
+	}
+	return limits.Loan{Tokens: answer.Tokens, RetryAfter: time.Duration(answer.RetryAfterMilliseconds) * time.Millisecond}, false, nil
+}
+
+// SilentDomains reports which failure domains have had entries and have none in reach.
+func (p *Peers) SilentDomains() map[string]bool {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entries.SilentDomains(time.Now())
+}
+
+// LiveHere returns how many entries live in this failure domain, this one included.
+func (p *Peers) LiveHere() int {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.entries.Live(time.Now())), 1)
+}
+
 // Owned returns the parts of the directory that this entry owns, in order.
 func (p *Peers) Owned() []uint16 {
 	p.init()
--- a/internal/transport/peers/service.go
+++ b/internal/transport/peers/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/twitchtv/twirp"
 
@@ -40,3 +41,13 @@
 	s.p.Apply(notes)
 	return &wire.NoteResponse{}, nil
 }
+
+// Lend lends tokens of a team's limit. An entry that is not the owner lends too, if it is
+// asked: whoever asks believes that it is.
+func (s service) Lend(_ context.Context, in *wire.LendRequest) (*wire.LendResponse, error) {
+	if !(in.Cost > 0) {
+		return nil, twirp.InvalidArgumentError("cost", "a number above 0 is needed")
+	}
+	loan := s.p.Lend(in.Team, in.Cost)
+	return &wire.LendResponse{Tokens: loan.Tokens, RetryAfterMilliseconds: uint32(min(loan.RetryAfter.Milliseconds(), math.MaxUint32))}, nil
+}
