One entry lends for each team

Matter: TestTeamRateIsShared cannot tell two owners from one, because each entry it asks spends tokens itself. TestOneLenderForEachTeam has every entry borrow for every team and counts who lends; with each entry its own lender it fails, which was seen.

--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/coordination/limits"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 	"github.com/shedrock/shedrock/internal/transport/feed"
@@ -41,7 +43,9 @@
 	*peers.Peers
 	mu    sync.Mutex
 	notes map[prefix.Key]placement.Note
-	stop  context.CancelFunc
+	// lent counts the loans of each team.
+	lent map[string]int
+	stop context.CancelFunc
 }
 
 func start(t *testing.T, name, domain string, seeds ...string) *member {
@@ -50,12 +54,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &member{notes: map[prefix.Key]placement.Note{}}
+	m := &member{notes: map[prefix.Key]placement.Note{}, lent: map[string]int{}}
 	m.Peers = &peers.Peers{
 		Name: name, FailureDomain: domain, Listener: listener, Seeds: seeds, Feed: feed.New(), Interval: 20 * time.Millisecond,
 		Log:   &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
 		Find:  m.find,
 		Apply: m.apply,
+		Lend:  m.lend,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
@@ -86,6 +91,13 @@
 	}
 }
 
+func (m *member) lend(team string, cost float64) limits.Loan {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lent[team]++
+	return limits.Loan{Tokens: cost}
+}
+
 func (m *member) held() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -173,3 +185,47 @@
 		return !other
 	})
 }
+
+// TestOneLenderForEachTeam has every entry borrow for every team: all must borrow from
+// the same one, or a team's rate would be lent more than once.
+func TestOneLenderForEachTeam(t *testing.T) {
+	first := start(t, "e1", "d1")
+	seed := first.Listener.Addr().String()
+	all := []*member{first, start(t, "e2", "d1", seed), start(t, "e3", "d2", seed)}
+	eventually(t, "all know all", func() bool {
+		for _, m := range all {
+			if m.Live() != len(all) {
+				return false
+			}
+		}
+		return true
+	})
+	lenders := map[int]bool{}
+	for n := range 20 {
+		team := fmt.Sprint("team-", n)
+		for _, m := range all {
+			eventually(t, "the owner lends", func() bool {
+				loan, own, err := m.Borrow(context.Background(), team, 5)
+				if own {
+					loan = m.lend(team, 5)
+				}
+				return err == nil && loan.Tokens == 5
+			})
+		}
+		lent := 0
+		for i, m := range all {
+			m.mu.Lock()
+			if m.lent[team] > 0 {
+				lent++
+				lenders[i] = true
+			}
+			m.mu.Unlock()
+		}
+		if lent != 1 {
+			t.Fatalf("%d entries lent for %s", lent, team)
+		}
+	}
+	if len(lenders) == 1 {
+		t.Fatal("one entry lends for all teams")
+	}
+}
