--- a/internal/system/domain_test.go
+++ b/internal/system/domain_test.go
@@ -23,15 +23,17 @@
 	return revision, unconfirmed, ok
 }
 
-// TestDomainCutOff takes the whole control log out of reach of two entries, as when
-// their failure domain is cut off: they serve prompts, refuse orders with the truth,
-// one of them restarts without a disk and takes what its peer has, and after the heal
-// both have every change in force.
+// TestDomainCutOff cuts two entries off from the whole control log, as when their failure
+// domain is cut off: they serve prompts, refuse orders with the truth, one of them restarts
+// without a disk and takes what its peer has, and after the heal both have every change in
+// force.
 func TestDomainCutOff(t *testing.T) {
-	f := newFleet(t, 3, 2)
-	for _, r := range f.replicas {
-		r.signal(syscall.SIGSTOP)
-	}
+	f := startFleet(t, startGroup(t, 3, newLinks(t)), 2)
+	replicas := []string{replicaName(0), replicaName(1), replicaName(2)}
+	domain := []string{entryName(0), entryName(1)}
+	f.links.cut(domain, replicas)
+	f.links.cut(replicas, domain)
+	f.apply("models", 2, models("v1"))
 	for i := range f.entries {
 		if outcome, status := f.prompt(i); outcome != "ran" || status != http.StatusOK {
 			t.Fatalf("prompt at entry %d: %q %d", i, outcome, status)
@@ -46,10 +48,7 @@
 	if outcome, status, _ := f.order(0, "k", "bread"); outcome != "not run" || status != http.StatusServiceUnavailable {
 		t.Fatalf("order while cut off: %q %d", outcome, status)
 	}
-	for _, r := range f.replicas {
-		r.signal(syscall.SIGCONT)
-	}
-	f.apply("models", 2, models("v1"))
+	f.links.heal()
 	eventually(t, "both entries have the change in force, confirmed", func() bool {
 		for i := range f.entries {
 			revision, unconfirmed, ok := f.applied(fmt.Sprint("e", i+1))
