--- a/bench/lab.go
+++ b/bench/lab.go
@@ -68,11 +68,21 @@
 	return cmd
 }
 
+// firstPort begins below the ports that systems give to outgoing connections: one of
+// those could take an address between its choice and its use.
+const firstPort = 20000
+
+var nextPort = firstPort
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		nextPort++
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
+	}
 }
 
 // control starts a control log and returns its processes, their addresses and a
