Parts of the directory that come back are learned anew; a restarted entry is told at once

Found by reading the code again. (1) Which parts were learned from a store was not forgotten when the part went to another entry; when it came back, what that one had kept in the meantime stayed unknown. (2) An entry that restarted under its name was taken for its former run, and was told of the others only when chance had it. Tests: TestDeadOwnersPartIsRelearned kills the owner twice, and now waits for the other's first list: before, that list alone satisfied it. TestRestartedEntryIsToldAtOnce. Both seen failing without their guard.

--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -244,12 +244,12 @@
 	return out
 }
 
-// knows reports whether an entry is known: in this failure domain by itself, in others
-// as one of those that its domain's relay listed.
+// knows reports whether an entry is known: in this failure domain by itself, in this run;
+// in others as one of those that its domain's relay listed.
 func (e *Entries) knows(s EntryState) bool {
 	if s.FailureDomain == e.self.FailureDomain {
-		_, ok := e.others[s.Name]
-		return ok
+		k, ok := e.others[s.Name]
+		return ok && k.state.Start >= s.Start
 	}
 	d, ok := e.domains[domainID(s.FailureDomain)]
 	return ok && slices.Contains(d.members, Contact{s.Name, s.Address})
--- a/internal/coordination/membership/entries_test.go
+++ b/internal/coordination/membership/entries_test.go
@@ -190,6 +190,18 @@
 	c.agree("replaced by another")
 }
 
+// TestRestartedEntryIsToldAtOnce starts an entry again under its name and address: the
+// seed that remembers its former run must tell it of all the others.
+func TestRestartedEntryIsToldAtOnce(t *testing.T) {
+	c := newCrowd(t, 1, 20)
+	c.run(30)
+	c.start("d0", "e00-09")
+	c.run(1)
+	if n := len(c.entries[c.states["e00-09"].Address].Live(c.now)); n != 20 {
+		t.Fatalf("it knows %d entries after a second", n)
+	}
+}
+
 // TestOwnersStayInTheRegion checks that a key's owner is near.
 func TestOwnersStayInTheRegion(t *testing.T) {
 	c := newCrowd(t, 4, 2)
--- a/internal/system/domain_test.go
+++ b/internal/system/domain_test.go
@@ -134,8 +134,8 @@
 	return sum
 }
 
-// TestDeadOwnersPartIsRelearned kills one of two entries that share the directory: the
-// other learns the dead one's part from the store.
+// TestDeadOwnersPartIsRelearned kills one of two entries that share the directory, again
+// and again: the other learns the dead one's part from the store each time.
 func TestDeadOwnersPartIsRelearned(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	store := freeAddress(t)
@@ -154,10 +154,16 @@
 		}
 		eventually(t, "its context is kept", func() bool { return copies() > before })
 	}
-	before := f.entries[1].relearned()
-	f.entries[0].kill()
-	eventually(t, "the other has learned the dead one's part", func() bool { return f.entries[1].relearned() > before })
-	if n := f.entries[1].relearned(); n > manuals {
+	eventually(t, "it has learned its own part", func() bool { return f.entries[1].relearned() > 0 })
+	// Twice, because parts that come back must be learned anew.
+	for round := range 2 {
+		before := f.entries[1].relearned()
+		f.entries[0].kill()
+		eventually(t, "the other has learned the dead one's part", func() bool { return f.entries[1].relearned() > before })
+		f.entries[0].start()
+		eventually(t, "it is back", func() bool { return strings.Count(f.entries[1].text(), "event=entries live=2") > round+1 })
+	}
+	if n := f.entries[1].relearned(); n > 3*manuals {
 		t.Fatalf("%d objects of %d", n, manuals)
 	}
 }
--- a/internal/transport/entry/relearn.go
+++ b/internal/transport/entry/relearn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -68,6 +69,7 @@
 	if !slices.Equal(owned, r.owned) {
 		r.owned = owned
 		r.settled = 0
+		r.forgetLost()
 	}
 	r.settled++
 	if r.settled < settledLooks {
@@ -83,6 +85,18 @@
 	}
 }
 
+// forgetLost forgets that parts were learned which are no longer owned: while another
+// entry owned them, only that one heard of their contexts.
+func (r *relearner) forgetLost() {
+	owned := map[uint16]bool{}
+	for _, part := range r.owned {
+		owned[part] = true
+	}
+	for _, learned := range r.learned {
+		maps.DeleteFunc(learned, func(part uint16, _ bool) bool { return !owned[part] })
+	}
+}
+
 // learn lists what one store holds of the parts that are missing, or of all at an audit.
 func (r *relearner) learn(ctx context.Context, store string, audit bool, writing map[blocks.Name]bool) {
 	missing := r.owned
