Tests share one way to make a state and three entries; the replay's copies in a file of their own

Clean-up after reading: two tests built three entries alike, three built a declared state alike, and the replay had grown over 400 lines.

--- a/internal/coordination/placement/guard_test.go
+++ b/internal/coordination/placement/guard_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/placement"
-	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/prefix"
 )
 
@@ -28,18 +27,11 @@
 }
 
 func newShelf(t *testing.T, shares string) *shelf {
-	state := declared.New()
 	docs := []string{"document: stores\nversion: 1\nstores:\n  - {name: s, address: \"" + guardStore + "\", failure_domain: d, memory_bytes: 1, link_bytes_per_second: 1}\n"}
 	if shares != "" {
 		docs = append(docs, "document: teams\nversion: 1\nteams:\n"+shares)
 	}
-	for _, text := range docs {
-		d, faults := declared.Parse("f", []byte(text))
-		if len(faults) > 0 {
-			t.Fatal(faults)
-		}
-		state.Apply(d)
-	}
+	state := stateOf(t, docs...)
 	board := placement.New("d", 100_000, 1)
 	board.Declare(state)
 	return &shelf{board: board, held: map[prefix.Key]uint64{}, space: guardSpace}
--- a/internal/coordination/placement/region_test.go
+++ b/internal/coordination/placement/region_test.go
@@ -28,6 +28,22 @@
     - {name: north, failure_domains: [a, b]}
 `
 
+// stateOf returns the declared state that documents make together.
+func stateOf(t testing.TB, docs ...string) *declared.State {
+	t.Helper()
+	state := declared.New()
+	for _, text := range docs {
+		d, faults := declared.Parse("f", []byte(text))
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		if _, ok := state.Apply(d).(declared.Accepted); !ok {
+			t.Fatal("not accepted: " + text)
+		}
+	}
+	return state
+}
+
 // TestPromptsStayInTheRegion has the quickest upstream stand in another region; without
 // a declared region it is used.
 func TestPromptsStayInTheRegion(t *testing.T) {
@@ -41,14 +57,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			state := declared.New()
-			for _, text := range c.docs {
-				d, faults := declared.Parse("f", []byte(text))
-				if len(faults) > 0 {
-					t.Fatal(faults)
-				}
-				state.Apply(d)
-			}
+			state := stateOf(t, c.docs...)
 			board := placement.New("a", 10, 1)
 			board.Declare(state)
 			model, _ := state.Model("m")
--- a/internal/coordination/placement/replay_test.go
+++ b/internal/coordination/placement/replay_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -105,30 +104,18 @@
 
 // declare makes the boards from documents, as entries do.
 func (w *world) declare(t testing.TB) {
-	state := declared.New()
-	put := func(text string) {
-		d, faults := declared.Parse("replay", []byte(text))
-		if len(faults) > 0 {
-			t.Fatal(faults)
-		}
-		if _, ok := state.Apply(d).(declared.Accepted); !ok {
-			t.Fatal("not accepted: " + text)
-		}
-	}
-	put(fmt.Sprintf("document: models\nversion: 1\nmodels:\n  - {name: m, weight_version: v, kv_bytes_per_token: %d, max_prompt_tokens: 1000000}\n", int(w.bytesPerToken)))
-	var b strings.Builder
-	b.WriteString("document: upstreams\nversion: 1\nupstreams:\n")
+	upstreams := "document: upstreams\nversion: 1\nupstreams:\n"
 	for i := range w.engines {
-		fmt.Fprintf(&b, "  - {name: u%d, address: \"10.0.0.%d:1\", failure_domain: d, model: m, slots: %d, prefill_tokens_per_second: %g, link_bytes_per_second: %g}\n", i, i+1, w.slots, w.prefillRate, w.linkRate)
+		upstreams += fmt.Sprintf("  - {name: u%d, address: \"10.0.0.%d:%d\", failure_domain: d, model: m, slots: %d, prefill_tokens_per_second: %g, link_bytes_per_second: %g}\n", i, i%250+1, i/250+1, w.slots, w.prefillRate, w.linkRate)
 	}
-	put(b.String())
-	b.Reset()
-	b.WriteString("document: stores\nversion: 1\nstores:\n")
+	stores := "document: stores\nversion: 1\nstores:\n"
 	for i := range w.stores {
-		fmt.Fprintf(&b, "  - {name: s%d, address: %q, failure_domain: d, memory_bytes: 1, link_bytes_per_second: %g}\n", i, storeAddress(i), w.linkRate)
+		stores += fmt.Sprintf("  - {name: s%d, address: %q, failure_domain: d, memory_bytes: 1, link_bytes_per_second: %g}\n", i, storeAddress(i), w.linkRate)
 	}
-	put(b.String())
-	put(fmt.Sprintf("document: control\nversion: 1\ncontrol:\n  replicas: [{id: 1, address: \"10.0.2.1:1\", failure_domain: d}]\n  recompute_weight: %g\n", w.recompute))
+	state := stateOf(t,
+		fmt.Sprintf("document: models\nversion: 1\nmodels:\n  - {name: m, weight_version: v, kv_bytes_per_token: %d, max_prompt_tokens: 1000000}\n", int(w.bytesPerToken)),
+		upstreams, stores,
+		fmt.Sprintf("document: control\nversion: 1\ncontrol:\n  replicas: [{id: 1, address: \"10.0.2.1:1\", failure_domain: d}]\n  recompute_weight: %g\n", w.recompute))
 	w.model, _ = state.Model("m")
 	for i := range entries {
 		board := placement.New("d", 200_000, uint64(i))
@@ -361,46 +348,6 @@
 	panic("no such store")
 }
 
-// keep copies a finished prompt's context when the decisions say so.
-func (w *world) keep(board, owner *placement.Board, a arrival, keys []prefix.Key, plan placement.Plan) {
-	p := placement.Postponed{Keys: keys, Plan: plan, Tag: copying{owner, a.context, len(keys)}}
-	if c, ok := board.PlanCopy(p, instant(a.at)); ok {
-		w.copy(board, p, c, a.at)
-	}
-}
-
-// copying says whose context a copy is.
-type copying struct {
-	owner           *placement.Board
-	context, blocks int
-}
-
-// copy moves a context to a store, if its engine still has it.
-func (w *world) copy(board *placement.Board, p placement.Postponed, c placement.Copy, at float64) {
-	tag := p.Tag.(copying)
-	k := w.keeper(c.Store)
-	var object *placement.Kept
-	if w.machines[p.Plan.Upstream].cache.blocks(tag.context) >= tag.blocks {
-		at = w.transfer(k, at, c.Blocks, w.rate(at))
-		w.objects++
-		object = &placement.Kept{Store: c.Store, Object: w.objects, Generation: w.objects, Incarnation: "i", Blocks: c.Blocks, End: tag.blocks}
-	}
-	w.later(at, func() {
-		note, ok := board.EndCopy(c, p.Keys[tag.blocks-1], tag.blocks, object, false, instant(at))
-		if ok {
-			tag.owner.Apply(note, instant(at))
-			k.cache.put(tag.context, max(tag.blocks, k.cache.blocks(tag.context)))
-		}
-		w.nextCopy(board, at)
-	})
-}
-
-func (w *world) nextCopy(board *placement.Board, at float64) {
-	if p, c, ok := board.NextCopy(instant(at)); ok {
-		w.copy(board, p, c, at)
-	}
-}
-
 // replay runs one policy over one seed's arrivals.
 func replay(t testing.TB, s setup, p policy, seed uint64) *figures {
 	w := newWorld(s, seed)
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -112,9 +112,9 @@
 	return m.find(keys)
 }
 
-// TestContextIsFoundFromEveryEntry notes contexts at one entry, and asks for them at
-// all others.
-func TestContextIsFoundFromEveryEntry(t *testing.T) {
+// startThree starts three entries in two failure domains, which know each other.
+func startThree(t *testing.T) []*member {
+	t.Helper()
 	first := start(t, "e1", "d1")
 	seed := first.Listener.Addr().String()
 	all := []*member{first, start(t, "e2", "d1", seed), start(t, "e3", "d2", seed)}
@@ -126,10 +126,17 @@
 		}
 		return true
 	})
+	return all
+}
+
+// TestContextIsFoundFromEveryEntry notes contexts at one entry, and asks for them at
+// all others.
+func TestContextIsFoundFromEveryEntry(t *testing.T) {
+	all := startThree(t)
 	const contexts = 30
 	for i := range contexts {
 		keys := []prefix.Key{{byte(i), 7}}
-		first.Note(keys, placement.Note{Key: keys[0], Blocks: 1, Upstream: "u1"})
+		all[0].Note(keys, placement.Note{Key: keys[0], Blocks: 1, Upstream: "u1"})
 	}
 	want := &placement.Hints{Cached: []placement.CachedAt{{Upstream: "u1", Blocks: 1}}}
 	for i := range contexts {
@@ -189,17 +196,7 @@
 // TestOneLenderForEachTeam has every entry borrow for every team: all must borrow from
 // the same one, or a team's rate would be lent more than once.
 func TestOneLenderForEachTeam(t *testing.T) {
-	first := start(t, "e1", "d1")
-	seed := first.Listener.Addr().String()
-	all := []*member{first, start(t, "e2", "d1", seed), start(t, "e3", "d2", seed)}
-	eventually(t, "all know all", func() bool {
-		for _, m := range all {
-			if m.Live() != len(all) {
-				return false
-			}
-		}
-		return true
-	})
+	all := startThree(t)
 	lenders := map[int]bool{}
 	for n := range 20 {
 		team := fmt.Sprint("team-", n)
