--- a/internal/transport/entry/relearn.go
+++ b/internal/transport/entry/relearn.go
@@ -116,10 +116,16 @@
 		now[part] = true
 	}
 	r.learned[store] = now
-	learned, useless := r.take(store, objects, writing)
-	r.e.free(useless)
+	learned, useless := 0, 0
+	// In parts, so that no prompt waits for the whole list.
+	for some := range slices.Chunk(objects, listLimit) {
+		n, gone := r.take(store, some, writing)
+		r.e.free(gone)
+		learned += n
+		useless += len(gone)
+	}
 	r.e.metrics.relearned.WithLabelValues(store).Add(float64(learned))
-	r.e.Log.Info().Str("event", "relearned").Str("store", store).Int("parts", len(missing)).Int("objects", learned).Int("freed", len(useless)).Msg("")
+	r.e.Log.Info().Str("event", "relearned").Str("store", store).Int("parts", len(missing)).Int("objects", learned).Int("freed", useless).Msg("")
 }
 
 func (r *relearner) missing(store string) []uint16 {
