Retry-After stays honest while there is nothing to lend

Found by reading the change again. An owner whose rate for a team is 0 (its state has no limit yet or no longer, or every failure domain with upstreams is silent) refused with a Retry-After of MaxInt32 seconds, 49 days on the wire. Change: an owner without a limit lends what is asked; with nothing to lend the caller is told to come back in a minute. TestNoRateIsNotForEver fails with the old value. Not run: an owner with an older state, as a process.

--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -23,6 +23,9 @@
 	loanTime = 2 * time.Second
 	// loanRequests is how many requests like the present one are borrowed for.
 	loanRequests = 8
+	// noRateWait is when a caller comes back while there is nothing to lend: the rate is 0
+	// only until cut-off failure domains are heard again.
+	noRateWait = time.Minute
 	// loanShare is the part of what the bucket holds that one loan may take beyond the
 	// present request.
 	loanShare = 0.25
@@ -48,10 +51,10 @@
 
 // wait is how long it takes until the bucket holds enough for a request.
 func (b *bucket) wait(cost float64, now time.Time) time.Duration {
-	missing := float64(ceil(cost)) - b.limiter.TokensAt(now)
 	if b.limiter.Limit() <= 0 {
-		return math.MaxInt32 * time.Second
+		return noRateWait
 	}
+	missing := float64(ceil(cost)) - b.limiter.TokensAt(now)
 	return time.Duration(missing / float64(b.limiter.Limit()) * float64(time.Second))
 }
 
--- a/internal/coordination/limits/limits_test.go
+++ b/internal/coordination/limits/limits_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// TestNoRateIsNotForEver has nothing to lend for a while, as when every domain that has
+// upstreams is cut off: a caller is told to come back soon, and then served.
+func TestNoRateIsNotForEver(t *testing.T) {
+	l := limits.NewLender()
+	now := time.Unix(1000, 0)
+	l.Lend("team", 0, 40, now)
+	loan := l.Lend("team", 0, 40, now)
+	if loan.Tokens != 0 || loan.RetryAfter != time.Minute {
+		t.Fatalf("without a rate: %+v", loan)
+	}
+	now = now.Add(loan.RetryAfter)
+	l.Lend("team", 10, 40, now)
+	if loan := l.Lend("team", 10, 40, now.Add(5*time.Second)); loan.Tokens < 40 {
+		t.Fatalf("with the rate back: %+v", loan)
+	}
+}
+
 // TestLoansEnd lends what an entry does not spend to others once it has run out.
 func TestLoansEnd(t *testing.T) {
 	b := limits.NewBorrower()
--- a/internal/transport/entry/rate.go
+++ b/internal/transport/entry/rate.go
@@ -57,6 +57,10 @@
 		return limits.Loan{RetryAfter: time.Second}
 	}
 	perSecond := team.TokenRate()
+	if perSecond == 0 {
+		// Whoever asks has a newer or an older state, with a limit; here there is none.
+		return limits.Loan{Tokens: cost}
+	}
 	if e.Peers != nil {
 		silent := e.Peers.SilentDomains()
 		perSecond *= part(state, e.FailureDomain, func(domain string) bool { return !silent[domain] })
