Reading: one word for one thing in rates and the directory's parts

'part' meant a part of the directory and a share of slots; the latter is slotShare. The set of parts was made in two places. The package comment of peers speaks of regions. No behaviour changed; tests of relearning, peers and rates pass.

--- a/internal/transport/entry/rate.go
+++ b/internal/transport/entry/rate.go
@@ -63,7 +63,7 @@
 	}
 	if e.Peers != nil {
 		silent := e.Peers.SilentDomains()
-		perSecond *= part(state, e.FailureDomain, func(domain string) bool { return !silent[domain] })
+		perSecond *= slotShare(state, e.FailureDomain, func(domain string) bool { return !silent[domain] })
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -74,16 +74,16 @@
 // among the domain's entries.
 func (e *Entry) ownPart(team declared.Team, cost float64) limits.Loan {
 	perSecond := team.TokenRate() / float64(e.Peers.LiveHere())
-	perSecond *= part(e.state.Load(), e.FailureDomain, func(domain string) bool { return domain == e.FailureDomain })
+	perSecond *= slotShare(e.state.Load(), e.FailureDomain, func(domain string) bool { return domain == e.FailureDomain })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.borrower.TakeOwn(team.Name(), perSecond, cost, time.Now())
 }
 
-// part is the part of a region's declared slots that lies in some of its failure domains.
-// Islands of domains that are cut off from each other have parts that add up to one. A
+// slotShare is the part of a region's declared slots that lies in some of its failure domains.
+// Islands of domains that are cut off from each other have shares that add up to one. A
 // region without upstreams has nothing to divide.
-func part(state *declared.State, failureDomain string, in func(domain string) bool) float64 {
+func slotShare(state *declared.State, failureDomain string, in func(domain string) bool) float64 {
 	all, some := 0, 0
 	for _, u := range state.UpstreamsNear(failureDomain) {
 		all += u.Slots()
--- a/internal/transport/entry/relearn.go
+++ b/internal/transport/entry/relearn.go
@@ -88,10 +88,7 @@
 // forgetLost forgets that parts were learned which are no longer owned: while another
 // entry owned them, only that one heard of their contexts.
 func (r *relearner) forgetLost() {
-	owned := map[uint16]bool{}
-	for _, part := range r.owned {
-		owned[part] = true
-	}
+	owned := partSet(r.owned)
 	for _, learned := range r.learned {
 		maps.DeleteFunc(learned, func(part uint16, _ bool) bool { return !owned[part] })
 	}
@@ -111,13 +108,9 @@
 		r.e.Log.Warn().Str("event", "relearn_failed").Str("store", store).Str("error", err.Error()).Msg("")
 		return
 	}
-	now := map[uint16]bool{}
-	for _, part := range r.owned {
-		now[part] = true
-	}
-	r.learned[store] = now
+	r.learned[store] = partSet(r.owned)
 	learned, useless := 0, 0
-	// In parts, so that no prompt waits for the whole list.
+	// Some at a time, so that no prompt waits for the whole list.
 	for some := range slices.Chunk(objects, listLimit) {
 		n, gone := r.take(store, some, writing)
 		r.e.free(gone)
@@ -128,6 +121,14 @@
 	r.e.Log.Info().Str("event", "relearned").Str("store", store).Int("parts", len(missing)).Int("objects", learned).Int("freed", useless).Msg("")
 }
 
+func partSet(parts []uint16) map[uint16]bool {
+	set := map[uint16]bool{}
+	for _, part := range parts {
+		set[part] = true
+	}
+	return set
+}
+
 func (r *relearner) missing(store string) []uint16 {
 	var out []uint16
 	for _, part := range r.owned {
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -1,6 +1,6 @@
 // Package peers joins the entries of a deployment: they learn of each other by
-// gossip, each owns a part of the directory of kept context, and one in each
-// failure domain passes the declared state on.
+// gossip, those of a region share a directory of kept context and the rates of teams,
+// of which each owns a part, and one in each failure domain passes the declared state on.
 //
 // Nothing here is needed to serve: an entry that is cut off from all others serves
 // with what it knows itself.
