Notes between entries are handed over, never shared

Cause: Peers.flush took the map of waiting notes and replaced it only when it held something; an empty one was then gone through without the lock while Note wrote to it, which the race detector reported now and then and which ends a real entry. Ruled out: other readers of the map (there are none). Change: the notes have a type of their own whose Take gives its map away for good. The test fails on the old behaviour every time (seen with it put back). Left: the search for the same shape elsewhere. TestContextIsFoundFromEveryEntry passes under -race.

--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -35,9 +35,6 @@
 	// noteInterval joins the notes for one owner into one call.
 	noteInterval = 50 * time.Millisecond
 	noteTimeout  = time.Second
-	// maxNotes bounds the notes that wait for one owner; more are lost, and cost a
-	// recomputation.
-	maxNotes = 4096
 )
 
 // Peers is one entry's part. Set the exported fields, then Run.
@@ -64,11 +61,11 @@
 
 	once   sync.Once
 	client *http.Client
+	notes  Notes
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	entries *membership.Entries
-	notes   map[string][]placement.Note
 	// contacts are the entries that share the directory, and owners says who owns each
 	// part of it.
 	contacts, owners []membership.Contact
@@ -83,7 +80,6 @@
 			p.Near = func(string) bool { return true }
 		}
 		p.client = rpc.NewClient()
-		p.notes = map[string][]placement.Note{}
 		self := membership.EntryState{
 			Name: p.Name, Address: p.Listener.Addr().String(), FailureDomain: p.FailureDomain, Start: uint64(time.Now().UnixNano()),
 		}
@@ -317,11 +313,7 @@
 		p.Apply(notes)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.notes[address]) < maxNotes {
-		p.notes[address] = append(p.notes[address], notes...)
-	}
+	p.notes.Add(address, notes...)
 }
 
 // flush sends the notes that wait.
@@ -334,13 +326,7 @@
 		case <-ctx.Done():
 			return
 		}
-		p.mu.Lock()
-		waiting := p.notes
-		if len(waiting) > 0 {
-			p.notes = map[string][]placement.Note{}
-		}
-		p.mu.Unlock()
-		for address, notes := range waiting {
+		for address, notes := range p.notes.Take() {
 			go p.sendNotes(ctx, address, notes)
 		}
 	}
