--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -35,15 +36,16 @@
 type commands struct {
 	LogLevel string `help:"Lowest level of log lines: debug, info, warn, error." enum:"debug,info,warn,error" default:"info"`
 
-	Local   localCommand   `cmd:"" help:"Run everything in one process, with stand-in upstreams, to try shedrock."`
-	Entry   entryCommand   `cmd:"" help:"Run an entry: it takes callers' requests."`
-	Control controlCommand `cmd:"" help:"Run a replica of the control log."`
-	Check   checkCommand   `cmd:"" help:"Check declared files; exit 1 and name file, line and field when one is wrong."`
-	Apply   applyCommand   `cmd:"" help:"Submit declared files, each whole."`
-	Status  statusCommand  `cmd:"" help:"Show what is in force where."`
-	Ask     askCommand     `cmd:"" help:"Send one prompt, to try a deployment."`
-	Standin standinCommand `cmd:"" help:"Run a small stand-in for an outside system."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Local    localCommand    `cmd:"" help:"Run everything in one process, with stand-in upstreams, to try shedrock."`
+	Entry    entryCommand    `cmd:"" help:"Run an entry: it takes callers' requests."`
+	Control  controlCommand  `cmd:"" help:"Run a replica of the control log."`
+	Platform platformCommand `cmd:"" help:"Run a process of a deployment whose processes find one another by seeds."`
+	Check    checkCommand    `cmd:"" help:"Check declared files; exit 1 and name file, line and field when one is wrong."`
+	Apply    applyCommand    `cmd:"" help:"Submit declared files, each whole."`
+	Status   statusCommand   `cmd:"" help:"Show what is in force where."`
+	Ask      askCommand      `cmd:"" help:"Send one prompt, to try a deployment."`
+	Standin  standinCommand  `cmd:"" help:"Run a small stand-in for an outside system."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 // failure is an error with an exit code; its text has been written for the user.
@@ -74,6 +76,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	p := &process{ctx: ctx, out: out, errOut: errOut, log: newLogger(errOut, c.LogLevel)}
+	if strings.HasPrefix(parsed.Command(), "platform") {
+		queue := newLogQueue(out)
+		defer queue.Close()
+		p.log = newLogger(queue, c.LogLevel)
+	}
 	err = parsed.Run(p)
 	if err == nil {
 		return 0
--- a/internal/cli/logging.go
+++ b/internal/cli/logging.go
@@ -8,11 +8,14 @@
 	"github.com/phuslu/log"
 )
 
+// timeFormat is that of every line.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // newLogger writes one line of key=value pairs for each event.
 func newLogger(w io.Writer, level string) *log.Logger {
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
-		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		TimeFormat: timeFormat,
 		Writer:     &log.ConsoleWriter{Writer: w, Formatter: formatLine},
 	}
 }
--- /dev/null
+++ b/internal/coordination/balance/balance.go
@@ -0,0 +1,222 @@
+// Package balance chooses the instance for a request from what an entry saw of its own
+// requests: no shared knowledge is needed, so it works the same in a cut.
+//
+// Prompts go by rendezvous hashing of their shared part, with a bound on the load of the
+// instance that is first in rank; other requests go where the expected wait is shortest.
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// loadFactor is how far above the mean an instance may be loaded before the next one
+	// in rank is taken: consistent hashing with bounded loads (Mirrokni et al., 2018)
+	// shows that a quarter more keeps most keys in place.
+	loadFactor = 1.25
+	// loadSpare lets one request more pass at small loads, where a quarter is nothing.
+	loadSpare = 1.0
+	// smooth is the weight of a new outcome in the averages: about the last ten count.
+	smooth = 0.1
+	// firstPause is how long an instance that failed is avoided; it doubles up to mostPause.
+	firstPause = 250 * time.Millisecond
+	mostPause  = 2 * time.Second
+	// firstLatency stands for instances that were not used yet.
+	firstLatency = 0.02
+	// newerShare is how much more than their part of the instances gets the requests while
+	// weights change: the new ones are preferred, and not overrun while they are few.
+	newerShare = 1.5
+)
+
+// Wish is what a request asks for.
+type Wish struct {
+	// Key is 0 for requests that may run anywhere as well.
+	Key uint64
+	// Tried are the ids of instances that had the request already.
+	Tried []string
+	// Model and Weights, when set, name the weight version that is preferred.
+	Model   string
+	Weights uint64
+}
+
+// load is what is known of one instance.
+type load struct {
+	inFlight int
+	// latency is a moving average in seconds, and failed the share of failures.
+	latency, failed float64
+	failures        int
+	avoidUntil      time.Time
+	seen            time.Time
+}
+
+// Board holds the loads. Make one with New. It is not safe for concurrent use.
+type Board struct {
+	random *rand.Rand
+	loads  map[string]*load
+}
+
+// New returns an empty board.
+func New(seed uint64) *Board {
+	return &Board{random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[string]*load{}}
+}
+
+func (b *Board) load(id string) *load {
+	l, ok := b.loads[id]
+	if !ok {
+		l = &load{latency: firstLatency}
+		b.loads[id] = l
+	}
+	return l
+}
+
+// Pick chooses an instance; ok is false when there is none that was not tried.
+func (b *Board) Pick(instances []registry.Instance, w Wish, now time.Time) (chosen registry.Instance, ok bool) {
+	open := b.open(instances, w.Tried, now)
+	if len(open) == 0 {
+		return registry.Instance{}, false
+	}
+	open = b.preferNewer(open, w)
+	if w.Key != 0 {
+		return b.pickByKey(open, w.Key), true
+	}
+	return b.pickByWait(open), true
+}
+
+// open leaves out what was tried, and what failed lately unless nothing else is left.
+func (b *Board) open(instances []registry.Instance, tried []string, now time.Time) []registry.Instance {
+	var sound, rest []registry.Instance
+	for _, in := range instances {
+		switch {
+		case slices.Contains(tried, in.ID):
+		case now.Before(b.load(in.ID).avoidUntil):
+			rest = append(rest, in)
+		default:
+			sound = append(sound, in)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return rest
+}
+
+// preferNewer keeps the instances with the wanted weights for most requests.
+func (b *Board) preferNewer(open []registry.Instance, w Wish) []registry.Instance {
+	if w.Weights == 0 {
+		return open
+	}
+	var newer []registry.Instance
+	for _, in := range open {
+		if in.Weights[w.Model] >= w.Weights {
+			newer = append(newer, in)
+		}
+	}
+	share := newerShare * float64(len(newer)) / float64(len(open))
+	if len(newer) == 0 || b.random.Float64() >= share {
+		return open
+	}
+	return newer
+}
+
+// pickByKey takes the first instance in the key's rank whose load is within the bound.
+func (b *Board) pickByKey(open []registry.Instance, key uint64) registry.Instance {
+	total := 0
+	for _, in := range open {
+		total += b.load(in.ID).inFlight
+	}
+	bound := loadFactor*float64(total+1)/float64(len(open)) + loadSpare
+	best := -1
+	var bestRank uint64
+	for i, in := range open {
+		if float64(b.load(in.ID).inFlight+1) > bound {
+			continue
+		}
+		if rank := rank(in.ID, key); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	if best < 0 {
+		return b.pickByWait(open)
+	}
+	return open[best]
+}
+
+func rank(id string, key uint64) uint64 {
+	x := xxhash.Sum64String(id) ^ key
+	// The finaliser of splitmix64 spreads the bits of the two.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// pickByWait takes the instance with the shortest expected wait; a share of failures
+// counts as time lost.
+func (b *Board) pickByWait(open []registry.Instance) registry.Instance {
+	offset := b.random.IntN(len(open))
+	best := math.Inf(1)
+	var chosen registry.Instance
+	for i := range open {
+		in := open[(i+offset)%len(open)]
+		l := b.load(in.ID)
+		slots := float64(max(in.Slots, 1))
+		wait := l.latency * (1 + float64(l.inFlight)/slots) * (1 + float64(l.inFlight)) / (1.05 - min(l.failed, 1))
+		if wait < best {
+			best = wait
+			chosen = in
+		}
+	}
+	return chosen
+}
+
+// Begin notes that a request goes to an instance.
+func (b *Board) Begin(id string, now time.Time) {
+	l := b.load(id)
+	l.inFlight++
+	l.seen = now
+}
+
+// Result says how a request at an instance ended.
+type Result struct {
+	// Failed counts against the instance; Unreached also has it avoided for a while.
+	Failed, Unreached bool
+	// Latency is the time to the first byte of an answer, or 0 when there was none.
+	Latency time.Duration
+}
+
+// End notes the end of a request.
+func (b *Board) End(id string, r Result, now time.Time) {
+	l := b.load(id)
+	l.inFlight--
+	l.seen = now
+	share := 0.0
+	if r.Failed {
+		share = 1
+	}
+	l.failed += smooth * (share - l.failed)
+	if r.Latency > 0 {
+		l.latency += smooth * (r.Latency.Seconds() - l.latency)
+	}
+	if !r.Unreached {
+		l.failures = 0
+		return
+	}
+	pause := firstPause << min(l.failures, 3)
+	l.failures++
+	l.avoidUntil = now.Add(min(pause, mostPause))
+}
+
+// Forget drops the loads of instances that were not used lately.
+func (b *Board) Forget(before time.Time) {
+	for id, l := range b.loads {
+		if l.inFlight == 0 && l.seen.Before(before) {
+			delete(b.loads, id)
+		}
+	}
+}
--- a/internal/coordination/membership/replicas.go
+++ b/internal/coordination/membership/replicas.go
@@ -21,6 +21,10 @@
 	Last uint64
 	// Matched returns the highest entry durable at a member.
 	Matched func(replication.Node) uint64
+	// Self is the leader, and Silent returns for how many ticks a member has not
+	// answered it; both are needed by Heal only.
+	Self   replication.Node
+	Silent func(replication.Node) int
 }
 
 // NextMembers returns the next configuration on the way from the present one to
--- a/internal/coordination/replication/exchange.go
+++ b/internal/coordination/replication/exchange.go
@@ -175,6 +175,7 @@
 		return
 	}
 	p.heard = true
+	p.silent = 0
 	if msg.Round > p.round {
 		p.round = msg.Round
 		m.releaseReads()
--- a/internal/coordination/replication/machine.go
+++ b/internal/coordination/replication/machine.go
@@ -36,6 +36,8 @@
 	round uint64
 	// matchAtBeat is match at the last heartbeat, to notice lost messages.
 	matchAtBeat uint64
+	// silent counts the ticks since the member last answered.
+	silent int
 	// snapshotTicks counts down until a sent snapshot may be sent again.
 	snapshotTicks int
 }
@@ -152,6 +154,15 @@
 	return p.match
 }
 
+// SilentTicks returns for how many ticks a member has not answered; it is meaningful
+// only while leading.
+func (m *Machine) SilentTicks(n Node) int {
+	if p := m.others[n]; p != nil {
+		return p.silent
+	}
+	return 0
+}
+
 // Step takes one input and returns the effects in the order in which they must
 // be carried out.
 func (m *Machine) Step(in Input) []Effect {
@@ -257,6 +268,7 @@
 
 func (m *Machine) tickLeader() {
 	for _, p := range m.others {
+		p.silent++
 		if p.snapshotTicks > 0 {
 			p.snapshotTicks--
 		}
--- a/internal/coordination/replication/types.go
+++ b/internal/coordination/replication/types.go
@@ -25,6 +25,8 @@
 	Node Node
 	// Address is the replica's "ip:port".
 	Address string
+	// FailureDomain is empty where operators declare the replicas.
+	FailureDomain string
 	// Voter is false for a learner, which receives the log and counts nowhere.
 	Voter bool
 }
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -9,10 +9,16 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/shedrock/shedrock/internal/state/declared"
 )
 
+// Target is where a model's engines are to be brought.
+type Target struct {
+	Version string
+	// ConcurrentLoads bounds the engines that load at once, and MinServing is how many
+	// keep serving.
+	ConcurrentLoads, MinServing int
+}
+
 // Instance is what an engine says of itself, or that it said nothing.
 type Instance struct {
 	// Name and Model are declared.
@@ -37,29 +43,29 @@
 }
 
 // Order tells one engine to serve a version.
-type Order struct{ Name, Version string }
+type Order struct{ Name, Model, Version string }
 
 // Plan returns the orders to give now, in the order of names. An engine that checks
 // orders and has not seen the orderer's token is told to go on as it is, so that it
 // refuses whatever the orderer before may still send.
-func Plan(instances []Instance, models func(string) (declared.Model, bool), by Orderer) []Order {
+func Plan(instances []Instance, targets func(string) (Target, bool), by Orderer) []Order {
 	byModel := map[string][]Instance{}
 	for _, i := range instances {
 		byModel[i.Model] = append(byModel[i.Model], i)
 	}
 	var orders []Order
 	for name, of := range byModel {
-		model, ok := models(name)
+		target, ok := targets(name)
 		if ok {
-			orders = append(orders, planModel(of, model, by)...)
+			orders = append(orders, planModel(of, target, by)...)
 		}
 	}
 	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Name, b.Name) })
 	return orders
 }
 
-func planModel(instances []Instance, model declared.Model, by Orderer) []Order {
-	wanted := model.WeightVersion()
+func planModel(instances []Instance, target Target, by Orderer) []Order {
+	wanted := target.Version
 	loading, serving := 0, 0
 	for _, i := range instances {
 		switch {
@@ -81,19 +87,19 @@
 		}
 		if i.Loading != "" && i.Loading != wanted {
 			// An order that is no longer wanted: it holds its place already.
-			orders = append(orders, Order{i.Name, wanted})
+			orders = append(orders, Order{i.Name, i.Model, wanted})
 			continue
 		}
-		full := loading >= model.ConcurrentLoads() || serving <= model.MinServing()
+		full := loading >= target.ConcurrentLoads || serving <= target.MinServing
 		if i.Loading != "" || i.Version == wanted || full {
 			if i.ChecksOrders && i.Token < by.Token {
-				orders = append(orders, Order{i.Name, cmp.Or(i.Loading, i.Version)})
+				orders = append(orders, Order{i.Name, i.Model, cmp.Or(i.Loading, i.Version)})
 			}
 			continue
 		}
 		loading++
 		serving--
-		orders = append(orders, Order{i.Name, wanted})
+		orders = append(orders, Order{i.Name, i.Model, wanted})
 	}
 	return orders
 }
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -8,19 +8,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/shedrock/shedrock/internal/coordination/rollout"
-	"github.com/shedrock/shedrock/internal/state/declared"
 )
 
-// models declares one model that loads two at a time and keeps three serving.
-func models(t interface{ Fatal(...any) }, version string) func(string) (declared.Model, bool) {
-	text := "document: models\nversion: 1\nmodels:\n  - {name: m, weight_version: " + version + ", kv_bytes_per_token: 1, max_prompt_tokens: 1, concurrent_loads: 2, min_serving: 3}\n"
-	d, faults := declared.Parse("f", []byte(text))
-	if len(faults) > 0 {
-		t.Fatal(faults)
+// models wants one version of a model that loads two at a time and keeps three serving.
+func models(version string) func(string) (rollout.Target, bool) {
+	return func(string) (rollout.Target, bool) {
+		return rollout.Target{Version: version, ConcurrentLoads: 2, MinServing: 3}, true
 	}
-	s := declared.New()
-	s.Apply(d)
-	return s.Model
 }
 
 func instance(name, version, loading string) rollout.Instance {
@@ -39,24 +33,24 @@
 		want      []rollout.Order
 	}{
 		{"two at once", []rollout.Instance{instance("a", "v1", ""), instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", ""), instance("e", "v1", "")}, true, 0,
-			[]rollout.Order{{Name: "a", Version: "v2"}, {Name: "b", Version: "v2"}}},
+			[]rollout.Order{{Name: "a", Model: "m", Version: "v2"}, {Name: "b", Model: "m", Version: "v2"}}},
 		{"enough keep serving", []rollout.Instance{instance("a", "v1", ""), instance("b", "v1", ""), instance("c", "v2", ""), instance("d", "v1", "")}, true, 0,
-			[]rollout.Order{{Name: "a", Version: "v2"}}},
+			[]rollout.Order{{Name: "a", Model: "m", Version: "v2"}}},
 		{"one loads already", []rollout.Instance{instance("a", "v1", "v2"), instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", ""), instance("e", "v1", "")}, true, 0,
-			[]rollout.Order{{Name: "b", Version: "v2"}}},
+			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}}},
 		{"a stale order is put right", []rollout.Instance{instance("a", "v2", "v1"), instance("b", "v2", ""), instance("c", "v2", ""), instance("d", "v2", "")}, true, 0,
-			[]rollout.Order{{Name: "a", Version: "v2"}}},
+			[]rollout.Order{{Name: "a", Model: "m", Version: "v2"}}},
 		{"one that is silent may be loading", []rollout.Instance{silent, instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", ""), instance("e", "v1", "")}, true, 0,
-			[]rollout.Order{{Name: "b", Version: "v2"}}},
+			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}}},
 		{"one that does not check waits", []rollout.Instance{unchecked, instance("b", "v1", ""), instance("c", "v2", ""), instance("d", "v2", ""), instance("e", "v2", "")}, false, 0,
-			[]rollout.Order{{Name: "b", Version: "v2"}}},
+			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}}},
 		{"nothing to do", []rollout.Instance{instance("a", "v2", ""), instance("b", "v2", "")}, true, 0, nil},
 		{"a new orderer makes itself known", []rollout.Instance{instance("a", "v2", ""), instance("b", "v1", "v2"), instance("c", "v1", "")}, true, 7,
-			[]rollout.Order{{Name: "a", Version: "v2"}, {Name: "b", Version: "v2"}, {Name: "c", Version: "v1"}}},
+			[]rollout.Order{{Name: "a", Model: "m", Version: "v2"}, {Name: "b", Model: "m", Version: "v2"}, {Name: "c", Model: "m", Version: "v1"}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, rollout.Plan(c.instances, models(t, "v2"), rollout.Orderer{Token: c.token, Unchecked: c.unchecked})); diff != "" {
+			if diff := cmp.Diff(c.want, rollout.Plan(c.instances, models("v2"), rollout.Orderer{Token: c.token, Unchecked: c.unchecked})); diff != "" {
 				t.Fatal(diff)
 			}
 		})
@@ -68,7 +62,7 @@
 // three keep serving, and in the end all serve the wanted version.
 func TestRolloutSurvivesItsOrderer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		wanted := models(t, "v2")
+		wanted := models("v2")
 		var engines []rollout.Instance
 		for i := range 8 {
 			engines = append(engines, instance(fmt.Sprint("e", i), "v1", ""))
--- /dev/null
+++ b/internal/protocol/exchange/exchange.go
@@ -0,0 +1,170 @@
+// Package exchange holds the neutral values between whoever takes requests, the serving
+// loop and whoever speaks to upstreams: a request, one attempt at it, and what came back.
+// No header, path or status of a concrete interface is known here.
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+// Request is one caller's request as it was read.
+type Request struct {
+	// ID is the caller's, unlike any other's.
+	ID string
+	// Method and Target are the request line's; Target holds the query as well.
+	Method, Target string
+	Host, Path     string
+	// Header is what the upstream gets unchanged.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's key, or empty.
+	Key string
+	// Arrived is when the head was read, and Wait how long the caller waits from then
+	// on; 0 when it does not say.
+	Arrived time.Time
+	Wait    time.Duration
+	// Prompt is set for requests to a model.
+	Prompt *Prompt
+	// After is the number of the last event that the caller has; Resumes says that there
+	// is one.
+	After   uint64
+	Resumes bool
+}
+
+// Prompt is what is known of a request to a model.
+type Prompt struct {
+	Model string
+	// Parts are in their order; all but the last are shared with other prompts.
+	Parts []Part
+	// Tokens is the prompt's length, and MostOut bounds the answer's.
+	Tokens, MostOut int
+}
+
+// Part is a piece of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// SharedKey is a hash of the prompt up to its largest shared part, or 0 when nothing is
+// shared: prompts with the same key gain most from running in the same place.
+func (p *Prompt) SharedKey() uint64 {
+	last := len(p.Parts) - 1
+	largest := -1
+	for i := range max(last, 0) {
+		if largest < 0 || p.Parts[i].Tokens > p.Parts[largest].Tokens {
+			largest = i
+		}
+	}
+	if largest < 0 {
+		return 0
+	}
+	var ids []string
+	for _, part := range p.Parts[:largest+1] {
+		ids = append(ids, part.ID)
+	}
+	return xxhash.Sum64String(p.Model+"/"+strings.Join(ids, "/")) | 1
+}
+
+// Attempt is a request on its way to one instance.
+type Attempt struct {
+	*Request
+	Instance registry.Instance
+	// Deadline is when the instance is to give up.
+	Deadline time.Time
+	// Team is empty where the configuration has no teams.
+	Team string
+	// Rank is 0 for the most urgent requests.
+	Rank int
+	// Salt separates kept context of those that must not share it; it is empty for
+	// requests to plain services.
+	Salt string
+	// Once says that the request must not run twice: it is never written to a connection
+	// that the other side may have closed.
+	Once bool
+	// After is the number of the last event that the caller has.
+	After   uint64
+	Resumes bool
+}
+
+// Upstreams speaks to instances.
+type Upstreams interface {
+	// Send sends one attempt. A Stream must be closed by the caller.
+	Send(ctx context.Context, a *Attempt) Reply
+}
+
+// Reply is one of Unreached, NotRun, Broken, Whole or Stream.
+type Reply interface{ reply() }
+
+// Unreached says that nothing of the request was sent.
+type Unreached struct{ Err error }
+
+// NotRun says that the instance did not run the request and never will.
+type NotRun struct {
+	Status int
+	// Misdirected says that another instance has the address now.
+	Misdirected bool
+	// RetryAfter is 0 when the instance did not say.
+	RetryAfter time.Duration
+}
+
+// Broken says that the request was sent and may have run.
+type Broken struct{ Err error }
+
+// Head is the head of an instance's answer.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Whole is a complete answer.
+type Whole struct {
+	Head Head
+	Body []byte
+}
+
+// Stream is an answer of numbered events.
+type Stream struct {
+	Head Head
+	// Events returns io.EOF after the last event of a complete answer.
+	Events Events
+}
+
+// Events are the events of one answer.
+type Events interface {
+	// Next returns the next event; it is valid until the next call. More says that the
+	// next one has arrived already.
+	Next() (event Event, more bool, err error)
+	Close()
+}
+
+// Event is one event as it came.
+type Event struct {
+	// Number is 0 when the event has none.
+	Number uint64
+	Raw    []byte
+}
+
+func (Unreached) reply() {}
+func (NotRun) reply()    {}
+func (Broken) reply()    {}
+func (Whole) reply()     {}
+func (Stream) reply()    {}
+
+// longPatience stands for the patience of a caller that does not tell it.
+const longPatience = time.Hour
+
+// Patience returns how long the caller waits from its arrival on.
+func (r *Request) Patience() time.Duration {
+	if r.Wait <= 0 {
+		return longPatience
+	}
+	return r.Wait
+}
--- a/internal/protocol/wire/control.twirp.go
+++ b/internal/protocol/wire/control.twirp.go
@@ -50,6 +50,19 @@
 
 	// Status reports the replica's view.
 	Status(context.Context, *StatusRequest) (*StatusResponse, error)
+
+	// Install commits a whole configuration; a version that is not above the one held
+	// changes nothing.
+	Install(context.Context, *InstallRequest) (*InstallResponse, error)
+
+	// Installed reads the whole configuration, as a linearizable read.
+	Installed(context.Context, *InstalledRequest) (*InstalledResponse, error)
+
+	// NameWeights commits the newest weight version of a model.
+	NameWeights(context.Context, *NameWeightsRequest) (*NameWeightsResponse, error)
+
+	// Join asks the leader to take a replica into the group.
+	Join(context.Context, *JoinRequest) (*JoinResponse, error)
 }
 
 // =======================
@@ -58,7 +71,7 @@
 
 type controlProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -86,12 +99,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Control")
-	urls := [5]string{
+	urls := [9]string{
 		serviceURL + "Apply",
 		serviceURL + "Reserve",
 		serviceURL + "Finish",
 		serviceURL + "Lookup",
 		serviceURL + "Status",
+		serviceURL + "Install",
+		serviceURL + "Installed",
+		serviceURL + "NameWeights",
+		serviceURL + "Join",
 	}
 
 	return &controlProtobufClient{
@@ -332,13 +349,197 @@
 	return out, nil
 }
 
+func (c *controlProtobufClient) Install(ctx context.Context, in *InstallRequest) (*InstallResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Install")
+	caller := c.callInstall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *InstallRequest) (*InstallResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstallRequest) when calling interceptor")
+					}
+					return c.callInstall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstallResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstallResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callInstall(ctx context.Context, in *InstallRequest) (*InstallResponse, error) {
+	out := new(InstallResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Installed(ctx context.Context, in *InstalledRequest) (*InstalledResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Installed")
+	caller := c.callInstalled
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *InstalledRequest) (*InstalledResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstalledRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstalledRequest) when calling interceptor")
+					}
+					return c.callInstalled(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstalledResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstalledResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callInstalled(ctx context.Context, in *InstalledRequest) (*InstalledResponse, error) {
+	out := new(InstalledResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) NameWeights(ctx context.Context, in *NameWeightsRequest) (*NameWeightsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "NameWeights")
+	caller := c.callNameWeights
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NameWeightsRequest) (*NameWeightsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NameWeightsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NameWeightsRequest) when calling interceptor")
+					}
+					return c.callNameWeights(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NameWeightsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NameWeightsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callNameWeights(ctx context.Context, in *NameWeightsRequest) (*NameWeightsResponse, error) {
+	out := new(NameWeightsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Join(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	out := new(JoinResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Control JSON Client
 // ===================
 
 type controlJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [9]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -366,12 +567,16 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Control")
-	urls := [5]string{
+	urls := [9]string{
 		serviceURL + "Apply",
 		serviceURL + "Reserve",
 		serviceURL + "Finish",
 		serviceURL + "Lookup",
 		serviceURL + "Status",
+		serviceURL + "Install",
+		serviceURL + "Installed",
+		serviceURL + "NameWeights",
+		serviceURL + "Join",
 	}
 
 	return &controlJSONClient{
@@ -612,85 +817,269 @@
 	return out, nil
 }
 
-// ======================
-// Control Server Handler
-// ======================
-
-type controlServer struct {
-	Control
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *controlJSONClient) Install(ctx context.Context, in *InstallRequest) (*InstallResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Install")
+	caller := c.callInstall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *InstallRequest) (*InstallResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstallRequest) when calling interceptor")
+					}
+					return c.callInstall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstallResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstallResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
+}
 
-	return &controlServer{
-		Control:          svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+func (c *controlJSONClient) callInstall(ctx context.Context, in *InstallRequest) (*InstallResponse, error) {
+	out := new(InstallResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
-}
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
-		return
-	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
-	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+	return out, nil
 }
 
-// ControlPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const ControlPathPrefix = "/twirp/shedrock.wire.Control/"
-
-func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
+func (c *controlJSONClient) Installed(ctx context.Context, in *InstalledRequest) (*InstalledResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	ctx = ctxsetters.WithMethodName(ctx, "Installed")
+	caller := c.callInstalled
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *InstalledRequest) (*InstalledResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstalledRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstalledRequest) when calling interceptor")
+					}
+					return c.callInstalled(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstalledResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstalledResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
+func (c *controlJSONClient) callInstalled(ctx context.Context, in *InstalledRequest) (*InstalledResponse, error) {
+	out := new(InstalledResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) NameWeights(ctx context.Context, in *NameWeightsRequest) (*NameWeightsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "NameWeights")
+	caller := c.callNameWeights
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NameWeightsRequest) (*NameWeightsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NameWeightsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NameWeightsRequest) when calling interceptor")
+					}
+					return c.callNameWeights(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NameWeightsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NameWeightsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callNameWeights(ctx context.Context, in *NameWeightsRequest) (*NameWeightsResponse, error) {
+	out := new(NameWeightsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Join(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	out := new(JoinResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ======================
+// Control Server Handler
+// ======================
+
+type controlServer struct {
+	Control
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &controlServer{
+		Control:          svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// ControlPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ControlPathPrefix = "/twirp/shedrock.wire.Control/"
+
+func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
@@ -724,6 +1113,18 @@
 	case "Status":
 		s.serveStatus(ctx, resp, req)
 		return
+	case "Install":
+		s.serveInstall(ctx, resp, req)
+		return
+	case "Installed":
+		s.serveInstalled(ctx, resp, req)
+		return
+	case "NameWeights":
+		s.serveNameWeights(ctx, resp, req)
+		return
+	case "Join":
+		s.serveJoin(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1287,171 +1688,1388 @@
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
 		s.writeError(ctx, resp, twerr)
 	}
-}
+}
+
+func (s *controlServer) serveLookupJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LookupRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Lookup
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookupRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+					}
+					return s.Control.Lookup(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookupResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LookupResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveLookupProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LookupRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Lookup
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookupRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+					}
+					return s.Control.Lookup(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookupResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LookupResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveStatusJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveStatusProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Control.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Control.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveInstall(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveInstallJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveInstallProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveInstallJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Install")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(InstallRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Install
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *InstallRequest) (*InstallResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstallRequest) when calling interceptor")
+					}
+					return s.Control.Install(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstallResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstallResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *InstallResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *InstallResponse and nil error while calling Install. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveInstallProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Install")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(InstallRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Install
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *InstallRequest) (*InstallResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstallRequest) when calling interceptor")
+					}
+					return s.Control.Install(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstallResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstallResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *InstallResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *InstallResponse and nil error while calling Install. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveInstalled(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveInstalledJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveInstalledProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveInstalledJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Installed")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(InstalledRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Installed
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *InstalledRequest) (*InstalledResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstalledRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstalledRequest) when calling interceptor")
+					}
+					return s.Control.Installed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstalledResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstalledResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *InstalledResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *InstalledResponse and nil error while calling Installed. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveInstalledProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Installed")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(InstalledRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Installed
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *InstalledRequest) (*InstalledResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*InstalledRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*InstalledRequest) when calling interceptor")
+					}
+					return s.Control.Installed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*InstalledResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*InstalledResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *InstalledResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *InstalledResponse and nil error while calling Installed. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveNameWeights(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNameWeightsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNameWeightsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveNameWeightsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "NameWeights")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(NameWeightsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.NameWeights
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NameWeightsRequest) (*NameWeightsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NameWeightsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NameWeightsRequest) when calling interceptor")
+					}
+					return s.Control.NameWeights(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NameWeightsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NameWeightsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NameWeightsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NameWeightsResponse and nil error while calling NameWeights. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveNameWeightsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "NameWeights")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(NameWeightsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.NameWeights
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NameWeightsRequest) (*NameWeightsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NameWeightsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NameWeightsRequest) when calling interceptor")
+					}
+					return s.Control.NameWeights(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NameWeightsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NameWeightsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NameWeightsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NameWeightsResponse and nil error while calling NameWeights. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveJoin(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveJoinJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveJoinProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveJoinJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Control.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinResponse and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveJoinProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Control.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinResponse and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 0
+}
+
+func (s *controlServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *controlServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "shedrock.wire", "Control")
+}
+
+// ===============
+// Fleet Interface
+// ===============
+
+// Fleet is served by every replica of the control log: what it heard from instances, and
+// what it has applied of the log.
+type Fleet interface {
+	// Watch answers when something changed since the caller's marks, or after a wait.
+	Watch(context.Context, *FleetRequest) (*FleetResponse, error)
+}
+
+// =====================
+// Fleet Protobuf Client
+// =====================
+
+type fleetProtobufClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFleetProtobufClient creates a Protobuf client that implements the Fleet interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewFleetProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Fleet {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Fleet")
+	urls := [1]string{
+		serviceURL + "Watch",
+	}
+
+	return &fleetProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *fleetProtobufClient) Watch(ctx context.Context, in *FleetRequest) (*FleetResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	caller := c.callWatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FleetRequest) (*FleetResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FleetRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FleetRequest) when calling interceptor")
+					}
+					return c.callWatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FleetResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FleetResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callWatch(ctx context.Context, in *FleetRequest) (*FleetResponse, error) {
+	out := new(FleetResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =================
+// Fleet JSON Client
+// =================
+
+type fleetJSONClient struct {
+	client      HTTPClient
+	urls        [1]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFleetJSONClient creates a JSON client that implements the Fleet interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewFleetJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Fleet {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
 
-func (s *controlServer) serveLookupJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "shedrock.wire", "Fleet")
+	urls := [1]string{
+		serviceURL + "Watch",
 	}
 
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(LookupRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
+	return &fleetJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
 	}
+}
 
-	handler := s.Control.Lookup
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
-			resp, err := s.interceptor(
+func (c *fleetJSONClient) Watch(ctx context.Context, in *FleetRequest) (*FleetResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
+	caller := c.callWatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FleetRequest) (*FleetResponse, error) {
+			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookupRequest)
+					typedReq, ok := req.(*FleetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FleetRequest) when calling interceptor")
 					}
-					return s.Control.Lookup(ctx, typedReq)
+					return c.callWatch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LookupResponse)
+				typedResp, ok := resp.(*FleetResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FleetResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
 			return nil, err
 		}
 	}
+	return caller(ctx, in)
+}
 
-	// Call service method
-	var respContent *LookupResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
+func (c *fleetJSONClient) callWatch(ctx context.Context, in *FleetRequest) (*FleetResponse, error) {
+	out := new(FleetResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
+	return out, nil
+}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
+// ====================
+// Fleet Server Handler
+// ====================
 
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
+type fleetServer struct {
+	Fleet
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
 }
 
-func (s *controlServer) serveLookupProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Lookup")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+// NewFleetServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewFleetServer(svc Fleet, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
 	}
 
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+	return &fleetServer{
+		Fleet:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *fleetServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *fleetServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
 		return
 	}
-	reqContent := new(LookupRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
 		return
 	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
 
-	handler := s.Control.Lookup
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LookupRequest) (*LookupResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LookupRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LookupRequest) when calling interceptor")
-					}
-					return s.Control.Lookup(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*LookupResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LookupResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
+// FleetPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const FleetPathPrefix = "/twirp/shedrock.wire.Fleet/"
 
-	// Call service method
-	var respContent *LookupResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
+func (s *fleetServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "shedrock.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
 
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookupResponse and nil error while calling Lookup. nil responses are not supported"))
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "shedrock.wire.Fleet" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
 
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
+	switch method {
+	case "Watch":
+		s.serveWatch(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
 	}
-	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveWatch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1459,9 +3077,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveStatusJSON(ctx, resp, req)
+		s.serveWatchJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveStatusProtobuf(ctx, resp, req)
+		s.serveWatchProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1469,9 +3087,9 @@
 	}
 }
 
-func (s *controlServer) serveStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveWatchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1484,29 +3102,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(StatusRequest)
+	reqContent := new(FleetRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Status
+	handler := s.Fleet.Watch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+		handler = func(ctx context.Context, req *FleetRequest) (*FleetResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StatusRequest)
+					typedReq, ok := req.(*FleetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FleetRequest) when calling interceptor")
 					}
-					return s.Control.Status(ctx, typedReq)
+					return s.Fleet.Watch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StatusResponse)
+				typedResp, ok := resp.(*FleetResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FleetResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1515,7 +3133,7 @@
 	}
 
 	// Call service method
-	var respContent *StatusResponse
+	var respContent *FleetResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1526,7 +3144,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FleetResponse and nil error while calling Watch. nil responses are not supported"))
 		return
 	}
 
@@ -1552,9 +3170,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *fleetServer) serveWatchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx = ctxsetters.WithMethodName(ctx, "Watch")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1566,28 +3184,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(StatusRequest)
+	reqContent := new(FleetRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Status
+	handler := s.Fleet.Watch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StatusRequest) (*StatusResponse, error) {
+		handler = func(ctx context.Context, req *FleetRequest) (*FleetResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StatusRequest)
+					typedReq, ok := req.(*FleetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FleetRequest) when calling interceptor")
 					}
-					return s.Control.Status(ctx, typedReq)
+					return s.Fleet.Watch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StatusResponse)
+				typedResp, ok := resp.(*FleetResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StatusResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FleetResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1596,7 +3214,7 @@
 	}
 
 	// Call service method
-	var respContent *StatusResponse
+	var respContent *FleetResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1607,7 +3225,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusResponse and nil error while calling Status. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FleetResponse and nil error while calling Watch. nil responses are not supported"))
 		return
 	}
 
@@ -1631,19 +3249,19 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 0
+func (s *fleetServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
 }
 
-func (s *controlServer) ProtocGenTwirpVersion() string {
+func (s *fleetServer) ProtocGenTwirpVersion() string {
 	return "v8.1.3"
 }
 
 // PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
 // that is everything in a Twirp route except for the <Method>. This can be used for routing,
 // for example to identify the requests that are targeted to this service in a mux.
-func (s *controlServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "shedrock.wire", "Control")
+func (s *fleetServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "shedrock.wire", "Fleet")
 }
 
 // ==============
@@ -2129,7 +3747,7 @@
 }
 
 func (s *feedServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 1
+	return twirpFileDescriptor0, 2
 }
 
 func (s *feedServer) ProtocGenTwirpVersion() string {
@@ -3465,7 +5083,7 @@
 }
 
 func (s *peersServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 2
+	return twirpFileDescriptor0, 3
 }
 
 func (s *peersServer) ProtocGenTwirpVersion() string {
@@ -3961,7 +5579,7 @@
 }
 
 func (s *replicationServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 3
+	return twirpFileDescriptor0, 4
 }
 
 func (s *replicationServer) ProtocGenTwirpVersion() string {
@@ -4541,146 +6159,175 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 2246 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x58, 0x5f, 0x6f, 0x1c, 0x49,
-	0x11, 0x67, 0xf6, 0xff, 0xd6, 0xfe, 0xc9, 0x5e, 0x13, 0xcc, 0x9c, 0x93, 0x3b, 0x7c, 0x73, 0x3a,
-	0x11, 0x89, 0xc3, 0xb9, 0x38, 0x04, 0x1d, 0x42, 0x28, 0xd8, 0xde, 0xf1, 0xc5, 0x39, 0x67, 0x1d,
-	0xb5, 0x9d, 0x04, 0xd0, 0xa1, 0x65, 0x3c, 0xd3, 0x6b, 0x0f, 0x3b, 0x3b, 0xb3, 0x4c, 0xf7, 0x3a,
-	0xf1, 0x2b, 0x4f, 0x48, 0x08, 0x89, 0x2f, 0xc0, 0x03, 0x42, 0xf0, 0x15, 0xf8, 0x04, 0xbc, 0xf1,
-	0xc4, 0x27, 0xe0, 0x03, 0xc0, 0x0b, 0x9f, 0x00, 0x55, 0x57, 0xcf, 0xee, 0xec, 0xec, 0xda, 0x97,
-	0xbc, 0x75, 0xd5, 0x54, 0x57, 0x57, 0xff, 0xea, 0x4f, 0x57, 0x0d, 0x74, 0xfc, 0x24, 0x56, 0x69,
-	0x12, 0x6d, 0x4f, 0xd3, 0x44, 0x25, 0xac, 0x23, 0x2f, 0x44, 0x90, 0x26, 0xfe, 0x78, 0xfb, 0x75,
-	0x98, 0x0a, 0xe7, 0x87, 0xd0, 0xde, 0x9d, 0x4e, 0xa3, 0x2b, 0x2e, 0x7e, 0x33, 0x13, 0x52, 0x31,
-	0x06, 0x95, 0x51, 0x18, 0x09, 0xdb, 0xda, 0xb2, 0xee, 0x35, 0xb9, 0x5e, 0x23, 0x4f, 0x89, 0x37,
-	0xca, 0x2e, 0x6d, 0x59, 0xf7, 0xda, 0x5c, 0xaf, 0x9d, 0x5f, 0x42, 0xf5, 0xc0, 0x9b, 0x45, 0xd7,
-	0x6e, 0x88, 0xc2, 0x58, 0xe8, 0x0d, 0x55, 0xae, 0xd7, 0xec, 0x36, 0x54, 0x47, 0xa1, 0x88, 0x02,
-	0xbb, 0xac, 0x05, 0x89, 0x60, 0x1b, 0x50, 0x4b, 0x85, 0x27, 0x93, 0xd8, 0xae, 0x68, 0xb6, 0xa1,
-	0x9c, 0x7f, 0x94, 0xa0, 0x63, 0xec, 0x92, 0xd3, 0x24, 0x96, 0x82, 0xfd, 0x18, 0x25, 0xe5, 0x2c,
-	0x52, 0xfa, 0xa4, 0xee, 0xce, 0xc7, 0xdb, 0x4b, 0x17, 0xd9, 0x5e, 0x92, 0xde, 0xe6, 0x5a, 0x94,
-	0x9b, 0x2d, 0x6c, 0x13, 0x1a, 0xa9, 0xb8, 0x0c, 0x65, 0x98, 0xc4, 0xda, 0xa8, 0x0a, 0x9f, 0xd3,
-	0x64, 0x82, 0x14, 0xb1, 0xd2, 0x96, 0x35, 0xb8, 0xa1, 0xd8, 0x77, 0xe1, 0x96, 0x3f, 0x4b, 0x53,
-	0x11, 0xab, 0xe1, 0xa5, 0x48, 0xf5, 0xd6, 0x8a, 0xde, 0xda, 0x35, 0xec, 0x97, 0xc4, 0x65, 0x5b,
-	0xd0, 0x0a, 0xc2, 0xd1, 0x48, 0xa4, 0x22, 0xf6, 0x85, 0xb4, 0xab, 0x5b, 0xe5, 0x7b, 0x4d, 0x9e,
-	0x67, 0xb1, 0x4f, 0xa1, 0x36, 0x42, 0xb0, 0xa4, 0x5d, 0xdb, 0x2a, 0xdf, 0x6b, 0xed, 0xdc, 0x2e,
-	0xd8, 0xae, 0x91, 0xe4, 0x46, 0xc6, 0x79, 0x0a, 0x35, 0x32, 0x9f, 0x6d, 0x00, 0xe3, 0xee, 0xc9,
-	0x8b, 0xa3, 0xd3, 0xe1, 0x8b, 0xc1, 0xc9, 0x73, 0x77, 0xff, 0xf0, 0xe0, 0xd0, 0xed, 0xf7, 0xbe,
-	0xc1, 0xda, 0xd0, 0xd8, 0xdd, 0xdf, 0x77, 0x9f, 0x9f, 0xba, 0xfd, 0x9e, 0x85, 0xd4, 0xfe, 0xf1,
-	0xe0, 0xe0, 0xe8, 0x70, 0xff, 0xb4, 0x57, 0x42, 0x8a, 0xbb, 0x4f, 0xdd, 0x7d, 0xfc, 0x56, 0x76,
-	0x7e, 0x6b, 0x41, 0x1d, 0x91, 0x09, 0x45, 0x80, 0x5e, 0x89, 0xbd, 0xc9, 0xdc, 0x53, 0xb8, 0x66,
-	0x9f, 0x40, 0x77, 0xe4, 0x85, 0xd1, 0x2c, 0x15, 0xc3, 0x20, 0x99, 0x78, 0x21, 0xc1, 0xd3, 0xe4,
-	0x1d, 0xc3, 0xed, 0x6b, 0xe6, 0x12, 0x7e, 0xe5, 0x02, 0x7e, 0x5b, 0xd0, 0x9a, 0xc5, 0x7e, 0x12,
-	0x8f, 0xc2, 0x74, 0x22, 0x02, 0x8d, 0x51, 0x83, 0xe7, 0x59, 0xce, 0x9f, 0x2c, 0x68, 0xbf, 0xf2,
-	0x94, 0x7f, 0x91, 0x05, 0x59, 0x5e, 0x9d, 0x55, 0x50, 0xf7, 0x19, 0xd4, 0x3d, 0x32, 0xd8, 0x2e,
-	0x69, 0xb0, 0x36, 0xd6, 0x38, 0x3a, 0x14, 0x01, 0xcf, 0xc4, 0xd8, 0xf7, 0xe0, 0xbd, 0xd7, 0x5e,
-	0xa8, 0x86, 0x93, 0x30, 0x8a, 0x42, 0x29, 0xfc, 0x24, 0x0e, 0xa4, 0xb6, 0xb2, 0xc3, 0x7b, 0xf8,
-	0xe1, 0x59, 0x8e, 0xaf, 0xc3, 0x75, 0x16, 0x45, 0xc6, 0x4c, 0xbd, 0x76, 0xfe, 0x62, 0x41, 0xa7,
-	0x9f, 0xf8, 0xb3, 0x89, 0x88, 0x55, 0x5f, 0x44, 0xca, 0xbb, 0xd1, 0x40, 0x06, 0x95, 0x71, 0x18,
-	0x07, 0x06, 0x28, 0xbd, 0xc6, 0x18, 0x9a, 0xa6, 0x62, 0x14, 0xbe, 0x31, 0xe7, 0x1a, 0x0a, 0xf9,
-	0x72, 0x36, 0x42, 0x7e, 0x85, 0xf8, 0x44, 0x21, 0x7f, 0x12, 0x06, 0x41, 0x24, 0xec, 0xaa, 0xce,
-	0x29, 0x43, 0xe1, 0xb9, 0xfe, 0x85, 0xf0, 0xc7, 0x72, 0x36, 0xb1, 0x6b, 0x74, 0x6e, 0x46, 0x63,
-	0xa6, 0x66, 0x46, 0x9e, 0x8a, 0x37, 0x6a, 0x6e, 0x87, 0x95, 0xb3, 0x63, 0x5d, 0xa6, 0xfe, 0xcb,
-	0x82, 0x8e, 0x41, 0xdf, 0xa4, 0xd2, 0xd7, 0xdc, 0x4e, 0xe3, 0x53, 0x5a, 0xe0, 0xc3, 0x7e, 0x04,
-	0xcd, 0xc0, 0x9c, 0x8c, 0xc0, 0xa2, 0x53, 0xee, 0x14, 0x9c, 0x92, 0xb7, 0x8c, 0x2f, 0xa4, 0xd9,
-	0x0f, 0xa0, 0x16, 0x20, 0xa2, 0xd2, 0xae, 0xe8, 0x7d, 0x77, 0xaf, 0xd9, 0xa7, 0x61, 0xe7, 0x46,
-	0xb6, 0x18, 0x52, 0xd5, 0xd5, 0x90, 0x9a, 0x41, 0x97, 0x0b, 0x29, 0xd2, 0x4b, 0x91, 0x2b, 0x5c,
-	0x4a, 0x78, 0x93, 0x0c, 0x0e, 0x5c, 0xb3, 0x1e, 0x94, 0xc7, 0xe2, 0xca, 0x78, 0x0a, 0x97, 0x18,
-	0xef, 0x29, 0x6d, 0x18, 0x06, 0xe1, 0xb9, 0x90, 0x94, 0xf4, 0x6d, 0xde, 0x31, 0xdc, 0xbe, 0x66,
-	0xa2, 0x7f, 0x2e, 0x92, 0x28, 0x10, 0x69, 0x56, 0x96, 0x88, 0x72, 0x7e, 0x57, 0xc2, 0xdc, 0xf4,
-	0x93, 0x34, 0x60, 0x0f, 0xa0, 0x3a, 0xbd, 0xf0, 0xa4, 0x30, 0xe5, 0xa8, 0x08, 0x08, 0x49, 0x6d,
-	0x3f, 0x47, 0x11, 0x4e, 0x92, 0x39, 0xad, 0xa5, 0xbc, 0x56, 0x1d, 0x25, 0xca, 0x53, 0x33, 0x8a,
-	0xda, 0x2a, 0x37, 0x14, 0xfb, 0x08, 0xda, 0x58, 0xbb, 0xb1, 0x02, 0xa9, 0xab, 0xa9, 0x30, 0xb6,
-	0xb4, 0x0c, 0xef, 0xf4, 0x6a, 0xaa, 0x55, 0x7a, 0xb1, 0x7c, 0x2d, 0xd2, 0x2c, 0x90, 0x88, 0x62,
-	0xdf, 0x81, 0x16, 0xad, 0x86, 0x63, 0x31, 0x55, 0x3a, 0x96, 0x1a, 0x1c, 0x88, 0xf5, 0xa5, 0x98,
-	0x2a, 0xe7, 0x31, 0x54, 0xb5, 0x6d, 0x0c, 0xa0, 0xb6, 0xbb, 0x77, 0xe2, 0x0e, 0x4e, 0xa9, 0xae,
-	0x70, 0xf7, 0xc4, 0xe5, 0x2f, 0xb3, 0xba, 0x72, 0x70, 0x38, 0x38, 0x3c, 0x79, 0xe2, 0xf6, 0x7b,
-	0x25, 0xd6, 0x05, 0x78, 0x31, 0xe0, 0xee, 0xc9, 0xf1, 0xd1, 0x4b, 0x5d, 0x59, 0xfe, 0x6d, 0xc1,
-	0xad, 0xb9, 0x0b, 0x4c, 0x60, 0xfd, 0xa4, 0x50, 0xa3, 0x3f, 0x59, 0x01, 0x65, 0x49, 0xbe, 0x58,
-	0xa5, 0xbf, 0x8f, 0xdb, 0x11, 0x36, 0x8d, 0x4f, 0x6b, 0xe7, 0x5b, 0x6b, 0x31, 0xe5, 0x46, 0xc8,
-	0x19, 0x7e, 0x6d, 0x9d, 0x6c, 0x41, 0xfd, 0x0b, 0xbe, 0x3b, 0xa0, 0x32, 0xd9, 0x84, 0xea, 0x97,
-	0x83, 0xe3, 0x57, 0x03, 0xba, 0xcb, 0xf1, 0xe9, 0x13, 0x97, 0x0f, 0xf7, 0x8e, 0xfb, 0x3f, 0xef,
-	0x95, 0x51, 0xce, 0xfd, 0xd9, 0xf3, 0x43, 0xee, 0xf6, 0x7b, 0x15, 0xd6, 0x80, 0xca, 0xc1, 0x8b,
-	0xa3, 0xa3, 0x5e, 0xd5, 0xf9, 0x9f, 0x05, 0x9d, 0x83, 0x30, 0x0e, 0xe5, 0xc5, 0xbb, 0x05, 0xd9,
-	0xc2, 0xcf, 0xe5, 0x25, 0x3f, 0xef, 0x40, 0x59, 0xc4, 0x54, 0x21, 0xbb, 0x3b, 0x5b, 0xc5, 0x37,
-	0x20, 0x7f, 0xd0, 0xb6, 0x1b, 0x07, 0x1c, 0x85, 0x73, 0x98, 0x54, 0xdf, 0x06, 0x93, 0x9f, 0x42,
-	0xd9, 0x8d, 0x03, 0xf6, 0x4d, 0xb8, 0xe5, 0x0e, 0xfa, 0x6b, 0x5e, 0x8d, 0xc1, 0xc9, 0x2b, 0x97,
-	0x6b, 0x38, 0x1a, 0x50, 0x39, 0x3a, 0x3e, 0x31, 0x2f, 0xc6, 0xe0, 0xf8, 0x74, 0xa8, 0x63, 0xa0,
-	0xec, 0x7c, 0x0a, 0xdd, 0xcc, 0x94, 0x7c, 0xb9, 0x40, 0xed, 0x82, 0x8a, 0x4d, 0x83, 0xcf, 0x69,
-	0xe7, 0x11, 0x74, 0x8e, 0x92, 0x64, 0x3c, 0x9b, 0xbe, 0x13, 0x42, 0xce, 0x63, 0xe8, 0x66, 0xdb,
-	0xcc, 0x21, 0x8b, 0x7b, 0x5a, 0x6f, 0x73, 0xcf, 0x5b, 0xd0, 0x39, 0xd1, 0x49, 0x62, 0xce, 0x75,
-	0x7e, 0x6f, 0x41, 0x87, 0x8b, 0x69, 0x14, 0xfa, 0x1e, 0x7d, 0x60, 0x5d, 0x28, 0x85, 0x81, 0xa9,
-	0x6f, 0xa5, 0x30, 0x60, 0x36, 0xd4, 0xbd, 0x20, 0x48, 0x85, 0x94, 0xc6, 0x92, 0x8c, 0xc4, 0x72,
-	0x13, 0xc6, 0xbe, 0x97, 0xc6, 0x9e, 0xca, 0x1e, 0xb8, 0x26, 0xcf, 0xb3, 0xb0, 0x79, 0xb9, 0x4c,
-	0x94, 0x29, 0x07, 0x0d, 0x4e, 0x04, 0x6a, 0x9c, 0x60, 0x61, 0x35, 0x25, 0xaa, 0xc2, 0x33, 0xd2,
-	0xf9, 0x7b, 0x19, 0xba, 0x99, 0x7d, 0xe6, 0x82, 0x45, 0x73, 0x0a, 0x87, 0x96, 0x56, 0x0f, 0xdd,
-	0x80, 0x5a, 0x24, 0xbc, 0x5c, 0x18, 0x11, 0x45, 0x10, 0xa7, 0x13, 0xd3, 0x8d, 0xe8, 0x35, 0xbb,
-	0x0b, 0x4d, 0x3f, 0x99, 0x4c, 0x42, 0xa5, 0xe6, 0xc6, 0x2c, 0x18, 0xec, 0x63, 0xe8, 0x98, 0xc7,
-	0x72, 0x18, 0xc6, 0x81, 0x78, 0x63, 0xde, 0x96, 0xb6, 0x61, 0x1e, 0x22, 0x6f, 0xe9, 0x55, 0xa8,
-	0x17, 0x5e, 0x85, 0xcf, 0xf1, 0x9b, 0x06, 0x57, 0xda, 0x8d, 0xb5, 0x85, 0x7c, 0x09, 0x7b, 0x3e,
-	0x97, 0xce, 0x3f, 0xe7, 0xcd, 0xb7, 0x7b, 0xce, 0x6d, 0xa8, 0x93, 0x93, 0xa5, 0x0d, 0x84, 0xaa,
-	0x21, 0xa9, 0x53, 0x9b, 0x7a, 0x61, 0x6a, 0xb7, 0xb2, 0x66, 0x11, 0x29, 0xb2, 0x7c, 0x34, 0x93,
-	0x61, 0x7c, 0x6e, 0xb7, 0xf5, 0x97, 0x39, 0x8d, 0x9e, 0x3b, 0x8b, 0xbc, 0x78, 0x6c, 0x77, 0xc8,
-	0x73, 0x9a, 0xc8, 0xc7, 0x42, 0x77, 0x29, 0x16, 0x9c, 0xaf, 0xa0, 0xf6, 0x4c, 0x4c, 0xce, 0x44,
-	0xfa, 0x0e, 0xf1, 0x83, 0x8d, 0x55, 0x12, 0x08, 0xe3, 0x26, 0xbd, 0x5e, 0x1f, 0x31, 0xce, 0x1f,
-	0x2c, 0x68, 0x1c, 0x25, 0xe7, 0x6e, 0xac, 0xd2, 0x2b, 0x14, 0x21, 0x6f, 0xd0, 0x19, 0x44, 0xcc,
-	0xbd, 0x5b, 0xca, 0x79, 0x37, 0x7b, 0xea, 0xa9, 0xb9, 0x98, 0x3f, 0xf5, 0x81, 0xa7, 0x3c, 0xad,
-	0xbf, 0xcd, 0xf5, 0x9a, 0xdd, 0x87, 0xfa, 0x44, 0x1b, 0x4f, 0x5d, 0xe8, 0x6a, 0x16, 0xd1, 0xd5,
-	0x78, 0x26, 0xe5, 0x5c, 0x41, 0xe3, 0x24, 0xf6, 0xa6, 0xf2, 0x22, 0x51, 0xef, 0x60, 0x4e, 0xee,
-	0x98, 0xf2, 0xdb, 0x1c, 0xb3, 0xce, 0x56, 0xe7, 0xbf, 0x25, 0xa8, 0x3f, 0x13, 0x52, 0x7a, 0xe7,
-	0x62, 0xa9, 0x95, 0xc9, 0xdd, 0x6f, 0x94, 0x26, 0x93, 0xac, 0xcd, 0xc2, 0x35, 0xba, 0x44, 0x25,
-	0x06, 0xe6, 0x92, 0x4a, 0xd6, 0x66, 0xc2, 0x1d, 0x68, 0x46, 0xc9, 0xb9, 0x89, 0x73, 0xca, 0x84,
-	0x46, 0x94, 0x9c, 0x53, 0x8c, 0xbf, 0x0f, 0xb8, 0x1e, 0xea, 0x4d, 0x94, 0x03, 0xf5, 0x28, 0x39,
-	0x3f, 0xc5, 0x7d, 0x1b, 0x50, 0xa3, 0x84, 0x31, 0xc1, 0x6f, 0x28, 0x3c, 0xe3, 0x22, 0x8c, 0x95,
-	0xdd, 0xa0, 0x33, 0x70, 0x8d, 0x50, 0xa5, 0xc9, 0x2c, 0xc6, 0x90, 0xd6, 0x50, 0x69, 0x82, 0xc2,
-	0xf3, 0xd7, 0xc2, 0x57, 0x3a, 0x6e, 0xf5, 0x20, 0x81, 0x14, 0x7b, 0x00, 0x75, 0x11, 0xab, 0x34,
-	0x14, 0xd2, 0x6e, 0x69, 0xb8, 0xbe, 0x5d, 0x80, 0x2b, 0x8b, 0x08, 0x9e, 0xc9, 0xb1, 0x87, 0xd0,
-	0x90, 0xc6, 0x2f, 0x3a, 0xa2, 0x57, 0xf7, 0x64, 0x6e, 0xe3, 0x73, 0x41, 0xac, 0x01, 0x72, 0xe6,
-	0xfb, 0x42, 0xca, 0x24, 0x35, 0xe1, 0xbe, 0x60, 0x38, 0x5f, 0x41, 0xdb, 0xc0, 0xbd, 0x87, 0x45,
-	0x8a, 0xed, 0x40, 0x63, 0x42, 0xb4, 0xb4, 0xad, 0xb5, 0x99, 0x69, 0xc4, 0xf9, 0x5c, 0xee, 0xfa,
-	0x14, 0x70, 0xde, 0x83, 0x5b, 0x7d, 0x11, 0x85, 0x97, 0x22, 0xcd, 0x0a, 0x9e, 0xf3, 0x57, 0x0b,
-	0x40, 0x5f, 0x0b, 0x6b, 0x82, 0x58, 0x3b, 0x7d, 0x5c, 0x9f, 0x52, 0xab, 0x73, 0x49, 0x79, 0xdd,
-	0x5c, 0x72, 0x1b, 0xaa, 0x52, 0x79, 0xa9, 0x32, 0x11, 0x40, 0x04, 0x1e, 0x75, 0x26, 0x3c, 0x65,
-	0xbc, 0xaf, 0xd7, 0x78, 0x54, 0x24, 0xbc, 0x4b, 0x2c, 0x11, 0xd4, 0x0c, 0x65, 0xa4, 0xf3, 0xe7,
-	0x12, 0x74, 0xbe, 0x48, 0xa4, 0x0c, 0xa7, 0x59, 0x38, 0x3e, 0x5c, 0x38, 0x8c, 0x90, 0x79, 0xbf,
-	0x80, 0xcc, 0xe2, 0x5a, 0x0b, 0x97, 0xf5, 0xa0, 0x1c, 0x06, 0x52, 0xcf, 0x2c, 0x75, 0x8e, 0x4b,
-	0x5d, 0x7a, 0x84, 0x67, 0x5a, 0xe6, 0x0a, 0x27, 0x82, 0x7d, 0x00, 0x40, 0x37, 0x1a, 0xa2, 0x78,
-	0x45, 0x8b, 0x37, 0x89, 0x73, 0x18, 0xe8, 0x9e, 0xcf, 0x7c, 0xa6, 0xbd, 0x55, 0xbd, 0xb7, 0x45,
-	0xbc, 0x3d, 0xad, 0xe1, 0x13, 0xe8, 0x1a, 0x11, 0x6a, 0x61, 0x69, 0xaa, 0xac, 0xf3, 0x0e, 0x71,
-	0xa9, 0x85, 0xc5, 0xd6, 0xbb, 0x4e, 0x0c, 0x69, 0xd7, 0xf5, 0x2d, 0x36, 0x57, 0x7a, 0x6f, 0xfc,
-	0x6a, 0xae, 0x61, 0x44, 0xd1, 0x68, 0x4f, 0x8e, 0x45, 0xa0, 0xcb, 0x7c, 0x9d, 0x13, 0xe1, 0x84,
-	0xd0, 0xca, 0x49, 0xaf, 0xf5, 0x65, 0x06, 0x7a, 0x29, 0x07, 0xfa, 0x6d, 0xa8, 0xe2, 0x37, 0x42,
-	0xa0, 0xc9, 0x89, 0xc0, 0x38, 0x35, 0x6e, 0x16, 0x04, 0x40, 0x93, 0x2f, 0x18, 0xce, 0x47, 0xd0,
-	0x3a, 0x08, 0xe3, 0x20, 0xd7, 0x4f, 0x8c, 0xc5, 0x95, 0xd4, 0x47, 0xb5, 0xb9, 0x5e, 0x3b, 0x1c,
-	0x1a, 0xfb, 0x1e, 0xbe, 0xb3, 0xbb, 0x7a, 0x94, 0x9c, 0x4d, 0xa5, 0x4a, 0x17, 0x3d, 0xc7, 0x9c,
-	0xc6, 0x84, 0x3c, 0x8b, 0x12, 0x7f, 0x4c, 0xd1, 0xd5, 0xe1, 0x86, 0x42, 0x9d, 0x33, 0x29, 0xe6,
-	0xe5, 0x14, 0xd7, 0xce, 0xdf, 0x2c, 0x00, 0x6c, 0x8c, 0x8f, 0xcf, 0x74, 0xce, 0xea, 0xc0, 0x4a,
-	0xd2, 0xec, 0x8a, 0x44, 0xbc, 0xdd, 0x9b, 0x9d, 0x68, 0x0d, 0x66, 0x4c, 0x36, 0x14, 0xfb, 0x10,
-	0xe0, 0x5c, 0xc4, 0x22, 0xa5, 0x8d, 0x14, 0xad, 0x39, 0x4e, 0xce, 0xd4, 0xea, 0x92, 0xa9, 0x3d,
-	0x6a, 0x19, 0x6b, 0x9a, 0x89, 0x4b, 0x47, 0x41, 0x9b, 0xf0, 0x31, 0x7d, 0xc5, 0x7d, 0xa8, 0xf9,
-	0x1a, 0x0c, 0x13, 0xab, 0xc5, 0x42, 0x91, 0x21, 0xc5, 0x8d, 0x18, 0x46, 0x37, 0x19, 0x25, 0xcd,
-	0x80, 0x5d, 0x8c, 0xee, 0x05, 0x0c, 0x3c, 0x93, 0x74, 0xfe, 0x69, 0x41, 0x6b, 0x1f, 0xe7, 0x8e,
-	0x37, 0x6a, 0x90, 0x28, 0x91, 0xb5, 0x74, 0xe4, 0x95, 0xac, 0xe9, 0x5d, 0x0b, 0x76, 0xde, 0x41,
-	0xe5, 0x82, 0x83, 0x1e, 0xcc, 0xd1, 0xa2, 0xe6, 0xf6, 0x06, 0x4b, 0x32, 0x20, 0x71, 0xd2, 0xf6,
-	0x52, 0x11, 0xd3, 0x4c, 0xd3, 0xe6, 0x86, 0xa2, 0xae, 0x61, 0xa4, 0xdd, 0x5a, 0xa7, 0xfc, 0x36,
-	0xe4, 0xbc, 0x23, 0x6d, 0x2c, 0x3a, 0x52, 0xe7, 0x31, 0xb4, 0xf0, 0x1a, 0x59, 0x90, 0x7d, 0x06,
-	0xd5, 0x38, 0x51, 0xf3, 0x74, 0x2f, 0x26, 0x4a, 0xee, 0xe2, 0x9c, 0x04, 0x9d, 0x2e, 0xb4, 0x49,
-	0x81, 0x29, 0x76, 0x8f, 0xa0, 0x75, 0x24, 0x96, 0xa2, 0x76, 0xa5, 0x0b, 0x66, 0x50, 0xf1, 0x13,
-	0x49, 0x09, 0x62, 0x71, 0xbd, 0x76, 0x7e, 0x05, 0x6d, 0xda, 0x66, 0x9c, 0xb9, 0x01, 0x35, 0x95,
-	0x8c, 0x45, 0x4c, 0xf1, 0x6e, 0x71, 0x43, 0xb1, 0xcf, 0xc1, 0x4e, 0x85, 0x4a, 0xaf, 0x86, 0xde,
-	0x48, 0x89, 0x74, 0xf9, 0x4f, 0x07, 0xc1, 0xbd, 0xa1, 0xbf, 0xef, 0xe2, 0xe7, 0xfc, 0xff, 0x8e,
-	0x9d, 0xff, 0x94, 0xa0, 0xbe, 0x4f, 0x3f, 0x00, 0xd9, 0x1e, 0x54, 0xf5, 0x5f, 0x32, 0x76, 0x67,
-	0xfd, 0xbf, 0x33, 0x6d, 0xfb, 0xe6, 0xdd, 0x9b, 0x7e, 0xac, 0xb1, 0x27, 0x50, 0x37, 0x53, 0x1c,
-	0xfb, 0xe0, 0xba, 0xe9, 0x8e, 0xf4, 0x7c, 0x78, 0xf3, 0xf0, 0xc7, 0x5c, 0xa8, 0xd1, 0xa0, 0xc1,
-	0xee, 0xde, 0x34, 0x0a, 0x6d, 0x7e, 0x70, 0xcd, 0xd7, 0x85, 0x1a, 0x1a, 0x25, 0x56, 0xd4, 0x2c,
-	0x0d, 0x26, 0x2b, 0x6a, 0x0a, 0xf3, 0x87, 0x0b, 0x35, 0x33, 0x37, 0x14, 0xd5, 0x2c, 0xcd, 0x19,
-	0x2b, 0x6a, 0x96, 0xbb, 0xfc, 0x9d, 0xa7, 0x50, 0x39, 0x10, 0x22, 0x40, 0xa8, 0xf5, 0x3f, 0x97,
-	0x15, 0xa8, 0xf3, 0xff, 0xc1, 0x56, 0xa0, 0x5e, 0xfa, 0x4d, 0xb3, 0xf3, 0xc7, 0x12, 0x54, 0x9f,
-	0x0b, 0xec, 0x9f, 0xfa, 0x50, 0xa3, 0x17, 0x6a, 0xc5, 0xb8, 0xa5, 0x87, 0x6b, 0xf3, 0xc6, 0xaf,
-	0xec, 0x31, 0x54, 0xb0, 0x72, 0xb0, 0xcd, 0x55, 0x40, 0xb3, 0xc0, 0xdd, 0xbc, 0xb3, 0xf6, 0x9b,
-	0xc1, 0xe8, 0x31, 0x54, 0x74, 0xf2, 0x17, 0x15, 0xe4, 0x52, 0x69, 0x45, 0x41, 0x3e, 0x4b, 0x50,
-	0x01, 0x86, 0xfb, 0x8a, 0x82, 0x5c, 0xea, 0xac, 0x28, 0xc8, 0xe7, 0xc7, 0xce, 0x0b, 0x68, 0x99,
-	0x41, 0x43, 0x57, 0xcd, 0x03, 0xa8, 0x9b, 0xae, 0x63, 0x05, 0xe7, 0x7c, 0xaf, 0xb3, 0x12, 0x8a,
-	0x85, 0x56, 0x65, 0xef, 0xd1, 0x2f, 0x1e, 0x9e, 0x87, 0xea, 0x62, 0x76, 0xb6, 0xed, 0x27, 0x93,
-	0xfb, 0x99, 0xec, 0x62, 0x11, 0xc6, 0x4a, 0xa4, 0xb1, 0x17, 0xdd, 0xd7, 0xbf, 0xd0, 0xfd, 0x24,
-	0xba, 0x8f, 0x6a, 0xce, 0x6a, 0x9a, 0x7c, 0xf8, 0xff, 0x00, 0x00, 0x00, 0xff, 0xff, 0x81, 0x13,
-	0x67, 0x65, 0x62, 0x17, 0x00, 0x00,
+	// 2705 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x59, 0x5f, 0x6f, 0x1b, 0xc7,
+	0x11, 0xef, 0xf1, 0x3f, 0x87, 0x7f, 0xc4, 0x6c, 0x1c, 0x95, 0x91, 0xed, 0x44, 0xb9, 0xc0, 0xa8,
+	0x81, 0xa6, 0x72, 0x42, 0x27, 0x41, 0x8a, 0xa0, 0x75, 0x65, 0x91, 0x8a, 0x65, 0x2b, 0x94, 0xb1,
+	0x92, 0xe3, 0xb6, 0x68, 0xc1, 0x9e, 0xee, 0x96, 0xe4, 0x55, 0xc7, 0x3b, 0xf6, 0xee, 0x28, 0x5b,
+	0x6f, 0x45, 0xfb, 0x52, 0xa0, 0x28, 0xd0, 0x2f, 0x90, 0x87, 0xa2, 0x68, 0x5f, 0x0a, 0xf4, 0x5b,
+	0xf4, 0xad, 0x4f, 0xfd, 0x00, 0x45, 0xbf, 0x40, 0x5f, 0xf2, 0x09, 0x8a, 0xd9, 0xd9, 0x3d, 0x1e,
+	0xef, 0x28, 0xd9, 0x42, 0xdf, 0x76, 0xe6, 0x66, 0x67, 0x67, 0x7f, 0x33, 0x3b, 0x3b, 0xb3, 0x07,
+	0x2d, 0x3b, 0xf0, 0xe3, 0x30, 0xf0, 0x76, 0xe6, 0x61, 0x10, 0x07, 0xac, 0x15, 0x4d, 0x85, 0x13,
+	0x06, 0xf6, 0xd9, 0xce, 0x0b, 0x37, 0x14, 0xe6, 0xa7, 0xd0, 0xdc, 0x9d, 0xcf, 0xbd, 0x0b, 0x2e,
+	0x7e, 0xb5, 0x10, 0x51, 0xcc, 0x18, 0x94, 0xc6, 0xae, 0x27, 0xba, 0xc6, 0xb6, 0x71, 0xb7, 0xce,
+	0xe5, 0x18, 0x79, 0xb1, 0x78, 0x19, 0x77, 0x0b, 0xdb, 0xc6, 0xdd, 0x26, 0x97, 0x63, 0xf3, 0xe7,
+	0x50, 0xde, 0xb7, 0x16, 0xde, 0xa5, 0x13, 0x3c, 0xd7, 0x17, 0x72, 0x42, 0x99, 0xcb, 0x31, 0xbb,
+	0x01, 0xe5, 0xb1, 0x2b, 0x3c, 0xa7, 0x5b, 0x94, 0x82, 0x44, 0xb0, 0x4d, 0xa8, 0x84, 0xc2, 0x8a,
+	0x02, 0xbf, 0x5b, 0x92, 0x6c, 0x45, 0x99, 0xff, 0x28, 0x40, 0x4b, 0xd9, 0x15, 0xcd, 0x03, 0x3f,
+	0x12, 0xec, 0x73, 0x94, 0x8c, 0x16, 0x5e, 0x2c, 0x57, 0x6a, 0xf7, 0xde, 0xdf, 0x59, 0xd9, 0xc8,
+	0xce, 0x8a, 0xf4, 0x0e, 0x97, 0xa2, 0x5c, 0x4d, 0x61, 0x5b, 0x50, 0x0b, 0xc5, 0xb9, 0x1b, 0xb9,
+	0x81, 0x2f, 0x8d, 0x2a, 0xf1, 0x84, 0x26, 0x13, 0x22, 0xe1, 0xc7, 0xd2, 0xb2, 0x1a, 0x57, 0x14,
+	0xfb, 0x0e, 0x6c, 0xd8, 0x8b, 0x30, 0x14, 0x7e, 0x3c, 0x3a, 0x17, 0xa1, 0x9c, 0x5a, 0x92, 0x53,
+	0xdb, 0x8a, 0xfd, 0x15, 0x71, 0xd9, 0x36, 0x34, 0x1c, 0x77, 0x3c, 0x16, 0xa1, 0xf0, 0x6d, 0x11,
+	0x75, 0xcb, 0xdb, 0xc5, 0xbb, 0x75, 0x9e, 0x66, 0xb1, 0x0f, 0xa0, 0x32, 0x46, 0xb0, 0xa2, 0x6e,
+	0x65, 0xbb, 0x78, 0xb7, 0xd1, 0xbb, 0x91, 0xb1, 0x5d, 0x22, 0xc9, 0x95, 0x8c, 0xf9, 0x18, 0x2a,
+	0x64, 0x3e, 0xdb, 0x04, 0xc6, 0x07, 0xc7, 0xcf, 0x0e, 0x4f, 0x46, 0xcf, 0x86, 0xc7, 0x4f, 0x07,
+	0x7b, 0x07, 0xfb, 0x07, 0x83, 0x7e, 0xe7, 0x5b, 0xac, 0x09, 0xb5, 0xdd, 0xbd, 0xbd, 0xc1, 0xd3,
+	0x93, 0x41, 0xbf, 0x63, 0x20, 0xb5, 0x77, 0x34, 0xdc, 0x3f, 0x3c, 0xd8, 0x3b, 0xe9, 0x14, 0x90,
+	0xe2, 0x83, 0xc7, 0x83, 0x3d, 0xfc, 0x56, 0x34, 0x7f, 0x63, 0x40, 0x15, 0x91, 0x71, 0x85, 0x83,
+	0x5e, 0xf1, 0xad, 0x59, 0xe2, 0x29, 0x1c, 0xb3, 0x3b, 0xd0, 0x1e, 0x5b, 0xae, 0xb7, 0x08, 0xc5,
+	0xc8, 0x09, 0x66, 0x96, 0x4b, 0xf0, 0xd4, 0x79, 0x4b, 0x71, 0xfb, 0x92, 0xb9, 0x82, 0x5f, 0x31,
+	0x83, 0xdf, 0x36, 0x34, 0x16, 0xbe, 0x1d, 0xf8, 0x63, 0x37, 0x9c, 0x09, 0x47, 0x62, 0x54, 0xe3,
+	0x69, 0x96, 0xf9, 0xb5, 0x01, 0xcd, 0xe7, 0x56, 0x6c, 0x4f, 0x75, 0x90, 0xa5, 0xd5, 0x19, 0x19,
+	0x75, 0x1f, 0x42, 0xd5, 0x22, 0x83, 0xbb, 0x05, 0x09, 0xd6, 0xe6, 0x1a, 0x47, 0xbb, 0xc2, 0xe1,
+	0x5a, 0x8c, 0x7d, 0x17, 0xde, 0x78, 0x61, 0xb9, 0xf1, 0x68, 0xe6, 0x7a, 0x9e, 0x1b, 0x09, 0x3b,
+	0xf0, 0x9d, 0x48, 0x5a, 0xd9, 0xe2, 0x1d, 0xfc, 0xf0, 0x65, 0x8a, 0x2f, 0xc3, 0x75, 0xe1, 0x79,
+	0xca, 0x4c, 0x39, 0x36, 0xff, 0x6c, 0x40, 0xab, 0x1f, 0xd8, 0x8b, 0x99, 0xf0, 0xe3, 0xbe, 0xf0,
+	0x62, 0xeb, 0x4a, 0x03, 0x19, 0x94, 0xce, 0x5c, 0xdf, 0x51, 0x40, 0xc9, 0x31, 0xc6, 0xd0, 0x3c,
+	0x14, 0x63, 0xf7, 0xa5, 0x5a, 0x57, 0x51, 0xc8, 0x8f, 0x16, 0x63, 0xe4, 0x97, 0x88, 0x4f, 0x14,
+	0xf2, 0x67, 0xae, 0xe3, 0x78, 0xa2, 0x5b, 0x96, 0x67, 0x4a, 0x51, 0xb8, 0xae, 0x3d, 0x15, 0xf6,
+	0x59, 0xb4, 0x98, 0x75, 0x2b, 0xb4, 0xae, 0xa6, 0xf1, 0xa4, 0x6a, 0x23, 0x4f, 0xc4, 0xcb, 0x38,
+	0xb1, 0xc3, 0x48, 0xd9, 0xb1, 0xee, 0xa4, 0xfe, 0xcb, 0x80, 0x96, 0x42, 0x5f, 0x1d, 0xa5, 0x57,
+	0xec, 0x4e, 0xe2, 0x53, 0x58, 0xe2, 0xc3, 0xbe, 0x0f, 0x75, 0x47, 0xad, 0x8c, 0xc0, 0xa2, 0x53,
+	0x6e, 0x66, 0x9c, 0x92, 0xb6, 0x8c, 0x2f, 0xa5, 0xd9, 0xc7, 0x50, 0x71, 0x10, 0xd1, 0xa8, 0x5b,
+	0x92, 0xf3, 0x6e, 0x5d, 0x32, 0x4f, 0xc2, 0xce, 0x95, 0x6c, 0x36, 0xa4, 0xca, 0xf9, 0x90, 0x5a,
+	0x40, 0x9b, 0x8b, 0x48, 0x84, 0xe7, 0x22, 0x95, 0xb8, 0x62, 0x61, 0xcd, 0x34, 0x1c, 0x38, 0x66,
+	0x1d, 0x28, 0x9e, 0x89, 0x0b, 0xe5, 0x29, 0x1c, 0x62, 0xbc, 0x87, 0x34, 0x61, 0xe4, 0xb8, 0x13,
+	0x11, 0xd1, 0xa1, 0x6f, 0xf2, 0x96, 0xe2, 0xf6, 0x25, 0x13, 0xfd, 0x33, 0x0d, 0x3c, 0x47, 0x84,
+	0x3a, 0x2d, 0x11, 0x65, 0xfe, 0xae, 0x80, 0x67, 0xd3, 0x0e, 0x42, 0x87, 0x7d, 0x04, 0xe5, 0xf9,
+	0xd4, 0x8a, 0x84, 0x4a, 0x47, 0x59, 0x40, 0x48, 0x6a, 0xe7, 0x29, 0x8a, 0x70, 0x92, 0x4c, 0x69,
+	0x2d, 0xa4, 0xb5, 0xca, 0x28, 0x89, 0xad, 0x78, 0x41, 0x51, 0x5b, 0xe6, 0x8a, 0x62, 0xef, 0x41,
+	0x13, 0x73, 0x37, 0x66, 0xa0, 0xf8, 0x62, 0x2e, 0x94, 0x2d, 0x0d, 0xc5, 0x3b, 0xb9, 0x98, 0x4b,
+	0x95, 0x96, 0x1f, 0xbd, 0x10, 0xa1, 0x0e, 0x24, 0xa2, 0xd8, 0xbb, 0xd0, 0xa0, 0xd1, 0xe8, 0x4c,
+	0xcc, 0x63, 0x19, 0x4b, 0x35, 0x0e, 0xc4, 0x7a, 0x22, 0xe6, 0xb1, 0xf9, 0x00, 0xca, 0xd2, 0x36,
+	0x06, 0x50, 0xd9, 0x7d, 0x78, 0x3c, 0x18, 0x9e, 0x50, 0x5e, 0xe1, 0x83, 0xe3, 0x01, 0xff, 0x4a,
+	0xe7, 0x95, 0xfd, 0x83, 0xe1, 0xc1, 0xf1, 0xa3, 0x41, 0xbf, 0x53, 0x60, 0x6d, 0x80, 0x67, 0x43,
+	0x3e, 0x38, 0x3e, 0x3a, 0xfc, 0x4a, 0x66, 0x96, 0xff, 0x18, 0xb0, 0x91, 0xb8, 0x40, 0x05, 0xd6,
+	0x0f, 0x32, 0x39, 0xfa, 0x4e, 0x0e, 0x94, 0x15, 0xf9, 0x6c, 0x96, 0xfe, 0x1e, 0x4e, 0x47, 0xd8,
+	0x24, 0x3e, 0x8d, 0xde, 0x5b, 0x6b, 0x31, 0xe5, 0x4a, 0xc8, 0x1c, 0xbd, 0x32, 0x4f, 0x36, 0xa0,
+	0xfa, 0x05, 0xdf, 0x1d, 0x52, 0x9a, 0xac, 0x43, 0xf9, 0xc9, 0xf0, 0xe8, 0xf9, 0x90, 0xf6, 0x72,
+	0x74, 0xf2, 0x68, 0xc0, 0x47, 0x0f, 0x8f, 0xfa, 0x3f, 0xe9, 0x14, 0x51, 0x6e, 0xf0, 0xe3, 0xa7,
+	0x07, 0x7c, 0xd0, 0xef, 0x94, 0x58, 0x0d, 0x4a, 0xfb, 0xcf, 0x0e, 0x0f, 0x3b, 0x65, 0xf3, 0x1b,
+	0x03, 0x5a, 0xfb, 0xae, 0xef, 0x46, 0xd3, 0xeb, 0x05, 0xd9, 0xd2, 0xcf, 0xc5, 0x15, 0x3f, 0xf7,
+	0xa0, 0x28, 0x7c, 0xca, 0x90, 0xed, 0xde, 0x76, 0xf6, 0x0e, 0x48, 0x2f, 0xb4, 0x33, 0xf0, 0x1d,
+	0x8e, 0xc2, 0x29, 0x4c, 0xca, 0xaf, 0x83, 0xc9, 0x8f, 0xa0, 0x38, 0xf0, 0x1d, 0xf6, 0x26, 0x6c,
+	0x0c, 0x86, 0xfd, 0x35, 0xb7, 0xc6, 0xf0, 0xf8, 0xf9, 0x80, 0x4b, 0x38, 0x6a, 0x50, 0x3a, 0x3c,
+	0x3a, 0x56, 0x37, 0xc6, 0xf0, 0xe8, 0x64, 0x24, 0x63, 0xa0, 0x68, 0x7e, 0x00, 0x6d, 0x6d, 0x4a,
+	0x3a, 0x5d, 0xa0, 0x76, 0x41, 0xc9, 0xa6, 0xc6, 0x13, 0xda, 0xfc, 0x04, 0x5a, 0x87, 0x41, 0x70,
+	0xb6, 0x98, 0x5f, 0x0b, 0x21, 0xf3, 0x01, 0xb4, 0xf5, 0x34, 0xb5, 0xc8, 0x72, 0x9f, 0xc6, 0xeb,
+	0xec, 0x73, 0x03, 0x5a, 0xc7, 0xf2, 0x90, 0xa8, 0x75, 0xcd, 0xdf, 0x1b, 0xd0, 0xe2, 0x62, 0xee,
+	0xb9, 0xb6, 0x45, 0x1f, 0x58, 0x1b, 0x0a, 0xae, 0xa3, 0xf2, 0x5b, 0xc1, 0x75, 0x58, 0x17, 0xaa,
+	0x96, 0xe3, 0x84, 0x22, 0x8a, 0x94, 0x25, 0x9a, 0xc4, 0x74, 0xe3, 0xfa, 0xb6, 0x15, 0xfa, 0x56,
+	0xac, 0x2f, 0xb8, 0x3a, 0x4f, 0xb3, 0xb0, 0x78, 0x39, 0x0f, 0x62, 0x95, 0x0e, 0x6a, 0x9c, 0x08,
+	0xd4, 0x38, 0xc3, 0xc4, 0xaa, 0x52, 0x54, 0x89, 0x6b, 0xd2, 0xfc, 0x77, 0x11, 0xda, 0xda, 0x3e,
+	0xb5, 0xc1, 0xac, 0x39, 0x99, 0x45, 0x0b, 0xf9, 0x45, 0x37, 0xa1, 0xe2, 0x09, 0x2b, 0x15, 0x46,
+	0x44, 0x11, 0xc4, 0xe1, 0x4c, 0x55, 0x23, 0x72, 0xcc, 0x6e, 0x41, 0xdd, 0x0e, 0x66, 0x33, 0x37,
+	0x8e, 0x13, 0x63, 0x96, 0x0c, 0xf6, 0x3e, 0xb4, 0xd4, 0x65, 0x39, 0x72, 0x7d, 0x47, 0xbc, 0x54,
+	0x77, 0x4b, 0x53, 0x31, 0x0f, 0x90, 0xb7, 0x72, 0x2b, 0x54, 0x33, 0xb7, 0xc2, 0x67, 0xf8, 0x4d,
+	0x82, 0x1b, 0x75, 0x6b, 0x6b, 0x13, 0xf9, 0x0a, 0xf6, 0x3c, 0x91, 0x4e, 0x5f, 0xe7, 0xf5, 0xd7,
+	0xbb, 0xce, 0xbb, 0x50, 0x25, 0x27, 0x47, 0x5d, 0x20, 0x54, 0x15, 0x49, 0x95, 0xda, 0xdc, 0x72,
+	0xc3, 0x6e, 0x43, 0x17, 0x8b, 0x48, 0x91, 0xe5, 0xe3, 0x45, 0xe4, 0xfa, 0x93, 0x6e, 0x53, 0x7e,
+	0x49, 0x68, 0xf4, 0xdc, 0xa9, 0x67, 0xf9, 0x67, 0xdd, 0x16, 0x79, 0x4e, 0x12, 0xe9, 0x58, 0x68,
+	0xaf, 0xc6, 0x42, 0xbe, 0x20, 0xda, 0x58, 0x53, 0x10, 0x99, 0x3f, 0x84, 0xf6, 0x81, 0x1f, 0xc5,
+	0x96, 0xe7, 0xe9, 0xc0, 0xef, 0x42, 0x55, 0x97, 0x89, 0xe4, 0x64, 0x4d, 0xae, 0xbd, 0x94, 0xef,
+	0xc0, 0x46, 0x32, 0x5f, 0x05, 0x08, 0x83, 0xd2, 0x14, 0xeb, 0x63, 0x9a, 0x2d, 0xc7, 0x26, 0x83,
+	0x8e, 0x12, 0x13, 0x8e, 0x8e, 0xf4, 0x5d, 0x78, 0x23, 0xc5, 0x53, 0x93, 0xaf, 0xb7, 0x7a, 0x1f,
+	0xd8, 0xd0, 0x9a, 0x89, 0xe7, 0xc2, 0x9d, 0x4c, 0x63, 0x7d, 0x84, 0x10, 0xaa, 0x59, 0xe0, 0x08,
+	0x4f, 0x9d, 0x5d, 0x22, 0xd2, 0x9a, 0x0b, 0x2b, 0x9a, 0xcd, 0xb7, 0xe0, 0xcd, 0x15, 0x2d, 0x64,
+	0x8a, 0xf9, 0x6b, 0x03, 0x1a, 0x8f, 0x03, 0xd7, 0xd7, 0x6a, 0xaf, 0x1f, 0xf8, 0x29, 0xef, 0x14,
+	0x5f, 0xe5, 0x9d, 0xd2, 0x3a, 0xef, 0xb4, 0xa1, 0x49, 0x16, 0x28, 0x93, 0xbe, 0x31, 0xa0, 0xb9,
+	0xef, 0x09, 0x11, 0xa7, 0xb2, 0x54, 0xae, 0x14, 0xbe, 0x01, 0x65, 0xe1, 0xc7, 0xe1, 0x85, 0x2a,
+	0x7d, 0x88, 0x90, 0xdc, 0x79, 0x60, 0x4f, 0x55, 0xd9, 0x4b, 0x04, 0x46, 0xa2, 0x3d, 0xb5, 0xfc,
+	0x89, 0x50, 0x87, 0x50, 0x51, 0x68, 0x9f, 0xac, 0x51, 0x26, 0x49, 0xcb, 0x40, 0x67, 0xb1, 0x45,
+	0x5c, 0xdd, 0x31, 0x7c, 0x0a, 0xd5, 0x17, 0x84, 0x9a, 0x6a, 0x08, 0xb2, 0xa7, 0x89, 0x30, 0x55,
+	0xe2, 0x5c, 0x0b, 0xaf, 0xaf, 0x74, 0xab, 0xeb, 0x2b, 0x5d, 0xf3, 0xef, 0x05, 0x68, 0xa9, 0x4d,
+	0xab, 0x20, 0x49, 0xf6, 0x62, 0xac, 0xdf, 0x4b, 0xe1, 0x15, 0x7b, 0x29, 0xae, 0xdb, 0xcb, 0xbb,
+	0xd0, 0x50, 0x62, 0x32, 0xcc, 0x4a, 0x32, 0xcc, 0x80, 0x58, 0xb2, 0x4e, 0x4d, 0x6d, 0xb6, 0x7c,
+	0x9d, 0xcd, 0x7e, 0x0e, 0x75, 0x17, 0xe3, 0x5c, 0x36, 0x55, 0x04, 0xd3, 0xed, 0xcc, 0xcc, 0x03,
+	0xf5, 0x9d, 0x8b, 0x79, 0x10, 0xc6, 0x7c, 0x29, 0x8f, 0x21, 0xa4, 0xda, 0xde, 0x6e, 0x55, 0xf6,
+	0x63, 0x9a, 0xc4, 0x2f, 0xe8, 0x59, 0x57, 0x60, 0x26, 0x43, 0xe4, 0x34, 0x69, 0x3e, 0x80, 0xd6,
+	0x8a, 0x29, 0xd7, 0x3e, 0x10, 0x7f, 0x2b, 0xa8, 0xac, 0x90, 0x98, 0x94, 0x0a, 0xfe, 0xba, 0xbe,
+	0x84, 0xb0, 0x04, 0x72, 0x6d, 0xa1, 0x2f, 0x21, 0x45, 0xfe, 0xdf, 0x41, 0x8f, 0xd6, 0x46, 0x5e,
+	0x20, 0x51, 0xc6, 0x6d, 0x11, 0x81, 0x6a, 0x3d, 0x61, 0x9d, 0x63, 0x6a, 0xa4, 0x22, 0x50, 0x93,
+	0xb2, 0xea, 0x74, 0x3d, 0xec, 0x7b, 0xab, 0xd4, 0xf7, 0x12, 0x25, 0x9b, 0x77, 0x31, 0x8e, 0x25,
+	0x3a, 0x35, 0x2e, 0xc7, 0x98, 0x61, 0x23, 0x3c, 0x3a, 0xbe, 0x2d, 0xba, 0x75, 0xba, 0x1b, 0x34,
+	0x9d, 0xf6, 0x2f, 0x5c, 0xc3, 0xbf, 0xe6, 0x6f, 0x0d, 0xa8, 0x7c, 0x29, 0x66, 0xa7, 0x22, 0xbc,
+	0xc6, 0x55, 0x8d, 0x07, 0x37, 0x70, 0x84, 0x82, 0x48, 0x8e, 0x2f, 0xb9, 0x9c, 0xf3, 0xa8, 0x95,
+	0xd7, 0xa5, 0x8a, 0x3f, 0x18, 0x50, 0x3b, 0x0c, 0x26, 0x03, 0x7d, 0xd8, 0xe9, 0x7e, 0x54, 0x07,
+	0x44, 0x12, 0xc9, 0x7d, 0x5b, 0x48, 0xdd, 0xb7, 0xba, 0xf9, 0xa2, 0x76, 0x2f, 0x69, 0xbe, 0x1c,
+	0x2b, 0xb6, 0xd4, 0x11, 0x90, 0x63, 0x76, 0x0f, 0xaa, 0x33, 0xb9, 0x47, 0x1d, 0xfc, 0xd9, 0xba,
+	0x86, 0x10, 0xe0, 0x5a, 0xca, 0xbc, 0x80, 0xda, 0xb1, 0x6f, 0xcd, 0xa3, 0x69, 0x10, 0x5f, 0xc3,
+	0x9c, 0xd4, 0x32, 0xc5, 0xd7, 0x59, 0x66, 0x9d, 0xad, 0xe6, 0x7f, 0x0b, 0x50, 0xfd, 0x52, 0x44,
+	0x91, 0x35, 0x11, 0x2b, 0xcd, 0x65, 0x6a, 0x7f, 0xe3, 0x30, 0x98, 0xe9, 0xc6, 0x17, 0xc7, 0xe8,
+	0xb9, 0x38, 0x50, 0xde, 0x28, 0xc4, 0xc1, 0xda, 0xda, 0xe4, 0x26, 0xd4, 0xbd, 0x60, 0xa2, 0x2a,
+	0x0f, 0xca, 0x87, 0x35, 0x2f, 0x98, 0x50, 0xd5, 0xf1, 0x36, 0xe0, 0x78, 0x24, 0x27, 0x51, 0x55,
+	0x52, 0xf5, 0x82, 0xc9, 0x09, 0xce, 0xc3, 0xc4, 0x24, 0x4b, 0x18, 0x55, 0x8e, 0x28, 0x4a, 0x5e,
+	0x94, 0xae, 0x4f, 0x01, 0x8a, 0x17, 0xa5, 0xeb, 0x4b, 0xa8, 0xc2, 0x60, 0xe1, 0x3b, 0x2a, 0x3a,
+	0x89, 0xa0, 0x82, 0xe1, 0x97, 0xc2, 0x8e, 0x65, 0x25, 0x21, 0x9f, 0x76, 0x90, 0x62, 0x1f, 0x2d,
+	0x73, 0x40, 0x43, 0xc2, 0xf5, 0xed, 0x0c, 0x5c, 0x3a, 0x22, 0x92, 0xe4, 0xc0, 0xee, 0x43, 0x2d,
+	0x52, 0x7e, 0x91, 0x35, 0x46, 0x7e, 0x8e, 0x76, 0x1b, 0x4f, 0x04, 0xb1, 0x2a, 0x8b, 0x16, 0xb6,
+	0x2d, 0xa2, 0x28, 0x08, 0x55, 0x01, 0xb2, 0x64, 0x98, 0x3f, 0x83, 0xa6, 0x82, 0xfb, 0x21, 0x96,
+	0x8d, 0xac, 0x07, 0xb5, 0x19, 0xd1, 0x51, 0xd7, 0x58, 0x5b, 0x2b, 0x29, 0x71, 0x9e, 0xc8, 0x5d,
+	0x7e, 0x52, 0xcc, 0x37, 0x60, 0xa3, 0x2f, 0x3c, 0xf7, 0x5c, 0x84, 0xc9, 0x35, 0xf8, 0x17, 0x03,
+	0x40, 0x6e, 0x0b, 0xab, 0x34, 0xb1, 0xf6, 0x12, 0xbc, 0xfc, 0xe4, 0xe5, 0xcf, 0x53, 0xf1, 0xb2,
+	0x2c, 0x14, 0x5b, 0x61, 0xac, 0x22, 0x80, 0x08, 0x5c, 0xea, 0x54, 0x58, 0xb1, 0xf2, 0xbe, 0x1c,
+	0x5f, 0x9e, 0x99, 0xcc, 0x3f, 0x15, 0xa0, 0xf5, 0x45, 0x10, 0x45, 0xee, 0x5c, 0x87, 0xe3, 0xfd,
+	0xa5, 0xc3, 0x08, 0x99, 0xb7, 0x33, 0xc8, 0x2c, 0xb7, 0xb5, 0x74, 0x59, 0x07, 0x8a, 0xae, 0x13,
+	0xc9, 0x57, 0xa4, 0x2a, 0xc7, 0xa1, 0x2c, 0x06, 0x85, 0xa5, 0x1e, 0x31, 0x4a, 0x9c, 0x08, 0x76,
+	0x1b, 0x80, 0x76, 0x34, 0x42, 0xf1, 0x92, 0x14, 0xaf, 0x13, 0xe7, 0xc0, 0x91, 0x5d, 0xb8, 0xfa,
+	0x4c, 0x73, 0xcb, 0x72, 0x6e, 0x83, 0x78, 0x0f, 0xa5, 0x86, 0x3b, 0xd0, 0x56, 0x22, 0xf4, 0xa8,
+	0x40, 0xf7, 0x55, 0x95, 0xb7, 0x88, 0x4b, 0x8f, 0x0a, 0x11, 0xfb, 0x18, 0xaa, 0xc4, 0x88, 0xe4,
+	0xa5, 0xd4, 0xe8, 0x6d, 0xe5, 0x5e, 0x43, 0xf0, 0xab, 0xda, 0x86, 0x12, 0x45, 0xa3, 0xad, 0xe8,
+	0x4c, 0x38, 0xb2, 0xf0, 0xae, 0x72, 0x22, 0x4c, 0x17, 0x1a, 0x29, 0xe9, 0xb5, 0xbe, 0xd4, 0xa0,
+	0x17, 0x52, 0xa0, 0xdf, 0x80, 0x32, 0x7e, 0x23, 0x04, 0xea, 0x9c, 0x08, 0x8c, 0x53, 0xe5, 0x66,
+	0x41, 0x00, 0xd4, 0xf9, 0x92, 0x61, 0xbe, 0x07, 0x8d, 0x7d, 0xd7, 0x77, 0x52, 0xb5, 0xd3, 0x99,
+	0xb8, 0x88, 0xe4, 0x52, 0x4d, 0x2e, 0xc7, 0x26, 0x87, 0xda, 0x9e, 0x85, 0x9d, 0xcf, 0xae, 0xbc,
+	0x2b, 0x16, 0xf3, 0x28, 0x0e, 0x97, 0x5d, 0x60, 0x42, 0xe3, 0x81, 0x3c, 0xf5, 0x02, 0xfb, 0x8c,
+	0xa2, 0xab, 0xc5, 0x15, 0x85, 0x3a, 0x17, 0x91, 0x48, 0xd2, 0x29, 0x8e, 0xcd, 0xbf, 0x1a, 0x00,
+	0x4f, 0xc4, 0x3c, 0x3e, 0x3a, 0x95, 0x67, 0x56, 0x06, 0x56, 0x10, 0xea, 0x2d, 0x12, 0xf1, 0x7a,
+	0x5d, 0x54, 0x20, 0x35, 0xa8, 0xf2, 0x45, 0x51, 0xec, 0x1d, 0x80, 0x89, 0xf0, 0x45, 0x48, 0x13,
+	0x29, 0x5a, 0x53, 0x9c, 0x94, 0xa9, 0xe5, 0x15, 0x53, 0x3b, 0xd4, 0xc4, 0x57, 0x24, 0x13, 0x87,
+	0x66, 0x0c, 0x4d, 0xc2, 0x47, 0x95, 0x59, 0xf7, 0xa0, 0x62, 0x4b, 0x30, 0x54, 0xac, 0x66, 0x13,
+	0x85, 0x46, 0x8a, 0x2b, 0x31, 0x8c, 0x6e, 0x32, 0x2a, 0x52, 0x4f, 0x9e, 0xd9, 0xe8, 0x5e, 0xc2,
+	0xc0, 0xb5, 0xa4, 0xf9, 0x4f, 0x03, 0x1a, 0x7b, 0x81, 0x8f, 0x45, 0xd7, 0x30, 0x88, 0x85, 0x6e,
+	0xb2, 0xc9, 0x2b, 0xfa, 0x19, 0x62, 0x2d, 0xd8, 0x69, 0x07, 0x15, 0x33, 0x0e, 0xfa, 0x28, 0x41,
+	0x8b, 0x9e, 0x1b, 0xae, 0xb0, 0x44, 0x03, 0xb9, 0x09, 0x95, 0xb9, 0x15, 0x62, 0x1d, 0x51, 0xa1,
+	0x27, 0x28, 0xa2, 0xa8, 0x8f, 0x1b, 0x4b, 0xb7, 0x52, 0x81, 0xa1, 0xc9, 0xe4, 0x8d, 0xa0, 0xb6,
+	0x7c, 0x23, 0x30, 0x1f, 0x40, 0x03, 0xb7, 0xa1, 0x83, 0xec, 0x43, 0x28, 0xfb, 0x41, 0x9c, 0x1c,
+	0xf7, 0xec, 0x41, 0x49, 0x6d, 0x9c, 0x93, 0x20, 0xd6, 0xfc, 0xa4, 0x40, 0x25, 0xbb, 0x4f, 0xa0,
+	0x71, 0x28, 0x56, 0xa2, 0x36, 0xf7, 0x2e, 0xc1, 0xa0, 0x64, 0x07, 0x11, 0x1d, 0x10, 0x83, 0xcb,
+	0xb1, 0xf9, 0x0b, 0x68, 0xd2, 0x34, 0xe5, 0xcc, 0x4d, 0xa8, 0xc4, 0xc1, 0x99, 0xf0, 0x29, 0xde,
+	0x0d, 0xae, 0x28, 0xf6, 0x19, 0x74, 0x43, 0x11, 0x87, 0x17, 0x23, 0x6b, 0x1c, 0x8b, 0x70, 0xb5,
+	0x22, 0x27, 0xb8, 0x37, 0xe5, 0xf7, 0x5d, 0xfc, 0x9c, 0xae, 0xcb, 0x7b, 0x5f, 0x97, 0xa1, 0xba,
+	0xa7, 0x8a, 0xd1, 0x87, 0x50, 0x96, 0xff, 0x2d, 0xd8, 0xcd, 0xf5, 0x7f, 0x33, 0xa4, 0xed, 0x5b,
+	0xb7, 0xae, 0xfa, 0xd5, 0xc1, 0x1e, 0x41, 0x55, 0xbd, 0xab, 0xb1, 0xdb, 0x97, 0xbd, 0xb7, 0x91,
+	0x9e, 0x77, 0xae, 0x7e, 0x8e, 0x63, 0x03, 0xa8, 0xd0, 0xd3, 0x0f, 0xbb, 0x75, 0xd5, 0xe3, 0xd4,
+	0xd6, 0xed, 0x4b, 0xbe, 0x2e, 0xd5, 0xd0, 0xe3, 0x4e, 0x4e, 0xcd, 0xca, 0x53, 0x51, 0x4e, 0x4d,
+	0xe6, 0x45, 0x68, 0x00, 0x15, 0xf5, 0x92, 0x93, 0x55, 0xb3, 0xf2, 0xf2, 0x93, 0x53, 0x93, 0x79,
+	0x77, 0x79, 0x04, 0x55, 0xd5, 0x2e, 0xb3, 0xb5, 0xed, 0x43, 0xd2, 0xc1, 0xe7, 0xe0, 0xc9, 0x36,
+	0xe8, 0x43, 0xa8, 0x27, 0x8d, 0x37, 0x7b, 0x77, 0xbd, 0x70, 0xd2, 0xa6, 0x6f, 0x6d, 0x5f, 0x2e,
+	0xa0, 0xf4, 0x9d, 0x40, 0x23, 0xd5, 0x3f, 0xb3, 0xf7, 0x32, 0x13, 0xf2, 0x1d, 0xfa, 0x96, 0x79,
+	0x95, 0x88, 0xd2, 0xfa, 0x00, 0x4a, 0xd8, 0xfb, 0xb2, 0xec, 0x91, 0x49, 0xb5, 0xe4, 0x5b, 0x37,
+	0xd7, 0x7e, 0x23, 0x05, 0xbd, 0x27, 0x50, 0x96, 0x6d, 0x23, 0x06, 0xa7, 0xfc, 0x6f, 0x90, 0x0b,
+	0xce, 0x74, 0x2b, 0x9d, 0x0b, 0xce, 0x95, 0x96, 0xb3, 0xf7, 0x18, 0x4a, 0xfb, 0x42, 0x38, 0x97,
+	0xeb, 0x4a, 0xff, 0x17, 0xca, 0xe9, 0x5a, 0xf9, 0x6d, 0xd1, 0xfb, 0x63, 0x01, 0xca, 0x4f, 0x05,
+	0x56, 0xaf, 0x7d, 0xa8, 0x50, 0x7d, 0x90, 0x0b, 0x8d, 0x95, 0xb2, 0x61, 0xeb, 0xca, 0xaf, 0x88,
+	0x14, 0xe6, 0xed, 0x1c, 0x52, 0xa9, 0xcb, 0x2e, 0x87, 0xd4, 0x4a, 0xa2, 0x7f, 0x00, 0x25, 0x99,
+	0x7a, 0xb3, 0x0a, 0x52, 0x89, 0x2c, 0xa7, 0x20, 0x9d, 0xa3, 0x50, 0x01, 0x26, 0x9b, 0x9c, 0x82,
+	0x54, 0xe2, 0xca, 0x29, 0x48, 0x67, 0xa7, 0xde, 0x33, 0x68, 0xa8, 0x87, 0x37, 0x79, 0x67, 0xed,
+	0x43, 0x55, 0xd5, 0x7c, 0x39, 0x9c, 0xd3, 0x95, 0x66, 0x2e, 0xd2, 0x33, 0x85, 0xe2, 0xc3, 0x4f,
+	0x7e, 0x7a, 0x7f, 0xe2, 0xc6, 0xd3, 0xc5, 0xe9, 0x8e, 0x1d, 0xcc, 0xee, 0x69, 0xd9, 0xe5, 0xc0,
+	0xf5, 0x63, 0x11, 0xfa, 0x96, 0x77, 0x4f, 0xfe, 0x52, 0xb6, 0x03, 0xef, 0x1e, 0xaa, 0x39, 0xad,
+	0x48, 0xf2, 0xfe, 0xff, 0x02, 0x00, 0x00, 0xff, 0xff, 0x16, 0x76, 0x43, 0x66, 0x72, 0x1e, 0x00,
+	0x00,
 }
--- a/internal/protocol/wire/convert.go
+++ b/internal/protocol/wire/convert.go
@@ -43,7 +43,7 @@
 func FromMembers(members []replication.Member) []*Member {
 	out := make([]*Member, 0, len(members))
 	for _, m := range members {
-		out = append(out, &Member{Id: m.ID, Node: string(m.Node), Address: m.Address, Voter: m.Voter})
+		out = append(out, &Member{Id: m.ID, Node: string(m.Node), Address: m.Address, Voter: m.Voter, FailureDomain: m.FailureDomain})
 	}
 	return out
 }
@@ -52,7 +52,7 @@
 func ToMembers(members []*Member) []replication.Member {
 	out := make([]replication.Member, 0, len(members))
 	for _, m := range members {
-		out = append(out, replication.Member{ID: m.Id, Node: replication.Node(m.Node), Address: m.Address, Voter: m.Voter})
+		out = append(out, replication.Member{ID: m.Id, Node: replication.Node(m.Node), Address: m.Address, Voter: m.Voter, FailureDomain: m.FailureDomain})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,249 @@
+// Package settings reads the settings file of a process that finds the others by seeds.
+// The file is JSON with the names below; a wrong value is an error with its line.
+package settings
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+)
+
+// checkInterval is how often the file is looked at: it may change without a signal.
+const checkInterval = time.Second
+
+// Settings are those of one process.
+type Settings struct {
+	// Name is unlike any other process's.
+	Name string `json:"name"`
+	// IP is this instance's address.
+	IP            string `json:"ip"`
+	FailureDomain string `json:"failure_domain"`
+	// Callers, Ready and Control are the addresses of what the process serves, as IP:PORT.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Control string `json:"control"`
+	// PeerPort is for traffic between shedrock's own processes, on every instance.
+	PeerPort uint16 `json:"peer_port"`
+	// Seeds are addresses of some control instances.
+	Seeds []string `json:"seeds"`
+	// FirstStart is true only when the whole deployment starts for the first time.
+	FirstStart bool `json:"first_start"`
+	// Data is the folder of a control instance.
+	Data string `json:"data"`
+	// MemoryMB bounds the process.
+	MemoryMB int `json:"memory_mb"`
+	// HeartbeatMs is how often instances report.
+	HeartbeatMs int `json:"heartbeat_ms"`
+	// Losses is how many control instances may be lost at once.
+	Losses int `json:"losses"`
+	// CatchUpMs is how long a control instance that came back counts as lost.
+	CatchUpMs int `json:"catch_up_ms"`
+	// LeaseMs is how long orders of two control instances must lie apart.
+	LeaseMs int `json:"lease_ms"`
+	// GraceMs is how long a process may take to end.
+	GraceMs int `json:"grace_ms"`
+	// RetryRatio, RetryWindowMs and RetrySlack bound repeated sends over all entries.
+	RetryRatio    float64 `json:"retry_ratio"`
+	RetryWindowMs int     `json:"retry_window_ms"`
+	RetrySlack    int     `json:"retry_slack"`
+}
+
+// FieldError names the file, line and field of a wrong value.
+type FieldError struct {
+	File   string
+	Line   int
+	Field  string
+	Reason string
+}
+
+// Error gives the place and the reason.
+func (e *FieldError) Error() string {
+	return e.File + ":" + strconv.Itoa(e.Line) + ": " + e.Field + ": " + e.Reason
+}
+
+// Read reads and checks a file.
+func Read(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the settings")
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks a text; path is for errors only.
+func Parse(path string, text []byte) (*Settings, error) {
+	var s Settings
+	err := json.Unmarshal(text, &s)
+	var wrongType *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &wrongType):
+		return nil, &FieldError{path, lineAt(text, wrongType.Offset), wrongType.Field, "expected " + wrongType.Type.String() + ", got " + wrongType.Value}
+	case errors.As(err, &syntax):
+		return nil, &FieldError{path, lineAt(text, syntax.Offset), "the file", err.Error()}
+	case err != nil:
+		return nil, errors.Wrapf(err, "%s", path)
+	}
+	field, reason := s.check()
+	if reason != "" {
+		return nil, &FieldError{path, lineOf(text, field), field, reason}
+	}
+	return &s, nil
+}
+
+func lineAt(text []byte, offset int64) int {
+	return 1 + bytes.Count(text[:min(offset, int64(len(text)))], []byte("\n"))
+}
+
+// lineOf returns the line of a field, or the last line when it is missing.
+func lineOf(text []byte, field string) int {
+	at := bytes.Index(text, []byte(`"`+field+`"`))
+	if at < 0 {
+		at = len(text)
+	}
+	return lineAt(text, int64(at))
+}
+
+// check returns the first wrong field and why.
+func (s *Settings) check() (field, reason string) {
+	for _, f := range []struct{ name, value string }{
+		{"name", s.Name}, {"ip", s.IP}, {"failure_domain", s.FailureDomain},
+	} {
+		if f.value == "" {
+			return f.name, "is missing"
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"callers", s.Callers}, {"ready", s.Ready}, {"control", s.Control}, {"seeds", strings.Join(s.Seeds, ",")},
+	} {
+		for address := range strings.SplitSeq(f.value, ",") {
+			_, err := netip.ParseAddrPort(address)
+			if address != "" && err != nil {
+				return f.name, strconv.Quote(address) + " is not an IP number and port"
+			}
+		}
+	}
+	for _, f := range []struct {
+		name string
+		n    int
+	}{
+		{"peer_port", int(s.PeerPort)}, {"memory_mb", s.MemoryMB}, {"heartbeat_ms", s.HeartbeatMs},
+		{"grace_ms", s.GraceMs}, {"retry_window_ms", s.RetryWindowMs},
+	} {
+		if f.n <= 0 {
+			return f.name, "must be above 0"
+		}
+	}
+	return "", ""
+}
+
+// PeerAddress is where this process's peers reach it.
+func (s *Settings) PeerAddress() string { return s.peerAt(s.IP) }
+
+// PeerSeeds returns the seeds' addresses for traffic between processes.
+func (s *Settings) PeerSeeds() []string {
+	var out []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			out = append(out, s.peerAt(host))
+		}
+	}
+	return out
+}
+
+func (s *Settings) peerAt(host string) string {
+	return net.JoinHostPort(host, strconv.Itoa(int(s.PeerPort)))
+}
+
+// Heartbeat returns how often instances report.
+func (s *Settings) Heartbeat() time.Duration { return millis(s.HeartbeatMs) }
+
+// Lease returns how long orders of two control instances must lie apart.
+func (s *Settings) Lease() time.Duration { return millis(s.LeaseMs) }
+
+// Grace returns how long a process may take to end.
+func (s *Settings) Grace() time.Duration { return millis(s.GraceMs) }
+
+// CatchUp returns how long a control instance that came back counts as lost.
+func (s *Settings) CatchUp() time.Duration { return millis(s.CatchUpMs) }
+
+// RetryWindow returns the span of the bound on repeated sends.
+func (s *Settings) RetryWindow() time.Duration { return millis(s.RetryWindowMs) }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// File is a settings file that may change. Make one with Open.
+type File struct {
+	path    string
+	log     *log.Logger
+	current atomic.Pointer[Settings]
+}
+
+// Open reads a file, and reads it again when it changes or at a SIGHUP, until ctx ends.
+// A file that does not read leaves the settings as they are.
+func Open(ctx context.Context, path string, logger *log.Logger) (*File, error) {
+	s, err := Read(path)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{path: path, log: logger}
+	f.current.Store(s)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangups)
+		ticker := time.NewTicker(checkInterval)
+		defer ticker.Stop()
+		last := f.stamp()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				last = f.stamp()
+				f.reload("signal")
+			case <-ticker.C:
+				if now := f.stamp(); now != last {
+					last = now
+					f.reload("changed")
+				}
+			}
+		}
+	}()
+	return f, nil
+}
+
+// Current returns the settings that hold.
+func (f *File) Current() *Settings { return f.current.Load() }
+
+// stamp tells one state of the file from another.
+func (f *File) stamp() [2]int64 {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		return [2]int64{}
+	}
+	return [2]int64{info.ModTime().UnixNano(), info.Size()}
+}
+
+func (f *File) reload(why string) {
+	s, err := Read(f.path)
+	if err != nil {
+		f.log.Error().Str("event", "settings_kept").Str("why", why).Str("error", err.Error()).Msg("")
+		return
+	}
+	f.current.Store(s)
+	f.log.Info().Str("event", "settings_reloaded").Str("why", why).Str("seeds", strings.Join(s.Seeds, ",")).Msg("")
+}
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -7,6 +7,9 @@
 package ledger
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -27,6 +30,17 @@
 	// token only rises; the holder of the highest may give orders.
 	token       uint64
 	tokenHolder string
+	// installed is the whole configuration with the highest version so far.
+	installed Installed
+	// weights holds the highest weight version named for each model.
+	weights map[string]uint64
+}
+
+// Installed is a whole configuration as its operator sent it. It is a plain value;
+// version 0 means that there is none.
+type Installed struct {
+	Version uint64
+	Text    []byte
 }
 
 // New returns an empty ledger.
@@ -35,10 +49,11 @@
 		declared:   declared.New(),
 		records:    map[identity]Record{},
 		tombstones: map[tombstone]int64{},
+		weights:    map[string]uint64{},
 	}
 }
 
-// Result is one of Applied, Reservation, Recorded, Token or Malformed.
+// Result is one of Applied, Reservation, Recorded, Token, Held or Malformed.
 type Result interface{ result() }
 
 // Applied is the result of an apply command.
@@ -54,6 +69,10 @@
 // Token is the result of taking a token.
 type Token struct{ Value uint64 }
 
+// Held is the result of installing a configuration or of naming weights: the version
+// that holds afterwards.
+type Held struct{ Version uint64 }
+
 // Malformed says that a command holds nothing that this binary knows. It changes
 // nothing.
 type Malformed struct{}
@@ -62,6 +81,7 @@
 func (Reservation) result() {}
 func (Recorded) result()    {}
 func (Token) result()       {}
+func (Held) result()        {}
 func (Malformed) result()   {}
 
 // Execute carries out one command.
@@ -86,10 +106,25 @@
 		l.token++
 		l.tokenHolder = body.TakeToken.Holder
 		return Token{l.token}
+	case *command.Command_Install:
+		if body.Install.Version > l.installed.Version {
+			l.installed = Installed{body.Install.Version, body.Install.Text}
+		}
+		return Held{l.installed.Version}
+	case *command.Command_NameWeights:
+		model := body.NameWeights.Model
+		l.weights[model] = max(l.weights[model], body.NameWeights.Version)
+		return Held{l.weights[model]}
 	}
 	return Malformed{}
 }
 
+// Installed returns the whole configuration that holds.
+func (l *Ledger) Installed() Installed { return l.installed }
+
+// Weights returns the newest weight version named for each model, as a copy.
+func (l *Ledger) Weights() map[string]uint64 { return maps.Clone(l.weights) }
+
 func (l *Ledger) apply(c *command.Apply) declared.Result {
 	d, faults := declared.Parse(c.File, c.Text)
 	if len(faults) > 0 {
@@ -115,6 +150,12 @@
 		return nil, err
 	}
 	out := &command.Ledger{Now: l.now, Declared: d, Token: l.token, TokenHolder: l.tokenHolder}
+	if l.installed.Version > 0 {
+		out.Installed = &command.Install{Version: l.installed.Version, Text: l.installed.Text}
+	}
+	for _, model := range slices.Sorted(maps.Keys(l.weights)) {
+		out.Weights = append(out.Weights, &command.NameWeights{Model: model, Version: l.weights[model]})
+	}
 	written := map[identity]bool{}
 	for _, id := range l.order {
 		r, ok := l.records[id]
@@ -145,6 +186,10 @@
 	l.now = in.Now
 	l.token = in.Token
 	l.tokenHolder = in.TokenHolder
+	l.installed = Installed{in.GetInstalled().GetVersion(), in.GetInstalled().GetText()}
+	for _, w := range in.Weights {
+		l.weights[w.Model] = w.Version
+	}
 	l.declared, err = declared.Unmarshal(in.Declared)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/state/registry/merged.go
@@ -0,0 +1,84 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Merged joins the reports of several registries. It is not safe for concurrent use.
+type Merged struct {
+	// Grace is how long an instance that no source vouches for any more is kept, so
+	// that a source that came back empty makes nobody forget it.
+	Grace time.Duration
+
+	instances map[string]*merged
+}
+
+type merged struct {
+	newest Instance
+	left   bool
+	// sources vouch for the instance; since is when the last one ceased to.
+	sources map[string]bool
+	since   time.Time
+}
+
+// Take notes what one source reports.
+func (m *Merged) Take(source string, reports []Report, now time.Time) {
+	if m.instances == nil {
+		m.instances = map[string]*merged{}
+	}
+	for _, r := range reports {
+		k, ok := m.instances[r.ID]
+		if !ok {
+			k = &merged{newest: r.Instance, sources: map[string]bool{}, since: now}
+			m.instances[r.ID] = k
+		}
+		if r.Sequence > k.newest.Sequence {
+			k.newest = r.Instance
+		}
+		k.left = k.left || r.Left
+		if r.Silent || r.Left {
+			// It was given several heartbeats already: no grace on top.
+			k.drop(source, now.Add(-m.Grace))
+			continue
+		}
+		k.sources[source] = true
+	}
+}
+
+// Forget notes that a source knows nothing any more: it came back empty, or it is gone.
+func (m *Merged) Forget(source string, now time.Time) {
+	for _, k := range m.instances {
+		k.drop(source, now)
+	}
+}
+
+func (k *merged) drop(source string, now time.Time) {
+	if !k.sources[source] {
+		return
+	}
+	delete(k.sources, source)
+	if len(k.sources) == 0 {
+		k.since = now
+	}
+}
+
+// Live returns the instances that are neither gone nor leaving nor left, in the order
+// of their ids, and forgets those that nobody vouched for during Grace.
+func (m *Merged) Live(now time.Time) []Instance {
+	var out []Instance
+	for id, k := range m.instances {
+		unvouched := len(k.sources) == 0
+		if unvouched && now.Sub(k.since) > max(m.Grace, leftFor) {
+			delete(m.instances, id)
+			continue
+		}
+		if k.left || k.newest.Leaving || k.newest.Address == "" || unvouched && now.Sub(k.since) > m.Grace {
+			continue
+		}
+		out = append(out, k.newest)
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/internal/transport/control/effects.go
+++ b/internal/transport/control/effects.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -148,6 +150,10 @@
 			before := r.Ledger.Declared().Revision()
 			result = r.Ledger.Execute(e.Data)
 			r.noteDeclared(before)
+			if held, ok := result.(ledger.Held); ok {
+				r.publishInstalled()
+				r.Log.Info().Str("event", "held").Uint64("index", e.Index).Uint64("version", held.Version).Msg("")
+			}
 		}
 		w, ok := r.waiting[e.Index]
 		if !ok {
@@ -186,6 +192,7 @@
 	out.frame = nil
 	r.unsynced = append(r.unsynced, durable{image: &s})
 	r.view.publishDeclared(l.Declared())
+	r.publishInstalled()
 	r.Log.Info().Str("event", "restored").Uint64("index", s.Index).Uint64("revision", l.Declared().Revision()).Msg("")
 }
 
@@ -254,7 +261,7 @@
 		return
 	}
 	group := membership.Group{Members: r.machine.Members(), Last: r.machine.LastIndex(), Matched: r.machine.Matched}
-	next, step, ok := membership.NextMembers(group, r.Ledger.Declared().Control().Replicas())
+	next, step, ok := r.nextMembers(group)
 	r.repair = step
 	if !ok {
 		return
@@ -263,6 +270,21 @@
 	r.collect(out, r.machine.Step(replication.ProposeMembers{Members: next}))
 }
 
+// nextMembers decides the next step, towards the declared replicas or by what the
+// replicas themselves show.
+func (r *Replica) nextMembers(group membership.Group) (next []replication.Member, step string, ok bool) {
+	if r.Heal == nil {
+		return membership.NextMembers(group, r.Ledger.Declared().Control().Replicas())
+	}
+	group.Self = replication.Node(r.Folder.Incarnation())
+	group.Silent = r.machine.SilentTicks
+	joiners := slices.Collect(maps.Values(r.joiners))
+	// Whoever still needs to join asks again; an old wish of an address that came back
+	// under another incarnation must not be granted later.
+	clear(r.joiners)
+	return membership.Heal(group, joiners, *r.Heal)
+}
+
 func encodeCommand(c *command.Command) ([]byte, bool) {
 	data, err := proto.Marshal(c)
 	return data, err == nil
--- a/internal/transport/control/found.go
+++ b/internal/transport/control/found.go
@@ -42,6 +42,9 @@
 }
 
 func (r *Replica) mayFound() bool {
+	if len(r.Peers) == 0 {
+		return false
+	}
 	for _, p := range r.Peers {
 		if p.ID < r.ID {
 			return false
@@ -65,7 +68,7 @@
 		if !status.Blank || status.Id != p.ID {
 			return nil, false
 		}
-		members = append(members, replication.Member{ID: p.ID, Node: replication.Node(status.Incarnation), Address: p.Address, Voter: true})
+		members = append(members, replication.Member{ID: p.ID, Node: replication.Node(status.Incarnation), Address: p.Address, FailureDomain: status.FailureDomain, Voter: true})
 	}
 	return members, len(members) > 0
 }
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -19,12 +19,14 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/coordination/membership"
 	"github.com/shedrock/shedrock/internal/coordination/replication"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/command"
 	"github.com/shedrock/shedrock/internal/state/disk"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/orders"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
@@ -68,6 +70,18 @@
 	Ledger *ledger.Ledger
 	// Listener takes connections. Run closes it.
 	Listener net.Listener
+	// FailureDomain is that of this instance.
+	FailureDomain string
+	// Heal, when set, has the leader choose the replicas itself, from those that ask to
+	// join, in place of the declared ones.
+	Heal *membership.Policy
+	// Source, when set, tells others what was applied of the log.
+	Source *fleet.Source
+	// Fleet, when set, is what this replica orders weight versions on while it leads, in
+	// place of the declared engines.
+	Fleet orders.Fleet
+	// WaitOut is passed on to the orderer.
+	WaitOut time.Duration
 	// Log receives one line for each event.
 	Log *log.Logger
 	// Tick and SnapshotBytes have defaults when zero.
@@ -95,6 +109,8 @@
 	diskErr  error
 	// repair says what change of the replicas is under way.
 	repair string
+	// joiners holds those that asked to join, by incarnation.
+	joiners map[replication.Node]membership.Joiner
 
 	// view is what the services read.
 	view view
@@ -167,7 +183,10 @@
 	served := make(chan error, 1)
 	go func() { served <- rpc.Serve(serving, r.Listener, r.Handler()) }()
 	go r.found(ctx)
-	orderer := &orders.Orderer{Leading: r.view.leading, TakeToken: r.takeToken, State: r.view.feed.State, Log: r.Log}
+	orderer := &orders.Orderer{Leading: r.view.leading, TakeToken: r.takeToken, Confirm: r.confirm, Fleet: r.Fleet, WaitOut: r.WaitOut, Log: r.Log}
+	if orderer.Fleet == nil {
+		orderer.Fleet = &orders.DeclaredEngines{State: r.view.feed.State}
+	}
 	go orderer.Run(ctx)
 	r.loop(ctx)
 	cancel()
@@ -195,6 +214,7 @@
 		r.waiting = map[uint64]waiter{}
 		r.proposals = map[uint64]chan<- reply{}
 		r.readers = map[uint64]readRequest{}
+		r.joiners = map[replication.Node]membership.Joiner{}
 		r.view.init()
 		r.start(r.Restart)
 	})
@@ -206,6 +226,7 @@
 	r.machine = replication.New(replication.Node(r.Folder.Incarnation()), seed, restart)
 	r.appliedIndex = restart.Snapshot.Index
 	r.view.publishDeclared(r.Ledger.Declared())
+	r.publishInstalled()
 	r.publish()
 }
 
@@ -219,6 +240,10 @@
 	mux.Handle(replicationServer.PathPrefix(), replicationServer)
 	mux.Handle(controlServer.PathPrefix(), controlServer)
 	mux.Handle(feedServer.PathPrefix(), feedServer)
+	if r.Source != nil {
+		fleetServer := wire.NewFleetServer(r.Source)
+		mux.Handle(fleetServer.PathPrefix(), fleetServer)
+	}
 	return mux
 }
 
@@ -296,6 +321,8 @@
 			r.addresses[in.node] = in.address
 		case founding:
 			r.takeFounding(in)
+		case membership.Joiner:
+			r.joiners[in.Node] = in
 		default:
 			panic("control: input outside the known set")
 		}
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -6,6 +6,8 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/shedrock/shedrock/internal/coordination/membership"
+	"github.com/shedrock/shedrock/internal/coordination/replication"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/command"
 	"github.com/shedrock/shedrock/internal/state/declared"
@@ -123,6 +125,57 @@
 	return &wire.LookupResponse{Record: <-found}, nil
 }
 
+// Install commits a whole configuration.
+func (s controlService) Install(ctx context.Context, in *wire.InstallRequest) (*wire.InstallResponse, error) {
+	c := &command.Command{Body: &command.Command_Install{Install: &command.Install{Version: in.Version, Text: in.Text}}}
+	result, err := s.commit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.InstallResponse{Held: result.(ledger.Held).Version}, nil
+}
+
+// Installed reads the whole configuration.
+func (s controlService) Installed(ctx context.Context, _ *wire.InstalledRequest) (*wire.InstalledResponse, error) {
+	found := make(chan ledger.Installed, 1)
+	err := s.look(ctx, func(l *ledger.Ledger) { found <- l.Installed() })
+	if err != nil {
+		return nil, err
+	}
+	installed := <-found
+	return &wire.InstalledResponse{Version: installed.Version, Text: installed.Text}, nil
+}
+
+// NameWeights commits the newest weight version of a model.
+func (s controlService) NameWeights(ctx context.Context, in *wire.NameWeightsRequest) (*wire.NameWeightsResponse, error) {
+	c := &command.Command{Body: &command.Command_NameWeights{NameWeights: &command.NameWeights{Model: in.Model, Version: in.Version}}}
+	_, err := s.commit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.NameWeightsResponse{}, nil
+}
+
+// Join notes a replica that asks to be taken into the group; the leader alone acts on it.
+func (s controlService) Join(ctx context.Context, in *wire.JoinRequest) (*wire.JoinResponse, error) {
+	// The read proves that this replica leads, so the joiner asks no one in vain.
+	err := s.look(ctx, func(*ledger.Ledger) {})
+	if err != nil {
+		return nil, err
+	}
+	joiner := membership.Joiner{ID: in.Id, Node: replication.Node(in.Incarnation), Address: in.Address, FailureDomain: in.FailureDomain}
+	if !s.r.push(ctx, joiner) {
+		return nil, twirp.NewError(twirp.Unavailable, "the replica is too busy")
+	}
+	s.r.Log.Info().Str("event", "join_asked").Str("incarnation", in.Incarnation).Str("address", in.Address).Msg("")
+	return &wire.JoinResponse{}, nil
+}
+
+// confirm makes sure that this replica still leads: a majority answers after the call.
+func (r *Replica) confirm(ctx context.Context) error {
+	return controlService{r}.look(ctx, func(*ledger.Ledger) {})
+}
+
 // takeToken commits a new fencing token for this replica's orders.
 func (r *Replica) takeToken(ctx context.Context) (uint64, error) {
 	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: r.Folder.Incarnation()}}}
--- a/internal/transport/control/stored.go
+++ b/internal/transport/control/stored.go
@@ -89,7 +89,7 @@
 func toMembers(members []replication.Member) *command.Members {
 	out := &command.Members{}
 	for _, m := range members {
-		out.Members = append(out.Members, &command.Member{Id: m.ID, Node: string(m.Node), Address: m.Address, Voter: m.Voter})
+		out.Members = append(out.Members, &command.Member{Id: m.ID, Node: string(m.Node), Address: m.Address, Voter: m.Voter, FailureDomain: m.FailureDomain})
 	}
 	return out
 }
@@ -97,7 +97,7 @@
 func fromMembers(in *command.Members) []replication.Member {
 	var out []replication.Member
 	for _, m := range in.GetMembers() {
-		out = append(out, replication.Member{ID: m.Id, Node: replication.Node(m.Node), Address: m.Address, Voter: m.Voter})
+		out = append(out, replication.Member{ID: m.Id, Node: replication.Node(m.Node), Address: m.Address, Voter: m.Voter, FailureDomain: m.FailureDomain})
 	}
 	return out
 }
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -57,17 +58,18 @@
 func (r *Replica) publish() {
 	m := r.machine
 	s := &wire.StatusResponse{
-		Id:           r.ID,
-		Address:      r.Address,
-		Incarnation:  r.Folder.Incarnation(),
-		Leader:       string(m.Leader()),
-		Term:         m.Term(),
-		Committed:    m.Commit(),
-		AppliedIndex: m.Commit(),
-		Revision:     r.Ledger.Declared().Revision(),
-		Records:      uint64(r.Ledger.Records()),
-		Repair:       r.repair,
-		Blank:        m.LastIndex() == 0 && m.Term() == 0,
+		Id:            r.ID,
+		Address:       r.Address,
+		FailureDomain: r.FailureDomain,
+		Incarnation:   r.Folder.Incarnation(),
+		Leader:        string(m.Leader()),
+		Term:          m.Term(),
+		Committed:     m.Commit(),
+		AppliedIndex:  m.Commit(),
+		Revision:      r.Ledger.Declared().Revision(),
+		Records:       uint64(r.Ledger.Records()),
+		Repair:        r.repair,
+		Blank:         m.LastIndex() == 0 && m.Term() == 0,
 	}
 	if r.diskErr != nil {
 		s.Refusing = r.diskErr.Error()
@@ -80,4 +82,31 @@
 		s.Replicas = append(s.Replicas, status)
 	}
 	r.view.set(s)
+	r.publishControl()
+}
+
+// Status returns this replica's own view; it may be used after Run has begun.
+func (r *Replica) Status() *wire.StatusResponse {
+	r.init()
+	return r.view.get()
+}
+
+// publishControl tells where the replicas are.
+func (r *Replica) publishControl() {
+	if r.Source == nil {
+		return
+	}
+	var addresses []string
+	for _, m := range r.machine.Members() {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	r.Source.PublishControl(slices.Compact(addresses))
+}
+
+// publishInstalled tells what the log holds as far as it is applied here.
+func (r *Replica) publishInstalled() {
+	if r.Source != nil {
+		r.Source.Publish(r.Ledger.Installed(), r.Ledger.Weights())
+	}
 }
--- a/internal/transport/controlclient/client.go
+++ b/internal/transport/controlclient/client.go
@@ -91,6 +91,32 @@
 	return out.GetRecord(), err
 }
 
+// Install commits a whole configuration.
+func (c *Client) Install(ctx context.Context, version uint64, text []byte) error {
+	return c.call(ctx, func(ctx context.Context, r wire.Control) error {
+		_, err := r.Install(ctx, &wire.InstallRequest{Version: version, Text: text})
+		return err
+	})
+}
+
+// Installed reads the whole configuration, as a linearizable read.
+func (c *Client) Installed(ctx context.Context) (*wire.InstalledResponse, error) {
+	var out *wire.InstalledResponse
+	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
+		out, err = r.Installed(ctx, &wire.InstalledRequest{})
+		return err
+	})
+	return out, err
+}
+
+// NameWeights commits the newest weight version of a model.
+func (c *Client) NameWeights(ctx context.Context, model string, version uint64) error {
+	return c.call(ctx, func(ctx context.Context, r wire.Control) error {
+		_, err := r.NameWeights(ctx, &wire.NameWeightsRequest{Model: model, Version: version})
+		return err
+	})
+}
+
 // Status asks every replica; those that do not answer are left out.
 func (c *Client) Status(ctx context.Context) []*wire.StatusResponse {
 	var out []*wire.StatusResponse
--- /dev/null
+++ b/internal/transport/fleet/convert.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+func fromReport(r registry.Report) *wire.InstanceReport {
+	return &wire.InstanceReport{
+		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
+		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
+	}
+}
+
+func toReport(in *wire.InstanceReport) registry.Report {
+	return registry.Report{
+		Instance: registry.Instance{
+			ID: in.Id, Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
+			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
+		},
+		Silent: in.Silent, Left: in.Left,
+	}
+}
+
+// fromWeights lists the versions in the order of the models, so that equal maps give
+// equal lists.
+func fromWeights(weights map[string]uint64) []*wire.WeightVersion {
+	var out []*wire.WeightVersion
+	for _, model := range slices.Sorted(maps.Keys(weights)) {
+		out = append(out, &wire.WeightVersion{Model: model, Version: weights[model]})
+	}
+	return out
+}
+
+func toWeights(in []*wire.WeightVersion) map[string]uint64 {
+	out := make(map[string]uint64, len(in))
+	for _, w := range in {
+		out[w.Model] = w.Version
+	}
+	return out
+}
+
+// newer reports whether weights hold a higher version than known ones.
+func newer(weights, known map[string]uint64) bool {
+	for model, version := range weights {
+		if version > known[model] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/transport/fleet/source.go
@@ -0,0 +1,194 @@
+// Package fleet spreads what entries need to know to serve: which instances live, which
+// configuration and weight versions hold, and where the control instances are.
+//
+// Each control instance has a Source, which tells what it heard from instances itself
+// and what it applied of the log. Each entry has a Follower, which watches all sources
+// and joins what they tell into one View. No leader and no second hop lies between an
+// instance that says that it leaves and the entries that must stop sending to it.
+package fleet
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/ledger"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// silentBeats is after how many missing heartbeats an instance counts as gone: a
+	// heartbeat may come some seconds late.
+	silentBeats = 4
+	// sweepInterval is how often silent instances are looked for.
+	sweepInterval = 500 * time.Millisecond
+	// maxWait bounds a long poll.
+	maxWait = 5 * time.Second
+	// entryLifetime is how long an entry counts after its last poll, so that the share
+	// of the retries of entries that are cut off is not given to others at once.
+	entryLifetime = 30 * time.Second
+)
+
+// Source is what one control instance tells. Make one with NewSource. It is safe for
+// concurrent use.
+type Source struct {
+	epoch uint64
+	log   *log.Logger
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	registry  registry.Registry
+	installed ledger.Installed
+	weights   map[string]uint64
+	control   []string
+	// entries holds when each entry last asked.
+	entries map[string]time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// NewSource starts the watch for silent instances, which ends with ctx; heartbeat is how
+// often instances report.
+func NewSource(ctx context.Context, heartbeat time.Duration, logger *log.Logger) *Source {
+	s := &Source{
+		epoch: rand.Uint64() | 1, log: logger, weights: map[string]uint64{},
+		registry: registry.Registry{SilentAfter: silentBeats * heartbeat},
+		entries:  map[string]time.Time{}, changed: make(chan struct{}),
+	}
+	go func() {
+		ticker := time.NewTicker(sweepInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				s.sweep(now)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return s
+}
+
+// Hear takes an instance's heartbeat.
+func (s *Source) Hear(in registry.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.registry.Hear(in, time.Now()) {
+		return
+	}
+	s.wake()
+	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
+}
+
+// Leave takes the end of an instance.
+func (s *Source) Leave(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.Leave(id, time.Now())
+	s.wake()
+	s.log.Info().Str("event", "instance_left").Str("instance", id).Msg("")
+}
+
+// Publish sets what the log holds, as far as this control instance applied it.
+func (s *Source) Publish(installed ledger.Installed, weights map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.installed = installed
+	s.weights = weights
+	s.wake()
+}
+
+// PublishControl sets the addresses of the control instances.
+func (s *Source) PublishControl(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(s.control, addresses) {
+		return
+	}
+	s.control = addresses
+	s.wake()
+}
+
+// Control returns the addresses of the control instances, as far as they are known.
+func (s *Source) Control() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.control
+}
+
+func (s *Source) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := s.registry.Sweep(now)
+	if len(silent) > 0 {
+		s.wake()
+	}
+	for _, in := range silent {
+		s.log.Info().Str("event", "instance_silent").Str("instance", in.ID).Str("service", in.Service).Str("address", in.Address).Msg("")
+	}
+}
+
+// wake answers all polls; mu must be held.
+func (s *Source) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch answers when something changed since the caller's marks, or after a wait.
+func (s *Source) Watch(ctx context.Context, in *wire.FleetRequest) (*wire.FleetResponse, error) {
+	wait := time.NewTimer(min(time.Duration(in.WaitMilliseconds)*time.Millisecond, maxWait))
+	defer wait.Stop()
+	for {
+		out, news, changed := s.look(in)
+		if news {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			return out, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// look returns what the caller lacks, whether that is anything, and what is closed at
+// the next change.
+func (s *Source) look(in *wire.FleetRequest) (*wire.FleetResponse, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.Entry {
+		s.entries[in.Name] = time.Now()
+	}
+	since := in.Change
+	if in.Epoch != s.epoch {
+		since = 0
+	}
+	out := &wire.FleetResponse{
+		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
+		Control: s.control, Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights),
+	}
+	for _, r := range s.registry.Since(since) {
+		out.Instances = append(out.Instances, fromReport(r))
+	}
+	if s.installed.Version > in.ConfigVersion {
+		out.ConfigText = s.installed.Text
+	}
+	news := in.Epoch != s.epoch || len(out.Instances) > 0 || out.ConfigText != nil || newer(s.weights, toWeights(in.Weights))
+	return out, news, s.changed
+}
+
+// countEntries counts the entries that asked lately; mu must be held.
+func (s *Source) countEntries() int {
+	now := time.Now()
+	maps.DeleteFunc(s.entries, func(_ string, at time.Time) bool { return now.Sub(at) > entryLifetime })
+	return len(s.entries)
+}
--- a/internal/transport/orders/orders.go
+++ b/internal/transport/orders/orders.go
@@ -10,22 +10,16 @@
 
 import (
 	"context"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/dghubble/sling"
 	"github.com/phuslu/log"
-	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/coordination/rollout"
-	"github.com/shedrock/shedrock/internal/protocol/engine"
-	"github.com/shedrock/shedrock/internal/state/declared"
 )
 
 const (
-	// interval is how often engines are read back.
-	interval = 500 * time.Millisecond
+	// DefaultInterval is how often engines are read back.
+	DefaultInterval = 500 * time.Millisecond
 	// callTimeout bounds one question or order.
 	callTimeout = time.Second
 	// DefaultWaitOut is longer than an old leader takes to step down (less than two
@@ -41,14 +35,17 @@
 	Leading func() (term uint64, ok bool)
 	// TakeToken commits a new fencing token.
 	TakeToken func(context.Context) (uint64, error)
-	// State returns the declared state.
-	State func() *declared.State
-	// WaitOut has a default when zero.
-	WaitOut time.Duration
+	// Confirm returns nil once a majority has answered after the call that this replica
+	// still leads: one that was frozen believes it for a while.
+	Confirm func(context.Context) error
+	// Fleet is what orders are given to.
+	Fleet Fleet
+	// WaitOut and Interval have defaults when zero.
+	WaitOut  time.Duration
+	Interval time.Duration
 	// Log receives one line for each event.
 	Log *log.Logger
 
-	client *http.Client
 	// term is the term for which token was taken, at since.
 	term, token uint64
 	since       time.Time
@@ -59,9 +56,10 @@
 	if o.WaitOut == 0 {
 		o.WaitOut = DefaultWaitOut
 	}
-	o.client = &http.Client{Timeout: callTimeout}
-	defer o.client.CloseIdleConnections()
-	ticker := time.NewTicker(interval)
+	if o.Interval == 0 {
+		o.Interval = DefaultInterval
+	}
+	ticker := time.NewTicker(o.Interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -78,16 +76,40 @@
 	if !o.entitled(ctx) {
 		return
 	}
-	state := o.State()
-	instances := o.read(ctx, state)
+	instances := o.Fleet.Read(ctx)
 	by := rollout.Orderer{Token: o.token, Unchecked: time.Since(o.since) >= o.WaitOut}
-	for _, order := range rollout.Plan(instances, state.Model, by) {
-		term, ok := o.Leading()
-		if !ok || term != o.term {
+	for _, order := range rollout.Plan(instances, o.Fleet.Target, by) {
+		if !o.stillLeads(ctx) {
 			return
 		}
-		o.give(ctx, state, order)
+		o.give(ctx, order)
+	}
+}
+
+// stillLeads reports whether this replica leads in the term of its token.
+func (o *Orderer) stillLeads(ctx context.Context) bool {
+	term, ok := o.Leading()
+	if !ok || term != o.term {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := o.Confirm(ctx)
+	if err != nil {
+		o.Log.Info().Str("event", "order_withheld").Uint64("term", term).Str("error", err.Error()).Msg("")
+		return false
+	}
+	return true
+}
+
+// give gives one order. A lost answer needs no care: the next round reads back.
+func (o *Orderer) give(ctx context.Context, order rollout.Order) {
+	err := o.Fleet.Give(ctx, order, o.token)
+	line := o.Log.Info().Str("event", "order").Str("upstream", order.Name).Str("version", order.Version).Uint64("token", o.token)
+	if err != nil {
+		line = line.Str("error", err.Error())
 	}
+	line.Msg("")
 }
 
 // entitled makes sure that this replica leads and has its term's token.
@@ -111,60 +133,3 @@
 	o.Log.Info().Str("event", "orderer").Uint64("term", term).Uint64("token", token).Msg("")
 	return true
 }
-
-// read asks every declared engine for its orders.
-func (o *Orderer) read(ctx context.Context, state *declared.State) []rollout.Instance {
-	upstreams := state.Upstreams()
-	out := make([]rollout.Instance, len(upstreams))
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, atOnce)
-	for i, u := range upstreams {
-		wg.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			out[i] = rollout.Instance{Name: u.Name(), Model: u.Model(), ChecksOrders: u.ChecksOrders()}
-			var answer engine.OrderState
-			err := o.call(ctx, sling.New().Get("http://"+u.Address()+engine.PathOrders), &answer)
-			if err != nil {
-				return
-			}
-			out[i].Reachable = true
-			out[i].Version = answer.Version
-			out[i].Loading = answer.Loading
-			out[i].Token = answer.Token
-		})
-	}
-	wg.Wait()
-	return out
-}
-
-// give gives one order. A lost answer needs no care: the next round reads back.
-func (o *Orderer) give(ctx context.Context, state *declared.State, order rollout.Order) {
-	for _, u := range state.Upstreams() {
-		if u.Name() != order.Name {
-			continue
-		}
-		in := engine.Order{Token: o.token, Version: order.Version}
-		err := o.call(ctx, sling.New().Post("http://"+u.Address()+engine.PathOrders).BodyJSON(in), nil)
-		line := o.Log.Info().Str("event", "order").Str("upstream", order.Name).Str("version", order.Version).Uint64("token", o.token)
-		if err != nil {
-			line = line.Str("error", err.Error())
-		}
-		line.Msg("")
-	}
-}
-
-func (o *Orderer) call(ctx context.Context, s *sling.Sling, out any) error {
-	req, err := s.Request()
-	if err != nil {
-		return err
-	}
-	res, err := s.Client(o.client).Do(req.WithContext(ctx), out, nil)
-	if err != nil {
-		return err
-	}
-	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("the engine answered %d", res.StatusCode)
-	}
-	return nil
-}
--- a/internal/transport/rpc/rpc.go
+++ b/internal/transport/rpc/rpc.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
 const (
@@ -29,7 +31,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
 		Protocols:       &protocols,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     netdial.Dialer(dialTimeout).DialContext,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}}
--- /dev/null
+++ b/internal/transport/serving/metrics.go
@@ -0,0 +1,53 @@
+package serving
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+// Metrics counts what is served, by team and kind of request. Make one with NewMetrics.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	took     *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics that count from 0.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_total", Help: "Requests by their outcome."}, []string{"team", "class", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
+		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
+		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.first, m.took)
+	return m
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *Metrics) request(team string, route deployment.Route, o outcome.Outcome, arrived, first time.Time) {
+	class := route.Kind.String()
+	m.requests.WithLabelValues(team, class, outcome.Label(o)).Inc()
+	m.took.WithLabelValues(team, class).Observe(time.Since(arrived).Seconds())
+	if !first.IsZero() {
+		m.first.WithLabelValues(team, class).Observe(first.Sub(arrived).Seconds())
+	}
+}
+
+func (m *Metrics) attempt(service string, end retry.End) {
+	m.attempts.WithLabelValues(service, endName(end)).Inc()
+}
--- /dev/null
+++ b/internal/transport/serving/serving.go
@@ -0,0 +1,156 @@
+// Package serving takes requests to upstreams that registered themselves: it finds the
+// route and the team, chooses an instance, sends the request there, passes the answer on,
+// and decides what follows when an attempt fails.
+//
+// How a request arrives, and how an upstream is spoken to, are ports on either side: a
+// Sink for the caller and exchange.Upstreams. The decisions are made by the pure packages
+// below coordination; this package holds their state behind one mutex.
+package serving
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+)
+
+const (
+	// forgetAfter is how long the load of an instance is remembered that is not used.
+	forgetAfter = time.Minute
+	// sweepInterval is how often what is idle is forgotten.
+	sweepInterval = time.Second
+)
+
+// Sink is the caller's side of one request. Exactly one of Refuse, Deny and Answer is
+// called, or Begin and then any number of Event and at last End or Break.
+type Sink interface {
+	// Refuse gives the final outcome of a request that has no answer of an instance.
+	Refuse(o outcome.Outcome)
+	// Deny refuses a request that the configuration does not allow.
+	Deny(d Denial)
+	// Answer passes on a whole answer.
+	Answer(a exchange.Whole) error
+	// Begin passes on the head of a stream, and Event one event.
+	Begin(h exchange.Head) error
+	Event(raw []byte, more bool) error
+	// End ends a complete stream; Break ends one that is not, so that the caller sees it.
+	End()
+	Break()
+}
+
+// Denial says why the configuration does not allow a request.
+type Denial int
+
+// The denials.
+const (
+	NoRoute Denial = iota + 1
+	NoTeam
+	BodyTooLarge
+)
+
+// String returns the denial's name in logs.
+func (d Denial) String() string {
+	switch d {
+	case NoRoute:
+		return "no_route"
+	case NoTeam:
+		return "no_team"
+	case BodyTooLarge:
+		return "body_too_large"
+	}
+	return "unknown"
+}
+
+// Server serves requests. Set the exported fields before Run and Serve.
+type Server struct {
+	// View returns what is known of the fleet.
+	View func() *fleet.View
+	// Upstreams speaks to instances.
+	Upstreams exchange.Upstreams
+	// Allowance bounds repeated sends over all entries.
+	Allowance retry.Allowance
+	// Metrics counts what is served.
+	Metrics *Metrics
+	// Log receives one line for each event.
+	Log *log.Logger
+
+	once     sync.Once
+	stopping atomic.Bool
+	inFlight sync.WaitGroup
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	board   *balance.Board
+	windows map[string]*retry.Window
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.board = balance.New(rand.Uint64())
+		s.windows = map[string]*retry.Window{}
+	})
+}
+
+// Run forgets what is not used any more, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	s.init()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			s.mu.Lock()
+			s.board.Forget(now.Add(-forgetAfter))
+			s.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready reports whether new callers are welcome.
+func (s *Server) Ready() bool {
+	return !s.stopping.Load() && s.View().Config != nil
+}
+
+// Stopping reports whether the process has been told to stop.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// Stop makes the server not ready. Requests that still come are served.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Wait returns once no request is in flight.
+func (s *Server) Wait() { s.inFlight.Wait() }
+
+// Serve serves one request to its end.
+func (s *Server) Serve(ctx context.Context, r *exchange.Request, sink Sink) {
+	s.init()
+	s.inFlight.Add(1)
+	defer s.inFlight.Done()
+	j := &job{server: s, request: r, sink: sink}
+	if !j.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(lateAnswer))
+	defer cancel()
+	j.run(ctx)
+}
+
+// window returns the counts of one service; mu must be held.
+func (s *Server) window(service string) *retry.Window {
+	w, ok := s.windows[service]
+	if !ok {
+		w = &retry.Window{Allowance: s.Allowance}
+		s.windows[service] = w
+	}
+	return w
+}
