A SIGHUP no longer ends a process that is stopping

Ruled out: the grace period (the process ended 1.3 s after SIGTERM), a panic (none logged). Change: the signal stays caught.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -201,10 +201,11 @@
 	}
 	f := &File{path: path, log: logger}
 	f.current.Store(s)
+	// The signal stays caught to the end of the process: while it stops, requests are in
+	// flight, and a SIGHUP that nobody catches would end them.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangups)
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
 		last := f.stamp()
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,109 @@
+package settings_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/settings"
+)
+
+const valid = `{
+  "name": "e1",
+  "ip": "10.0.0.1",
+  "failure_domain": "a",
+  "callers": "10.0.0.1:8080",
+  "peer_port": 7740,
+  "seeds": ["10.0.0.2:8566","10.0.0.3:8566"],
+  "memory_mb": 100,
+  "heartbeat_ms": 1200,
+  "grace_ms": 8000,
+  "retry_window_ms": 10000
+}
+`
+
+func TestParse(t *testing.T) {
+	s, err := settings.Parse("f", []byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"10.0.0.2:7740", "10.0.0.3:7740"}, s.PeerSeeds()); diff != "" {
+		t.Error(diff)
+	}
+	cases := []struct{ name, old, new, want string }{
+		{"a missing field", `"name": "e1",`, ``, "f:13: name: is missing"},
+		{"no address", `10.0.0.1:8080`, `here`, `f:5: callers: "here" is not an IP number and port`},
+		{"a wrong type", `"grace_ms": 8000`, `"grace_ms": "8 s"`, "f:10: grace_ms: expected int, got string"},
+		{"nothing", `"memory_mb": 100`, `"memory_mb": 0`, "f:8: memory_mb: must be above 0"},
+		{"a half file", `"retry_window_ms": 10000
+}`, ``, "f:11: the file: unexpected end of JSON input"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse("f", []byte(strings.Replace(valid, c.old, c.new, 1)))
+			if err == nil {
+				t.Fatal("it was taken")
+			}
+			if diff := cmp.Diff(c.want, err.Error()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func open(t *testing.T) (file *settings.File, path string, end func()) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "settings.json")
+	err := os.WriteFile(path, []byte(valid), 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	file, err = settings.Open(ctx, path, &log.Logger{Level: log.PanicLevel})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file, path, cancel
+}
+
+// The file may change with or without a signal; a broken one changes nothing.
+func TestFileIsReadAgain(t *testing.T) {
+	file, path, _ := open(t)
+	err := os.WriteFile(path, []byte(strings.Replace(valid, "10.0.0.3", "10.0.0.9", 1)), 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wait(t, func() bool { return strings.HasPrefix(file.Current().Seeds[1], "10.0.0.9") })
+}
+
+// A process that stops still has requests in flight: a SIGHUP must not end it.
+func TestHangupWhileStopping(t *testing.T) {
+	_, _, end := open(t)
+	end()
+	for range 5 {
+		// The goroutine that takes the signals may end now; the process must not.
+		time.Sleep(10 * time.Millisecond)
+		err := syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func wait(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatal("it never came true")
+}
