A settings file that changes while it is first read is read again

Cause: the file's stamp was taken after the reading, by the goroutine; a change between the two was never noticed. TestFileIsReadAgain failed with it (20 s), and passes three times of three now.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -195,11 +195,13 @@
 // Open reads a file, and reads it again when it changes or at a SIGHUP, until ctx ends.
 // A file that does not read leaves the settings as they are.
 func Open(ctx context.Context, path string, logger *log.Logger) (*File, error) {
+	f := &File{path: path, log: logger}
+	// A change after this and before the reading costs a second reading, none is missed.
+	last := f.stamp()
 	s, err := Read(path)
 	if err != nil {
 		return nil, err
 	}
-	f := &File{path: path, log: logger}
 	f.current.Store(s)
 	// The signal stays caught to the end of the process: while it stops, requests are in
 	// flight, and a SIGHUP that nobody catches would end them.
@@ -208,7 +210,6 @@
 	go func() {
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
-		last := f.stamp()
 		for {
 			select {
 			case <-ctx.Done():
