Shared parts of prompts are kept in stores that drop nothing

Ruled out: placement alone (the replicas' memory holds a quarter of the shared parts; the hash already keeps a part in its place). Change: the control log's leader watches the stores, confirms after each answer that it still leads, and names the whole parts until a time on the stores' and engines' own clock; entries fetch what is named, save what is not, and ask for the version that the salt names. Room of older weights is freed after every fetch that it was named for has ended. Left: tests, the model in spec/, parts that broke off, replicas' own context.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -22,6 +22,7 @@
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/keeping"
 	"github.com/shedrock/shedrock/internal/transport/orders"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 	"github.com/shedrock/shedrock/platform"
@@ -191,6 +192,9 @@
 	if s.FirstStart {
 		replica.Peers = founders(s)
 	}
+	keeper := &keeping.Keeper{
+		View: follower.View, Leading: replica.Leading, Confirm: replica.Confirm, Source: source, Stores: platform.NewStores(), Log: p.log,
+	}
 	calls := &http.Server{
 		Handler:           platform.Control{Control: client, Source: source, Log: p.log}.Handler(),
 		ReadHeaderTimeout: headTimeout,
@@ -201,6 +205,7 @@
 	group.Go(func() error { return replica.Run(ctx) })
 	group.Go(func() error { client.KeepJoined(ctx, replica.Status, p.log); return nil })
 	group.Go(func() error { follower.Run(ctx); return nil })
+	group.Go(func() error { keeper.Run(ctx); return nil })
 	group.Go(func() error { return served(calls.Serve(listeners[0])) })
 	group.Go(func() error { return served(metrics.Serve(listeners[2])) })
 	group.Go(func() error {
--- /dev/null
+++ b/internal/coordination/keeping/book.go
@@ -0,0 +1,150 @@
+package keeping
+
+import (
+	"time"
+)
+
+const (
+	// NamedFor is how long a part may be fetched after it was read from its store. A
+	// request that is placed now starts its fetch within a second at most engines; and a
+	// store that restarts takes longer, so nothing named before is fetched after it.
+	NamedFor = 2 * time.Second
+	// freeMargin is waited on top of NamedFor before a part is freed, for what clocks of
+	// stores and engines differ.
+	freeMargin = time.Second
+	// block is the unit in which stores give room, in tokens.
+	block = 16
+)
+
+// Part is one part of a prompt under a salt.
+type Part struct{ Salt, ID string }
+
+// Held is a part that is whole in a store.
+type Held struct {
+	Part
+	Tokens int
+}
+
+// Batch is what a store tells of its changes.
+type Batch struct {
+	// Epoch is new at each start of the store, and Next marks the place behind the batch.
+	Epoch, Next uint64
+	// Gap says that changes were lost.
+	Gap     bool
+	Changes []Change
+	// Clock is the time on the clock of stores and engines.
+	Clock time.Duration
+}
+
+// Change says how many tokens of a part are kept now; 0 when it is gone.
+type Change struct{ Held }
+
+// Book is what the leader knows of one store. It is not safe for concurrent use. The zero
+// value knows nothing and wants a list.
+type Book struct {
+	// Room is the store's size in tokens.
+	Room int
+	// Newest returns the newest version of a model's weights.
+	Newest func(model string) uint64
+
+	epoch, next uint64
+	listed      bool
+	parts       map[Part]int
+	// retired holds when a part of older weights was last named, or could have been by
+	// another leader: the clock when this book began or when the part grew old.
+	retired map[Part]time.Duration
+	// openAt is when the store may be saved to.
+	openAt time.Duration
+}
+
+// Next returns the mark for the next batch.
+func (b *Book) Next() uint64 { return b.next }
+
+// Epoch returns the store's start.
+func (b *Book) Epoch() uint64 { return b.epoch }
+
+// Take takes a batch; it reports whether the store's whole list is needed instead.
+func (b *Book) Take(in Batch) (list bool) {
+	if !b.listed || in.Epoch != b.epoch || in.Gap {
+		return true
+	}
+	b.next = in.Next
+	for _, c := range in.Changes {
+		b.put(c.Held)
+	}
+	return false
+}
+
+// List takes a store's whole list, read at a clock time.
+func (b *Book) List(epoch, next uint64, held []Held, clock time.Duration) {
+	if b.listed && epoch != b.epoch {
+		// What was named before the restart may still be looked for: nothing is written
+		// under the same names until that has ended.
+		b.openAt = clock + NamedFor + freeMargin
+	}
+	if epoch != b.epoch || b.retired == nil {
+		b.retired = map[Part]time.Duration{}
+	}
+	b.epoch = epoch
+	b.next = next
+	b.listed = true
+	b.parts = map[Part]int{}
+	for _, h := range held {
+		b.put(h)
+	}
+}
+
+func (b *Book) put(h Held) {
+	if h.Tokens <= 0 {
+		delete(b.parts, h.Part)
+		delete(b.retired, h.Part)
+		return
+	}
+	b.parts[h.Part] = h.Tokens
+}
+
+// Named returns the parts that may be fetched until NamedFor after the clock, and notes
+// those that are too old for it.
+func (b *Book) Named(clock time.Duration) map[Part]int {
+	out := make(map[Part]int, len(b.parts))
+	for part, tokens := range b.parts {
+		if !b.old(part) {
+			out[part] = tokens
+			continue
+		}
+		if _, ok := b.retired[part]; !ok {
+			b.retired[part] = clock
+		}
+	}
+	return out
+}
+
+// old reports whether a part was made by weights that are no longer the newest. A part
+// that nobody here made has no version, and is left alone.
+func (b *Book) old(part Part) bool {
+	model, version, ok := VersionOf(part.Salt)
+	return ok && version < b.Newest(model)
+}
+
+// Free returns the parts whose room may be freed now.
+func (b *Book) Free(clock time.Duration) []Part {
+	var out []Part
+	for part, since := range b.retired {
+		if _, held := b.parts[part]; held && clock >= since+NamedFor+freeMargin {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// Open returns how many tokens may be saved.
+func (b *Book) Open(clock time.Duration) int {
+	if clock < b.openAt {
+		return 0
+	}
+	used := 0
+	for _, tokens := range b.parts {
+		used += (tokens + block - 1) / block * block
+	}
+	return max(b.Room-used, 0)
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -73,6 +73,12 @@
 	return xxhash.Sum64String(p.Model+"/"+strings.Join(ids, "/")) | 1
 }
 
+// PartAt is a part's place; Address is empty when it has none.
+type PartAt struct {
+	Address string
+	Tokens  int
+}
+
 // Attempt is a request on its way to one instance.
 type Attempt struct {
 	*Request
@@ -86,6 +92,14 @@
 	// Salt separates kept context of those that must not share it; it is empty for
 	// requests to plain services.
 	Salt string
+	// Fetch and Save name, for each part of the prompt, the store to take it from or to
+	// bring it to; they are nil when there is none.
+	Fetch, Save []PartAt
+	// FetchUntil is when an unfinished fetch is thrown away, on the clock of stores and
+	// engines.
+	FetchUntil time.Duration
+	// Weights, when set, is the only version under which the attempt may run.
+	Weights uint64
 	// Once says that the request must not run twice: it is never written to a connection
 	// that the other side may have closed.
 	Once bool
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -171,8 +171,8 @@
 	return &wire.JoinResponse{}, nil
 }
 
-// confirm makes sure that this replica still leads: a majority answers after the call.
-func (r *Replica) confirm(ctx context.Context) error {
+// Confirm makes sure that this replica still leads: a majority answers after the call.
+func (r *Replica) Confirm(ctx context.Context) error {
 	return controlService{r}.look(ctx, func(*ledger.Ledger) {})
 }
 
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -91,6 +91,13 @@
 	return r.view.get()
 }
 
+// Leading says whether this replica leads, and in which term; it may be used after Run has
+// begun.
+func (r *Replica) Leading() (term uint64, ok bool) {
+	r.init()
+	return r.view.leading()
+}
+
 // publishControl tells where the replicas are.
 func (r *Replica) publishControl() {
 	if r.Source == nil {
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -45,6 +45,8 @@
 	WeightsAt map[string]time.Time
 	// Control holds the addresses of the control instances.
 	Control []string
+	// Stores holds what each store keeps, by its address.
+	Stores map[string]Kept
 	// Entries is the highest number of entries that a source saw lately, at least 1.
 	Entries int
 }
@@ -86,6 +88,9 @@
 	reached  bool
 	control  []string
 	entries  int
+	// stores holds what the source told of stores, and storeChange its mark.
+	stores      map[string]Kept
+	storeChange uint64
 }
 
 func (f *Follower) init() {
@@ -211,6 +216,10 @@
 	if s := f.sources[address]; s != nil {
 		in.Epoch = s.epoch
 		in.Change = s.change
+		in.StoreChange = s.storeChange
+		for _, kept := range s.stores {
+			in.StoresUntil = max(in.StoresUntil, kept.Until.Milliseconds())
+		}
 	}
 	if f.config != nil {
 		in.ConfigVersion = f.config.Version
@@ -243,6 +252,7 @@
 	}
 	if s.epoch != out.Epoch {
 		f.merged.Forget(address, now)
+		s.stores = nil
 	}
 	s.reached = true
 	s.answered = now
@@ -250,6 +260,8 @@
 	s.change = out.Change
 	s.control = out.Control
 	s.entries = int(out.Entries)
+	s.storeChange = out.StoreChange
+	s.takeStores(out.Stores, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
 		reports = append(reports, toReport(r))
@@ -290,6 +302,7 @@
 	v := &View{
 		Config: f.config, Instances: map[string][]registry.Instance{}, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
+		Stores: newestStores(f.sources),
 	}
 	for _, in := range f.merged.Live(time.Now()) {
 		v.Instances[in.Service] = append(v.Instances[in.Service], in)
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -47,6 +47,10 @@
 	installed ledger.Installed
 	weights   map[string]uint64
 	control   []string
+	// stores holds what stores keep while this control instance leads, and storeChange
+	// numbers the changes.
+	stores      map[string]*storeFeed
+	storeChange uint64
 	// entries holds when each entry last asked.
 	entries map[string]time.Time
 	// changed is closed and replaced at each change.
@@ -59,7 +63,7 @@
 	s := &Source{
 		epoch: rand.Uint64() | 1, log: logger, weights: map[string]uint64{},
 		registry: registry.Registry{SilentAfter: silentBeats * heartbeat},
-		entries:  map[string]time.Time{}, changed: make(chan struct{}),
+		entries:  map[string]time.Time{}, changed: make(chan struct{}), stores: map[string]*storeFeed{},
 	}
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
@@ -168,13 +172,15 @@
 	if in.Entry {
 		s.entries[in.Name] = time.Now()
 	}
-	since := in.Change
+	since, storesSince := in.Change, in.StoreChange
 	if in.Epoch != s.epoch {
-		since = 0
+		since, storesSince = 0, 0
 	}
+	stores, until := s.storesSince(storesSince)
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
 		Control: s.control, Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights),
+		StoreChange: s.storeChange, Stores: stores,
 	}
 	for _, r := range s.registry.Since(since) {
 		out.Instances = append(out.Instances, fromReport(r))
@@ -182,7 +188,8 @@
 	if s.installed.Version > in.ConfigVersion {
 		out.ConfigText = s.installed.Text
 	}
-	news := in.Epoch != s.epoch || len(out.Instances) > 0 || out.ConfigText != nil || newer(s.weights, toWeights(in.Weights))
+	news := in.Epoch != s.epoch || len(out.Instances) > 0 || out.ConfigText != nil || newer(s.weights, toWeights(in.Weights)) ||
+		in.Entry && until.Milliseconds() > in.StoresUntil
 	return out, news, s.changed
 }
 
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -191,7 +191,7 @@
 		a.Rank = *j.team.Rank
 	}
 	if p := j.request.Prompt; p != nil {
-		a.Salt = salt(j.team, j.instance.Weights[p.Model])
+		j.keep(a, p)
 	}
 	return a
 }
