--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -45,6 +45,9 @@
 	graceMargin = time.Second
 	// leaseMargin is waited on top of a lease, for an order on its way.
 	leaseMargin = 500 * time.Millisecond
+	// orderInterval is how often it is looked whether an order is to be given: a fleet has
+	// some seconds for ten rounds of loads, and a look costs nothing while all is loaded.
+	orderInterval = 120 * time.Millisecond
 	// ticksASecond is how many ticks of the control log are in a second.
 	ticksASecond = int(time.Second / control.DefaultTick)
 	// poolSweep is how often idle connections are looked through.
@@ -186,8 +189,8 @@
 		ID: replicaID(s.IP), Address: s.PeerAddress(), FailureDomain: s.FailureDomain,
 		Folder: folder, Restart: restart, Ledger: ledger, Listener: listeners[1], Log: p.log,
 		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
-		Source: source, WaitOut: s.Lease() + leaseMargin,
-		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Log: p.log},
+		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
+		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Busy: source.PublishBusy, Log: p.log},
 	}
 	if s.FirstStart {
 		replica.Peers = founders(s)
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -41,6 +41,8 @@
 	Key uint64
 	// Tried are the ids of instances that had the request already.
 	Tried []string
+	// Busy are instances that are taken only when nothing else is left.
+	Busy map[string]bool
 	// Model and Weights, when set, name the weight version that is preferred.
 	Model   string
 	Weights uint64
@@ -78,7 +80,7 @@
 
 // Pick chooses an instance; ok is false when there is none that was not tried.
 func (b *Board) Pick(instances []registry.Instance, w Wish, now time.Time) (chosen registry.Instance, ok bool) {
-	open := b.open(instances, w.Tried, now)
+	open := b.open(instances, w, now)
 	if len(open) == 0 {
 		return registry.Instance{}, false
 	}
@@ -89,13 +91,13 @@
 	return b.pickByWait(open), true
 }
 
-// open leaves out what was tried, and what failed lately unless nothing else is left.
-func (b *Board) open(instances []registry.Instance, tried []string, now time.Time) []registry.Instance {
+// open leaves out what was tried, and what is busy or failed lately unless nothing else is left.
+func (b *Board) open(instances []registry.Instance, w Wish, now time.Time) []registry.Instance {
 	var sound, rest []registry.Instance
 	for _, in := range instances {
 		switch {
-		case slices.Contains(tried, in.ID):
-		case now.Before(b.load(in.ID).avoidUntil):
+		case slices.Contains(w.Tried, in.ID):
+		case w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil):
 			rest = append(rest, in)
 		default:
 			sound = append(sound, in)
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -80,8 +80,8 @@
 	// Fleet, when set, is what this replica orders weight versions on while it leads, in
 	// place of the declared engines.
 	Fleet orders.Fleet
-	// WaitOut is passed on to the orderer.
-	WaitOut time.Duration
+	// WaitOut and OrderInterval are passed on to the orderer.
+	WaitOut, OrderInterval time.Duration
 	// Log receives one line for each event.
 	Log *log.Logger
 	// Tick and SnapshotBytes have defaults when zero.
@@ -183,7 +183,7 @@
 	served := make(chan error, 1)
 	go func() { served <- rpc.Serve(serving, r.Listener, r.Handler()) }()
 	go r.found(ctx)
-	orderer := &orders.Orderer{Leading: r.view.leading, TakeToken: r.takeToken, Confirm: r.Confirm, Fleet: r.Fleet, WaitOut: r.WaitOut, Log: r.Log}
+	orderer := &orders.Orderer{Leading: r.view.leading, TakeToken: r.takeToken, Confirm: r.Confirm, Fleet: r.Fleet, WaitOut: r.WaitOut, Interval: r.OrderInterval, Log: r.Log}
 	if orderer.Fleet == nil {
 		orderer.Fleet = &orders.DeclaredEngines{State: r.view.feed.State}
 	}
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -29,6 +29,9 @@
 	// lostAfter is how long a source may be out of reach before what it alone vouched
 	// for is forgotten, while another source is within reach.
 	lostAfter = 15 * time.Second
+	// busyFor is how long the word of a source that does not answer any more holds about
+	// instances that load weights: a load takes a second or two.
+	busyFor = 3 * time.Second
 	// viewInterval is how often the view is made anew without news, for what ages.
 	viewInterval = time.Second
 )
@@ -45,6 +48,8 @@
 	WeightsAt map[string]time.Time
 	// Control holds the addresses of the control instances.
 	Control []string
+	// Busy holds the instances that load weights, or will next.
+	Busy map[string]bool
 	// Stores holds what each store keeps, by its address.
 	Stores map[string]Kept
 	// Entries is the highest number of entries that a source saw lately, at least 1.
@@ -91,6 +96,8 @@
 	// stores holds what the source told of stores, and storeChange its mark.
 	stores      map[string]Kept
 	storeChange uint64
+	// busy names the instances that the source's process has load weights.
+	busy []string
 }
 
 func (f *Follower) init() {
@@ -217,6 +224,7 @@
 		in.Epoch = s.epoch
 		in.Change = s.change
 		in.StoreChange = s.storeChange
+		in.Busy = s.busy
 		for _, kept := range s.stores {
 			in.StoresUntil = max(in.StoresUntil, kept.Until.Milliseconds())
 		}
@@ -261,6 +269,7 @@
 	s.control = out.Control
 	s.entries = int(out.Entries)
 	s.storeChange = out.StoreChange
+	s.busy = out.Busy
 	s.takeStores(out.Stores, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
@@ -302,12 +311,17 @@
 	v := &View{
 		Config: f.config, Instances: map[string][]registry.Instance{}, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
-		Stores: newestStores(f.sources),
+		Stores: newestStores(f.sources), Busy: map[string]bool{},
 	}
 	for _, in := range f.merged.Live(time.Now()) {
 		v.Instances[in.Service] = append(v.Instances[in.Service], in)
 	}
 	for _, s := range f.sources {
+		if time.Since(s.answered) < busyFor {
+			for _, id := range s.busy {
+				v.Busy[id] = true
+			}
+		}
 		v.Entries = max(v.Entries, s.entries)
 	}
 	f.view.Store(v)
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -51,6 +51,8 @@
 	// numbers the changes.
 	stores      map[string]*storeFeed
 	storeChange uint64
+	// busy names the instances that load weights, or will next.
+	busy []string
 	// entries holds when each entry last asked.
 	entries map[string]time.Time
 	// changed is closed and replaced at each change.
@@ -120,6 +122,18 @@
 	s.wake()
 }
 
+// PublishBusy names the instances that requests had better avoid, because they load
+// weights or will next.
+func (s *Source) PublishBusy(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(s.busy, ids) {
+		return
+	}
+	s.busy = ids
+	s.wake()
+}
+
 // Control returns the addresses of the control instances, as far as they are known.
 func (s *Source) Control() []string {
 	s.mu.Lock()
@@ -180,7 +194,7 @@
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
 		Control: s.control, Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights),
-		StoreChange: s.storeChange, Stores: stores,
+		StoreChange: s.storeChange, Stores: stores, Busy: s.busy,
 	}
 	for _, r := range s.registry.Since(since) {
 		out.Instances = append(out.Instances, fromReport(r))
@@ -189,7 +203,7 @@
 		out.ConfigText = s.installed.Text
 	}
 	news := in.Epoch != s.epoch || len(out.Instances) > 0 || out.ConfigText != nil || newer(s.weights, toWeights(in.Weights)) ||
-		in.Entry && until.Milliseconds() > in.StoresUntil
+		in.Entry && (until.Milliseconds() > in.StoresUntil || !slices.Equal(s.busy, in.Busy))
 	return out, news, s.changed
 }
 
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,10 +17,13 @@
 )
 
 const (
-	// loadShare is the part of a model's engines that load at once: loads of more at a
-	// time take longer each, and a sixth goes through all in six rounds of about a
-	// second and a half.
-	loadShare = 6
+	// loadShare is the part of a model's engines that load at once: with a sixth the last of
+	// 14 engines was ordered 11 s after a version was named, with a fifth rounded up 8 s
+	// (bench/days/weights.toml), of the 12 s that it may take.
+	loadShare = 5
+	// quietAfterOrder is how long an engine is not asked after an order: a load takes more
+	// than a second, and questions are charged for.
+	quietAfterOrder = time.Second
 	// orderPending is how long an engine that does not answer after an order still counts
 	// as loading: a load takes about a second, and more while others load.
 	orderPending = 5 * time.Second
@@ -59,15 +64,25 @@
 	Engines Engines
 	// Holder names this process in orders.
 	Holder string
+	// Busy tells entries which instances load, or will next.
+	Busy func(ids []string)
 	// Log receives one line for each event.
 	Log *log.Logger
 
 	mu sync.Mutex
-	// The fields below are guarded by mu: the instances and reports of the last Read,
-	// and when each instance was last given an order.
-	instances map[string]registry.Instance
-	orders    map[string]uint64
-	given     map[string]time.Time
+	// engines holds what is known of the engines that do not show the newest version; it
+	// is guarded by mu.
+	engines map[string]*engineState
+}
+
+// engineState is what is known of one engine.
+type engineState struct {
+	instance registry.Instance
+	// report is its last answer, and asked is false when the next round must ask again.
+	report EngineReport
+	asked  bool
+	// given is when it was last ordered.
+	given time.Time
 }
 
 // Target returns the newest version named for a model.
@@ -78,9 +93,13 @@
 		return rollout.Target{}, false
 	}
 	n := len(enginesOf(view, model))
-	return rollout.Target{Version: text(version), ConcurrentLoads: max(1, n/loadShare), MinServing: n / 2}, true
+	return rollout.Target{Version: text(version), ConcurrentLoads: loadsAtOnce(n), MinServing: n / 2}, true
 }
 
+// loadsAtOnce is how many of some engines load at once: one more than a part of them, so
+// that one engine's runs end while others load.
+func loadsAtOnce(engines int) int { return (engines + loadShare - 1) / loadShare }
+
 func text(version uint64) string { return strconv.FormatUint(version, 10) }
 
 // enginesOf returns the instances of the services that run a model.
@@ -102,10 +121,13 @@
 	return out
 }
 
-// Read asks the engines that do not show the newest version.
+// Read returns what the engines say, as far as it must be known: engines that show the
+// newest version are not asked, and others once before an order and again when a load may
+// have ended.
 func (e *RegisteredEngines) Read(ctx context.Context) []rollout.Instance {
 	view := e.View()
 	var out []rollout.Instance
+	var waiting, loading []string
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for model, version := range view.Weights {
@@ -118,68 +140,127 @@
 			}
 			wg.Go(func() {
 				read, ok := e.ask(ctx, in, model, version)
-				if ok {
-					mu.Lock()
-					out = append(out, read)
-					mu.Unlock()
+				mu.Lock()
+				defer mu.Unlock()
+				if !ok {
+					return
+				}
+				out = append(out, read)
+				switch {
+				case read.Loading != "":
+					loading = append(loading, in.ID)
+				case read.Version != text(version):
+					waiting = append(waiting, in.ID)
 				}
 			})
 		}
 	}
 	wg.Wait()
+	e.forget(view)
+	e.tellBusy(waiting, loading, len(out))
 	return out
 }
 
-// ask reads one engine back. One that does not answer counts only while an order may be
-// under way there: else a failure domain that is cut off would hold up the rest.
-func (e *RegisteredEngines) ask(ctx context.Context, in registry.Instance, model string, wanted uint64) (rollout.Instance, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := e.Engines.Report(ctx, in)
+// tellBusy names the engines that load and those that will next, so that these have little
+// left to end when their order comes: they are ordered by name, as rollout.Plan does.
+func (e *RegisteredEngines) tellBusy(waiting, loading []string, engines int) {
+	slices.Sort(waiting)
+	next := waiting[:min(len(waiting), loadsAtOnce(engines))]
+	busy := append(loading, next...)
+	slices.Sort(busy)
+	e.Busy(busy)
+}
+
+// forget drops engines that are gone.
+func (e *RegisteredEngines) forget(view *fleet.View) {
+	live := map[string]bool{}
+	for _, instances := range view.Instances {
+		for _, in := range instances {
+			live[in.ID] = true
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.instances == nil {
-		e.instances = map[string]registry.Instance{}
-		e.orders = map[string]uint64{}
-		e.given = map[string]time.Time{}
+	maps.DeleteFunc(e.engines, func(id string, _ *engineState) bool { return !live[id] })
+}
+
+// state returns what is known of an engine; mu must be held.
+func (e *RegisteredEngines) state(in registry.Instance) *engineState {
+	if e.engines == nil {
+		e.engines = map[string]*engineState{}
+	}
+	known, ok := e.engines[in.ID]
+	if !ok {
+		known = &engineState{}
+		e.engines[in.ID] = known
 	}
-	e.instances[in.ID] = in
+	known.instance = in
+	return known
+}
+
+// ask reads one engine back. One that does not answer counts only while an order may be
+// under way there: else a failure domain that is cut off would hold up the rest.
+func (e *RegisteredEngines) ask(ctx context.Context, in registry.Instance, model string, wanted uint64) (rollout.Instance, bool) {
 	out := rollout.Instance{Name: in.ID, Model: model}
-	if err != nil {
-		e.Log.Info().Str("event", "engine_unread").Str("instance", in.ID).Str("address", in.Address).Str("error", err.Error()).Msg("")
-		return out, time.Since(e.given[in.ID]) < orderPending
+	e.mu.Lock()
+	known := e.state(in)
+	quiet := time.Since(known.given) < quietAfterOrder
+	ask := !known.asked && !quiet
+	pending := time.Since(known.given) < orderPending
+	e.mu.Unlock()
+	if ask {
+		report, err := e.report(ctx, in)
+		if err != nil {
+			return out, pending
+		}
+		e.mu.Lock()
+		known.report = report
+		// An engine that is not busy stays as it is until it is ordered.
+		known.asked = !report.Busy
+		e.mu.Unlock()
 	}
-	e.orders[in.ID] = report.Orders
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	out.Reachable = true
-	out.Version = text(report.Weights[model])
-	if report.Weights[model] > wanted {
-		out.Version = text(wanted)
-	}
-	if report.Busy {
+	out.Version = text(min(known.report.Weights[model], wanted))
+	if known.report.Busy || quiet {
 		// The engine does not say what it loads; an order on top of it is refused.
 		out.Loading = text(wanted)
 	}
 	return out, true
 }
 
-// Give gives one order.
+func (e *RegisteredEngines) report(ctx context.Context, in registry.Instance) (EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := e.Engines.Report(ctx, in)
+	line := e.Log.Info().Str("event", "engine_read").Str("instance", in.ID).Str("address", in.Address)
+	if err != nil {
+		line.Str("error", err.Error()).Msg("")
+		return report, err
+	}
+	line.Bool("busy", report.Busy).Uint64("orders", report.Orders).Msg("")
+	return report, nil
+}
+
+// Give gives one order. Whatever becomes of it, the engine is asked before the next one.
 func (e *RegisteredEngines) Give(ctx context.Context, order rollout.Order, token uint64) error {
 	version, err := strconv.ParseUint(order.Version, 10, 64)
 	if err != nil {
 		return errors.Wrap(err, "the version to load")
 	}
 	e.mu.Lock()
-	in, ok := e.instances[order.Name]
-	after := e.orders[order.Name]
-	e.mu.Unlock()
+	known, ok := e.engines[order.Name]
 	if !ok {
+		e.mu.Unlock()
 		return errors.Errorf("engine %q was not read", order.Name)
 	}
-	load := LoadOrder{Model: order.Model, Version: version, Holder: e.Holder, Token: token, AfterOrders: after}
+	known.given = time.Now()
+	known.asked = false
+	load := LoadOrder{Model: order.Model, Version: version, Holder: e.Holder, Token: token, AfterOrders: known.report.Orders}
+	in := known.instance
+	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	e.mu.Lock()
-	e.given[order.Name] = time.Now()
-	e.mu.Unlock()
 	return e.Engines.Load(ctx, in, load)
 }
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	view := j.server.View()
-	wish := balance.Wish{Tried: j.tried}
+	wish := balance.Wish{Tried: j.tried, Busy: view.Busy}
 	if p := j.request.Prompt; p != nil {
 		wish.Key = p.SharedKey()
 		wish.Model = p.Model
