--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -190,7 +190,7 @@
 		Folder: folder, Restart: restart, Ledger: ledger, Listener: listeners[1], Log: p.log,
 		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
 		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
-		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Busy: source.PublishBusy, Log: p.log},
+		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Source: source, Log: p.log},
 	}
 	if s.FirstStart {
 		replica.Peers = founders(s)
--- /dev/null
+++ b/internal/coordination/keeping/keeping_test.go
@@ -0,0 +1,133 @@
+package keeping_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/shedrock/shedrock/internal/coordination/keeping"
+)
+
+func TestSaltsAreApart(t *testing.T) {
+	salts := []keeping.Salt{
+		{Model: "m", Version: 1}, {Model: "m", Version: 11}, {Model: "m", Version: 1, Team: "t"},
+		{Model: `m"/"t`, Version: 1}, {Model: "m/t", Version: 1}, {Model: "m", Version: 1, Team: "shared"},
+	}
+	seen := map[string]keeping.Salt{}
+	for _, s := range salts {
+		if other, ok := seen[s.String()]; ok {
+			t.Errorf("%+v and %+v have one salt", s, other)
+		}
+		seen[s.String()] = s
+		model, version, ok := keeping.VersionOf(s.String())
+		if !ok || model != s.Model || version != s.Version {
+			t.Errorf("%q reads as %q %d", s, model, version)
+		}
+	}
+	if _, _, ok := keeping.VersionOf("somebody else's"); ok {
+		t.Error("a foreign salt has a version")
+	}
+}
+
+// held is one part of the model "m" with a version.
+func held(version uint64, id string, tokens int) keeping.Held {
+	return keeping.Held{Part: keeping.Part{Salt: keeping.Salt{Model: "m", Version: version}.String(), ID: id}, Tokens: tokens}
+}
+
+func TestBookFollowsChanges(t *testing.T) {
+	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }}
+	if !b.Take(keeping.Batch{Epoch: 1}) {
+		t.Fatal("an empty book wants no list")
+	}
+	b.List(1, 5, []keeping.Held{held(1, "a", 100)}, 0)
+	list := b.Take(keeping.Batch{Epoch: 1, Next: 7, Changes: []keeping.Change{{Held: held(1, "b", 20)}, {Held: held(1, "a", 0)}}})
+	if diff := cmp.Diff(false, list); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(map[keeping.Part]int{held(1, "b", 0).Part: 20}, b.Named(0)); diff != "" {
+		t.Error(diff)
+	}
+	// 20 tokens take two blocks of 16.
+	if diff := cmp.Diff(1000-32, b.Open(0)); diff != "" {
+		t.Error(diff)
+	}
+	if !b.Take(keeping.Batch{Epoch: 1, Gap: true}) || !b.Take(keeping.Batch{Epoch: 2}) {
+		t.Error("a gap or a restart wants no list")
+	}
+}
+
+// A store that restarted takes nothing new until what was named before cannot be fetched.
+func TestRestartedStoreRests(t *testing.T) {
+	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }}
+	b.List(1, 0, nil, 0)
+	b.List(2, 0, nil, 10*time.Second)
+	if diff := cmp.Diff(0, b.Open(10*time.Second+keeping.NamedFor)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(1000, b.Open(20*time.Second)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Under any course of saves, new versions, restarts and new leaders, a part is freed only
+// after every fetch that it was named for has ended.
+func TestNothingIsFreedUnderAFetch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newest := uint64(1)
+		clock := time.Duration(0)
+		store := map[keeping.Part]int{}
+		epoch := uint64(1)
+		newBook := func() *keeping.Book {
+			return &keeping.Book{Room: 10_000, Newest: func(string) uint64 { return newest }}
+		}
+		book := newBook()
+		// until holds the latest time until which a part was named by any leader.
+		until := map[keeping.Part]time.Duration{}
+		read := func() {
+			var list []keeping.Held
+			for part, tokens := range store {
+				list = append(list, keeping.Held{Part: part, Tokens: tokens})
+			}
+			book.List(epoch, 0, list, clock)
+			for part := range book.Named(clock) {
+				until[part] = clock + keeping.NamedFor
+			}
+			for _, part := range book.Free(clock) {
+				if clock <= until[part] {
+					t.Fatalf("%v is freed at %s, and may be fetched until %s", part, clock, until[part])
+				}
+				delete(store, part)
+			}
+		}
+		for range 80 {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				newest++
+			case 1:
+				book = newBook()
+			case 2:
+				store = map[keeping.Part]int{}
+				epoch++
+			case 3, 4, 5:
+				version := uint64(rapid.IntRange(int(max(newest, 2))-1, int(newest)).Draw(t, "version"))
+				h := held(version, rapid.StringMatching("[a-d]").Draw(t, "id"), 100)
+				store[h.Part] = h.Tokens
+			default:
+				clock += time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms")) * time.Millisecond
+				read()
+			}
+		}
+		// In the end only the newest version takes room.
+		for range 4 {
+			clock += 2 * time.Second
+			read()
+		}
+		for part := range store {
+			if _, version, _ := keeping.VersionOf(part.Salt); version < newest {
+				t.Fatalf("%v of old weights is still there", part)
+			}
+		}
+	})
+}
--- a/internal/coordination/membership/heal.go
+++ b/internal/coordination/membership/heal.go
@@ -72,7 +72,7 @@
 // joiner asked in an earlier life of that address.
 func (h healer) outdated(j Joiner) bool {
 	return slices.ContainsFunc(h.Members, func(m replication.Member) bool {
-		return m.Address == j.Address && h.alive(m)
+		return !m.Voter && m.Address == j.Address && h.alive(m)
 	})
 }
 
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -38,6 +38,10 @@
 // Unreached says that no byte of the request reached the upstream.
 type Unreached struct{}
 
+// Misdirected says that the upstream got the request and did not run it, because it is
+// not the one that was meant or has other weights.
+type Misdirected struct{}
+
 // Broken says that the answer ended early or belonged to another run. Sent is
 // how many events the caller has been sent.
 type Broken struct{ Sent uint64 }
@@ -45,11 +49,12 @@
 // CallerGone says that nobody waits for the answer.
 type CallerGone struct{}
 
-func (Whole) end()      {}
-func (Refused) end()    {}
-func (Unreached) end()  {}
-func (Broken) end()     {}
-func (CallerGone) end() {}
+func (Whole) end()       {}
+func (Refused) end()     {}
+func (Unreached) end()   {}
+func (Misdirected) end() {}
+func (Broken) end()      {}
+func (CallerGone) end()  {}
 
 // Step is what follows. It is one of Dispatch, Resume or Stop.
 type Step interface{ step() }
@@ -96,7 +101,7 @@
 		return Stop{outcome.Unknown{Detail: "the caller has gone"}}
 	case Refused:
 		return r.again(outcome.ReasonRefused, budget)
-	case Unreached:
+	case Unreached, Misdirected:
 		return r.elsewhere()
 	case Broken:
 		r.reached = true
--- a/internal/coordination/retry/tries.go
+++ b/internal/coordination/retry/tries.go
@@ -49,6 +49,12 @@
 			return Dispatch{}
 		}
 		return Stop{t.giveUp(outcome.ReasonUnreachable)}
+	case Misdirected:
+		t.unreached++
+		if t.unreached < mostUnreached && may() {
+			return Dispatch{}
+		}
+		return Stop{t.giveUp(outcome.ReasonRefused)}
 	case Refused:
 		t.sent++
 		if t.sent < t.Attempts && may() {
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -31,6 +31,9 @@
 	Version, Loading string
 	// Token is the highest that it has seen.
 	Token uint64
+	// Held is true while the engine is not to be ordered yet, because requests are still
+	// being sent to it.
+	Held bool
 }
 
 // Orderer is who gives orders. It is a plain value.
@@ -81,7 +84,7 @@
 	var orders []Order
 	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
 	for _, i := range instances {
-		mayOrder := i.Reachable && (i.ChecksOrders || by.Unchecked)
+		mayOrder := i.Reachable && !i.Held && (i.ChecksOrders || by.Unchecked)
 		if !mayOrder {
 			continue
 		}
--- /dev/null
+++ b/internal/state/deployment/deployment_test.go
@@ -0,0 +1,105 @@
+package deployment_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/state/deployment"
+)
+
+func route(name, prefix string) deployment.Route {
+	return deployment.Route{
+		Name: name, Host: "h", Prefix: prefix, Kind: deployment.Once, Timeout: time.Second,
+		Targets: []deployment.Target{{Service: "s", Weight: 1}},
+	}
+}
+
+func config(routes ...deployment.Route) *deployment.Config {
+	return &deployment.Config{
+		Version: 1, Routes: routes,
+		Services: map[string]deployment.Service{"s": {Name: "s"}, "store": {Name: "store", Store: &deployment.Store{}}},
+		Teams:    []deployment.Team{{Name: "a", Keys: []string{"ka", "kb"}}, {Name: "b", Keys: []string{"kc"}}},
+	}
+}
+
+func TestCheckNamesTheFault(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(*deployment.Config)
+		want  string
+	}{
+		{"nothing wrong", func(*deployment.Config) {}, ""},
+		{"unknown service", func(c *deployment.Config) { c.Routes[1].Targets[0].Service = "x" }, `routes[1].targets: there is no service "x"`},
+		{"a store", func(c *deployment.Config) { c.Routes[1].Targets[0].Service = "store" }, `routes[1].targets: there is no service "store"`},
+		{"same place", func(c *deployment.Config) { c.Routes[1].Prefix = "/" }, `routes[1].prefix: host "h" and prefix "/" stand in an earlier route as well`},
+		{"no weight", func(c *deployment.Config) { c.Routes[0].Targets[0].Weight = 0 }, "routes[0].targets: the weights sum to 0"},
+		{"no timeout", func(c *deployment.Config) { c.Routes[0].Timeout = 0 }, "routes[0].timeout: must be above 0"},
+		{"a key of two teams", func(c *deployment.Config) { c.Teams[1].Keys = []string{"ka"} }, `teams[1].keys: a key belongs to team "a" as well`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			in := config(route("all", "/"), route("deep", "/a/"))
+			c.spoil(in)
+			got := ""
+			err := in.Check()
+			if err != nil {
+				var field *deployment.FieldError
+				if !errors.As(err, &field) {
+					t.Fatalf("%T is no field error", err)
+				}
+				got = err.Error()
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	c := config(route("all", "/"), route("deeper", "/a/b/"), route("deep", "/a/"))
+	err := c.Check()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{"/x": "all", "/a/x": "deep", "/a/b/x": "deeper", "/a/b": "deep"} {
+		r, _ := c.Route("h", path)
+		if diff := cmp.Diff(want, r.Name); diff != "" {
+			t.Errorf("%s: %s", path, diff)
+		}
+	}
+	if _, ok := c.Route("other", "/"); ok {
+		t.Error("another host has a route")
+	}
+}
+
+func TestKeysBelongToTeams(t *testing.T) {
+	c := config(route("all", "/"))
+	err := c.Check()
+	if err != nil {
+		t.Fatal(err)
+	}
+	team, ok := c.TeamByKey("kb")
+	if diff := cmp.Diff("a", team.Name); diff != "" || !ok {
+		t.Error(diff)
+	}
+	for _, key := range []string{"", "k", "kcc"} {
+		if _, ok := c.TeamByKey(key); ok {
+			t.Errorf("key %q is known", key)
+		}
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := deployment.Route{Targets: []deployment.Target{{Service: "a", Weight: 3}, {Service: "b"}, {Service: "c", Weight: 1}}}
+	got := map[string]int{}
+	for i := range 100 {
+		got[r.Service(float64(i)/100)]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 75, "c": 25}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -13,11 +13,15 @@
 	Grace time.Duration
 
 	instances map[string]*merged
+	// births counts the instances heard of so far.
+	births int
 }
 
 type merged struct {
 	newest Instance
 	left   bool
+	// born numbers the instances in the order in which they were first heard of.
+	born int
 	// sources vouch for the instance; since is when the last one ceased to.
 	sources map[string]bool
 	since   time.Time
@@ -31,12 +35,15 @@
 	for _, r := range reports {
 		k, ok := m.instances[r.ID]
 		if !ok {
-			k = &merged{newest: r.Instance, sources: map[string]bool{}, since: now}
+			m.births++
+			k = &merged{newest: r.Instance, born: m.births, sources: map[string]bool{}, since: now}
 			m.instances[r.ID] = k
 		}
+		weights := newest(k.newest.Weights, r.Weights)
 		if r.Sequence > k.newest.Sequence {
 			k.newest = r.Instance
 		}
+		k.newest.Weights = weights
 		k.left = k.left || r.Left
 		if r.Silent || r.Left {
 			// It was given several heartbeats already: no grace on top.
@@ -65,16 +72,22 @@
 }
 
 // Live returns the instances that are neither gone nor leaving nor left, in the order
-// of their ids, and forgets those that nobody vouched for during Grace.
+// of their ids, and forgets those that nobody vouched for during Grace. An address belongs
+// to the incarnation that was heard of last: one that crashed says nothing, and its
+// successor reports long before it counts as silent.
 func (m *Merged) Live(now time.Time) []Instance {
 	var out []Instance
+	owners := m.owners()
 	for id, k := range m.instances {
 		unvouched := len(k.sources) == 0
 		if unvouched && now.Sub(k.since) > max(m.Grace, leftFor) {
 			delete(m.instances, id)
 			continue
 		}
-		if k.left || k.newest.Leaving || k.newest.Address == "" || unvouched && now.Sub(k.since) > m.Grace {
+		if k.left || k.newest.Leaving || k.newest.Address == "" || unvouched && now.Sub(k.since) >= m.Grace {
+			continue
+		}
+		if owners[k.newest.Address] != k {
 			continue
 		}
 		out = append(out, k.newest)
@@ -82,3 +95,14 @@
 	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// owners returns the newest incarnation at each address.
+func (m *Merged) owners() map[string]*merged {
+	out := make(map[string]*merged, len(m.instances))
+	for _, k := range m.instances {
+		if other := out[k.newest.Address]; other == nil || k.born > other.born {
+			out[k.newest.Address] = k
+		}
+	}
+	return out
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -71,6 +71,8 @@
 		return false
 	}
 	changed := known.report.Silent || !same(known.report.Instance, in)
+	in.Weights = newest(known.report.Weights, in.Weights)
+	changed = changed || !maps.Equal(in.Weights, known.report.Weights)
 	known.report.Instance = in
 	known.report.Silent = false
 	if changed {
@@ -79,6 +81,35 @@
 	return changed
 }
 
+// Raise takes what an instance said of its weights elsewhere than in a heartbeat; it
+// reports whether that was new.
+func (r *Registry) Raise(in Instance, model string, version uint64, now time.Time) bool {
+	known, ok := r.records[in.ID]
+	if !ok {
+		r.Hear(in, now)
+		known = r.records[in.ID]
+	}
+	if known.report.Weights[model] >= version {
+		return false
+	}
+	known.report.Weights = newest(known.report.Weights, map[string]uint64{model: version})
+	known.report.Change = r.next()
+	return true
+}
+
+// newest joins what is known of an incarnation's weights: its versions only rise, so a
+// heartbeat that was sent before a load ended takes nothing back.
+func newest(a, b map[string]uint64) map[string]uint64 {
+	out := maps.Clone(a)
+	if out == nil {
+		out = map[string]uint64{}
+	}
+	for model, version := range b {
+		out[model] = max(out[model], version)
+	}
+	return out
+}
+
 // Leave takes the end of an incarnation.
 func (r *Registry) Leave(id string, now time.Time) {
 	if r.records == nil {
@@ -135,5 +166,5 @@
 
 func same(a, b Instance) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && maps.Equal(a.Weights, b.Weights)
+		a.Slots == b.Slots && a.Leaving == b.Leaving
 }
--- /dev/null
+++ b/internal/state/registry/registry_test.go
@@ -0,0 +1,157 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const beat = time.Second
+
+func instance(id string, sequence uint64, leaving bool) registry.Instance {
+	return registry.Instance{ID: id, Service: "s", Address: "at " + id, Sequence: sequence, Leaving: leaving}
+}
+
+func ids(instances []registry.Instance) []string {
+	out := []string{}
+	for _, in := range instances {
+		out = append(out, in.ID)
+	}
+	return out
+}
+
+// A heartbeat that comes late brings back neither an older state nor one that left.
+func TestNewestSequenceWins(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	r.Hear(instance("x", 2, true), now)
+	r.Hear(instance("x", 1, false), now)
+	if diff := cmp.Diff(true, r.Since(0)[0].Leaving); diff != "" {
+		t.Error(diff)
+	}
+	r.Leave("x", now)
+	r.Hear(instance("x", 3, false), now)
+	r.Leave("never seen", now)
+	r.Hear(instance("never seen", 1, false), now)
+	for _, report := range r.Since(0) {
+		if !report.Left {
+			t.Errorf("%s came back", report.ID)
+		}
+	}
+}
+
+func TestOnlyChangesAreTold(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	r.Hear(instance("x", 1, false), now)
+	mark := r.Change()
+	r.Hear(instance("x", 2, false), now)
+	if diff := cmp.Diff(0, len(r.Since(mark))); diff != "" {
+		t.Error(diff)
+	}
+	r.Hear(instance("x", 3, true), now)
+	if diff := cmp.Diff(1, len(r.Since(mark))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// What a load brought is not taken back by a heartbeat that was sent before its end.
+func TestWeightsOnlyRise(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	with := func(sequence, version uint64) registry.Instance {
+		in := instance("x", sequence, false)
+		in.Weights = map[string]uint64{"m": version}
+		return in
+	}
+	r.Hear(with(1, 1), now)
+	if !r.Raise(with(1, 1), "m", 2, now) {
+		t.Error("a new version is no news")
+	}
+	r.Hear(with(2, 1), now)
+	if diff := cmp.Diff(uint64(2), r.Since(0)[0].Weights["m"]); diff != "" {
+		t.Error(diff)
+	}
+	m := registry.Merged{Grace: 4 * beat}
+	take(&m, "c1", now, r.Since(0)...)
+	take(&m, "c2", now, registry.Report{Instance: with(3, 1)})
+	if diff := cmp.Diff(uint64(2), m.Live(now)[0].Weights["m"]); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A crashed incarnation says nothing; the next one at its address takes its place at once.
+func TestAddressBelongsToTheNewestIncarnation(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := registry.Merged{Grace: 4 * beat}
+	old, next := instance("z old", 7, false), instance("a next", 1, false)
+	next.Address = old.Address
+	take(&m, "c1", now, registry.Report{Instance: old})
+	take(&m, "c2", now, registry.Report{Instance: next})
+	take(&m, "c1", now, registry.Report{Instance: old})
+	if diff := cmp.Diff([]string{"a next"}, ids(m.Live(now))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestSilenceAndReturn(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	r.Hear(instance("x", 1, false), now)
+	if diff := cmp.Diff(0, len(r.Sweep(now.Add(4*beat)))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(1, len(r.Sweep(now.Add(5*beat)))); diff != "" {
+		t.Error(diff)
+	}
+	r.Hear(instance("x", 2, false), now.Add(6*beat))
+	if diff := cmp.Diff(false, r.Since(0)[0].Silent); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func take(m *registry.Merged, source string, now time.Time, reports ...registry.Report) {
+	m.Take(source, reports, now)
+}
+
+// An instance may report to another control instance than before; each of them knows a
+// part, and the newest word holds.
+func TestMergedJoinsSources(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := registry.Merged{Grace: 4 * beat}
+	take(&m, "c1", now, registry.Report{Instance: instance("x", 1, false)}, registry.Report{Instance: instance("y", 1, false)})
+	take(&m, "c2", now, registry.Report{Instance: instance("x", 5, true)})
+	take(&m, "c1", now, registry.Report{Instance: instance("x", 4, false)})
+	if diff := cmp.Diff([]string{"y"}, ids(m.Live(now))); diff != "" {
+		t.Error(diff)
+	}
+	// y went over to c2; that c1 does not hear it any more means nothing.
+	take(&m, "c2", now, registry.Report{Instance: instance("y", 2, false)})
+	take(&m, "c1", now, registry.Report{Instance: instance("y", 1, false), Silent: true})
+	if diff := cmp.Diff([]string{"y"}, ids(m.Live(now))); diff != "" {
+		t.Error(diff)
+	}
+	take(&m, "c2", now, registry.Report{Instance: instance("y", 2, false), Silent: true})
+	if diff := cmp.Diff([]string{}, ids(m.Live(now))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A source that comes back empty makes nobody forget an instance until a few heartbeats
+// have been missed.
+func TestEmptySourceForgetsNobodyAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := registry.Merged{Grace: 4 * beat}
+	take(&m, "c1", now, registry.Report{Instance: instance("x", 1, false)}, registry.Report{Instance: instance("y", 1, false)})
+	m.Forget("c1", now)
+	if diff := cmp.Diff([]string{"x", "y"}, ids(m.Live(now.Add(3*beat)))); diff != "" {
+		t.Error(diff)
+	}
+	take(&m, "c1", now.Add(3*beat), registry.Report{Instance: instance("x", 2, false)})
+	if diff := cmp.Diff([]string{"x"}, ids(m.Live(now.Add(5*beat)))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -212,6 +212,8 @@
 		return "refused"
 	case retry.Unreached:
 		return "unreached"
+	case retry.Misdirected:
+		return "misdirected"
 	case retry.Broken:
 		return "broken"
 	case retry.CallerGone:
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -122,6 +122,18 @@
 	s.wake()
 }
 
+// Loaded takes what an engine itself said of its weights, before its next heartbeat does:
+// until entries know of it, they ask the engine for a version that it no longer has.
+func (s *Source) Loaded(in registry.Instance, model string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.registry.Raise(in, model, version, time.Now()) {
+		return
+	}
+	s.wake()
+	s.log.Info().Str("event", "weights_loaded").Str("instance", in.ID).Str("model", model).Uint64("version", version).Msg("")
+}
+
 // PublishBusy names the instances that requests had better avoid, because they load
 // weights or will next.
 func (s *Source) PublishBusy(ids []string) {
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -24,6 +24,9 @@
 	// quietAfterOrder is how long an engine is not asked after an order: a load takes more
 	// than a second, and questions are charged for.
 	quietAfterOrder = time.Second
+	// namedBefore is how long entries have avoided an engine before it is ordered: what
+	// comes after the order is refused, and each refusal is a repeated send.
+	namedBefore = 200 * time.Millisecond
 	// orderPending is how long an engine that does not answer after an order still counts
 	// as loading: a load takes about a second, and more while others load.
 	orderPending = 5 * time.Second
@@ -64,8 +67,8 @@
 	Engines Engines
 	// Holder names this process in orders.
 	Holder string
-	// Busy tells entries which instances load, or will next.
-	Busy func(ids []string)
+	// Source tells entries which engines load, or will next, and what they have loaded.
+	Source *fleet.Source
 	// Log receives one line for each event.
 	Log *log.Logger
 
@@ -81,8 +84,8 @@
 	// report is its last answer, and asked is false when the next round must ask again.
 	report EngineReport
 	asked  bool
-	// given is when it was last ordered.
-	given time.Time
+	// given is when it was last ordered, and named since when entries avoid it.
+	given, named time.Time
 }
 
 // Target returns the newest version named for a model.
@@ -168,7 +171,16 @@
 	next := waiting[:min(len(waiting), loadsAtOnce(engines))]
 	busy := append(loading, next...)
 	slices.Sort(busy)
-	e.Busy(busy)
+	e.mu.Lock()
+	for id, known := range e.engines {
+		if !slices.Contains(busy, id) {
+			known.named = time.Time{}
+		} else if known.named.IsZero() {
+			known.named = time.Now()
+		}
+	}
+	e.mu.Unlock()
+	e.Source.PublishBusy(busy)
 }
 
 // forget drops engines that are gone.
@@ -218,10 +230,12 @@
 		// An engine that is not busy stays as it is until it is ordered.
 		known.asked = !report.Busy
 		e.mu.Unlock()
+		e.Source.Loaded(in, model, report.Weights[model])
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out.Reachable = true
+	out.Held = known.named.IsZero() || time.Since(known.named) < namedBefore
 	out.Version = text(min(known.report.Weights[model], wanted))
 	if known.report.Busy || quiet {
 		// The engine does not say what it loads; an order on top of it is refused.
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -167,7 +167,7 @@
 	case retry.Whole:
 		result.Latency = heard.Sub(began)
 		result.Failed = end.Status >= 500
-	case retry.Unreached:
+	case retry.Unreached, retry.Misdirected:
 		result.Failed, result.Unreached = true, true
 	case retry.Broken:
 		result.Failed = true
@@ -203,7 +203,7 @@
 		return retry.Unreached{}, reply.Err
 	case exchange.NotRun:
 		if reply.Misdirected {
-			return retry.Unreached{}, errors.New("another instance has the address")
+			return retry.Misdirected{}, errors.New("another instance has the address, or its weights changed")
 		}
 		return retry.Refused{}, errors.Errorf("refused with %d", reply.Status)
 	case exchange.Broken:
@@ -370,6 +370,8 @@
 		return "refused"
 	case retry.Unreached:
 		return "unreached"
+	case retry.Misdirected:
+		return "misdirected"
 	case retry.Broken:
 		return "broken"
 	}
