--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -144,13 +144,19 @@
 	windowPorts = 200
 )
 
+// windowHold is the listener on the window's first port. It must stay referenced: a
+// listener that nobody refers to is closed by its finalizer, and another test process
+// then takes the same window.
+var windowHold net.Listener
+
 // window is this test process's own range of ports: nobody else can listen on its first
 // port, which is held until the process ends.
 var window = sync.OnceValue(func() int {
 	for n := range portWindows {
 		first := firstPort + (os.Getpid()+n)%portWindows*windowPorts
-		_, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
 		if err == nil {
+			windowHold = l
 			return first
 		}
 	}
