An upstream that hangs gets no more requests until it says a word

Ruled out: refused or lost sends (it was reached in 4 ms). Change: an instance that has requests of this entry and has said nothing for a second and five times its usual latency is taken only when nothing else is left.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -28,6 +28,11 @@
 	// firstPause is how long an instance that failed is avoided; it doubles up to mostPause.
 	firstPause = 250 * time.Millisecond
 	mostPause  = 2 * time.Second
+	// silentFor and silentTimes say when an instance that has requests of ours counts as
+	// silent: after so long without a word, and so many times its usual latency. The
+	// longest quiet of a sound engine on a calm day was about 0.7 s.
+	silentFor   = time.Second
+	silentTimes = 5
 	// firstLatency stands for instances that were not used yet.
 	firstLatency = 0.02
 	// newerShare is how much more than their part of the instances gets the requests while
@@ -56,6 +61,16 @@
 	failures        int
 	avoidUntil      time.Time
 	seen            time.Time
+	// heard is when the instance last said anything, or when it was given a request while
+	// it had none.
+	heard time.Time
+}
+
+// silent reports whether an instance keeps requests without a word: it may hang while its
+// connections and its health look well.
+func (l *load) silent(now time.Time) bool {
+	usual := time.Duration(l.latency * float64(time.Second))
+	return l.inFlight > 0 && now.Sub(l.heard) > max(silentFor, silentTimes*usual)
 }
 
 // Board holds the loads. Make one with New. It is not safe for concurrent use.
@@ -91,13 +106,13 @@
 	return b.pickByWait(open), true
 }
 
-// open leaves out what was tried, and what is busy or failed lately unless nothing else is left.
+// open leaves out what was tried, and what is busy, silent or failed lately unless nothing else is left.
 func (b *Board) open(instances []registry.Instance, w Wish, now time.Time) []registry.Instance {
 	var sound, rest []registry.Instance
 	for _, in := range instances {
 		switch {
 		case slices.Contains(w.Tried, in.ID):
-		case w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil):
+		case w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil) || b.load(in.ID).silent(now):
 			rest = append(rest, in)
 		default:
 			sound = append(sound, in)
@@ -180,10 +195,16 @@
 // Begin notes that a request goes to an instance.
 func (b *Board) Begin(id string, now time.Time) {
 	l := b.load(id)
+	if l.inFlight == 0 {
+		l.heard = now
+	}
 	l.inFlight++
 	l.seen = now
 }
 
+// Heard notes that an instance answered a request, though the answer may go on.
+func (b *Board) Heard(id string, now time.Time) { b.load(id).heard = now }
+
 // Result says how a request at an instance ended.
 type Result struct {
 	// Failed counts against the instance; Unreached also has it avoided for a while.
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -110,6 +110,31 @@
 	}
 }
 
+// An instance that hangs takes no more requests until it says a word, whatever its health.
+func TestSilentInstanceGetsNoMore(t *testing.T) {
+	b := balance.New(1)
+	two := instances(2)
+	key := uint64(1)
+	first := pick(t, b, two, balance.Wish{Key: key})
+	b.Begin(first, now)
+	later := now.Add(2 * time.Second)
+	got, _ := b.Pick(two, balance.Wish{Key: key}, later)
+	if got.ID == first {
+		t.Error("a silent instance was chosen")
+	}
+	b.Heard(first, later)
+	got, _ = b.Pick(two, balance.Wish{Key: key}, later)
+	if diff := cmp.Diff(first, got.ID); diff != "" {
+		t.Error(diff)
+	}
+	// One without requests has no reason to speak.
+	b.End(first, balance.Result{Latency: time.Millisecond}, later)
+	got, _ = b.Pick(two, balance.Wish{Key: key}, later.Add(time.Hour))
+	if diff := cmp.Diff(first, got.ID); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestBusyOnlyWhenNothingElseIsLeft(t *testing.T) {
 	b := balance.New(1)
 	two := instances(2)
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -161,6 +161,7 @@
 	began := time.Now()
 	reply := j.server.Upstreams.Send(ctx, j.outgoing())
 	heard := time.Now()
+	j.noteHeard(reply, heard)
 	end, err := j.pass(reply)
 	result := balance.Result{}
 	switch end := end.(type) {
@@ -182,6 +183,17 @@
 	return end
 }
 
+// noteHeard notes a word of the instance before its answer has ended.
+func (j *job) noteHeard(reply exchange.Reply, now time.Time) {
+	switch reply.(type) {
+	case exchange.Unreached, exchange.Broken:
+		return
+	}
+	j.server.mu.Lock()
+	defer j.server.mu.Unlock()
+	j.server.board.Heard(j.instance.ID, now)
+}
+
 func (j *job) outgoing() *exchange.Attempt {
 	a := &exchange.Attempt{
 		Request: j.request, Instance: j.instance, Deadline: j.deadline, Team: j.team.Name, Rank: j.route.Rank,
