--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -112,9 +112,6 @@
 			j.stop(next.Outcome)
 			return
 		}
-		if _, whole := end.(retry.Whole); !whole && ctx.Err() == context.Canceled {
-			end = retry.CallerGone{}
-		}
 		step = j.tries.Next(end, j.may)
 	}
 }
@@ -163,6 +160,10 @@
 	heard := time.Now()
 	j.noteHeard(reply, heard)
 	end, err := j.pass(reply)
+	if _, whole := end.(retry.Whole); !whole && ctx.Err() == context.Canceled {
+		// The caller's leaving closed the connection: that says nothing of the instance.
+		end = retry.CallerGone{}
+	}
 	result := balance.Result{}
 	switch end := end.(type) {
 	case retry.Whole:
