--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -76,6 +76,9 @@
 	// engines holds what is known of the engines that do not show the newest version; it
 	// is guarded by mu.
 	engines map[string]*engineState
+	// readable is how many engines of a model the last Read reached, or knows to serve the
+	// newest version: only of these can some load while others serve.
+	readable map[string]int
 }
 
 // engineState is what is known of one engine.
@@ -95,7 +98,9 @@
 	if !ok {
 		return rollout.Target{}, false
 	}
-	n := len(enginesOf(view, model))
+	e.mu.Lock()
+	n := e.readable[model]
+	e.mu.Unlock()
 	return rollout.Target{Version: text(version), ConcurrentLoads: loadsAtOnce(n), MinServing: n / 2}, true
 }
 
@@ -159,6 +164,15 @@
 		}
 	}
 	wg.Wait()
+	readable := map[string]int{}
+	for _, read := range out {
+		if read.Reachable {
+			readable[read.Model]++
+		}
+	}
+	e.mu.Lock()
+	e.readable = readable
+	e.mu.Unlock()
 	e.forget(view)
 	e.tellBusy(waiting, loading, len(out))
 	return out
--- /dev/null
+++ b/internal/transport/orders/registered_test.go
@@ -0,0 +1,225 @@
+package orders_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/orders"
+)
+
+var quiet = &log.Logger{Level: log.PanicLevel}
+
+// engines is a stand-in of a fleet: each engine takes a moment to load, checks how many
+// orders came before, and may be cut off or leave orders unanswered.
+type engines struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+	taken    map[string]uint64
+	busyTill map[string]time.Time
+	cutOff   map[string]bool
+	// late holds orders that are carried out after newer ones, as they were sent.
+	late []func()
+	// loseEvery has each so many-th order go unanswered and come late.
+	loseEvery, orders, most int
+	asked                   int
+}
+
+const loadTime = 1200 * time.Millisecond
+
+func newEngines(n int) *engines {
+	e := &engines{versions: map[string]uint64{}, taken: map[string]uint64{}, busyTill: map[string]time.Time{}, cutOff: map[string]bool{}}
+	for i := range n {
+		e.versions[fmt.Sprintf("e%02d", i)] = 1
+	}
+	return e
+}
+
+func (e *engines) Report(_ context.Context, in registry.Instance) (orders.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+	if e.cutOff[in.ID] {
+		return orders.EngineReport{}, errors.New("cut off")
+	}
+	busy := time.Now().Before(e.busyTill[in.ID])
+	version := e.versions[in.ID]
+	if busy {
+		version--
+	}
+	return orders.EngineReport{Weights: map[string]uint64{"m": version}, Busy: busy, Orders: e.taken[in.ID]}, nil
+}
+
+func (e *engines) Load(_ context.Context, in registry.Instance, o orders.LoadOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if e.loseEvery > 0 && e.orders%e.loseEvery == 0 {
+		e.late = append(e.late, func() { _ = e.take(in, o) })
+		return errors.New("no answer")
+	}
+	return e.take(in, o)
+}
+
+// take carries an order out; mu must be held.
+func (e *engines) take(in registry.Instance, o orders.LoadOrder) error {
+	if e.cutOff[in.ID] || time.Now().Before(e.busyTill[in.ID]) || o.AfterOrders != e.taken[in.ID] {
+		return errors.New("refused")
+	}
+	e.taken[in.ID]++
+	e.versions[in.ID] = o.Version
+	e.busyTill[in.ID] = time.Now().Add(loadTime)
+	busy := 0
+	for _, till := range e.busyTill {
+		if time.Now().Before(till) {
+			busy++
+		}
+	}
+	e.most = max(e.most, busy)
+	return nil
+}
+
+func (e *engines) runLate() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.late {
+		f()
+	}
+	e.late = nil
+}
+
+func (e *engines) at(version uint64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, v := range e.versions {
+		if v == version {
+			n++
+		}
+	}
+	return n
+}
+
+// newOrderer orders a fleet of engines that all report version 1 in their heartbeats.
+func newOrderer(t *testing.T, e *engines, version uint64) (*orders.Orderer, *fleet.Source) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	source := fleet.NewSource(ctx, time.Hour, quiet)
+	view := &fleet.View{
+		Config:    &deployment.Config{Services: map[string]deployment.Service{"s": {Name: "s", Engine: &deployment.Engine{}}}},
+		Instances: map[string][]registry.Instance{}, Weights: map[string]uint64{"m": version},
+	}
+	for id := range e.versions {
+		in := registry.Instance{ID: id, Service: "s", Address: id, Weights: map[string]uint64{"m": 1}}
+		view.Instances["s"] = append(view.Instances["s"], in)
+		source.Hear(in)
+	}
+	return &orders.Orderer{
+		Leading: func() (uint64, bool) { return 1, true }, TakeToken: func(context.Context) (uint64, error) { return 1, nil },
+		Confirm: func(context.Context) error { return nil }, WaitOut: time.Millisecond, Interval: 20 * time.Millisecond, Log: quiet,
+		Fleet: &orders.RegisteredEngines{View: func() *fleet.View { return view }, Engines: e, Holder: "h", Source: source, Log: quiet},
+	}, source
+}
+
+func run(t *testing.T, o *orders.Orderer) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { o.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func wait(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatal("never came true: " + what)
+}
+
+// Each engine loads once, a fifth at a time, and is asked a few times at most.
+func TestFleetLoadsInTurn(t *testing.T) {
+	e := newEngines(10)
+	o, _ := newOrderer(t, e, 2)
+	run(t, o)
+	wait(t, "all serve version 2", func() bool { return e.at(2) == 10 })
+	if e.most > 2 || e.orders != 10 {
+		t.Errorf("%d at once, %d orders", e.most, e.orders)
+	}
+	if e.asked > 10*15 {
+		t.Errorf("%d questions for 10 engines", e.asked)
+	}
+}
+
+// Orders that go unanswered, and are carried out after newer ones, load nothing twice: the
+// number of orders taken does not fit any more.
+func TestUnansweredOrdersAreGivenAgain(t *testing.T) {
+	e := newEngines(6)
+	e.loseEvery = 3
+	o, _ := newOrderer(t, e, 2)
+	run(t, o)
+	wait(t, "all serve version 2", func() bool { return e.at(2) == 6 })
+	wait(t, "none is loading", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, till := range e.busyTill {
+			if time.Now().Before(till) {
+				return false
+			}
+		}
+		return true
+	})
+	e.runLate()
+	got := map[string]uint64{}
+	for id, n := range e.taken {
+		if n != 1 {
+			got[id] = n
+		}
+	}
+	if diff := cmp.Diff(map[string]uint64{}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Engines that are cut off hold up nobody else.
+func TestCutOffEnginesHoldUpNobody(t *testing.T) {
+	e := newEngines(6)
+	for _, id := range []string{"e00", "e01", "e02"} {
+		e.cutOff[id] = true
+	}
+	o, _ := newOrderer(t, e, 2)
+	run(t, o)
+	wait(t, "the others serve version 2", func() bool { return e.at(2) == 3 })
+}
+
+// One that cannot show that it still leads gives no order.
+func TestDeposedLeaderOrdersNothing(t *testing.T) {
+	e := newEngines(3)
+	o, _ := newOrderer(t, e, 2)
+	var asked sync.WaitGroup
+	asked.Add(3)
+	n := 0
+	o.Confirm = func(context.Context) error {
+		if n++; n <= 3 {
+			asked.Done()
+		}
+		return errors.New("no majority")
+	}
+	run(t, o)
+	asked.Wait()
+	if diff := cmp.Diff(0, e.orders); diff != "" {
+		t.Error(diff)
+	}
+}
