Entries are woken for stores' news together, and list instances only after reports

Each of some tens of stores woke every entry 2.5 times a second, and each answer made the list of a thousand instances anew. Ruled out: requests (25 a second an entry).

--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -81,6 +81,9 @@
 	weights   map[string]uint64
 	weightsAt map[string]time.Time
 	sources   map[string]*source
+	// instances is the last view's; it is made anew only after reports, and each
+	// viewInterval for what ages.
+	instances map[string][]registry.Instance
 }
 
 // source is what is known of one control instance.
@@ -159,6 +162,7 @@
 		}
 	}
 	f.forgetLost()
+	f.joinInstances()
 	f.publish()
 }
 
@@ -276,6 +280,9 @@
 		reports = append(reports, toReport(r))
 	}
 	f.merged.Take(address, reports, now)
+	if len(reports) > 0 {
+		f.joinInstances()
+	}
 	f.takeWeights(toWeights(out.Weights), now)
 	f.takeConfig(address, out)
 	f.publish()
@@ -306,16 +313,21 @@
 	f.Log.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).Str("from", address).Int("routes", len(config.Routes)).Msg("")
 }
 
+// joinInstances lists the live instances of each service; mu must be held.
+func (f *Follower) joinInstances() {
+	f.instances = map[string][]registry.Instance{}
+	for _, in := range f.merged.Live(time.Now()) {
+		f.instances[in.Service] = append(f.instances[in.Service], in)
+	}
+}
+
 // publish makes the view anew; mu must be held.
 func (f *Follower) publish() {
 	v := &View{
-		Config: f.config, Instances: map[string][]registry.Instance{}, Entries: 1,
+		Config: f.config, Instances: f.instances, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
 		Stores: newestStores(f.sources), Busy: map[string]bool{},
 	}
-	for _, in := range f.merged.Live(time.Now()) {
-		v.Instances[in.Service] = append(v.Instances[in.Service], in)
-	}
 	for _, s := range f.sources {
 		if time.Since(s.answered) < busyFor {
 			for _, id := range s.busy {
--- a/internal/transport/fleet/kept.go
+++ b/internal/transport/fleet/kept.go
@@ -28,7 +28,8 @@
 	changes map[keeping.Part]uint64
 }
 
-// PublishStore sets what a store holds.
+// PublishStore sets what a store holds. Entries are told with the other stores' news, so
+// that many stores do not wake all entries many times a second.
 func (s *Source) PublishStore(address string, kept Kept) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,7 +51,7 @@
 		}
 	}
 	f.kept = kept
-	s.wake()
+	s.storesNews = true
 }
 
 // ForgetStore drops a store that is not part of the configuration any more.
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -28,6 +28,9 @@
 	silentBeats = 4
 	// sweepInterval is how often silent instances are looked for.
 	sweepInterval = 500 * time.Millisecond
+	// storesInterval joins the news of all stores: a part is known so much later, of the
+	// 2 s for which it is named.
+	storesInterval = 200 * time.Millisecond
 	// maxWait bounds a long poll.
 	maxWait = 5 * time.Second
 	// entryLifetime is how long an entry counts after its last poll, so that the share
@@ -51,6 +54,8 @@
 	// numbers the changes.
 	stores      map[string]*storeFeed
 	storeChange uint64
+	// storesNews is true while entries have not been told of what stores hold.
+	storesNews bool
 	// busy names the instances that load weights, or will next.
 	busy []string
 	// entries holds when each entry last asked.
@@ -70,10 +75,14 @@
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
+		stores := time.NewTicker(storesInterval)
+		defer stores.Stop()
 		for {
 			select {
 			case now := <-ticker.C:
 				s.sweep(now)
+			case <-stores.C:
+				s.tellStores()
 			case <-ctx.Done():
 				return
 			}
@@ -165,6 +174,16 @@
 	}
 }
 
+// tellStores wakes the entries if stores have news.
+func (s *Source) tellStores() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.storesNews {
+		s.storesNews = false
+		s.wake()
+	}
+}
+
 // wake answers all polls; mu must be held.
 func (s *Source) wake() {
 	close(s.changed)
