Fleet follower: watching and the view in files of their own

Change: moves only. watch.go holds what is known of a source, its polls and how answers are joined; view.go the view and how it is made; follower.go the type, its run and the list of sources. Green: go vet and go test of internal/transport/fleet, platform, internal/layers.

--- /dev/null
+++ b/internal/transport/fleet/view.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+// busyFor is how long the word of a source that does not answer any more holds about
+// instances that load weights: a load takes a second or two.
+const busyFor = 3 * time.Second
+
+// View is what an entry goes by. It never changes once it is published.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *deployment.Config
+	// Instances holds the live instances of each service, in the order of their ids.
+	Instances map[string][]registry.Instance
+	// Weights holds the newest weight version of each model, and WeightsAt when this
+	// process learned of it.
+	Weights   map[string]uint64
+	WeightsAt map[string]time.Time
+	// Control holds the addresses of the control instances.
+	Control []string
+	// Busy holds the instances that load weights, or will next.
+	Busy map[string]bool
+	// Stores holds what each store keeps, by its address.
+	Stores map[string]Kept
+	// Entries is the highest number of entries that a source saw lately, at least 1.
+	Entries int
+}
+
+// publish makes the view anew; mu must be held.
+func (f *Follower) publish() {
+	v := &View{
+		Config: f.config, Instances: map[string][]registry.Instance{}, Entries: 1,
+		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
+		Stores: newestStores(f.sources), Busy: map[string]bool{},
+	}
+	for _, in := range f.merged.Live(time.Now()) {
+		v.Instances[in.Service] = append(v.Instances[in.Service], in)
+	}
+	for _, s := range f.sources {
+		if time.Since(s.answered) < busyFor {
+			for _, id := range s.busy {
+				v.Busy[id] = true
+			}
+		}
+		v.Entries = max(v.Entries, s.entries)
+	}
+	f.view.Store(v)
+}
--- /dev/null
+++ b/internal/transport/fleet/watch.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// pollWait is how long a source holds a poll; it is short enough that two of them
+	// lie within the 3 s after which a healed cut must not matter any more.
+	pollWait = time.Second
+	// pollTimeout gives up a source that is cut off or frozen.
+	pollTimeout = 2 * time.Second
+	dialTimeout = 500 * time.Millisecond
+	// retryWait is the pause after a failed poll.
+	retryWait = 200 * time.Millisecond
+)
+
+// source is what is known of one control instance.
+type source struct {
+	cancel context.CancelFunc
+	epoch  uint64
+	change uint64
+	// answered is when it last answered, and reached whether the last poll did.
+	answered time.Time
+	reached  bool
+	control  []string
+	entries  int
+	// stores holds what the source told of stores, and storeChange its mark.
+	stores      map[string]Kept
+	storeChange uint64
+	// busy names the instances that the source's process has load weights.
+	busy []string
+}
+
+// watch polls one source until ctx ends.
+func (f *Follower) watch(ctx context.Context, address string) {
+	client := wire.NewFleetProtobufClient("http://"+address, f.client)
+	for ctx.Err() == nil {
+		out, err := client.Watch(ctx, f.request(address))
+		if err != nil {
+			f.lost(address, err)
+			select {
+			case <-time.After(retryWait):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		f.take(address, out)
+	}
+}
+
+func (f *Follower) request(address string) *wire.FleetRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in := &wire.FleetRequest{Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds())}
+	if s := f.sources[address]; s != nil {
+		in.Epoch = s.epoch
+		in.Change = s.change
+		in.StoreChange = s.storeChange
+		in.Busy = s.busy
+		for _, kept := range s.stores {
+			in.StoresUntil = max(in.StoresUntil, kept.Until.Milliseconds())
+		}
+	}
+	if f.config != nil {
+		in.ConfigVersion = f.config.Version
+	}
+	return in
+}
+
+func (f *Follower) lost(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	if s == nil || !s.reached {
+		return
+	}
+	s.reached = false
+	f.Log.Info().Str("event", "control_lost").Str("address", address).Str("error", err.Error()).Msg("")
+}
+
+// take joins one answer into the view.
+func (f *Follower) take(address string, out *wire.FleetResponse) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	if s == nil {
+		return
+	}
+	now := time.Now()
+	if !s.reached {
+		f.Log.Info().Str("event", "control_reached").Str("address", address).Uint64("epoch", out.Epoch).Msg("")
+	}
+	if s.epoch != out.Epoch {
+		f.merged.Forget(address, now)
+		s.stores = nil
+	}
+	s.reached = true
+	s.answered = now
+	s.epoch = out.Epoch
+	s.change = out.Change
+	s.control = out.Control
+	s.entries = int(out.Entries)
+	s.storeChange = out.StoreChange
+	s.busy = out.Busy
+	s.takeStores(out.Stores, now)
+	reports := make([]registry.Report, 0, len(out.Instances))
+	for _, r := range out.Instances {
+		reports = append(reports, toReport(r))
+	}
+	f.merged.Take(address, reports, now)
+	f.takeWeights(toWeights(out.Weights), now)
+	f.takeConfig(address, out)
+	f.publish()
+}
+
+func (f *Follower) takeWeights(weights map[string]uint64, now time.Time) {
+	for model, version := range weights {
+		if version <= f.weights[model] {
+			continue
+		}
+		f.weights[model] = version
+		f.weightsAt[model] = now
+		f.Log.Info().Str("event", "weights_named").Str("model", model).Uint64("version", version).Msg("")
+	}
+}
+
+// takeConfig puts a newer configuration in force; an older one never follows.
+func (f *Follower) takeConfig(address string, out *wire.FleetResponse) {
+	if out.ConfigText == nil || f.config != nil && out.ConfigVersion <= f.config.Version {
+		return
+	}
+	config, err := f.Decode(out.ConfigText)
+	if err != nil {
+		f.Log.Error().Str("event", "configuration_unreadable").Uint64("version", out.ConfigVersion).Str("from", address).Str("error", err.Error()).Msg("")
+		return
+	}
+	f.config = config
+	f.Log.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).Str("from", address).Int("routes", len(config.Routes)).Msg("")
+}
