--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"time"
 
-	"github.com/phuslu/log"
-	"github.com/pkg/errors"
-
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
@@ -27,9 +23,6 @@
 	shortest = 5 * time.Millisecond
 )
 
-// errOutOfOrder says that an event does not follow the one before.
-var errOutOfOrder = errors.New("an event does not follow the one before")
-
 // job is one request on its way.
 type job struct {
 	server  *Server
@@ -210,103 +203,6 @@
 	return a
 }
 
-// pass turns a reply into the end of an attempt, and passes on what the caller may have.
-func (j *job) pass(reply exchange.Reply) (retry.End, error) {
-	switch reply := reply.(type) {
-	case exchange.Unreached:
-		return retry.Unreached{}, reply.Err
-	case exchange.NotRun:
-		if reply.Misdirected {
-			return retry.Misdirected{}, errors.New("another instance has the address, or its weights changed")
-		}
-		return retry.Refused{}, errors.Errorf("refused with %d", reply.Status)
-	case exchange.Broken:
-		return retry.Broken{Sent: j.sent()}, reply.Err
-	case exchange.Whole:
-		return j.passWhole(reply)
-	case exchange.Stream:
-		defer reply.Events.Close()
-		return j.passStream(reply)
-	}
-	panic("serving: reply outside the sealed set")
-}
-
-// sent is the number of the last event that the caller got from this process.
-func (j *job) sent() uint64 {
-	if !j.began {
-		return 0
-	}
-	return j.last
-}
-
-func (j *job) passWhole(a exchange.Whole) (retry.End, error) {
-	if j.began {
-		// The stream cannot go on with an answer that is none.
-		return retry.Broken{Sent: j.last}, errors.Errorf("answered %d in place of the rest", a.Head.Status)
-	}
-	if a.Head.Status >= 500 && j.tries.Repeats {
-		j.spare = &a
-		return retry.Whole{Status: a.Head.Status}, nil
-	}
-	j.spare = nil
-	j.first = time.Now()
-	err := j.sink.Answer(a)
-	if err != nil {
-		return retry.CallerGone{}, err
-	}
-	return retry.Whole{Status: a.Head.Status}, nil
-}
-
-func (j *job) passStream(a exchange.Stream) (retry.End, error) {
-	for {
-		event, more, err := a.Events.Next()
-		if err == io.EOF {
-			return j.endStream(a.Head), nil
-		}
-		if err != nil {
-			return retry.Broken{Sent: j.sent()}, err
-		}
-		if event.Number > 0 && event.Number <= j.last {
-			if j.began {
-				// A run that goes on behind an event may repeat what the caller has.
-				continue
-			}
-			return retry.Broken{Sent: j.sent()}, errOutOfOrder
-		}
-		if event.Number > j.last+1 && (j.last > 0 || j.began) {
-			return retry.Broken{Sent: j.sent()}, errOutOfOrder
-		}
-		err = j.beginStream(a.Head)
-		if err == nil {
-			err = j.sink.Event(event.Raw, more)
-		}
-		if err != nil {
-			return retry.CallerGone{}, err
-		}
-		j.last = max(j.last, event.Number)
-	}
-}
-
-// beginStream passes the head on before the first event; a stream that another instance
-// goes on with keeps its first head.
-func (j *job) beginStream(h exchange.Head) error {
-	if j.began {
-		return nil
-	}
-	j.began = true
-	j.first = time.Now()
-	return j.sink.Begin(h)
-}
-
-func (j *job) endStream(h exchange.Head) retry.End {
-	err := j.beginStream(h)
-	if err != nil {
-		return retry.CallerGone{}
-	}
-	j.sink.End()
-	return retry.Whole{Status: h.Status}
-}
-
 // stop gives the caller the end of the request.
 func (j *job) stop(o outcome.Outcome) {
 	if _, answered := o.(outcome.Answered); answered && j.spare == nil {
@@ -338,59 +234,3 @@
 	j.note(o)
 	j.sink.Refuse(o)
 }
-
-// note logs and counts the end of the request.
-func (j *job) note(o outcome.Outcome) {
-	line := j.line(outcome.Label(o)).Int("attempts", j.number).Str("instance", j.instance.ID).Dur("took_ms", time.Since(j.request.Arrived))
-	if j.request.Prompt != nil {
-		line = line.Int("fetch", j.fetch).Int("save", j.save)
-	}
-	switch o := o.(type) {
-	case outcome.Answered:
-		line = line.Int("status", o.Status).Dur("first_ms", j.first.Sub(j.request.Arrived))
-	case outcome.NotRun:
-		line = line.Str("reason", string(o.Reason))
-	case outcome.Unknown:
-		line = line.Str("detail", o.Detail)
-	case outcome.Failed:
-		line = line.Str("detail", o.Detail)
-	}
-	line.Msg("")
-	j.server.Metrics.request(j.team.Name, j.route, o, j.request.Arrived, j.first)
-}
-
-func (j *job) line(end string) *log.Entry {
-	return j.server.Log.Info().Str("event", "request").Str("request", j.request.ID).Str("outcome", end).
-		Str("team", j.team.Name).Str("route", j.route.Name).Str("service", j.service).Uint64("config", j.version)
-}
-
-func (j *job) logAttempt(end retry.End, err error, took time.Duration) {
-	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.number).
-		Str("instance", j.instance.ID).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
-		Str("end", endName(end)).Dur("took_ms", took)
-	if err != nil {
-		line = line.Str("error", err.Error())
-	}
-	line.Msg("")
-}
-
-func endName(end retry.End) string {
-	switch end := end.(type) {
-	case retry.Whole:
-		if end.Status >= 500 {
-			return "failed_there"
-		}
-		return "whole"
-	case retry.CallerGone:
-		return "caller_gone"
-	case retry.Refused:
-		return "refused"
-	case retry.Unreached:
-		return "unreached"
-	case retry.Misdirected:
-		return "misdirected"
-	case retry.Broken:
-		return "broken"
-	}
-	panic("serving: end outside the sealed set")
-}
--- /dev/null
+++ b/internal/transport/serving/lines.go
@@ -0,0 +1,66 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+// note logs and counts the end of the request.
+func (j *job) note(o outcome.Outcome) {
+	line := j.line(outcome.Label(o)).Int("attempts", j.number).Str("instance", j.instance.ID).Dur("took_ms", time.Since(j.request.Arrived))
+	if j.request.Prompt != nil {
+		line = line.Int("fetch", j.fetch).Int("save", j.save)
+	}
+	switch o := o.(type) {
+	case outcome.Answered:
+		line = line.Int("status", o.Status).Dur("first_ms", j.first.Sub(j.request.Arrived))
+	case outcome.NotRun:
+		line = line.Str("reason", string(o.Reason))
+	case outcome.Unknown:
+		line = line.Str("detail", o.Detail)
+	case outcome.Failed:
+		line = line.Str("detail", o.Detail)
+	}
+	line.Msg("")
+	j.server.Metrics.request(j.team.Name, j.route, o, j.request.Arrived, j.first)
+}
+
+func (j *job) line(end string) *log.Entry {
+	return j.server.Log.Info().Str("event", "request").Str("request", j.request.ID).Str("outcome", end).
+		Str("team", j.team.Name).Str("route", j.route.Name).Str("service", j.service).Uint64("config", j.version)
+}
+
+func (j *job) logAttempt(end retry.End, err error, took time.Duration) {
+	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.number).
+		Str("instance", j.instance.ID).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
+		Str("end", endName(end)).Dur("took_ms", took)
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Msg("")
+}
+
+func endName(end retry.End) string {
+	switch end := end.(type) {
+	case retry.Whole:
+		if end.Status >= 500 {
+			return "failed_there"
+		}
+		return "whole"
+	case retry.CallerGone:
+		return "caller_gone"
+	case retry.Refused:
+		return "refused"
+	case retry.Unreached:
+		return "unreached"
+	case retry.Misdirected:
+		return "misdirected"
+	case retry.Broken:
+		return "broken"
+	}
+	panic("serving: end outside the sealed set")
+}
