Platform commands: wiring apart from running, a file for each role

Change: platform_entry.go and platform_control.go hold a role each, with a Run that reads and listens, a constructor that wires, and a run that serves to the end; platform.go keeps what both share. served() serves the stand-in too. Green: internal/layers; TestSeedsFoundServeAndHeal, TestLeavingInstanceGetsNothingMore and TestEntryStopsInOrder of internal/system. Red before and after this change, and not touched by it: TestSettingsPage of internal/cli (docs/settings.md lacks the platform commands); the other tests of internal/cli are green.

--- /dev/null
+++ b/internal/cli/platform_control.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/shedrock/shedrock/internal/coordination/membership"
+	"github.com/shedrock/shedrock/internal/settings"
+	"github.com/shedrock/shedrock/internal/transport/control"
+	"github.com/shedrock/shedrock/internal/transport/controlclient"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/keeping"
+	"github.com/shedrock/shedrock/internal/transport/orders"
+	"github.com/shedrock/shedrock/platform"
+)
+
+const (
+	// leaseMargin is waited on top of a lease, for an order on its way.
+	leaseMargin = 500 * time.Millisecond
+	// orderInterval is how often it is looked whether an order is to be given: a fleet has
+	// some seconds for ten rounds of loads, and a look costs nothing while all is loaded.
+	orderInterval = 120 * time.Millisecond
+	// ticksASecond is how many ticks of the control log are in a second.
+	ticksASecond = int(time.Second / control.DefaultTick)
+)
+
+type platformControlCommand struct {
+	Config string `help:"The settings file." required:"" type:"path"`
+}
+
+// Run runs the replica until it is told to stop.
+func (c platformControlCommand) Run(p *process) error {
+	file, err := settings.Open(p.ctx, c.Config, p.log)
+	if err != nil {
+		return failure{exitUsage, err}
+	}
+	s := file.Current()
+	if s.Data == "" {
+		return usage("%s: data: a control instance needs a folder", c.Config)
+	}
+	limitMemory(s)
+	listeners, err := listenAll([]namedAddress{{"control", s.Control}, {"peer", s.PeerAddress()}, {"metrics", metricsAddress(s)}})
+	if err != nil {
+		return err
+	}
+	r, err := newPlatformControl(p.ctx, file, s, listeners[1], p.log)
+	if err != nil {
+		return err
+	}
+	folder := r.replica.Folder
+	p.log.Info().Str("event", "control_starts").Str("name", s.Name).Str("incarnation", folder.Incarnation()).Bool("blank", folder.Fresh()).Bool("first_start", s.FirstStart).Msg("")
+	err = r.run(p.ctx, listeners[0], listeners[2])
+	p.log.Info().Str("event", "control_stopped").Msg("")
+	return err
+}
+
+// platformControl is the parts of a control instance, wired together.
+type platformControl struct {
+	replica  *control.Replica
+	client   *controlclient.Client
+	follower *fleet.Follower
+	keeper   *keeping.Keeper
+	// calls and metrics serve a listener each; replicas reach one another by the replica's.
+	calls, metrics *http.Server
+	log            *log.Logger
+}
+
+// newPlatformControl opens the data folder and wires a control instance by the settings s;
+// of the file only the seeds are read again later. The watch of its source ends with ctx.
+func newPlatformControl(ctx context.Context, file *settings.File, s *settings.Settings, peers net.Listener, logger *log.Logger) (*platformControl, error) {
+	folder, restart, ledger, err := control.Open(s.Data)
+	if err != nil {
+		return nil, failure{exitFailed, errors.Wrapf(err, "open %s", s.Data)}
+	}
+	source := fleet.NewSource(ctx, s.Heartbeat(), logger)
+	addresses := func() []string { return union(file.Current().PeerSeeds(), source.Control()) }
+	client := controlclient.New(addresses)
+	follower := &fleet.Follower{
+		Name: s.Name, Seeds: addresses, Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
+	}
+	replica := &control.Replica{
+		ID: replicaID(s.IP), Address: s.PeerAddress(), FailureDomain: s.FailureDomain,
+		Folder: folder, Restart: restart, Ledger: ledger, Listener: peers, Log: logger,
+		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
+		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
+		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Source: source, Log: logger},
+	}
+	if s.FirstStart {
+		replica.Peers = founders(s)
+	}
+	return &platformControl{
+		replica: replica, client: client, follower: follower, log: logger,
+		keeper: &keeping.Keeper{
+			View: follower.View, Leading: replica.Leading, Confirm: replica.Confirm, Source: source, Stores: platform.NewStores(), Log: logger,
+		},
+		calls: &http.Server{
+			Handler:           platform.Control{Control: client, Source: source, Log: logger}.Handler(),
+			ReadHeaderTimeout: headTimeout,
+		},
+		metrics: &http.Server{Handler: promhttp.Handler(), ReadHeaderTimeout: headTimeout},
+	}, nil
+}
+
+// run serves until ctx ends or a part fails.
+func (r *platformControl) run(ctx context.Context, calls, metrics net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.replica.Run(ctx) })
+	group.Go(func() error { r.client.KeepJoined(ctx, r.replica.Status, r.log); return nil })
+	group.Go(func() error { r.follower.Run(ctx); return nil })
+	group.Go(func() error { r.keeper.Run(ctx); return nil })
+	group.Go(func() error { return served(r.calls.Serve(calls)) })
+	group.Go(func() error { return served(r.metrics.Serve(metrics)) })
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = r.metrics.Close()
+		return r.calls.Close()
+	})
+	return group.Wait()
+}
+
+// deadTicks is after how many ticks of silence a voter may be replaced: its successor has
+// CatchUp to take its place, and needs about half of it.
+func deadTicks(s *settings.Settings) int {
+	return max(ticksASecond, int(s.CatchUp()/2/control.DefaultTick))
+}
+
+// founders are the seeds, by whom the group is begun at the first start.
+func founders(s *settings.Settings) []control.Peer {
+	var out []control.Peer
+	for _, address := range s.PeerSeeds() {
+		host, _, err := net.SplitHostPort(address)
+		if err == nil {
+			out = append(out, control.Peer{ID: replicaID(host), Address: address})
+		}
+	}
+	return out
+}
+
+// replicaID is the instance's IP number: every instance has one of its own.
+func replicaID(ip string) uint64 {
+	address, err := netip.ParseAddr(ip)
+	if err != nil {
+		return 0
+	}
+	b := address.As16()
+	return binary.BigEndian.Uint64(b[8:])
+}
+
+func union(a, b []string) []string {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- /dev/null
+++ b/internal/cli/platform_entry.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/settings"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/serving"
+	"github.com/shedrock/shedrock/platform"
+)
+
+const (
+	// idleTimeout is above what callers are promised by any configuration seen so far (15 s).
+	idleTimeout = 75 * time.Second
+	maxHead     = 64 << 10
+	// notice is how long a process that stops still takes new connections: the balancer
+	// asks each second and believes the second refusal.
+	notice = 2500 * time.Millisecond
+	// graceMargin is kept of the time that a process may take to end.
+	graceMargin = time.Second
+	// poolSweep is how often idle connections are looked through.
+	poolSweep = time.Second
+)
+
+type platformEntryCommand struct {
+	Config string `help:"The settings file." required:"" type:"path"`
+}
+
+// Run runs the entry until it is told to stop and nothing is in flight.
+func (c platformEntryCommand) Run(p *process) error {
+	file, err := settings.Open(p.ctx, c.Config, p.log)
+	if err != nil {
+		return failure{exitUsage, err}
+	}
+	s := file.Current()
+	limitMemory(s)
+	listeners, err := listenAll([]namedAddress{{"callers", s.Callers}, {"ready", s.Ready}, {"metrics", metricsAddress(s)}})
+	if err != nil {
+		return err
+	}
+	e := newPlatformEntry(file, s, p.log)
+	p.log.Info().Str("event", "entry_starts").Str("name", s.Name).Str("failure_domain", s.FailureDomain).Str("callers", s.Callers).Msg("")
+	return e.run(p.ctx, listeners[0], listeners[1], listeners[2])
+}
+
+// platformEntry is the parts of an entry, wired together.
+type platformEntry struct {
+	follower  *fleet.Follower
+	upstreams *platform.Upstreams
+	server    *serving.Server
+	// callers, ready and metrics serve a listener each.
+	callers, ready, metrics *http.Server
+	// grace is how long the process may take to end.
+	grace time.Duration
+	log   *log.Logger
+}
+
+// newPlatformEntry wires an entry by the settings s; of the file only the seeds are read
+// again later.
+func newPlatformEntry(file *settings.File, s *settings.Settings, logger *log.Logger) *platformEntry {
+	follower := &fleet.Follower{
+		Name: s.Name, Entry: true, Seeds: func() []string { return file.Current().PeerSeeds() },
+		Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
+	}
+	upstreams := &platform.Upstreams{}
+	server := &serving.Server{
+		View: follower.View, Upstreams: upstreams, Metrics: serving.NewMetrics(), Log: logger,
+		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
+	}
+	return &platformEntry{
+		follower: follower, upstreams: upstreams, server: server, grace: s.Grace(), log: logger,
+		callers: &http.Server{
+			Handler:           platform.Callers{Server: server, Log: logger},
+			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
+		},
+		ready:   &http.Server{Handler: platform.Ready(server.Ready), ReadHeaderTimeout: headTimeout},
+		metrics: &http.Server{Handler: server.Metrics.Handler(), ReadHeaderTimeout: headTimeout},
+	}
+}
+
+// run serves until ctx ends and nothing is in flight: what the requests in flight need goes
+// on until then.
+func (e *platformEntry) run(ctx context.Context, callers, ready, metrics net.Listener) error {
+	helpers, endHelpers := context.WithCancel(context.WithoutCancel(ctx))
+	defer endHelpers()
+	var group errgroup.Group
+	group.Go(func() error { e.follower.Run(helpers); return nil })
+	group.Go(func() error { e.server.Run(helpers); return nil })
+	group.Go(func() error { sweepPool(helpers, e.upstreams); return nil })
+	group.Go(func() error { return served(e.callers.Serve(callers)) })
+	group.Go(func() error { return served(e.ready.Serve(ready)) })
+	group.Go(func() error { return served(e.metrics.Serve(metrics)) })
+	group.Go(func() error {
+		<-ctx.Done()
+		drain(e.callers, e.server, e.grace, e.log)
+		endHelpers()
+		_ = e.ready.Close()
+		return e.metrics.Close()
+	})
+	return group.Wait()
+}
+
+// drain ends the process in order: not ready, then no new connections, then the end of
+// every request in flight.
+func drain(callers *http.Server, server *serving.Server, grace time.Duration, logger *log.Logger) {
+	began := time.Now()
+	server.Stop()
+	logger.Info().Str("event", "entry_stops").Msg("")
+	time.Sleep(notice)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-graceMargin))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	line := logger.Info().Str("event", "entry_stopped").Dur("took_ms", time.Since(began))
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Msg("")
+	_ = callers.Close()
+}
+
+func sweepPool(ctx context.Context, upstreams *platform.Upstreams) {
+	ticker := time.NewTicker(poolSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			upstreams.Pool.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -200,7 +200,11 @@
 	server := &http.Server{Handler: logged}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(listener)
+	return served(server.Serve(listener))
+}
+
+// served is the error of a server that ended, if it was not ended on purpose.
+func served(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
