One label for the ends of attempts

Cause: entry and serving each named the ends of attempts in a switch of their own, to the same words. Change: retry.Label names them, as outcome.Label does outcomes; serving keeps its one word more for an instance's own failure. The list of ends in the comment of End lacked Misdirected.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -25,8 +25,8 @@
 	retryAfter = time.Second
 )
 
-// End says how an attempt ended. It is one of Whole, Refused, Unreached, Broken
-// or CallerGone.
+// End says how an attempt ended. It is one of Whole, Refused, Unreached,
+// Misdirected, Broken or CallerGone.
 type End interface{ end() }
 
 // Whole says that the whole answer was passed on.
@@ -56,6 +56,25 @@
 func (Broken) end()      {}
 func (CallerGone) end()  {}
 
+// Label is the short name of an end for metrics and logs.
+func Label(end End) string {
+	switch end.(type) {
+	case Whole:
+		return "whole"
+	case Refused:
+		return "refused"
+	case Unreached:
+		return "unreached"
+	case Misdirected:
+		return "misdirected"
+	case Broken:
+		return "broken"
+	case CallerGone:
+		return "caller_gone"
+	}
+	panic("retry: end outside the sealed set")
+}
+
 // Step is what follows. It is one of Dispatch, Resume or Stop.
 type Step interface{ step() }
 
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -150,7 +150,7 @@
 
 // after notes how an attempt ended and decides what follows.
 func (e *Entry) after(ctx context.Context, c caller, j *job, end retry.End) retry.Step {
-	e.metrics.attempts.WithLabelValues(j.plan.Name, endLabel(end)).Inc()
+	e.metrics.attempts.WithLabelValues(j.plan.Name, retry.Label(end)).Inc()
 	e.mu.Lock()
 	step := j.retry.Next(end, j.req.Stream(), e.budget)
 	u := e.board.Upstream(j.plan.Upstream)
@@ -168,7 +168,7 @@
 		u.End(held(end, j, now))
 	}
 	e.mu.Unlock()
-	e.Log.Info().Str("event", "attempt").Str("request", c.request).Str("run", j.run).Str("upstream", j.plan.Name).Str("end", endLabel(end)).
+	e.Log.Info().Str("event", "attempt").Str("request", c.request).Str("run", j.run).Str("upstream", j.plan.Name).Str("end", retry.Label(end)).
 		Bool("fetched", j.plan.Fetch).Int("expected_recompute", j.plan.Recompute).Dur("estimate_ms", j.plan.Estimate).Msg("")
 	if !resumed && abandoned(end) {
 		e.cancelRun(context.WithoutCancel(ctx), j)
@@ -204,24 +204,6 @@
 	return false
 }
 
-func endLabel(end retry.End) string {
-	switch end.(type) {
-	case retry.Whole:
-		return "whole"
-	case retry.Refused:
-		return "refused"
-	case retry.Unreached:
-		return "unreached"
-	case retry.Misdirected:
-		return "misdirected"
-	case retry.Broken:
-		return "broken"
-	case retry.CallerGone:
-		return "caller_gone"
-	}
-	panic("entry: end outside the sealed set")
-}
-
 // conclude gives the caller the final outcome.
 func (e *Entry) conclude(c caller, j *job, s *sink, o outcome.Outcome) {
 	c.flow.ended(o)
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -44,23 +44,10 @@
 	line.Msg("")
 }
 
+// endName is the end's label, and tells an instance's own failure from an answer.
 func endName(end retry.End) string {
-	switch end := end.(type) {
-	case retry.Whole:
-		if end.Status >= 500 {
-			return "failed_there"
-		}
-		return "whole"
-	case retry.CallerGone:
-		return "caller_gone"
-	case retry.Refused:
-		return "refused"
-	case retry.Unreached:
-		return "unreached"
-	case retry.Misdirected:
-		return "misdirected"
-	case retry.Broken:
-		return "broken"
+	if whole, ok := end.(retry.Whole); ok && whole.Status >= 500 {
+		return "failed_there"
 	}
-	panic("serving: end outside the sealed set")
+	return retry.Label(end)
 }
