Registered engines: asking apart from telling

Change: readAll asks; Read sorts what came back, by the same rule, and tells. Green: internal/transport/orders with the race detector; go vet.

--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -129,52 +129,58 @@
 	return out
 }
 
-// Read returns what the engines say, as far as it must be known: engines that show the
-// newest version are not asked, and others once before an order and again when a load may
-// have ended.
+// Read returns what the engines say, as far as it must be known, and tells entries which of
+// them to avoid.
 func (e *RegisteredEngines) Read(ctx context.Context) []rollout.Instance {
 	view := e.View()
-	var out []rollout.Instance
+	out := e.readAll(ctx, view)
+	readable := map[string]int{}
 	var waiting, loading []string
+	for _, read := range out {
+		if read.Reachable {
+			readable[read.Model]++
+		}
+		switch {
+		case read.Loading != "":
+			loading = append(loading, read.Name)
+		case read.Version != text(view.Weights[read.Model]):
+			waiting = append(waiting, read.Name)
+		}
+	}
+	e.mu.Lock()
+	e.readable = readable
+	e.mu.Unlock()
+	e.forget(view)
+	e.tellBusy(waiting, loading, len(out))
+	return out
+}
+
+// readAll asks the engines side by side: those that show the newest version are not asked,
+// and others once before an order and again when a load may have ended.
+func (e *RegisteredEngines) readAll(ctx context.Context, view *fleet.View) []rollout.Instance {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
+	var out []rollout.Instance
+	add := func(read rollout.Instance) {
+		mu.Lock()
+		defer mu.Unlock()
+		out = append(out, read)
+	}
 	for model, version := range view.Weights {
 		for _, in := range enginesOf(view, model) {
 			if in.Weights[model] >= version {
-				mu.Lock()
-				out = append(out, rollout.Instance{Name: in.ID, Model: model, Reachable: true, Version: text(version)})
-				mu.Unlock()
+				add(rollout.Instance{Name: in.ID, Model: model, Reachable: true, Version: text(version)})
 				continue
 			}
 			wg.Go(func() {
 				read, ok := e.ask(ctx, in, model, version)
-				mu.Lock()
-				defer mu.Unlock()
-				if !ok {
-					return
-				}
-				out = append(out, read)
-				switch {
-				case read.Loading != "":
-					loading = append(loading, in.ID)
-				case read.Version != text(version):
-					waiting = append(waiting, in.ID)
+				if ok {
+					add(read)
 				}
 			})
 		}
 	}
 	wg.Wait()
-	readable := map[string]int{}
-	for _, read := range out {
-		if read.Reachable {
-			readable[read.Model]++
-		}
-	}
-	e.mu.Lock()
-	e.readable = readable
-	e.mu.Unlock()
-	e.forget(view)
-	e.tellBusy(waiting, loading, len(out))
 	return out
 }
 
