Serving: a wait that nobody used is gone, a limit stands where it is used

Cause: Server.Wait and its count were left from before callers' connections were shut down in order; lateAnswer stood in job.go and is used in serving.go. Change: removed and moved; nothing else called either. Green: platform, internal/layers, TestEntryStopsInOrder and TestLeavingInstanceGetsNothingMore of internal/system; go vet.

--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// lateAnswer is how long after the deadline an instance's own last word is waited for;
-	// callers are given an end within half a second after a route's timeout.
-	lateAnswer = 150 * time.Millisecond
 	// notReadyAfter is when to come back to a process that knows no configuration yet.
 	notReadyAfter = 500 * time.Millisecond
 	// shortest is the least time that makes an attempt worth sending.
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -28,6 +28,9 @@
 	forgetAfter = time.Minute
 	// sweepInterval is how often what is idle is forgotten.
 	sweepInterval = time.Second
+	// lateAnswer is how long after the deadline an instance's own last word is waited for;
+	// callers are given an end within half a second after a route's timeout.
+	lateAnswer = 150 * time.Millisecond
 )
 
 // Sink is the caller's side of one request. Exactly one of Refuse, Deny and Answer is
@@ -85,7 +88,6 @@
 
 	once     sync.Once
 	stopping atomic.Bool
-	inFlight sync.WaitGroup
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -128,14 +130,9 @@
 // Stop makes the server not ready. Requests that still come are served.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Wait returns once no request is in flight.
-func (s *Server) Wait() { s.inFlight.Wait() }
-
 // Serve serves one request to its end.
 func (s *Server) Serve(ctx context.Context, r *exchange.Request, sink Sink) {
 	s.init()
-	s.inFlight.Add(1)
-	defer s.inFlight.Done()
 	j := &job{server: s, request: r, sink: sink}
 	if !j.admit() {
 		return
