A bound and a comment stand where they belong

Cause: atOnce read as if it bounded the questions to every fleet; only the declared engines' are. The comment on teams without a rank stood above another step. Change: moved; nothing else. Green: internal/transport/orders, internal/state/deployment, internal/layers; go vet.

--- a/internal/state/deployment/urgency.go
+++ b/internal/state/deployment/urgency.go
@@ -12,10 +12,10 @@
 	teams := len(c.teamRanks)
 	routes := len(c.routeRanks)
 	at := slices.Index(c.routeRanks, route.Rank)
+	// A team without a rank of its own goes by the route's alone, as the first one would.
 	if team.Rank != nil {
 		at += slices.Index(c.teamRanks, *team.Rank) * routes
 	}
-	// A team without a rank of its own goes by the route's alone, as the first one would.
 	places := max(teams, 1) * routes
 	if places <= LeastUrgent+1 {
 		return max(at, 0)
--- a/internal/transport/orders/declared.go
+++ b/internal/transport/orders/declared.go
@@ -13,6 +13,9 @@
 	"github.com/shedrock/shedrock/internal/state/declared"
 )
 
+// atOnce bounds the questions to declared engines under way.
+const atOnce = 32
+
 // Fleet is what orders are given to.
 type Fleet interface {
 	// Read returns what each engine says of its orders.
--- a/internal/transport/orders/orders.go
+++ b/internal/transport/orders/orders.go
@@ -25,8 +25,6 @@
 	// DefaultWaitOut is longer than an old leader takes to step down (less than two
 	// election times) and its last order takes to arrive or time out.
 	DefaultWaitOut = 4 * time.Second
-	// atOnce bounds the questions under way.
-	atOnce = 32
 )
 
 // Orderer gives orders while this replica leads. Set the exported fields, then Run.
