--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -25,6 +25,9 @@
 	loadSpare = 1.0
 	// smooth is the weight of a new outcome in the averages: about the last ten count.
 	smooth = 0.1
+	// failedBase is one and a little more, so that an instance that failed all lately still
+	// has a finite wait and is tried now and then: twenty times as long as a sound one's.
+	failedBase = 1.05
 	// firstPause is how long an instance that failed is avoided; it doubles up to mostPause.
 	firstPause = 250 * time.Millisecond
 	mostPause  = 2 * time.Second
@@ -183,7 +186,7 @@
 		in := open[(i+offset)%len(open)]
 		l := b.load(in.ID)
 		slots := float64(max(in.Slots, 1))
-		wait := l.latency * (1 + float64(l.inFlight)/slots) * (1 + float64(l.inFlight)) / (1.05 - min(l.failed, 1))
+		wait := l.latency * (1 + float64(l.inFlight)/slots) * (1 + float64(l.inFlight)) / (failedBase - l.failed)
 		if wait < best {
 			best = wait
 			chosen = in
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -160,6 +160,7 @@
 func (e *RegisteredEngines) readAll(ctx context.Context, view *fleet.View) []rollout.Instance {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
+	slots := make(chan struct{}, atOnce)
 	var out []rollout.Instance
 	add := func(read rollout.Instance) {
 		mu.Lock()
@@ -173,6 +174,8 @@
 				continue
 			}
 			wg.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
 				read, ok := e.ask(ctx, in, model, version)
 				if ok {
 					add(read)
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// leastShare is the part of its objective that a request must have left to be sent once
+	// more: with less, an instance has no time to do anything.
+	leastShare = 10
 	// notReadyAfter is when to come back to a process that knows no configuration yet.
 	notReadyAfter = 500 * time.Millisecond
 	// shortest is the least time that makes an attempt worth sending.
@@ -112,7 +115,7 @@
 
 // may asks for one more send within the allowance of all entries.
 func (j *job) may() bool {
-	if time.Until(j.deadline) < j.route.Objective/10 {
+	if time.Until(j.deadline) < j.route.Objective/leastShare {
 		return false
 	}
 	entries := j.server.View().Entries
