--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,11 @@
 # What CI runs: checks, models, then all tests with the race detector.
 test: check spec unit
 
+# Tests in KNOWN-RED.txt (one line each: test, cause, issue) are passed over and printed.
 unit:
-	go test -race -timeout 8m ./...
+	@red=$$(cut -d, -f1 KNOWN-RED.txt 2>/dev/null | paste -sd'|'); \
+	  if [ -n "$$red" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi; \
+	  set -x; go test -race -timeout 8m $${red:+-skip "^($$red)$$"} ./...
 
 check:
 	@bad=$$(gofmt -l $$(git ls-files '*.go' | grep -vE '$(GENERATED)')); \
