Tests of processes speak the platform's words through a stand-in in platform/

Cause: the last look at the change found words of the wire in the system tests, which the layers test left out, and a bare sleep in a test of signals. Only tests and the stand-in changed.

--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -73,8 +73,7 @@
 	`Instances\.(Heartbeat|Deregister)|Config\.(Put|Get)|/v1/(order\b|report\b|kv-|version-put|ready\b)|` +
 	`kv_store_addr|path_prefix|traffic_split|boot_epoch|next_page_token|cold_remaining_ms`)
 
-// The platform's words are translated in one place. Tests of whole processes speak to them
-// as the platform does.
+// The platform's words are translated in one place, tests included, but for the pattern here.
 func TestPlatformsWordsStayInOnePlace(t *testing.T) {
 	files := 0
 	err := filepath.WalkDir("../..", func(path string, d os.DirEntry, err error) error {
@@ -84,7 +83,7 @@
 		if d.IsDir() && (d.Name() == "platform" || d.Name() == ".git" || d.Name() == "target") {
 			return filepath.SkipDir
 		}
-		if filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+		if filepath.Ext(path) != ".go" || strings.HasSuffix(path, "layers_test.go") {
 			return nil
 		}
 		files++
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -87,10 +88,11 @@
 // A process that stops still has requests in flight: a SIGHUP must not end it.
 func TestHangupWhileStopping(t *testing.T) {
 	_, _, end := open(t)
+	running := runtime.NumGoroutine()
 	end()
+	// The goroutine that takes the signals ends; the process must not.
+	wait(t, func() bool { return runtime.NumGoroutine() < running })
 	for range 5 {
-		// The goroutine that takes the signals may end now; the process must not.
-		time.Sleep(10 * time.Millisecond)
 		err := syscall.Kill(os.Getpid(), syscall.SIGHUP)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/system/seeds_test.go
+++ b/internal/system/seeds_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/shedrock/shedrock/internal/settings"
+	"github.com/shedrock/shedrock/platform/standin"
 )
 
 // site is a deployment of real processes that find each other by seeds. Each instance has
@@ -27,9 +27,8 @@
 	t        *testing.T
 	controls []*instance
 	entries  []*instance
-	// upstream is a stand-in that echoes requests, and ran counts what it ran.
+	// upstream is a stand-in that answers with the request's id.
 	upstream string
-	ran      atomic.Int64
 	sequence atomic.Int64
 	next     int
 }
@@ -131,7 +130,7 @@
 	in.launch(s)
 }
 
-// serveUpstream answers every request with its id and method.
+// serveUpstream serves the stand-in of an upstream.
 func (s *site) serveUpstream() {
 	s.t.Helper()
 	l, err := net.Listen("tcp", s.address()+":0")
@@ -139,60 +138,21 @@
 		s.t.Fatal(err)
 	}
 	s.upstream = l.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.ran.Add(1)
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Server-Stamp", "signed")
-		fmt.Fprint(w, "ran ", r.Header.Get("Request-Id"))
-	})}
+	server := &http.Server{Handler: standin.Upstream()}
 	go func() { _ = server.Serve(l) }()
 	s.t.Cleanup(func() { _ = server.Close() })
 }
 
-var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-
-// ask makes one call; status is 0 when there was no answer.
-func ask(method, url, body string, headers ...string) (status int, text string) {
-	req, err := http.NewRequest(method, url, strings.NewReader(body))
-	if err != nil {
-		return 0, err.Error()
-	}
-	req.Host = "h.example"
-	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = res.Body.Close() }()
-	data, _ := io.ReadAll(res.Body)
-	return res.StatusCode, string(data)
-}
-
 // put installs a configuration with one route to the stand-in's service through one
 // control instance.
-func (s *site) put(c *instance, version int) int {
-	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/v%d/","type":"unsafe","timeout_ms":2000,"service":"s","max_attempts":1}],"services":[{"name":"s"}],"limits":{}}`, version, version)
-	status, _ := ask("POST", "http://"+c.settings.Control+"/v1/Config.Put", body)
-	return status
-}
+func (s *site) put(c *instance, version int) int { return standin.Put(c.settings.Control, version) }
 
 // installed returns the version that one control instance reads back; 0 when it is not sure.
-func installed(c *instance) int {
-	status, text := ask("GET", "http://"+c.settings.Control+"/v1/Config.Get", "")
-	var body struct{ Version int }
-	if status != http.StatusOK || json.Unmarshal([]byte(text), &body) != nil {
-		return 0
-	}
-	return body.Version
-}
+func installed(c *instance) int { return standin.Installed(c.settings.Control) }
 
 // beat reports the stand-in to one control instance.
-func (s *site) beat(c *instance, id, state string) bool {
-	body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":%q,"sequence":%d}`, s.upstream, state, s.sequence.Add(1))
-	status, _ := ask("POST", "http://"+c.settings.Control+"/v1/Instances.Heartbeat/"+id, body)
-	return status == http.StatusOK
+func (s *site) beat(c *instance, id string, leaving bool) bool {
+	return standin.Beat(c.settings.Control, id, s.upstream, leaving, s.sequence.Add(1))
 }
 
 // keepBeating reports the stand-in to whichever control instance answers, until the test
@@ -205,7 +165,7 @@
 		defer close(done)
 		for {
 			for _, c := range s.controls {
-				if s.beat(c, id, "ready") {
+				if s.beat(c, id, false) {
 					break
 				}
 			}
@@ -219,7 +179,7 @@
 }
 
 func (s *site) call(e *instance, path, id string) (int, string) {
-	return ask("POST", "http://"+e.settings.Callers+path, "body", "Request-Id", id, "Deadline-Ms", "1500")
+	return standin.Call(e.settings.Callers, path, id)
 }
 
 // A window of ports stays this process's own, whatever the collector does: two suites side
@@ -316,13 +276,13 @@
 	eventually(t, "a configuration is acknowledged", func() bool { return s.put(s.controls[0], 1) == http.StatusOK })
 	for i, c := range s.controls {
 		id := fmt.Sprint("i-", i)
-		eventually(t, "the instance is known", func() bool { return s.beat(c, id, "ready") })
+		eventually(t, "the instance is known", func() bool { return s.beat(c, id, false) })
 		for _, e := range s.entries {
 			eventually(t, "the entry serves", func() bool { status, _ := s.call(e, "/v1/x", "a"); return status == http.StatusOK })
 		}
 		c.kill()
 		c.start()
-		eventually(t, "it takes the last heartbeat", func() bool { return s.beat(c, id, "draining") })
+		eventually(t, "it takes the last heartbeat", func() bool { return s.beat(c, id, true) })
 		told := time.Now()
 		for _, e := range s.entries {
 			eventually(t, "the entry has none", func() bool { status, _ := s.call(e, "/v1/x", "b"); return status == http.StatusServiceUnavailable })
@@ -338,7 +298,7 @@
 	e := s.entries[0]
 	eventually(t, "a configuration is acknowledged", func() bool { return s.put(s.controls[0], 1) == http.StatusOK })
 	s.keepBeating("i-1")
-	ready := func() int { status, _ := ask("GET", "http://"+e.settings.Ready+"/v1/ready", ""); return status }
+	ready := func() int { return standin.Ready(e.settings.Ready) }
 	eventually(t, "the entry is ready and serves", func() bool {
 		status, _ := s.call(e, "/v1/x", "a")
 		return ready() == http.StatusOK && status == http.StatusOK
