Tests of processes: a stand-in that records what it ran, and links before every process

Cause: the fault soak needs the processes of a platform deployment behind forwarders that delay, reset and cut, and a judge of what instances saw; the stand-in answered and forgot. Change: platform/standin gains an instance that records runs, arrivals and orders, loads weights and shows faults, and a caller that keeps connections; links gain delays and resets; peer_listen lets a control instance listen behind a forwarder. The deployment of the tests moves to a file of its own, with what differs between deployments in one value. Tests: the process tests as before, and TestLinksCutAndHeal with a delay and a reset.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -49,7 +49,7 @@
 		return usage("%s: data: a control instance needs a folder", c.Config)
 	}
 	limitMemory(s)
-	listeners, err := listenAll([]namedAddress{{"control", s.Control}, {"peer", s.PeerAddress()}, {"metrics", metricsAddress(s)}})
+	listeners, err := listenAll([]namedAddress{{"control", s.Control}, {"peer", s.PeerListener()}, {"metrics", metricsAddress(s)}})
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -36,6 +37,9 @@
 	Control string `json:"control"`
 	// PeerPort is for traffic between shedrock's own processes, on every instance.
 	PeerPort uint16 `json:"peer_port"`
+	// PeerListen is where this process takes its peers' connections, as IP:PORT, when
+	// something forwards them from PeerAddress; else it takes them at PeerAddress.
+	PeerListen string `json:"peer_listen"`
 	// Seeds are addresses of some control instances.
 	Seeds []string `json:"seeds"`
 	// FirstStart is true only when the whole deployment starts for the first time.
@@ -126,7 +130,7 @@
 		}
 	}
 	for _, f := range []struct{ name, value string }{
-		{"callers", s.Callers}, {"ready", s.Ready}, {"control", s.Control}, {"seeds", strings.Join(s.Seeds, ",")},
+		{"callers", s.Callers}, {"ready", s.Ready}, {"control", s.Control}, {"peer_listen", s.PeerListen}, {"seeds", strings.Join(s.Seeds, ",")},
 	} {
 		for address := range strings.SplitSeq(f.value, ",") {
 			_, err := netip.ParseAddrPort(address)
@@ -152,6 +156,9 @@
 // PeerAddress is where this process's peers reach it.
 func (s *Settings) PeerAddress() string { return s.peerAt(s.IP) }
 
+// PeerListener is where this process takes its peers' connections.
+func (s *Settings) PeerListener() string { return cmp.Or(s.PeerListen, s.PeerAddress()) }
+
 // PeerSeeds returns the seeds' addresses for traffic between processes.
 func (s *Settings) PeerSeeds() []string {
 	var out []string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,10 +38,18 @@
 	if diff := cmp.Diff([]string{"10.0.0.2:7740", "10.0.0.3:7740"}, s.PeerSeeds()); diff != "" {
 		t.Error(diff)
 	}
+	if diff := cmp.Diff("10.0.0.1:7740", s.PeerListener()); diff != "" {
+		t.Error(diff)
+	}
+	s.PeerListen = "10.0.0.9:1"
+	if diff := cmp.Diff("10.0.0.9:1", s.PeerListener()); diff != "" {
+		t.Error(diff)
+	}
 	cases := []struct{ name, old, new, want string }{
 		{"a missing field", `"name": "e1",`, ``, "f:13: name: is missing"},
 		{"no address", `10.0.0.1:8080`, `here`, `f:5: callers: "here" is not an IP number and port`},
 		{"a wrong type", `"grace_ms": 8000`, `"grace_ms": "8 s"`, "f:10: grace_ms: expected int, got string"},
+		{"no listening address", `"peer_port": 7740,`, `"peer_port": 7740, "peer_listen": "near",`, `f:6: peer_listen: "near" is not an IP number and port`},
 		{"nothing", `"memory_mb": 100`, `"memory_mb": 0`, "f:8: memory_mb: must be above 0"},
 		{"a half file", `"retry_window_ms": 10000
 }`, ``, "f:12: the file: unexpected end of JSON input"},
--- a/internal/system/links_test.go
+++ b/internal/system/links_test.go
@@ -1,12 +1,14 @@
 package system_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -22,13 +24,23 @@
 	processes map[string]*process
 	// cuts holds pairs of names, from and to.
 	cuts map[[2]string]bool
+	// delays holds how long each piece that a process sends or gets is held back.
+	delays map[string]time.Duration
+	// open holds the connections from and to each process.
+	open map[string]map[*net.TCPConn]bool
 	// healed is closed and replaced whenever a cut ends.
 	healed chan struct{}
 	closed chan struct{}
 }
 
+// outside is the name of who is no process of the deployment.
+const outside = "outside"
+
 func newLinks(t *testing.T) *links {
-	l := &links{t: t, processes: map[string]*process{}, cuts: map[[2]string]bool{}, healed: make(chan struct{}), closed: make(chan struct{})}
+	l := &links{
+		t: t, processes: map[string]*process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
+		open: map[string]map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
+	}
 	t.Cleanup(func() { close(l.closed) })
 	return l
 }
@@ -65,13 +77,53 @@
 	l.healed = make(chan struct{})
 }
 
+// delay holds back what a process sends and gets; 0 ends it.
+func (l *links) delay(name string, by time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delays[name] = by
+}
+
+// reset resets the connections of a process, both those it opened and those it took.
+func (l *links) reset(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open[name] {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// hold keeps both ends of a joined connection for reset, until they are released.
+func (l *links) hold(from, to string, in, out *net.TCPConn) (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range []string{from, to} {
+		if l.open[name] == nil {
+			l.open[name] = map[*net.TCPConn]bool{}
+		}
+		l.open[name][in] = true
+		l.open[name][out] = true
+	}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, name := range []string{from, to} {
+			delete(l.open[name], in)
+			delete(l.open[name], out)
+		}
+	}
+}
+
 // wait returns once the way is open; ok is false when the test has ended.
 func (l *links) wait(from, to string) (ok bool) {
 	for {
 		l.mu.Lock()
 		cut, healed := l.cuts[[2]string{from, to}], l.healed
+		held := max(l.delays[from], l.delays[to])
 		l.mu.Unlock()
 		if !cut {
+			time.Sleep(held)
 			return true
 		}
 		select {
@@ -82,10 +134,10 @@
 	}
 }
 
-// forward returns an address that leads to the named process's own.
-func (l *links) forward(name, target string) string {
+// forward makes an address lead to the named process's own.
+func (l *links) forward(name, address, target string) {
 	l.t.Helper()
-	listener, err := net.Listen("tcp", freeAddress(l.t))
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		l.t.Fatal(err)
 	}
@@ -99,7 +151,6 @@
 			go l.join(name, target, in)
 		}
 	}()
-	return listener.Addr().String()
 }
 
 func (l *links) join(name, target string, in net.Conn) {
@@ -113,10 +164,16 @@
 		return
 	}
 	defer out.Close()
+	defer l.hold(from, name, in.(*net.TCPConn), out.(*net.TCPConn))()
+	ended := make(chan struct{})
+	defer close(ended)
 	go func() {
-		<-l.closed
-		in.Close()
-		out.Close()
+		select {
+		case <-l.closed:
+			in.Close()
+			out.Close()
+		case <-ended:
+		}
 	}()
 	done := make(chan struct{}, 2)
 	go func() { l.carry(out, in, from, name); done <- struct{}{} }()
@@ -149,7 +206,7 @@
 			return name
 		}
 	}
-	return "test"
+	return outside
 }
 
 func inodeOf(a *net.TCPAddr) string {
@@ -201,7 +258,9 @@
 			go func() { _, _ = io.Copy(c, c) }()
 		}
 	}()
-	c, err := net.Dial("tcp", l.forward("echo", echo.Addr().String()))
+	address := freeAddress(t)
+	l.forward("echo", address, echo.Addr().String())
+	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,11 +273,24 @@
 	write := func() { _, _ = c.Write([]byte("hi")) }
 	write()
 	eventually(t, "it is carried", exchange)
-	l.cut([]string{"echo"}, []string{"test"})
+	l.cut([]string{"echo"}, []string{outside})
 	write()
 	if exchange() {
 		t.Fatal("a cut way carried")
 	}
 	l.heal()
 	eventually(t, "it arrives late", exchange)
+	l.delay("echo", 300*time.Millisecond)
+	write()
+	if exchange() {
+		t.Fatal("it was not held back")
+	}
+	l.delay("echo", 0)
+	eventually(t, "it arrives after the delay", exchange)
+	l.reset("echo")
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	_, err = c.Read(make([]byte, 2))
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Error("not reset: ", err)
+	}
 }
--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -121,6 +122,14 @@
 	p.cmd = nil
 }
 
+// ended reports whether the process has ended by itself.
+func (p *process) ended() bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.pid.Load()))
+	// The state follows the name, which stands in brackets; Z has ended and is not waited for.
+	_, rest, found := strings.Cut(string(text), ") ")
+	return err != nil || !found || strings.HasPrefix(rest, "Z")
+}
+
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.After(patience)
@@ -220,7 +229,8 @@
 		address := freeAddress(t)
 		g.listening = append(g.listening, address)
 		if l != nil {
-			address = l.forward(replicaName(i), address)
+			address = freeAddress(t)
+			l.forward(replicaName(i), address, g.listening[i])
 		}
 		g.addresses = append(g.addresses, address)
 		g.folders = append(g.folders, filepath.Join(t.TempDir(), "data"))
--- a/internal/system/seeds_test.go
+++ b/internal/system/seeds_test.go
@@ -2,186 +2,20 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"runtime"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/shedrock/shedrock/internal/settings"
 	"github.com/shedrock/shedrock/platform/standin"
 )
 
-// site is a deployment of real processes that find each other by seeds. Each instance has
-// a loopback address of its own, as all use the same ports.
-type site struct {
-	t        *testing.T
-	controls []*instance
-	entries  []*instance
-	// upstream is a stand-in that answers with the request's id.
-	upstream string
-	sequence atomic.Int64
-	next     int
-}
-
-type instance struct {
-	*process
-	settings settings.Settings
-	path     string
-}
-
-const (
-	callersPort = 7801
-	readyPort   = 7802
-	controlPort = 7803
-	peerPort    = 7804
-	heartbeat   = 300 * time.Millisecond
-)
-
-// address returns the next loopback address of this test process: its window of ports is
-// nobody else's, so neither is what follows from it.
-func (s *site) address() string {
-	s.next++
-	return fmt.Sprintf("127.%d.7.%d", 1+(window()-firstPort)/windowPorts, s.next)
-}
-
-func newSite(t *testing.T, controls, entries int) *site {
-	t.Helper()
-	s := &site{t: t}
-	s.serveUpstream()
-	var ips []string
-	for range controls {
-		ips = append(ips, s.address())
-	}
-	for i, ip := range ips {
-		s.controls = append(s.controls, s.prepare(fmt.Sprint("c", i), ip, ips, true))
-	}
-	for i := range entries {
-		s.entries = append(s.entries, s.prepare(fmt.Sprint("e", i), s.address(), ips, false))
-	}
-	for _, in := range append(s.controls, s.entries...) {
-		in.launch(s)
-	}
-	return s
-}
-
-// prepare writes the settings of one instance.
-func (s *site) prepare(name, ip string, controls []string, isControl bool) *instance {
-	s.t.Helper()
-	in := &instance{path: filepath.Join(s.t.TempDir(), name+".json")}
-	in.settings = settings.Settings{
-		Name: name, IP: ip, FailureDomain: "d" + name, PeerPort: peerPort, FirstStart: true, MemoryMB: 200,
-		HeartbeatMs: int(heartbeat.Milliseconds()), Losses: 1, CatchUpMs: 4000, LeaseMs: 1000, GraceMs: 8000,
-		RetryRatio: 0.2, RetryWindowMs: 10_000, RetrySlack: 50,
-	}
-	for _, c := range controls[:min(3, len(controls))] {
-		in.settings.Seeds = append(in.settings.Seeds, fmt.Sprintf("%s:%d", c, controlPort))
-	}
-	if isControl {
-		in.settings.Control = fmt.Sprintf("%s:%d", ip, controlPort)
-		in.settings.Data = filepath.Join(s.t.TempDir(), name)
-	} else {
-		in.settings.Callers = fmt.Sprintf("%s:%d", ip, callersPort)
-		in.settings.Ready = fmt.Sprintf("%s:%d", ip, readyPort)
-	}
-	return in
-}
-
-func (in *instance) launch(s *site) {
-	s.t.Helper()
-	in.write(s)
-	role := "entry"
-	if in.settings.Control != "" {
-		role = "control"
-	}
-	in.process = start(s.t, "platform", role, "--config", in.path)
-}
-
-func (in *instance) write(s *site) {
-	s.t.Helper()
-	text, err := json.Marshal(in.settings)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	err = os.WriteFile(in.path, text, 0o600)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-}
-
-// wipe ends a control instance and loses its disk; it starts again at its address.
-func (s *site) wipe(in *instance) {
-	s.t.Helper()
-	in.kill()
-	err := os.RemoveAll(in.settings.Data)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	in.settings.FirstStart = false
-	in.launch(s)
-}
-
-// serveUpstream serves the stand-in of an upstream.
-func (s *site) serveUpstream() {
-	s.t.Helper()
-	l, err := net.Listen("tcp", s.address()+":0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.upstream = l.Addr().String()
-	server := &http.Server{Handler: standin.Upstream()}
-	go func() { _ = server.Serve(l) }()
-	s.t.Cleanup(func() { _ = server.Close() })
-}
-
-// put installs a configuration with one route to the stand-in's service through one
-// control instance.
-func (s *site) put(c *instance, version int) int { return standin.Put(c.settings.Control, version) }
-
-// installed returns the version that one control instance reads back; 0 when it is not sure.
-func installed(c *instance) int { return standin.Installed(c.settings.Control) }
-
-// beat reports the stand-in to one control instance.
-func (s *site) beat(c *instance, id string, leaving bool) bool {
-	return standin.Beat(c.settings.Control, id, s.upstream, leaving, s.sequence.Add(1))
-}
-
-// keepBeating reports the stand-in to whichever control instance answers, until the test
-// ends.
-func (s *site) keepBeating(id string) {
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	s.t.Cleanup(func() { close(stop); <-done })
-	go func() {
-		defer close(done)
-		for {
-			for _, c := range s.controls {
-				if s.beat(c, id, false) {
-					break
-				}
-			}
-			select {
-			case <-stop:
-				return
-			case <-time.After(heartbeat):
-			}
-		}
-	}()
-}
-
-func (s *site) call(e *instance, path, id string) (int, string) {
-	return standin.Call(e.settings.Callers, path, id)
-}
-
 // A window of ports stays this process's own, whatever the collector does: two suites side
 // by side had reached each other's processes.
 func TestWindowOfPortsIsHeld(t *testing.T) {
@@ -204,7 +38,7 @@
 	for i, c := range s.controls {
 		eventually(t, "a configuration is acknowledged", func() bool { return s.put(c, i+1) == http.StatusOK })
 	}
-	s.keepBeating("i-1")
+	s.upstreams[0].keepBeating()
 	for i, e := range s.entries {
 		eventually(t, "the entry serves the newest route", func() bool {
 			status, _ := s.call(e, "/v4/x", fmt.Sprint("first-", i))
@@ -274,15 +108,17 @@
 func TestLeavingInstanceGetsNothingMore(t *testing.T) {
 	s := newSite(t, 3, 2)
 	eventually(t, "a configuration is acknowledged", func() bool { return s.put(s.controls[0], 1) == http.StatusOK })
-	for i, c := range s.controls {
-		id := fmt.Sprint("i-", i)
-		eventually(t, "the instance is known", func() bool { return s.beat(c, id, false) })
+	u := s.upstreams[0]
+	for _, c := range s.controls {
+		u.restart()
+		eventually(t, "the instance is known", func() bool { return u.beat(c) })
 		for _, e := range s.entries {
 			eventually(t, "the entry serves", func() bool { status, _ := s.call(e, "/v1/x", "a"); return status == http.StatusOK })
 		}
 		c.kill()
 		c.start()
-		eventually(t, "it takes the last heartbeat", func() bool { return s.beat(c, id, true) })
+		u.leave()
+		eventually(t, "it takes the last heartbeat", func() bool { return u.beat(c) })
 		told := time.Now()
 		for _, e := range s.entries {
 			eventually(t, "the entry has none", func() bool { status, _ := s.call(e, "/v1/x", "b"); return status == http.StatusServiceUnavailable })
@@ -297,8 +133,8 @@
 	s := newSite(t, 3, 1)
 	e := s.entries[0]
 	eventually(t, "a configuration is acknowledged", func() bool { return s.put(s.controls[0], 1) == http.StatusOK })
-	s.keepBeating("i-1")
-	ready := func() int { return standin.Ready(e.settings.Ready) }
+	s.upstreams[0].keepBeating()
+	ready := func() int { return standin.Ready(e.ready) }
 	eventually(t, "the entry is ready and serves", func() bool {
 		status, _ := s.call(e, "/v1/x", "a")
 		return ready() == http.StatusOK && status == http.StatusOK
