--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -77,12 +77,26 @@
 		p.kill()
 		if t.Failed() {
 			t.Logf("%v\n%s", args, tail(p.text()))
+			p.keepLog()
 		}
 	})
 	p.start()
 	return p
 }
 
+// keepLog keeps the whole log of a process of a failed test in the folder SHEDROCK_TEST_LOGS.
+func (p *process) keepLog() {
+	folder := os.Getenv("SHEDROCK_TEST_LOGS")
+	if folder == "" {
+		return
+	}
+	name := strings.ReplaceAll(p.t.Name(), "/", "-") + "-" + filepath.Base(p.args[len(p.args)-1]) + ".log"
+	err := os.WriteFile(filepath.Join(folder, name), []byte(p.text()), 0o600)
+	if err != nil {
+		p.t.Log("the log is not kept: ", err)
+	}
+}
+
 func tail(s string) string { return s[max(0, len(s)-4000):] }
 
 func (p *process) start() {
