Entries fetch a configuration from one source, and are told of stores by change

Change: a poll tells only that there is a newer configuration, and the text is asked for from one source, others in turn when it does not give it; a store is told when something of it changed, the times until which parts are named go as a number and an age each; control addresses go when they changed.

--- a/internal/transport/fleet/fleet_test.go
+++ b/internal/transport/fleet/fleet_test.go
@@ -32,8 +32,11 @@
 type control struct {
 	server *httptest.Server
 	source atomic.Pointer[fleet.Source]
-	polls  atomic.Int64
-	t      *testing.T
+	// polls counts the polls, and texts how often the configuration's text was asked for.
+	polls, texts atomic.Int64
+	// mute makes it answer no question for the text.
+	mute atomic.Bool
+	t    *testing.T
 }
 
 func newControl(t *testing.T) *control {
@@ -41,7 +44,15 @@
 	c := &control{t: t}
 	c.restart()
 	c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.polls.Add(1)
+		if strings.HasSuffix(r.URL.Path, "/Configuration") {
+			c.texts.Add(1)
+			if c.mute.Load() {
+				<-r.Context().Done()
+				return
+			}
+		} else {
+			c.polls.Add(1)
+		}
 		wire.NewFleetServer(c.source.Load()).ServeHTTP(w, r)
 	}))
 	t.Cleanup(c.server.Close)
@@ -127,6 +138,44 @@
 	}
 }
 
+// A configuration's text comes from one source, however many have it; one that does not
+// give it is passed over.
+func TestConfigurationIsFetchedOnce(t *testing.T) {
+	var controls []*control
+	for range 5 {
+		controls = append(controls, newControl(t))
+	}
+	f := follow(t, controls...)
+	texts := func() (n int64) {
+		for _, c := range controls {
+			n += c.texts.Load()
+		}
+		return n
+	}
+	install := func(version uint64) {
+		for _, c := range controls {
+			c.install(version)
+		}
+		wait(t, "it holds", func() bool { c := f.View().Config; return c != nil && c.Version == version })
+	}
+	install(1)
+	before := texts()
+	for version := uint64(2); version < 12; version++ {
+		install(version)
+	}
+	// One that told of a version before the last may be asked for nothing.
+	if n := texts() - before; n > 15 {
+		t.Errorf("10 configurations were asked for %d times", n)
+	}
+	controls[0].mute.Store(true)
+	controls[1].mute.Store(true)
+	began := time.Now()
+	install(12)
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("in force after %s", took)
+	}
+}
+
 // One that lags, or knows less, is not asked over and over.
 func TestLaggingSourceIsNotPolledInALoop(t *testing.T) {
 	a, b := newControl(t), newControl(t)
@@ -206,6 +255,37 @@
 	}
 }
 
+// Each store has an end of its own, and one that is not part of the configuration any more
+// is forgotten, so that its end does not move on.
+func TestStoresHaveTheirOwnEnds(t *testing.T) {
+	a := newControl(t)
+	f := follow(t, a)
+	source := a.source.Load()
+	ends := func() map[string]time.Duration {
+		out := map[string]time.Duration{}
+		for address, kept := range f.View().Stores {
+			out[address] = kept.Until
+		}
+		return out
+	}
+	publish := func(address string, until time.Duration) {
+		source.PublishStore(address, fleet.Kept{Until: until, Parts: map[keeping.Part]int{{ID: "p"}: 1}})
+	}
+	publish("x", 5*time.Second)
+	publish("y", 2*time.Second)
+	publish("z", 3*time.Second)
+	wait(t, "all are known", func() bool {
+		return cmp.Equal(map[string]time.Duration{"x": 5 * time.Second, "y": 2 * time.Second, "z": 3 * time.Second}, ends())
+	})
+	source.ForgetStore("z")
+	publish("x", 6*time.Second)
+	wait(t, "one is forgotten, and one lags", func() bool {
+		return cmp.Equal(map[string]time.Duration{"x": 6 * time.Second, "y": 2 * time.Second}, ends())
+	})
+	publish("z", 7*time.Second)
+	wait(t, "it is back", func() bool { return ends()["z"] == 7*time.Second })
+}
+
 func TestEntriesAreCounted(t *testing.T) {
 	a := newControl(t)
 	first := follow(t, a)
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -40,11 +40,15 @@
 
 	once   sync.Once
 	client *http.Client
-	view   atomic.Pointer[View]
+	// work ends with Run; it is set before the first watch begins.
+	work context.Context
+	view atomic.Pointer[View]
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	config    *deployment.Config
+	config *deployment.Config
+	// fetching is true while a configuration's text is asked for.
+	fetching  bool
 	merged    registry.Merged
 	weights   map[string]uint64
 	weightsAt map[string]time.Time
@@ -78,6 +82,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.init()
+	f.work = ctx
 	defer f.client.CloseIdleConnections()
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -28,9 +28,6 @@
 	silentBeats = 4
 	// sweepInterval is how often silent instances are looked for.
 	sweepInterval = 500 * time.Millisecond
-	// storesInterval joins the news of all stores: a part is known so much later, of the
-	// 2 s for which it is named.
-	storesInterval = 200 * time.Millisecond
 	// maxWait bounds a long poll.
 	maxWait = 5 * time.Second
 	// entryLifetime is how long an entry counts after its last poll, so that the share
@@ -49,13 +46,12 @@
 	registry  registry.Registry
 	installed ledger.Installed
 	weights   map[string]uint64
-	control   []string
-	// stores holds what stores keep while this control instance leads, and storeChange
-	// numbers the changes.
-	stores      map[string]*storeFeed
-	storeChange uint64
-	// storesNews is true while entries have not been told of what stores hold.
-	storesNews bool
+	// control holds the addresses of the control instances, and controlChange numbers its
+	// changes.
+	control       []string
+	controlChange uint64
+	// stores holds what stores keep while this control instance leads.
+	stores storesFeed
 	// busy names the instances that load weights, or will next.
 	busy []string
 	// entries holds when each entry last asked.
@@ -70,7 +66,7 @@
 	s := &Source{
 		epoch: rand.Uint64() | 1, log: logger, weights: map[string]uint64{},
 		registry: registry.Registry{SilentAfter: silentBeats * heartbeat},
-		entries:  map[string]time.Time{}, changed: make(chan struct{}), stores: map[string]*storeFeed{},
+		entries:  map[string]time.Time{}, changed: make(chan struct{}),
 	}
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
@@ -128,6 +124,7 @@
 		return
 	}
 	s.control = addresses
+	s.controlChange++
 	s.wake()
 }
 
@@ -174,16 +171,6 @@
 	}
 }
 
-// tellStores wakes the entries if stores have news.
-func (s *Source) tellStores() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.storesNews {
-		s.storesNews = false
-		s.wake()
-	}
-}
-
 // wake answers all polls; mu must be held.
 func (s *Source) wake() {
 	close(s.changed)
@@ -209,6 +196,13 @@
 	}
 }
 
+// Configuration returns the configuration that this control instance has applied.
+func (s *Source) Configuration(context.Context, *wire.InstalledRequest) (*wire.InstalledResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &wire.InstalledResponse{Version: s.installed.Version, Text: s.installed.Text}, nil
+}
+
 // look returns what the caller lacks, whether that is anything, and what is closed at
 // the next change.
 func (s *Source) look(in *wire.FleetRequest) (*wire.FleetResponse, bool, <-chan struct{}) {
@@ -217,24 +211,27 @@
 	if in.Entry {
 		s.entries[in.Name] = time.Now()
 	}
-	since, storesSince := in.Change, in.StoreChange
+	since, storesSince, controlSince := in.Change, in.StoreChange, in.ControlChange
 	if in.Epoch != s.epoch {
-		since, storesSince = 0, 0
+		since, storesSince, controlSince = 0, 0, 0
 	}
-	stores, until := s.storesSince(storesSince)
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
-		Control: s.control, Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights),
-		StoreChange: s.storeChange, Stores: stores, Busy: s.busy,
+		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
+	}
+	if controlSince != s.controlChange {
+		out.Control = s.control
 	}
 	for _, r := range s.registry.Since(since) {
 		out.Instances = append(out.Instances, fromReport(r))
 	}
-	if s.installed.Version > in.ConfigVersion {
+	newConfig := s.installed.Version > in.ConfigVersion
+	if newConfig && !in.WithoutText {
 		out.ConfigText = s.installed.Text
 	}
-	news := in.Epoch != s.epoch || len(out.Instances) > 0 || out.ConfigText != nil || newer(s.weights, toWeights(in.Weights)) ||
-		in.Entry && (until.Milliseconds() > in.StoresUntil || !slices.Equal(s.busy, in.Busy))
+	s.stores.tell(storesSince, out)
+	news := in.Epoch != s.epoch || len(out.Instances) > 0 || newConfig || newer(s.weights, toWeights(in.Weights)) ||
+		in.Entry && (s.stores.hasNews(storesSince, time.Duration(in.StoresUntil)*time.Millisecond) || !slices.Equal(s.busy, in.Busy))
 	return out, news, s.changed
 }
 
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -27,11 +27,14 @@
 	// answered is when it last answered, and reached whether the last poll did.
 	answered time.Time
 	reached  bool
-	control  []string
-	entries  int
-	// stores holds what the source told of stores, and storeChange its mark.
-	stores      map[string]Kept
-	storeChange uint64
+	// control holds the addresses of the control instances that it knows, and controlChange
+	// its mark.
+	control       []string
+	controlChange uint64
+	entries       int
+	stores        storesKnown
+	// version is the newest configuration that it told of.
+	version uint64
 	// busy names the instances that the source's process has load weights.
 	busy []string
 }
@@ -56,18 +59,17 @@
 func (f *Follower) request(address string) *wire.FleetRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	in := &wire.FleetRequest{Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds())}
+	in := &wire.FleetRequest{
+		Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds()),
+		ConfigVersion: f.newestVersion(), WithoutText: true,
+	}
 	if s := f.sources[address]; s != nil {
 		in.Epoch = s.epoch
 		in.Change = s.change
-		in.StoreChange = s.storeChange
+		in.StoreChange = s.stores.change
+		in.StoresUntil = s.stores.until.Milliseconds()
+		in.ControlChange = s.controlChange
 		in.Busy = s.busy
-		for _, kept := range s.stores {
-			in.StoresUntil = max(in.StoresUntil, kept.Until.Milliseconds())
-		}
-	}
-	if f.config != nil {
-		in.ConfigVersion = f.config.Version
 	}
 	return in
 }
@@ -97,17 +99,20 @@
 	}
 	if s.epoch != out.Epoch {
 		f.merged.Forget(address, now)
-		s.stores = nil
+		s.stores = storesKnown{}
 	}
 	s.reached = true
 	s.answered = now
 	s.epoch = out.Epoch
 	s.change = out.Change
-	s.control = out.Control
+	if s.controlChange != out.ControlChange || len(out.Control) > 0 {
+		s.control = out.Control
+	}
+	s.controlChange = out.ControlChange
 	s.entries = int(out.Entries)
-	s.storeChange = out.StoreChange
 	s.busy = out.Busy
-	s.takeStores(out.Stores, now)
+	s.version = out.ConfigVersion
+	s.stores.take(out, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
 		reports = append(reports, toReport(r))
@@ -117,7 +122,8 @@
 		f.joinInstances()
 	}
 	f.takeWeights(toWeights(out.Weights), now)
-	f.takeConfig(address, out)
+	f.takeConfig(address, out.ConfigVersion, out.ConfigText)
+	f.wantConfig()
 	f.publish()
 }
 
@@ -131,17 +137,3 @@
 		f.Log.Info().Str("event", "weights_named").Str("model", model).Uint64("version", version).Msg("")
 	}
 }
-
-// takeConfig puts a newer configuration in force; an older one never follows.
-func (f *Follower) takeConfig(address string, out *wire.FleetResponse) {
-	if out.ConfigText == nil || f.config != nil && out.ConfigVersion <= f.config.Version {
-		return
-	}
-	config, err := f.Decode(out.ConfigText)
-	if err != nil {
-		f.Log.Error().Str("event", "configuration_unreadable").Uint64("version", out.ConfigVersion).Str("from", address).Str("error", err.Error()).Msg("")
-		return
-	}
-	f.config = config
-	f.Log.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).Str("from", address).Int("routes", len(config.Routes)).Msg("")
-}
