The OpenAI front and the service calls use the neutral request and upstream port

Change: upstream.Client implements exchange.Upstreams (headers of engines, classification, run marks and numbers of events in one place), and the entry's loop, resumed streams and service calls work on exchange.Attempt and exchange.Reply.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -30,8 +30,10 @@
 	// on; 0 when it does not say.
 	Arrived time.Time
 	Wait    time.Duration
-	// Prompt is set for requests to a model.
-	Prompt *Prompt
+	// Prompt is set for requests to a model, and Streamed when the answer is to come as
+	// events from an upstream that answers either way.
+	Prompt   *Prompt
+	Streamed bool
 	// After is the number of the last event that the caller has; Resumes says that there
 	// is one.
 	After   uint64
@@ -98,8 +100,15 @@
 	// FetchUntil is when an unfinished fetch is thrown away, on the clock of stores and
 	// engines.
 	FetchUntil time.Duration
-	// Weights, when set, is the only version under which the attempt may run.
-	Weights uint64
+	// Weights, when set, is the only version under which the attempt may run; where versions
+	// are declared as names, WeightsName is it.
+	Weights     uint64
+	WeightsName string
+	// Run and Number name the attempt to upstreams that count the attempts of a run.
+	Run    string
+	Number int
+	// Single attempts go over a connection of their own, which no library sends again.
+	Single bool
 	// After is the number of the last event that the caller has.
 	After   uint64
 	Resumes bool
@@ -124,6 +133,8 @@
 	Misdirected bool
 	// RetryAfter is 0 when the instance did not say.
 	RetryAfter time.Duration
+	// Header is the refusal's, where it says more.
+	Header http.Header
 }
 
 // Broken says that the request was sent and may have run.
@@ -160,7 +171,9 @@
 type Event struct {
 	// Number is 0 when the event has none.
 	Number uint64
-	Raw    []byte
+	// Raw is the whole event, and Data its payload; who reads events sets the one that is
+	// passed on.
+	Raw, Data []byte
 }
 
 func (Unreached) reply() {}
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/coordination/admission"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/protocol/openai"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/outcome"
@@ -149,7 +150,16 @@
 			return
 		}
 		defer e.release(id)
-		e.run(w, r, c, &job{team: c.team.Name(), path: path, req: req, model: model, tokens: tokens})
+		e.run(w, r, c, &job{team: c.team.Name(), request: c.promptRequest(path, req, tokens), text: req.Text(), model: model})
+	}
+}
+
+// promptRequest is a prompt as it goes to an engine.
+func (c caller) promptRequest(path string, req *openai.Request, tokens int) *exchange.Request {
+	return &exchange.Request{
+		ID: c.request, Method: http.MethodPost, Target: path, Path: path, Body: req.Body(), Streamed: req.Stream(),
+		Header: http.Header{"Content-Type": {"application/json"}}, Arrived: c.flow.arrived,
+		Prompt: &exchange.Prompt{Model: req.Model(), Tokens: tokens, MostOut: req.MaxTokens()},
 	}
 }
 
--- a/internal/transport/entry/resume.go
+++ b/internal/transport/entry/resume.go
@@ -7,6 +7,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/cursor"
 	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 )
 
@@ -57,5 +58,5 @@
 	}
 	plan := placement.Plan{Name: place.Upstream, Address: e.board.Address(n)}
 	plan.Upstream = n
-	return &job{run: place.Run, attempt: attempt, plan: plan}, true
+	return &job{request: &exchange.Request{}, run: place.Run, attempt: attempt, plan: plan}, true
 }
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,28 +12,24 @@
 	"github.com/shedrock/shedrock/internal/coordination/admission"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
-	"github.com/shedrock/shedrock/internal/protocol/classify"
 	"github.com/shedrock/shedrock/internal/protocol/engine"
-	"github.com/shedrock/shedrock/internal/protocol/openai"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-const (
-	// maxAnswerBytes bounds a whole answer, which is held until it is complete.
-	maxAnswerBytes = 16 << 20
-	// cancelTimeout bounds the request that ends a run nobody waits for.
-	cancelTimeout = 2 * time.Second
-)
+// cancelTimeout bounds the request that ends a run nobody waits for.
+const cancelTimeout = 2 * time.Second
 
 // job is one admitted prompt.
 type job struct {
-	team   string
-	path   string
-	req    *openai.Request
-	model  declared.Model
-	tokens int
+	// request is what the caller sent, and text the prompt in the form that keys are made of.
+	request *exchange.Request
+	team    string
+	model   declared.Model
+	text    []byte
 	// version is the weight version under which the prompt runs; salt and keys
 	// follow from it.
 	version string
@@ -125,7 +120,7 @@
 	}
 	j.version = version
 	j.salt = prefix.NewSalt(e.Secrets[0], c.team.Name(), j.model.Name(), version).String()
-	j.keys = prefix.Chain(j.salt, j.req.Text())
+	j.keys = prefix.Chain(j.salt, j.text)
 }
 
 // place plans the next attempt.
@@ -136,7 +131,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := placement.Prompt{Model: j.model, Version: j.version, Keys: j.keys, Tokens: j.tokens, Tried: j.tried, Hints: hints}
+	p := placement.Prompt{Model: j.model, Version: j.version, Keys: j.keys, Tokens: j.request.Prompt.Tokens, Tried: j.tried, Hints: hints}
 	plan, ok := e.board.Place(p, time.Now())
 	if !ok {
 		return false
@@ -152,7 +147,7 @@
 func (e *Entry) after(ctx context.Context, c caller, j *job, end retry.End) retry.Step {
 	e.metrics.attempts.WithLabelValues(j.plan.Name, retry.Label(end)).Inc()
 	e.mu.Lock()
-	step := j.retry.Next(end, j.req.Stream(), e.budget)
+	step := j.retry.Next(end, j.request.Streamed, e.budget)
 	u := e.board.Upstream(j.plan.Upstream)
 	now := time.Now()
 	switch end.(type) {
@@ -222,53 +217,62 @@
 	if j.plan.Fetch {
 		e.fetch(ctx, j)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+j.plan.Address+j.path, bytes.NewReader(j.req.Body()))
-	if err != nil {
-		return retry.Unreached{}
+	return e.receive(c, j, s, e.upstreams.Send(ctx, j.outgoing(c.class)))
+}
+
+// outgoing is the present attempt as it is sent.
+func (j *job) outgoing(class admission.Class) *exchange.Attempt {
+	return &exchange.Attempt{
+		Request: j.request, Instance: registry.Instance{ID: j.plan.Name, Address: j.plan.Address},
+		Run: j.run, Number: j.attempt, Salt: j.salt, WeightsName: j.version, Urgency: urgency(class),
 	}
-	h := req.Header
-	h.Set("Content-Type", "application/json")
-	h.Set(engine.HeaderRun, j.run)
-	h.Set(engine.HeaderAttempt, strconv.Itoa(j.attempt))
-	h.Set(engine.HeaderSalt, j.salt)
-	h.Set(engine.HeaderVersion, j.version)
-	h.Set(engine.HeaderPriority, priority(c.class))
-	res, x := e.upstreams.Do(req, j.run, j.attempt)
-	return e.receive(c, j, s, res, x)
 }
 
-func priority(class admission.Class) string {
+// batchUrgency is the place of batch work in an engine's queue, behind all that is
+// interactive.
+const batchUrgency = 10
+
+func urgency(class admission.Class) int {
 	if class == admission.Batch {
-		return "10"
+		return batchUrgency
 	}
-	return "0"
+	return 0
 }
 
-// receive takes the answer of a dispatch.
-func (e *Entry) receive(c caller, j *job, s *sink, res *http.Response, x classify.Exchange) retry.End {
-	if res != nil {
-		defer res.Body.Close()
-		j.heard.Store(time.Now().UnixNano())
-		e.noteLoad(j, x)
-	}
-	switch o := classify.Outcome(x).(type) {
-	case outcome.NotRun:
-		e.noteRefusal(j, x)
-		if o.Reason == outcome.ReasonUnreachable {
-			return retry.Unreached{}
-		}
+// receive takes the reply to an attempt.
+func (e *Entry) receive(c caller, j *job, s *sink, reply exchange.Reply) retry.End {
+	j.heard.Store(time.Now().UnixNano())
+	switch reply := reply.(type) {
+	case exchange.Unreached:
+		return retry.Unreached{}
+	case exchange.NotRun:
+		e.noteLoad(j, reply.Header)
+		e.noteRefusal(j, reply.Header)
 		return retry.Refused{}
-	case outcome.Answered:
-		return e.takeAnswer(c, j, s, res, o.Status)
+	case exchange.Broken:
+		return retry.Broken{Sent: s.sent}
+	case exchange.Whole:
+		e.noteLoad(j, reply.Head.Header)
+		if !e.takes(c, j, reply.Head) {
+			return retry.Broken{Sent: s.sent}
+		}
+		return s.whole(reply)
+	case exchange.Stream:
+		defer reply.Events.Close()
+		e.noteLoad(j, reply.Head.Header)
+		if !e.takes(c, j, reply.Head) {
+			return retry.Broken{Sent: s.sent}
+		}
+		return s.stream(reply.Events, j)
 	}
-	return retry.Broken{Sent: s.sent}
+	panic("entry: reply outside the sealed set")
 }
 
 // noteLoad takes the load that comes with an answer: where there is traffic, reports
 // cost no messages of their own.
-func (e *Entry) noteLoad(j *job, x classify.Exchange) {
-	load, ok := engine.ParseLoad(x.Header.Get(engine.HeaderLoad))
-	if !ok || !classify.Echoed(x) {
+func (e *Entry) noteLoad(j *job, h http.Header) {
+	load, ok := engine.ParseLoad(h.Get(engine.HeaderLoad))
+	if !ok {
 		return
 	}
 	e.mu.Lock()
@@ -278,14 +282,14 @@
 
 // noteRefusal learns from a refusal: the upstream leaves, or serves another
 // weight version than was thought.
-func (e *Entry) noteRefusal(j *job, x classify.Exchange) {
+func (e *Entry) noteRefusal(j *job, h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := e.board.Upstream(j.plan.Upstream)
-	if x.Header.Get(engine.HeaderLeaving) == "true" {
+	if h.Get(engine.HeaderLeaving) == "true" {
 		u.NoteLeaving(true)
 	}
-	version := x.Header.Get(engine.HeaderVersion)
+	version := h.Get(engine.HeaderVersion)
 	if version == "" {
 		return
 	}
@@ -296,22 +300,19 @@
 	}
 }
 
-func (e *Entry) takeAnswer(c caller, j *job, s *sink, res *http.Response, status int) retry.End {
-	if status >= http.StatusInternalServerError {
-		return retry.Broken{Sent: s.sent}
-	}
-	version := res.Header.Get(engine.HeaderVersion)
-	if status == http.StatusOK && version != j.version {
-		// The engine ran other weights than were asked for: nothing of it is used.
-		return retry.Broken{Sent: s.sent}
-	}
-	if status == http.StatusOK {
-		e.noteReuse(c, j, res.Header)
+// takes reports whether an answer may be passed on: an engine's failure is tried elsewhere,
+// and of one that ran other weights than were asked for, nothing is used.
+func (e *Entry) takes(c caller, j *job, head exchange.Head) bool {
+	if head.Status >= http.StatusInternalServerError {
+		return false
 	}
-	if status == http.StatusOK && j.req.Stream() {
-		return s.stream(res.Body, j)
+	if head.Status == http.StatusOK {
+		if head.Header.Get(engine.HeaderVersion) != j.version {
+			return false
+		}
+		e.noteReuse(c, j, head.Header)
 	}
-	return s.whole(res, j)
+	return true
 }
 
 func (e *Entry) noteReuse(c caller, j *job, h http.Header) {
@@ -321,7 +322,7 @@
 	}
 	prompt, err := strconv.Atoi(h.Get(engine.HeaderPrompt))
 	if err != nil {
-		prompt = j.tokens
+		prompt = j.request.Prompt.Tokens
 	}
 	c.flow.prompt(prompt, cached)
 	e.mu.Lock()
@@ -332,21 +333,15 @@
 
 // pickUp goes on with a run whose connection broke.
 func (e *Entry) pickUp(ctx context.Context, j *job, s *sink, offset uint64) retry.End {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+j.plan.Address+engine.PathRuns+j.run+"/events", nil)
-	if err != nil {
-		return retry.Broken{Sent: s.sent}
-	}
-	req.Header.Set(engine.HeaderRun, j.run)
-	req.Header.Set(engine.HeaderLastEvent, strconv.FormatUint(offset, 10))
-	res, x := e.upstreams.Do(req, j.run, j.attempt)
-	if res == nil {
-		return retry.Broken{Sent: s.sent}
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK || !classify.Echoed(x) {
+	a := j.outgoing(admission.Interactive)
+	a.Resumes = true
+	a.After = offset
+	stream, ok := e.upstreams.Send(ctx, a).(exchange.Stream)
+	if !ok {
 		return retry.Broken{Sent: s.sent}
 	}
-	return s.stream(res.Body, j)
+	defer stream.Events.Close()
+	return s.stream(stream.Events, j)
 }
 
 // cancelRun tells an engine to end a run, in the background.
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -1,22 +1,21 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/retry"
-	"github.com/shedrock/shedrock/internal/protocol/classify"
-	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/outcome"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 const (
@@ -34,8 +33,7 @@
 // serviceCall is one call of a plain service.
 type serviceCall struct {
 	service declared.Service
-	path    string
-	body    []byte
+	request *exchange.Request
 	run     string
 }
 
@@ -53,39 +51,40 @@
 		refuse(w, p)
 		return
 	}
-	call := &serviceCall{service: service, path: "/" + r.PathValue("path"), body: body, run: c.request + "-1"}
-	if service.Repeatable(r.Method, call.path) {
+	call := &serviceCall{service: service, request: c.serviceRequest(r, body), run: c.request + "-1"}
+	if service.Repeatable(r.Method, call.request.Path) {
 		e.callRepeatable(w, r, c, call)
 		return
 	}
 	key := r.Header.Get(HeaderKey)
 	if key == "" || len(key) > maxKeyBytes {
-		message := fmt.Sprintf("%s %s may not be repeated: an %s of 1 to %d bytes is needed.", r.Method, call.path, HeaderKey, maxKeyBytes)
+		message := fmt.Sprintf("%s %s may not be repeated: an %s of 1 to %d bytes is needed.", r.Method, call.request.Path, HeaderKey, maxKeyBytes)
 		refuse(w, problem{status: http.StatusBadRequest, kind: kindInvalid, code: "missing_idempotency_key", message: message, param: HeaderKey})
 		return
 	}
 	e.callOnce(w, r, c, call, key)
 }
 
-// request makes the request to one instance. The caller's key goes with it, so
-// that a service which checks keys itself can.
-func (call *serviceCall) request(ctx context.Context, r *http.Request, instance string, attempt int) (*http.Request, error) {
-	url := "http://" + instance + call.path
-	if r.URL.RawQuery != "" {
-		url += "?" + r.URL.RawQuery
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(call.body))
-	if err != nil {
-		return nil, err
+// serviceRequest is a call as it goes to a service's instances. The caller's key goes with
+// it, so that a service which checks keys itself can.
+func (c caller) serviceRequest(r *http.Request, body []byte) *exchange.Request {
+	out := &exchange.Request{
+		ID: c.request, Method: r.Method, Path: "/" + r.PathValue("path"), Body: body, Header: http.Header{}, Arrived: c.flow.arrived,
 	}
+	out.Target = (&url.URL{Path: out.Path, RawQuery: r.URL.RawQuery}).RequestURI()
 	for _, name := range []string{"Content-Type", "Accept", HeaderKey} {
 		if v := r.Header.Get(name); v != "" {
-			req.Header.Set(name, v)
+			out.Header.Set(name, v)
 		}
 	}
-	req.Header.Set(engine.HeaderRun, call.run)
-	req.Header.Set(engine.HeaderAttempt, fmt.Sprint(attempt))
-	return req, nil
+	return out
+}
+
+// attempt is a call on its way to one instance.
+func (call *serviceCall) attempt(instance string, number int, single bool) *exchange.Attempt {
+	return &exchange.Attempt{
+		Request: call.request, Instance: registry.Instance{ID: instance, Address: instance}, Run: call.run, Number: number, Single: single,
+	}
 }
 
 // result is a service's whole answer, or why there is none.
@@ -96,20 +95,21 @@
 	body        []byte
 }
 
-func read(res *http.Response, x classify.Exchange) result {
-	o := classify.Outcome(x)
-	if res == nil {
-		return result{outcome: o}
-	}
-	defer res.Body.Close()
-	if _, ok := o.(outcome.Answered); !ok {
-		return result{outcome: o}
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		return result{outcome: outcome.Unknown{Detail: "the answer broke off"}}
+func resultOf(reply exchange.Reply) result {
+	switch reply := reply.(type) {
+	case exchange.Unreached:
+		return result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
+	case exchange.NotRun:
+		return result{outcome: outcome.NotRun{Reason: outcome.ReasonRefused}}
+	case exchange.Broken:
+		return result{outcome: outcome.Unknown{Detail: reply.Err.Error()}}
+	case exchange.Whole:
+		return result{
+			outcome: outcome.Answered{Status: reply.Head.Status}, status: reply.Head.Status,
+			contentType: reply.Head.Header.Get("Content-Type"), body: reply.Body,
+		}
 	}
-	return result{outcome: o, status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: body}
+	panic("entry: a service's answer is no stream")
 }
 
 // callRepeatable tries the service's instances until one answers.
@@ -121,11 +121,7 @@
 		if i >= retry.MaxAttempts || i > 0 && !e.mayRetry() {
 			break
 		}
-		req, err := call.request(ctx, r, instance, i+1)
-		if err != nil {
-			break
-		}
-		last = worse(last, read(e.upstreams.Do(req, call.run, i+1)))
+		last = worse(last, resultOf(e.upstreams.Send(ctx, call.attempt(instance, i+1, false))))
 		if _, ok := last.outcome.(outcome.Answered); ok {
 			break
 		}
@@ -197,7 +193,7 @@
 	// From here on the call runs to its end, also when the caller goes away.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), call.service.Timeout())
 	defer cancel()
-	res := e.dispatchOnce(ctx, r, call)
+	res := e.dispatchOnce(ctx, call)
 	e.record(c, call, key, res)
 	e.concludeCall(w, c, res)
 }
@@ -205,7 +201,7 @@
 func (e *Entry) reserve(r *http.Request, c caller, call *serviceCall, key string) (*wire.ReserveResponse, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), reserveTimeout)
 	defer cancel()
-	digest := sha256.Sum256([]byte(r.Method + " " + call.service.Name() + call.path + "?" + r.URL.RawQuery + "\n" + string(call.body)))
+	digest := sha256.Sum256([]byte(r.Method + " " + call.service.Name() + call.request.Path + "?" + r.URL.RawQuery + "\n" + string(call.request.Body)))
 	reserved, err := e.Control.Reserve(ctx, &wire.ReserveRequest{
 		Team: c.team.Name(), Key: key, RequestDigest: digest[:], Holder: call.run,
 	})
@@ -214,17 +210,13 @@
 
 // dispatchOnce sends the call; another instance is tried only when no byte
 // reached the one before, or it refused this very run.
-func (e *Entry) dispatchOnce(ctx context.Context, r *http.Request, call *serviceCall) result {
+func (e *Entry) dispatchOnce(ctx context.Context, call *serviceCall) result {
 	last := result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
 	for i, instance := range shuffled(call.service.Instances()) {
 		if i >= retry.MaxAttempts {
 			break
 		}
-		req, err := call.request(ctx, r, instance, i+1)
-		if err != nil {
-			return result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
-		}
-		last = read(e.upstreams.DoOnce(req, call.run, i+1))
+		last = resultOf(e.upstreams.Send(ctx, call.attempt(instance, i+1, true)))
 		if _, ok := last.outcome.(outcome.NotRun); !ok {
 			break
 		}
--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -9,6 +9,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/cursor"
 	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/protocol/openai"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 )
@@ -21,8 +22,7 @@
 	deadlineEvery = 5 * time.Second
 )
 
-// sink is the caller's side of one request. It checks that each event belongs to
-// the present run before anything of it is passed on.
+// sink is the caller's side of one request.
 type sink struct {
 	w      http.ResponseWriter
 	team   string
@@ -38,27 +38,20 @@
 	onFirst func()
 }
 
-// stream passes events on until the end mark. The answer is whole only with it.
-func (s *sink) stream(body io.Reader, j *job) retry.End {
-	events := openai.NewEventReader(body)
-	mark := openai.NewRunMark(j.run)
+// stream passes events on until the answer's end. The answer is whole only with it.
+func (s *sink) stream(events exchange.Events, j *job) retry.End {
 	place := cursor.Place{Upstream: j.plan.Name, Run: j.run}
 	for {
-		event, err := events.Next()
-		if err != nil {
-			return retry.Broken{Sent: s.sent}
-		}
-		if string(event.Data) == openai.Done {
+		event, more, err := events.Next()
+		if err == io.EOF {
 			return s.done()
 		}
-		offset, err := strconv.ParseUint(string(event.ID), 10, 64)
-		if err != nil || offset != s.sent+1 || !mark.In(event.Data) {
-			// Another run's event, or a gap: nothing more of this connection counts.
+		if err != nil {
 			return retry.Broken{Sent: s.sent}
 		}
-		place.Offset = offset
+		place.Offset = event.Number
 		j.heard.Store(time.Now().UnixNano())
-		if !s.event(event.Data, place, events.Buffered()) {
+		if !s.event(event.Data, place, more) {
 			return retry.CallerGone{}
 		}
 	}
@@ -120,30 +113,23 @@
 	return retry.Whole{Status: http.StatusOK}
 }
 
-// whole holds an answer until it is complete, and passes it on.
-func (s *sink) whole(res *http.Response, j *job) retry.End {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		return retry.Broken{}
-	}
-	if res.StatusCode == http.StatusOK && !openai.NewRunMark(j.run).In(body) {
-		return retry.Broken{}
-	}
+// whole passes on a complete answer.
+func (s *sink) whole(answer exchange.Whole) retry.End {
 	s.flow.token()
 	h := s.w.Header()
-	h.Set("Content-Type", res.Header.Get("Content-Type"))
+	h.Set("Content-Type", answer.Head.Header.Get("Content-Type"))
 	label := outcome.Label(outcome.Answered{})
-	if res.Header.Get(engine.HeaderNotRun) == "true" {
+	if answer.Head.Header.Get(engine.HeaderNotRun) == "true" {
 		label = outcome.Label(outcome.NotRun{})
 	}
 	h.Set(HeaderOutcome, label)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	s.w.WriteHeader(res.StatusCode)
-	_, err = s.w.Write(body)
+	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	s.w.WriteHeader(answer.Head.Status)
+	_, err := s.w.Write(answer.Body)
 	if err != nil {
 		return retry.CallerGone{}
 	}
-	return retry.Whole{Status: res.StatusCode}
+	return retry.Whole{Status: answer.Head.Status}
 }
 
 // fail gives the final outcome: as an answer of its own when nothing was sent,
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -79,14 +79,8 @@
 // such as reports of load.
 func (c *Client) HTTP() *http.Client { return c.kept }
 
-// Do sends a request whose run may be run again elsewhere. The answer is nil
-// when the exchange has an error.
-func (c *Client) Do(req *http.Request, run string, attempt int) (*http.Response, classify.Exchange) {
-	return send(c.kept, req, run, attempt)
-}
-
-// DoOnce sends a request that may not be repeated.
-func (c *Client) DoOnce(req *http.Request, run string, attempt int) (*http.Response, classify.Exchange) {
+// doOnce sends a request that may not be repeated.
+func (c *Client) doOnce(req *http.Request, run string, attempt int) (*http.Response, classify.Exchange) {
 	req.GetBody = nil
 	if req.Body != nil {
 		// Hides the body's type, so that the library cannot rewind it either.
--- /dev/null
+++ b/internal/transport/upstream/send.go
@@ -0,0 +1,105 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/protocol/classify"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/protocol/openai"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+// maxAnswerBytes bounds a whole answer, which is held until it is complete.
+const maxAnswerBytes = 16 << 20
+
+// errBrokenOff says that a whole answer did not come to its end.
+var errBrokenOff = errors.New("the answer broke off")
+
+// Send sends one attempt to an engine or a plain service, and reads the answer as far as it
+// is not a stream. An attempt that resumes goes on with its run's events.
+func (c *Client) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	req, err := encode(ctx, a)
+	if err != nil {
+		return exchange.Unreached{Err: errors.Wrap(err, "make the request")}
+	}
+	res, x := c.exchange(req, a)
+	switch o := classify.Outcome(x).(type) {
+	case outcome.Answered:
+		return receive(a, res)
+	case outcome.NotRun:
+		if res == nil {
+			return exchange.Unreached{Err: x.Err}
+		}
+		_ = res.Body.Close()
+		return exchange.NotRun{Status: x.Status, Header: x.Header}
+	case outcome.Unknown:
+		if res != nil {
+			_ = res.Body.Close()
+		}
+		return exchange.Broken{Err: errors.New(o.Detail)}
+	}
+	panic("upstream: outcome that no exchange has")
+}
+
+func (c *Client) exchange(req *http.Request, a *exchange.Attempt) (*http.Response, classify.Exchange) {
+	if a.Single {
+		return c.doOnce(req, a.Run, a.Number)
+	}
+	return send(c.kept, req, a.Run, a.Number)
+}
+
+func encode(ctx context.Context, a *exchange.Attempt) (*http.Request, error) {
+	url := "http://" + a.Instance.Address
+	if a.Resumes {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+engine.PathRuns+a.Run+"/events", nil)
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set(engine.HeaderRun, a.Run)
+		req.Header.Set(engine.HeaderLastEvent, strconv.FormatUint(a.After, 10))
+		return req, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, a.Method, url+a.Target, bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range a.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(engine.HeaderRun, a.Run)
+	req.Header.Set(engine.HeaderAttempt, strconv.Itoa(a.Number))
+	if a.Prompt != nil {
+		req.Header.Set(engine.HeaderSalt, a.Salt)
+		req.Header.Set(engine.HeaderVersion, a.WeightsName)
+		req.Header.Set(engine.HeaderPriority, strconv.Itoa(a.Urgency))
+	}
+	return req, nil
+}
+
+// receive turns an answer of this very run into a reply.
+func receive(a *exchange.Attempt, res *http.Response) exchange.Reply {
+	head := exchange.Head{Status: res.StatusCode, Header: res.Header}
+	if a.Resumes && res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return exchange.Broken{Err: errors.Errorf("the run's events were answered with %d", res.StatusCode)}
+	}
+	if res.StatusCode == http.StatusOK && (a.Streamed || a.Resumes) {
+		return exchange.Stream{Head: head, Events: newEvents(a, res.Body)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return exchange.Broken{Err: errBrokenOff}
+	}
+	if a.Prompt != nil && res.StatusCode == http.StatusOK && !openai.NewRunMark(a.Run).In(body) {
+		return exchange.Broken{Err: errOtherRun}
+	}
+	return exchange.Whole{Head: head, Body: body}
+}
