--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -117,7 +117,7 @@
 	case Whole:
 		return Stop{outcome.Answered{Status: end.Status}}
 	case CallerGone:
-		return Stop{outcome.Unknown{Detail: "the caller has gone"}}
+		return Stop{outcome.CallerGone}
 	case Refused:
 		return r.again(outcome.ReasonRefused, budget)
 	case Unreached, Misdirected:
--- a/internal/coordination/retry/tries.go
+++ b/internal/coordination/retry/tries.go
@@ -42,7 +42,7 @@
 		}
 		return Stop{outcome.Answered{Status: end.Status}}
 	case CallerGone:
-		return Stop{outcome.Unknown{Detail: "the caller has gone"}}
+		return Stop{outcome.CallerGone}
 	case Unreached:
 		t.unreached++
 		if t.unreached < mostUnreached {
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -32,6 +32,9 @@
 	Detail string
 }
 
+// CallerGone is the outcome of a request whose caller left before it had an answer.
+var CallerGone = Unknown{Detail: "the caller has gone"}
+
 // Failed says that the request reached an upstream, ran, and gave no whole answer.
 type Failed struct {
 	// Detail is an operator-readable cause.
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -214,7 +214,7 @@
 		j.first = time.Now()
 		err := j.sink.Answer(answer)
 		if err != nil {
-			o = outcome.Unknown{Detail: "the caller has gone"}
+			o = outcome.CallerGone
 		} else {
 			o = outcome.Answered{Status: answer.Head.Status}
 		}
