An address belongs to the youngest incarnation, not to the one heard of last

An instance whose address was used before is taken to have gone when another incarnation there was heard of later; an entry that starts hears of all at once, in any order and from several sources, so the dead one could own the address until it was forgotten a minute later. Ruled out: the cut (all four sources were reached within 3 s), the new way of telling stores (there is no store in the list of instances), lost heartbeats (all reported). Change: a report says for how long its control instance has known the instance, and the youngest at an address owns it, whoever tells of it when.

--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -20,8 +20,10 @@
 type merged struct {
 	newest Instance
 	left   bool
-	// born numbers the instances in the order in which they were first heard of.
-	born int
+	// first is when any source first heard of the instance, and order numbers the instances
+	// as they came here, to tell those of the same time apart.
+	first time.Time
+	order int
 	// sources vouch for the instance; since is when the last one ceased to.
 	sources map[string]bool
 	since   time.Time
@@ -36,9 +38,12 @@
 		k, ok := m.instances[r.ID]
 		if !ok {
 			m.births++
-			k = &merged{newest: r.Instance, born: m.births, sources: map[string]bool{}, since: now}
+			k = &merged{newest: r.Instance, first: now, order: m.births, sources: map[string]bool{}, since: now}
 			m.instances[r.ID] = k
 		}
+		if !r.First.IsZero() && r.First.Before(k.first) {
+			k.first = r.First
+		}
 		weights := newest(k.newest.Weights, r.Weights)
 		if r.Sequence > k.newest.Sequence {
 			k.newest = r.Instance
@@ -73,8 +78,9 @@
 
 // Live returns the instances that are neither gone nor leaving nor left, in the order
 // of their ids, and forgets those that nobody vouched for during Grace. An address belongs
-// to the incarnation that was heard of last: one that crashed says nothing, and its
-// successor reports long before it counts as silent.
+// to the youngest incarnation: one that crashed says nothing, and its successor reports long
+// before it counts as silent. The order in which they are heard of here says nothing: who
+// starts late may hear of the successor first.
 func (m *Merged) Live(now time.Time) []Instance {
 	var out []Instance
 	owners := m.owners()
@@ -96,13 +102,20 @@
 	return out
 }
 
-// owners returns the newest incarnation at each address.
+// owners returns the youngest incarnation at each address.
 func (m *Merged) owners() map[string]*merged {
 	out := make(map[string]*merged, len(m.instances))
 	for _, k := range m.instances {
-		if other := out[k.newest.Address]; other == nil || k.born > other.born {
+		if other := out[k.newest.Address]; other == nil || k.younger(other) {
 			out[k.newest.Address] = k
 		}
 	}
 	return out
 }
+
+func (k *merged) younger(other *merged) bool {
+	if k.first.Equal(other.first) {
+		return k.order > other.order
+	}
+	return k.first.After(other.first)
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -34,6 +34,8 @@
 	Instance
 	// Silent is true after several missing heartbeats, and Left once it signed off.
 	Silent, Left bool
+	// First is when the registry first heard of it; zero stands for now.
+	First time.Time
 	// Change numbers the reports of one registry in the order of their changes.
 	Change uint64
 }
@@ -63,7 +65,7 @@
 	}
 	known, ok := r.records[in.ID]
 	if !ok {
-		r.records[in.ID] = &record{report: Report{Instance: in, Change: r.next()}, heard: now}
+		r.records[in.ID] = &record{report: Report{Instance: in, First: now, Change: r.next()}, heard: now}
 		return true
 	}
 	known.heard = now
@@ -117,7 +119,7 @@
 	}
 	known, ok := r.records[id]
 	if !ok {
-		known = &record{report: Report{Instance: Instance{ID: id}}}
+		known = &record{report: Report{Instance: Instance{ID: id}, First: now}}
 		r.records[id] = known
 	}
 	known.heard = now
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,6 +98,42 @@
 	}
 }
 
+// Who comes late hears of the incarnations of an address in any order, and from control
+// instances of which some know the successor longer than others know its forerunner.
+func TestAddressBelongsToTheYoungestIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old, next := instance("old", 70, false), instance("next", 3, false)
+	next.Address = old.Address
+	ago := func(seconds int) time.Time { return now.Add(-time.Duration(seconds) * time.Second) }
+	gone := registry.Report{Instance: old, Silent: true, First: ago(60)}
+	lately := registry.Report{Instance: old, First: ago(2)}
+	lives := registry.Report{Instance: next, First: ago(9)}
+	for name, order := range map[string][]registry.Report{
+		"gone last":                     {lives, gone},
+		"gone first":                    {gone, lives},
+		"gone last, and back from late": {lives, lately, gone},
+	} {
+		m := registry.Merged{Grace: 4 * beat}
+		for i, r := range order {
+			take(&m, fmt.Sprint("c", i), now, r)
+		}
+		if diff := cmp.Diff([]string{"next"}, ids(m.Live(now))); diff != "" {
+			t.Error(name, diff)
+		}
+	}
+}
+
+// A registry tells since when it knows an instance, whatever it hears of it later.
+func TestFirstHeard(t *testing.T) {
+	r := registry.Registry{SilentAfter: 4 * beat}
+	first := time.Unix(50, 0)
+	r.Hear(instance("x", 1, false), first)
+	r.Hear(instance("x", 2, true), first.Add(beat))
+	if diff := cmp.Diff(first, r.Since(0)[0].First); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestSilenceAndReturn(t *testing.T) {
 	now := time.Unix(0, 0)
 	r := registry.Registry{SilentAfter: 4 * beat}
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -53,19 +53,29 @@
 	plannedTime = 1500 * time.Millisecond
 )
 
-// failedSeeds are seeds that failed once, each with its cause. They are played in CI.
+// failedSeeds are seeds that failed once, each with the round in which it did and the cause.
+// They are played in CI.
 var failedSeeds = []struct {
-	seed  uint64
-	cause string
-}{}
+	seed   uint64
+	rounds int
+	cause  string
+}{
+	{115, 3, "a restarted entry heard of the incarnations at an address in another order, and had no instance"},
+}
 
 // The whole deployment keeps its promises under faults that overlap. CI plays a few seeds.
 func TestSoak(t *testing.T) {
+	play := func(seed uint64, rounds int) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, rounds)
+		})
+	}
 	for seed := range uint64(soakCISeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed, soakCIRounds) })
+		play(seed, soakCIRounds)
 	}
 	for _, failed := range failedSeeds {
-		t.Run(fmt.Sprint("seed ", failed.seed, " ", failed.cause), func(t *testing.T) { soak(t, failed.seed, soakCIRounds) })
+		play(failed.seed, failed.rounds)
 	}
 }
 
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -3,25 +3,27 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-func fromReport(r registry.Report) *wire.InstanceReport {
+func fromReport(r registry.Report, now time.Time) *wire.InstanceReport {
 	return &wire.InstanceReport{
 		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
+		AgeMilliseconds: uint64(now.Sub(r.First).Milliseconds()),
 	}
 }
 
-func toReport(in *wire.InstanceReport) registry.Report {
+func toReport(in *wire.InstanceReport, now time.Time) registry.Report {
 	return registry.Report{
 		Instance: registry.Instance{
 			ID: in.Id, Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
 			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
 		},
-		Silent: in.Silent, Left: in.Left,
+		Silent: in.Silent, Left: in.Left, First: now.Add(-time.Duration(in.AgeMilliseconds) * time.Millisecond),
 	}
 }
 
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -222,8 +222,9 @@
 	if controlSince != s.controlChange {
 		out.Control = s.control
 	}
+	now := time.Now()
 	for _, r := range s.registry.Since(since) {
-		out.Instances = append(out.Instances, fromReport(r))
+		out.Instances = append(out.Instances, fromReport(r, now))
 	}
 	newConfig := s.installed.Version > in.ConfigVersion
 	if newConfig && !in.WithoutText {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -115,7 +115,7 @@
 	s.stores.take(out, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
-		reports = append(reports, toReport(r))
+		reports = append(reports, toReport(r, now))
 	}
 	f.merged.Take(address, reports, now)
 	if len(reports) > 0 {
