Long prompts pass over engines where others' requests wait

From the entries' logs: one engine held long prompts for 1 to 2 s (median) from second 8 on and had 97 late of 149, a few others 30 to 40 of 130, while the median engine answered in 150 ms. A prompt goes by its key; each of 56 entries has at most one request there, so no entry's own load ever reached the bound, and the queue of them all was nobody's. Ruled out: slow moves alone (the engine was as slow for parts read as for parts fetched, and slow before moves were), weights, the engine's memory (short prompts there were answered in 40 to 120 ms). Change: the leader asks engines for their queues and tells entries with the news of stores; a long prompt passes over engines whose queue is beyond 1.25 times the mean and one (the bound that an entry's own load has already).

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -21,6 +21,7 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/keeping"
 	"github.com/shedrock/shedrock/internal/transport/orders"
+	"github.com/shedrock/shedrock/internal/transport/queues"
 	"github.com/shedrock/shedrock/platform"
 )
 
@@ -70,6 +71,7 @@
 	client   *controlclient.Client
 	follower *fleet.Follower
 	keeper   *keeping.Keeper
+	queues   *queues.Watcher
 	// calls and metrics serve a listener each; replicas reach one another by the replica's.
 	calls, metrics *http.Server
 	log            *log.Logger
@@ -88,12 +90,13 @@
 	follower := &fleet.Follower{
 		Name: s.Name, Seeds: addresses, Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
 	}
+	engines := platform.NewEngines()
 	replica := &control.Replica{
 		ID: replicaID(s.IP), Address: s.PeerAddress(), FailureDomain: s.FailureDomain,
 		Folder: folder, Restart: restart, Ledger: ledger, Listener: peers, Log: logger,
 		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
 		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
-		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: platform.NewEngines(), Holder: s.Name, Source: source, Log: logger},
+		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: engines, Holder: s.Name, Source: source, Log: logger},
 	}
 	if s.FirstStart {
 		replica.Peers = founders(s)
@@ -104,6 +107,7 @@
 		keeper: &keeping.Keeper{
 			View: follower.View, Leading: replica.Leading, Confirm: replica.Confirm, Source: source, Stores: platform.NewStores(), Log: logger,
 		},
+		queues: &queues.Watcher{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Log: logger},
 		calls: &http.Server{
 			Handler:           calls.Count(platform.Control{Control: client, Source: source, Log: logger}.Handler()),
 			ReadHeaderTimeout: headTimeout,
@@ -133,6 +137,7 @@
 	group.Go(func() error { r.client.KeepJoined(ctx, r.replica.Status, r.log); return nil })
 	group.Go(func() error { r.follower.Run(ctx); return nil })
 	group.Go(func() error { r.keeper.Run(ctx); return nil })
+	group.Go(func() error { r.queues.Run(ctx); return nil })
 	group.Go(func() error { return served(r.calls.Serve(calls)) })
 	group.Go(func() error { return served(r.metrics.Serve(metrics)) })
 	group.Go(func() error {
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -51,6 +51,9 @@
 	Tried []string
 	// Busy are instances that are taken only when nothing else is left.
 	Busy map[string]bool
+	// Waiting holds how many requests of all entries wait at each instance, as far as it is
+	// known. A prompt that is soon read goes by its key alone: it overtakes what waits.
+	Waiting map[string]int
 	// Model and Weights, when set, name the weight version that is preferred.
 	Model   string
 	Weights uint64
@@ -104,7 +107,7 @@
 	}
 	open = b.preferNewer(open, w)
 	if w.Key != 0 {
-		return b.pickByKey(open, w.Key), true
+		return b.pickByKey(notCrowded(open, w.Waiting), w.Key), true
 	}
 	return b.pickByWait(open), true
 }
@@ -145,6 +148,34 @@
 	return newer
 }
 
+// notCrowded leaves out the instances at which more waits than the bound allows, of which an
+// entry sees little by itself. Those of which nothing is known stay.
+func notCrowded(open []registry.Instance, waiting map[string]int) []registry.Instance {
+	total, known := 0, 0
+	for _, in := range open {
+		if n, ok := waiting[in.ID]; ok {
+			total += n
+			known++
+		}
+	}
+	if total == 0 {
+		return open
+	}
+	bound := bounded(total, known)
+	var out []registry.Instance
+	for _, in := range open {
+		if float64(waiting[in.ID]+1) <= bound {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// bounded is the most that one of some instances may have of a total, and one more.
+func bounded(total, instances int) float64 {
+	return loadFactor*float64(total+instances)/float64(instances) + loadSpare
+}
+
 // pickByKey takes the first instance in the key's rank whose load is within the bound.
 func (b *Board) pickByKey(open []registry.Instance, key uint64) registry.Instance {
 	total := 0
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -54,3 +54,19 @@
 	}
 	return false
 }
+
+func fromQueues(queues map[string]int) []*wire.EngineQueue {
+	var out []*wire.EngineQueue
+	for id, waiting := range queues {
+		out = append(out, &wire.EngineQueue{Id: id, Waiting: uint32(waiting)})
+	}
+	return out
+}
+
+func toQueues(in []*wire.EngineQueue) map[string]int {
+	out := make(map[string]int, len(in))
+	for _, q := range in {
+		out[q.Id] = int(q.Waiting)
+	}
+	return out
+}
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -28,6 +28,9 @@
 	silentBeats = 4
 	// sweepInterval is how often silent instances are looked for.
 	sweepInterval = 500 * time.Millisecond
+	// newsInterval joins the news of all stores and engines: a part is known so much later,
+	// of the 2 s for which it is named.
+	newsInterval = 200 * time.Millisecond
 	// maxWait bounds a long poll.
 	maxWait = 5 * time.Second
 	// entryLifetime is how long an entry counts after its last poll, so that the share
@@ -54,6 +57,12 @@
 	stores storesFeed
 	// busy names the instances that load weights, or will next.
 	busy []string
+	// queues holds how many requests wait at each engine, while this control instance leads,
+	// and queuesChange numbers its changes.
+	queues       map[string]int
+	queuesChange uint64
+	// news is true while entries have not been told of what stores hold, or of queues.
+	news bool
 	// entries holds when each entry last asked.
 	entries map[string]time.Time
 	// changed is closed and replaced at each change.
@@ -71,14 +80,14 @@
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
-		stores := time.NewTicker(storesInterval)
-		defer stores.Stop()
+		news := time.NewTicker(newsInterval)
+		defer news.Stop()
 		for {
 			select {
 			case now := <-ticker.C:
 				s.sweep(now)
-			case <-stores.C:
-				s.tellStores()
+			case <-news.C:
+				s.tellNews()
 			case <-ctx.Done():
 				return
 			}
@@ -152,6 +161,28 @@
 	s.wake()
 }
 
+// PublishWaiting sets how many requests wait at each engine that answered; nil says that
+// nothing is known. Entries are told with the next news of stores.
+func (s *Source) PublishWaiting(queues map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !maps.Equal(s.queues, queues) {
+		s.queues = queues
+		s.queuesChange++
+		s.news = true
+	}
+}
+
+// tellNews wakes the entries if there is news of stores or queues.
+func (s *Source) tellNews() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.news {
+		s.news = false
+		s.wake()
+	}
+}
+
 // Control returns the addresses of the control instances, as far as they are known.
 func (s *Source) Control() []string {
 	s.mu.Lock()
@@ -211,13 +242,17 @@
 	if in.Entry {
 		s.entries[in.Name] = time.Now()
 	}
-	since, storesSince, controlSince := in.Change, in.StoreChange, in.ControlChange
+	since, storesSince, controlSince, queuesSince := in.Change, in.StoreChange, in.ControlChange, in.QueuesChange
 	if in.Epoch != s.epoch {
-		since, storesSince, controlSince = 0, 0, 0
+		since, storesSince, controlSince, queuesSince = 0, 0, 0, 0
 	}
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
 		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
+		QueuesChange: s.queuesChange,
+	}
+	if queuesSince != s.queuesChange {
+		out.Queues = fromQueues(s.queues)
 	}
 	if controlSince != s.controlChange {
 		out.Control = s.control
@@ -232,7 +267,7 @@
 	}
 	s.stores.tell(storesSince, out)
 	news := in.Epoch != s.epoch || len(out.Instances) > 0 || newConfig || newer(s.weights, toWeights(in.Weights)) ||
-		in.Entry && (s.stores.hasNews(storesSince, time.Duration(in.StoresUntil)*time.Millisecond) || !slices.Equal(s.busy, in.Busy))
+		in.Entry && (s.stores.hasNews(storesSince, time.Duration(in.StoresUntil)*time.Millisecond) || queuesSince != s.queuesChange || !slices.Equal(s.busy, in.Busy))
 	return out, news, s.changed
 }
 
--- a/internal/transport/fleet/source_stores.go
+++ b/internal/transport/fleet/source_stores.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// storesInterval joins the news of all stores: a part is known so much later, of the
-	// 2 s for which it is named.
-	storesInterval = 200 * time.Millisecond
 	// untilStep is by how much the times until which parts are named move on before entries
 	// are told of nothing else: a store's word is used for a second after it was told.
 	untilStep = 300 * time.Millisecond
@@ -29,8 +26,6 @@
 	// numbers counts the stores that ever were, and newest is the latest Until of any.
 	numbers uint32
 	newest  time.Duration
-	// news is true while entries have not been told of what stores hold.
-	news bool
 }
 
 // storeFeed is one store.
@@ -55,6 +50,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stores.publish(address, kept, time.Now())
+	s.news = true
 }
 
 // ForgetStore drops a store that is not part of the configuration any more.
@@ -62,16 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stores.forget(address, time.Now())
-}
-
-// tellStores wakes the entries if stores have news.
-func (s *Source) tellStores() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stores.news {
-		s.stores.news = false
-		s.wake()
-	}
+	s.news = true
 }
 
 func (f *storesFeed) next() uint64 {
@@ -106,7 +93,6 @@
 	}
 	store.kept = kept
 	f.newest = max(f.newest, kept.Until)
-	f.news = true
 }
 
 // add begins to tell of a store; what watchers knew of an earlier one there does not hold.
@@ -140,7 +126,6 @@
 	store.left = now
 	store.change = f.next()
 	store.parts, store.gone, store.kept = nil, nil, Kept{}
-	f.news = true
 	maps.DeleteFunc(f.stores, func(_ string, other *storeFeed) bool {
 		return !other.left.IsZero() && now.Sub(other.left) > goneFor
 	})
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -27,6 +27,8 @@
 	Control []string
 	// Busy holds the instances that load weights, or will next.
 	Busy map[string]bool
+	// Waiting holds how many requests wait at each engine of which that is known.
+	Waiting map[string]int
 	// Stores holds what each store keeps, by its address.
 	Stores map[string]Kept
 	// Entries is the highest number of entries that a source saw lately, at least 1.
@@ -46,13 +48,14 @@
 	v := &View{
 		Config: f.config, Instances: f.instances, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
-		Stores: newestStores(f.sources), Busy: map[string]bool{},
+		Stores: newestStores(f.sources), Busy: map[string]bool{}, Waiting: map[string]int{},
 	}
 	for _, s := range f.sources {
 		if time.Since(s.answered) < busyFor {
 			for _, id := range s.busy {
 				v.Busy[id] = true
 			}
+			maps.Copy(v.Waiting, s.queues)
 		}
 		v.Entries = max(v.Entries, s.entries)
 	}
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -35,6 +35,10 @@
 	stores        storesKnown
 	// version is the newest configuration that it told of.
 	version uint64
+	// queues holds how many requests wait at each engine, as the source knows it, and
+	// queuesChange its mark.
+	queues       map[string]int
+	queuesChange uint64
 	// busy names the instances that the source's process has load weights.
 	busy []string
 }
@@ -70,6 +74,7 @@
 		in.StoresUntil = s.stores.until.Milliseconds()
 		in.ControlChange = s.controlChange
 		in.Busy = s.busy
+		in.QueuesChange = s.queuesChange
 	}
 	return in
 }
@@ -109,6 +114,10 @@
 		s.control = out.Control
 	}
 	s.controlChange = out.ControlChange
+	if s.queuesChange != out.QueuesChange || s.epoch != out.Epoch {
+		s.queues = toQueues(out.Queues)
+	}
+	s.queuesChange = out.QueuesChange
 	s.entries = int(out.Entries)
 	s.busy = out.Busy
 	s.version = out.ConfigVersion
--- /dev/null
+++ b/internal/transport/queues/queues.go
@@ -0,0 +1,125 @@
+// Package queues asks engines how many requests wait there, while this replica leads the
+// control log, and tells entries.
+//
+// Entries choose by what they see of their own requests, and each of many entries sees one
+// request at an engine now and then: a queue of two seconds at one engine is made of requests
+// of different entries, and none of them knows.
+package queues
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+)
+
+const (
+	// askInterval is how often an engine is asked: a queue that matters lasts longer than
+	// reading one long prompt, some hundred milliseconds.
+	askInterval = 400 * time.Millisecond
+	// mostAsked bounds the questions a second, so that more engines are asked less often:
+	// one takes a control instance about 0.1 ms of processor time.
+	mostAsked = 150
+	// atOnce bounds the questions under way.
+	atOnce = 16
+	// idleInterval is the pause while another replica leads.
+	idleInterval = 250 * time.Millisecond
+)
+
+// Engines speaks to engines.
+type Engines interface {
+	// Waiting returns how many requests wait at an engine.
+	Waiting(ctx context.Context, in registry.Instance) (int, error)
+}
+
+// Watcher asks the engines. Set the exported fields, then Run.
+type Watcher struct {
+	// View returns what is known of the fleet.
+	View func() *fleet.View
+	// Leading says whether this replica leads.
+	Leading func() (term uint64, ok bool)
+	Engines Engines
+	// Source tells entries.
+	Source *fleet.Source
+	// Log receives one line for each event.
+	Log *log.Logger
+
+	mu sync.Mutex
+	// lost holds the engines that did not answer; it is guarded by mu.
+	lost map[string]bool
+}
+
+// Run asks until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		interval := idleInterval
+		if _, leads := w.Leading(); leads {
+			engines := enginesOf(w.View())
+			w.Source.PublishWaiting(w.ask(ctx, engines))
+			interval = max(askInterval, time.Duration(len(engines))*time.Second/mostAsked)
+		} else {
+			w.Source.PublishWaiting(nil)
+		}
+		select {
+		case <-time.After(time.Until(began.Add(interval))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func enginesOf(view *fleet.View) []registry.Instance {
+	var out []registry.Instance
+	if view.Config == nil {
+		return nil
+	}
+	for name, service := range view.Config.Services {
+		if service.Engine != nil {
+			out = append(out, view.Instances[name]...)
+		}
+	}
+	return out
+}
+
+// ask asks all engines; those that do not answer are left out, as nothing is known of them.
+func (w *Watcher) ask(ctx context.Context, engines []registry.Instance) map[string]int {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, atOnce)
+	out := make(map[string]int, len(engines))
+	for _, in := range engines {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			waiting, err := w.Engines.Waiting(ctx, in)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.note(in, err)
+			if err == nil {
+				out[in.ID] = waiting
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// note logs when an engine's answers are lost and found; mu must be held.
+func (w *Watcher) note(in registry.Instance, err error) {
+	if w.lost == nil {
+		w.lost = map[string]bool{}
+	}
+	if (err != nil) == w.lost[in.ID] {
+		return
+	}
+	if err != nil {
+		w.lost[in.ID] = true
+		w.Log.Info().Str("event", "engine_not_heard").Str("instance", in.ID).Str("address", in.Address).Str("error", err.Error()).Msg("")
+		return
+	}
+	delete(w.lost, in.ID)
+	w.Log.Info().Str("event", "engine_heard").Str("instance", in.ID).Str("address", in.Address).Msg("")
+}
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -135,6 +135,9 @@
 		wish.Key = p.SharedKey()
 		wish.Model = p.Model
 		wish.Weights = view.Weights[p.Model]
+		if p.Tokens >= leastKept {
+			wish.Waiting = view.Waiting
+		}
 	}
 	now := time.Now()
 	j.server.mu.Lock()
