A failure domain that is cut off is avoided as a whole

From the entries' logs: each of 56 entries learned of each of the instances beyond the cut by itself, at the price of a lost request (about 700 broken) or of a connect timeout of 0.5 s (over 2,000 unreached), so for 8 s a tenth to a quarter of the requests were late or lost (435 late of 2,246 in the worst two seconds). Ruled out: the news of silent instances (heartbeats stop counting after four, 4 s), the queues (the leader's side of the cut is told of its own engines only). Change: balance keeps for each failure domain when anything there was last heard; when two instances there are quiet or timed out and nothing of the others is heard for 0.5 s, all of it is avoided, but for a probe each second by a request that may run again (each 4 s by others). A refused connection is no witness, and where all domains look dark none is avoided.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -47,6 +47,8 @@
 type Wish struct {
 	// Key is 0 for requests that may run anywhere as well.
 	Key uint64
+	// Repeats says that the request may run once more elsewhere, if nothing is heard of it.
+	Repeats bool
 	// Tried are the ids of instances that had the request already.
 	Tried []string
 	// Busy are instances that are taken only when nothing else is left.
@@ -61,6 +63,8 @@
 
 // load is what is known of one instance.
 type load struct {
+	// domain is the instance's failure domain.
+	domain   string
 	inFlight int
 	// latency is a moving average in seconds, and failed the share of failures.
 	latency, failed float64
@@ -81,13 +85,14 @@
 
 // Board holds the loads. Make one with New. It is not safe for concurrent use.
 type Board struct {
-	random *rand.Rand
-	loads  map[string]*load
+	random  *rand.Rand
+	loads   map[string]*load
+	domains map[string]*domain
 }
 
 // New returns an empty board.
 func New(seed uint64) *Board {
-	return &Board{random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[string]*load{}}
+	return &Board{random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[string]*load{}, domains: map[string]*domain{}}
 }
 
 func (b *Board) load(id string) *load {
@@ -112,13 +117,15 @@
 	return b.pickByWait(open), true
 }
 
-// open leaves out what was tried, and what is busy, silent or failed lately unless nothing else is left.
+// open leaves out what was tried, and what is busy, silent, cut off or failed lately unless
+// nothing else is left.
 func (b *Board) open(instances []registry.Instance, w Wish, now time.Time) []registry.Instance {
 	var sound, rest []registry.Instance
+	dark := b.dark(instances, w, now)
 	for _, in := range instances {
 		switch {
 		case slices.Contains(w.Tried, in.ID):
-		case w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil) || b.load(in.ID).silent(now):
+		case dark[in.FailureDomain] || w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil) || b.load(in.ID).silent(now):
 			rest = append(rest, in)
 		default:
 			sound = append(sound, in)
@@ -227,8 +234,13 @@
 }
 
 // Begin notes that a request goes to an instance.
-func (b *Board) Begin(id string, now time.Time) {
-	l := b.load(id)
+func (b *Board) Begin(in registry.Instance, now time.Time) {
+	l := b.load(in.ID)
+	l.domain = in.FailureDomain
+	d := b.domain(l.domain)
+	if now.Sub(d.heard) >= darkAfter {
+		d.probed = now
+	}
 	if l.inFlight == 0 {
 		l.heard = now
 	}
@@ -237,12 +249,17 @@
 }
 
 // Heard notes that an instance answered a request, though the answer may go on.
-func (b *Board) Heard(id string, now time.Time) { b.load(id).heard = now }
+func (b *Board) Heard(id string, now time.Time) {
+	l := b.load(id)
+	l.heard = now
+	b.domain(l.domain).hear(now)
+}
 
 // Result says how a request at an instance ended.
 type Result struct {
-	// Failed counts against the instance; Unreached also has it avoided for a while.
-	Failed, Unreached bool
+	// Failed counts against the instance; Unreached also has it avoided for a while, and
+	// TimedOut says that nothing was heard from its address until the time was over.
+	Failed, Unreached, TimedOut bool
 	// Latency is the time to the first byte of an answer, or 0 when there was none.
 	Latency time.Duration
 }
@@ -260,6 +277,9 @@
 	if r.Latency > 0 {
 		l.latency += smooth * (r.Latency.Seconds() - l.latency)
 	}
+	if r.TimedOut {
+		b.domain(l.domain).unreached[id] = true
+	}
 	if !r.Unreached {
 		l.failures = 0
 		return
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -56,7 +56,7 @@
 	used := map[string]int{}
 	for range 40 {
 		id := pick(t, b, instances(10), balance.Wish{Key: 7})
-		b.Begin(id, now)
+		b.Begin(registry.Instance{ID: id}, now)
 		used[id]++
 	}
 	for id, n := range used {
@@ -69,7 +69,7 @@
 func TestUnreachedIsAvoidedForAWhile(t *testing.T) {
 	b := balance.New(1)
 	two := instances(2)
-	b.Begin("i0", now)
+	b.Begin(registry.Instance{ID: "i0"}, now)
 	b.End("i0", balance.Result{Failed: true, Unreached: true}, now)
 	for range 20 {
 		if id := pick(t, b, two, balance.Wish{}); id != "i1" {
@@ -96,7 +96,7 @@
 			for range 600 {
 				id := pick(t, b, instances(3), balance.Wish{})
 				got[id]++
-				b.Begin(id, now)
+				b.Begin(registry.Instance{ID: id}, now)
 				result := balance.Result{Latency: 20 * time.Millisecond}
 				if id == "i0" {
 					result = sick
@@ -116,7 +116,7 @@
 	two := instances(2)
 	key := uint64(1)
 	first := pick(t, b, two, balance.Wish{Key: key})
-	b.Begin(first, now)
+	b.Begin(registry.Instance{ID: first}, now)
 	later := now.Add(2 * time.Second)
 	got, _ := b.Pick(two, balance.Wish{Key: key}, later)
 	if got.ID == first {
--- /dev/null
+++ b/internal/coordination/balance/domains.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// darkAfter is how long nothing may be heard of a failure domain in which instances keep
+	// requests without a word, or cannot be reached, until all of it counts as cut off. A
+	// sound engine was quiet for up to 0.7 s on a calm day; that two are, and nothing of the
+	// others there is heard meanwhile, was not seen.
+	darkAfter = 500 * time.Millisecond
+	// darkWitnesses is how many instances must show it: one alone may be ill itself.
+	darkWitnesses = 2
+	// probeEvery is how often a request that may run again elsewhere is let through to a
+	// domain that is cut off, and probeOnceEvery how often any other is.
+	probeEvery     = time.Second
+	probeOnceEvery = 4 * time.Second
+)
+
+// domain is what is known of a failure domain. Each instance in a cut costs a request or a
+// timeout of connecting until it is known by itself; one that is known to be in a domain that
+// is cut off costs none.
+type domain struct {
+	// heard is when any instance there last said a word.
+	heard time.Time
+	// unreached holds the instances with which time ran out since then.
+	unreached map[string]bool
+	// probed is when a request was last let through while it was cut off.
+	probed time.Time
+}
+
+func (b *Board) domain(name string) *domain {
+	d, ok := b.domains[name]
+	if !ok {
+		d = &domain{unreached: map[string]bool{}}
+		b.domains[name] = d
+	}
+	return d
+}
+
+func (d *domain) hear(now time.Time) {
+	d.heard = now
+	clear(d.unreached)
+}
+
+// dark returns the failure domains of some instances that count as cut off, without those
+// to which the request may be let through. All of a deployment never does.
+func (b *Board) dark(instances []registry.Instance, w Wish, now time.Time) map[string]bool {
+	witnesses := map[string]int{}
+	all := map[string]bool{}
+	for _, in := range instances {
+		all[in.FailureDomain] = true
+		if b.domain(in.FailureDomain).unreached[in.ID] || b.load(in.ID).quiet(now) {
+			witnesses[in.FailureDomain]++
+		}
+	}
+	var out map[string]bool
+	for name, n := range witnesses {
+		d := b.domain(name)
+		if n < darkWitnesses || now.Sub(d.heard) < darkAfter || now.Sub(d.probed) >= w.probes() {
+			continue
+		}
+		if out == nil {
+			out = map[string]bool{}
+		}
+		out[name] = true
+	}
+	if len(out) == len(all) {
+		return nil
+	}
+	return out
+}
+
+// probes is how long after the last probe a request is let through.
+func (w Wish) probes() time.Duration {
+	if w.Repeats {
+		return probeEvery
+	}
+	return probeOnceEvery
+}
+
+// quiet reports whether an instance keeps requests and has been without a word for longer
+// than is usual for it.
+func (l *load) quiet(now time.Time) bool {
+	usual := time.Duration(l.latency * float64(time.Second))
+	return l.inFlight > 0 && now.Sub(l.heard) > max(darkAfter, quietTimes*usual)
+}
+
+// quietTimes is how many times its usual latency an instance may be quiet.
+const quietTimes = 3
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
@@ -130,7 +133,7 @@
 		return false
 	}
 	view := j.server.View()
-	wish := balance.Wish{Tried: j.tried, Busy: view.Busy}
+	wish := balance.Wish{Tried: j.tried, Busy: view.Busy, Repeats: j.route.Repeats()}
 	if p := j.request.Prompt; p != nil {
 		wish.Key = p.SharedKey()
 		wish.Model = p.Model
@@ -146,7 +149,7 @@
 	if !ok {
 		return false
 	}
-	j.server.board.Begin(in.ID, now)
+	j.server.board.Begin(in, now)
 	j.instance = in
 	j.tried = append(j.tried, in.ID)
 	j.number++
@@ -170,9 +173,9 @@
 		result.Latency = heard.Sub(began)
 		result.Failed = end.Status >= 500
 	case retry.Unreached, retry.Misdirected:
-		result.Failed, result.Unreached = true, true
+		result.Failed, result.Unreached, result.TimedOut = true, true, timedOut(err)
 	case retry.Broken:
-		result.Failed = true
+		result.Failed, result.TimedOut = true, timedOut(err)
 	}
 	j.server.mu.Lock()
 	j.server.board.End(j.instance.ID, result, time.Now())
@@ -184,6 +187,12 @@
 	return end
 }
 
+// timedOut reports whether an address said nothing in time, not even that it refuses.
+func timedOut(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
 // noteHeard notes a word of the instance before its answer has ended.
 func (j *job) noteHeard(reply exchange.Reply, now time.Time) {
 	switch reply.(type) {
