--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -63,7 +63,7 @@
 		// One connection a poll at most, and none that outlives a cut: a poll that
 		// times out closes its connection.
 		f.client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
-			DialContext: netdial.Dialer(dialTimeout).DialContext,
+			DialContext: netdial.NewQuick(dialTimeout).DialContext,
 		}}
 		f.merged = registry.Merged{Grace: silentBeats * f.Heartbeat}
 		f.weights = map[string]uint64{}
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -15,8 +15,10 @@
 	// pollTimeout gives up a source that is cut off or frozen.
 	pollTimeout = 2 * time.Second
 	dialTimeout = 500 * time.Millisecond
-	// retryWait is the pause after a failed poll.
-	retryWait = 200 * time.Millisecond
+	// retryWait is the pause after a failed poll; the first after an answer is retryFirst, so
+	// that processes that start together find each other at once.
+	retryWait  = 200 * time.Millisecond
+	retryFirst = 20 * time.Millisecond
 )
 
 // source is what is known of one control instance.
@@ -46,17 +48,20 @@
 // watch polls one source until ctx ends.
 func (f *Follower) watch(ctx context.Context, address string) {
 	client := wire.NewFleetProtobufClient("http://"+address, f.client)
+	wait := retryFirst
 	for ctx.Err() == nil {
 		out, err := client.Watch(ctx, f.request(address))
-		if err != nil {
-			f.lost(address, err)
-			select {
-			case <-time.After(retryWait):
-			case <-ctx.Done():
-			}
+		if err == nil {
+			f.take(address, out)
+			wait = retryFirst
 			continue
 		}
-		f.take(address, out)
+		f.lost(address, err)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, retryWait)
 	}
 }
 
