What instances reported outlives a loss of power of the control instances

Change: a control instance writes what was reported to its data folder, at most twice a second and only when it changed, and takes it up at its start for two heartbeats; leaving and gone stay so.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -31,6 +32,8 @@
 	// orderInterval is how often it is looked whether an order is to be given: a fleet has
 	// some seconds for ten rounds of loads, and a look costs nothing while all is loaded.
 	orderInterval = 120 * time.Millisecond
+	// instancesFile is what instances reported, in the data folder.
+	instancesFile = "instances"
 	// ticksASecond is how many ticks of the control log are in a second.
 	ticksASecond = int(time.Second / control.DefaultTick)
 )
@@ -85,6 +88,7 @@
 		return nil, failure{exitFailed, errors.Wrapf(err, "open %s", s.Data)}
 	}
 	source := fleet.NewSource(ctx, s.Heartbeat(), logger)
+	source.Remember(ctx, filepath.Join(s.Data, instancesFile))
 	addresses := func() []string { return union(file.Current().PeerSeeds(), source.Control()) }
 	client := controlclient.New(addresses)
 	follower := &fleet.Follower{
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -112,6 +112,19 @@
 	return out
 }
 
+// Recall takes a report of an earlier life of this registry. Until the instance reports
+// itself it counts for a while only, and one that was silent then does not count at all.
+func (r *Registry) Recall(report Report, now time.Time, counts time.Duration) {
+	if report.Silent {
+		return
+	}
+	if r.records == nil {
+		r.records = map[string]*record{}
+	}
+	report.Change = r.next()
+	r.records[report.ID] = &record{report: report, heard: now.Add(counts - r.SilentAfter)}
+}
+
 // Leave takes the end of an incarnation.
 func (r *Registry) Leave(id string, now time.Time) {
 	if r.records == nil {
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -134,6 +134,35 @@
 	}
 }
 
+// What was written down counts for a while, unless it is heard of; one that left stays away.
+func TestRecall(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	for _, report := range []registry.Report{
+		{Instance: instance("reports", 3, false)}, {Instance: instance("is gone", 3, false)},
+		{Instance: instance("left", 3, false), Left: true}, {Instance: instance("was silent", 3, false), Silent: true},
+	} {
+		r.Recall(report, now, 2*beat)
+	}
+	if n := len(r.Since(0)); n != 3 {
+		t.Errorf("%d are known", n)
+	}
+	r.Hear(instance("reports", 4, false), now.Add(beat))
+	r.Hear(instance("left", 4, false), now.Add(beat))
+	var silent []string
+	for _, in := range r.Sweep(now.Add(2*beat + 1)) {
+		silent = append(silent, in.ID)
+	}
+	if diff := cmp.Diff([]string{"is gone"}, silent); diff != "" {
+		t.Error(diff)
+	}
+	for _, report := range r.Since(0) {
+		if report.ID == "left" && !report.Left {
+			t.Error("one that left came back")
+		}
+	}
+}
+
 func TestSilenceAndReturn(t *testing.T) {
 	now := time.Unix(0, 0)
 	r := registry.Registry{SilentAfter: 4 * beat}
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -41,8 +41,9 @@
 // Source is what one control instance tells. Make one with NewSource. It is safe for
 // concurrent use.
 type Source struct {
-	epoch uint64
-	log   *log.Logger
+	epoch     uint64
+	heartbeat time.Duration
+	log       *log.Logger
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -73,7 +74,7 @@
 // often instances report.
 func NewSource(ctx context.Context, heartbeat time.Duration, logger *log.Logger) *Source {
 	s := &Source{
-		epoch: rand.Uint64() | 1, log: logger, weights: map[string]uint64{},
+		epoch: rand.Uint64() | 1, heartbeat: heartbeat, log: logger, weights: map[string]uint64{},
 		registry: registry.Registry{SilentAfter: silentBeats * heartbeat},
 		entries:  map[string]time.Time{}, changed: make(chan struct{}),
 	}
