SIGHUP does not end a process that has just begun

Until the settings file is watched nobody catches SIGHUP, and the default ends the process; on a busy machine that takes some hundred milliseconds.

--- a/internal/system/seeds_test.go
+++ b/internal/system/seeds_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"syscall"
@@ -171,3 +173,33 @@
 		t.Error("it did not end in order")
 	}
 }
+
+// A process that has just begun is not ended by the word that its settings changed. Its
+// settings come through a pipe here, so that it is known to wait for them.
+func TestHangupAtTheStart(t *testing.T) {
+	s := newSite(t, 1, 1)
+	e := s.entries[0]
+	e.kill()
+	before := len(e.text())
+	err := os.Remove(e.path)
+	if err == nil {
+		err = syscall.Mkfifo(e.path, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.start()
+	pipe, err := os.OpenFile(e.path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.signal(syscall.SIGHUP)
+	text, err := json.Marshal(e.settings)
+	if err == nil {
+		_, err = pipe.Write(text)
+	}
+	if closeErr := pipe.Close(); err != nil || closeErr != nil {
+		t.Fatal(err, closeErr)
+	}
+	eventually(t, "it runs", func() bool { return strings.Contains(e.text()[before:], "event=entry_starts") })
+}
