The soak looks who opened connections for many at once

Change: one look answers all questions that wait, and only what is asked for is read of the table of sockets.

--- a/internal/system/links_test.go
+++ b/internal/system/links_test.go
@@ -33,8 +33,19 @@
 	// healed is closed and replaced whenever a cut ends.
 	healed chan struct{}
 	closed chan struct{}
+	// lookups are the questions who opened a connection.
+	lookups chan lookup
 }
 
+// lookup asks which process has a socket at an address.
+type lookup struct {
+	socket *net.TCPAddr
+	name   chan<- string
+}
+
+// mostLookups bounds the questions that are answered by one look through all sockets.
+const mostLookups = 100
+
 // outside is the name of who is no process of the deployment.
 const outside = "outside"
 
@@ -42,8 +53,10 @@
 	l := &links{
 		t: t, processes: map[string]*process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
 		open: map[string]map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
+		lookups: make(chan lookup),
 	}
 	t.Cleanup(func() { close(l.closed) })
+	go l.lookUp()
 	return l
 }
 
@@ -200,49 +213,97 @@
 // opener finds out which process opened a connection: the one that holds the socket
 // whose local address is the connection's remote one.
 func (l *links) opener(c net.Conn) string {
-	if c.RemoteAddr().(*net.TCPAddr).IP.Equal(standin.Local) {
+	socket := c.RemoteAddr().(*net.TCPAddr)
+	if socket.IP.Equal(standin.Local) {
 		return outside
 	}
-	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, p := range l.processes {
-		if holds(p.pid.Load(), inode) {
-			return name
+	name := make(chan string, 1)
+	select {
+	case l.lookups <- lookup{socket, name}:
+		return <-name
+	case <-l.closed:
+		return outside
+	}
+}
+
+// lookUp answers questions, those that wait together: a look through the sockets of all
+// processes takes milliseconds.
+func (l *links) lookUp() {
+	for {
+		var waiting []lookup
+		select {
+		case first := <-l.lookups:
+			waiting = append(waiting, first)
+		case <-l.closed:
+			return
+		}
+		for more := true; more && len(waiting) < mostLookups; {
+			select {
+			case next := <-l.lookups:
+				waiting = append(waiting, next)
+			default:
+				more = false
+			}
+		}
+		inodes, names := inodesOf(waiting), l.holders()
+		for _, q := range waiting {
+			name, ok := names[inodes[hexAddress(q.socket)]]
+			if !ok {
+				name = outside
+			}
+			q.name <- name
 		}
 	}
-	return outside
 }
 
-func inodeOf(a *net.TCPAddr) string {
+// hexAddress is an address as /proc/net/tcp writes it.
+func hexAddress(a *net.TCPAddr) string {
+	ip := a.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+}
+
+// inodesOf returns the inode of each socket that is asked for, by its address in hex.
+func inodesOf(waiting []lookup) map[string]string {
+	wanted := map[string]bool{}
+	for _, q := range waiting {
+		wanted[hexAddress(q.socket)] = true
+	}
+	out := map[string]string{}
 	b, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return out
 	}
-	ip := a.IP.To4()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
 	for line := range strings.Lines(string(b)) {
 		fields := strings.Fields(line)
-		if len(fields) > 9 && fields[1] == want {
-			return fields[9]
+		if len(fields) > 9 && wanted[fields[1]] {
+			out[fields[1]] = fields[9]
 		}
 	}
-	return ""
+	return out
 }
 
-func holds(pid int64, inode string) bool {
-	folder := fmt.Sprintf("/proc/%d/fd", pid)
-	files, err := os.ReadDir(folder)
-	if err != nil || pid == 0 || inode == "" {
-		return false
+// holders returns the process that holds each socket, by its inode.
+func (l *links) holders() map[string]string {
+	l.mu.Lock()
+	pids := map[string]int64{}
+	for name, p := range l.processes {
+		pids[name] = p.pid.Load()
 	}
-	for _, f := range files {
-		link, err := os.Readlink(folder + "/" + f.Name())
-		if err == nil && link == "socket:["+inode+"]" {
-			return true
+	l.mu.Unlock()
+	out := map[string]string{}
+	for name, pid := range pids {
+		folder := fmt.Sprintf("/proc/%d/fd", pid)
+		// A process that does not run holds none.
+		files, _ := os.ReadDir(folder)
+		for _, f := range files {
+			link, err := os.Readlink(folder + "/" + f.Name())
+			inode, isSocket := strings.CutPrefix(link, "socket:[")
+			if err == nil && isSocket {
+				out[strings.TrimSuffix(inode, "]")] = name
+			}
 		}
 	}
-	return false
+	return out
 }
 
 // TestLinksCutAndHeal checks the tool itself: what is sent over a cut way arrives after
