Balance: choosing in a file of its own, one measure of quiet

The two ways in which an instance may be without a word were the same sum written twice, and balance.go did choosing and book-keeping. The constants of both files stand at their heads.

--- a/internal/coordination/balance/domains.go
+++ b/internal/coordination/balance/domains.go
@@ -14,6 +14,9 @@
 	darkAfter = 500 * time.Millisecond
 	// darkWitnesses is how many instances must show it: one alone may be ill itself.
 	darkWitnesses = 2
+	// quietTimes is how many times its usual latency an instance may be without a word before
+	// it is a witness.
+	quietTimes = 3
 	// probeEvery is how often a request that may run again elsewhere is let through to a
 	// domain that is cut off, and probeOnceEvery how often any other is.
 	probeEvery     = time.Second
@@ -85,9 +88,5 @@
 // quiet reports whether an instance keeps requests and has been without a word for longer
 // than is usual for it.
 func (l *load) quiet(now time.Time) bool {
-	usual := time.Duration(l.latency * float64(time.Second))
-	return l.inFlight > 0 && now.Sub(l.heard) > max(darkAfter, quietTimes*usual)
+	return l.wordless(now, darkAfter, quietTimes)
 }
-
-// quietTimes is how many times its usual latency an instance may be quiet.
-const quietTimes = 3
--- /dev/null
+++ b/internal/coordination/balance/pick.go
@@ -0,0 +1,173 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// loadFactor is how far above the mean an instance may be loaded before the next one
+	// in rank is taken: consistent hashing with bounded loads (Mirrokni et al., 2018)
+	// shows that a quarter more keeps most keys in place.
+	loadFactor = 1.25
+	// loadSpare lets one request more pass at small loads, where a quarter is nothing.
+	loadSpare = 1.0
+	// failedBase is one and a little more, so that an instance that failed all lately still
+	// has a finite wait and is tried now and then: twenty times as long as a sound one's.
+	failedBase = 1.05
+	// newerShare is how much more than their part of the instances gets the requests while
+	// weights change: the new ones are preferred, and not overrun while they are few.
+	newerShare = 1.5
+)
+
+// Wish is what a request asks for.
+type Wish struct {
+	// Key is 0 for requests that may run anywhere as well.
+	Key uint64
+	// Repeats says that the request may run once more elsewhere, if nothing is heard of it.
+	Repeats bool
+	// Tried are the ids of instances that had the request already.
+	Tried []string
+	// Busy are instances that are taken only when nothing else is left.
+	Busy map[string]bool
+	// Waiting holds how many requests of all entries wait at each instance, as far as it is
+	// known. A prompt that is soon read goes by its key alone: it overtakes what waits.
+	Waiting map[string]int
+	// Model and Weights, when set, name the weight version that is preferred.
+	Model   string
+	Weights uint64
+}
+
+// Pick chooses an instance; ok is false when there is none that was not tried.
+func (b *Board) Pick(instances []registry.Instance, w Wish, now time.Time) (chosen registry.Instance, ok bool) {
+	open := b.open(instances, w, now)
+	if len(open) == 0 {
+		return registry.Instance{}, false
+	}
+	open = b.preferNewer(open, w)
+	if w.Key != 0 {
+		return b.pickByKey(notCrowded(open, w.Waiting), w.Key), true
+	}
+	return b.pickByWait(open), true
+}
+
+// open leaves out what was tried, and what is busy, silent, cut off or failed lately unless
+// nothing else is left.
+func (b *Board) open(instances []registry.Instance, w Wish, now time.Time) []registry.Instance {
+	var sound, rest []registry.Instance
+	dark := b.dark(instances, w, now)
+	for _, in := range instances {
+		switch {
+		case slices.Contains(w.Tried, in.ID):
+		case dark[in.FailureDomain] || w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil) || b.load(in.ID).silent(now):
+			rest = append(rest, in)
+		default:
+			sound = append(sound, in)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return rest
+}
+
+// preferNewer keeps the instances with the wanted weights for most requests.
+func (b *Board) preferNewer(open []registry.Instance, w Wish) []registry.Instance {
+	if w.Weights == 0 {
+		return open
+	}
+	var newer []registry.Instance
+	for _, in := range open {
+		if in.Weights[w.Model] >= w.Weights {
+			newer = append(newer, in)
+		}
+	}
+	share := newerShare * float64(len(newer)) / float64(len(open))
+	if len(newer) == 0 || b.random.Float64() >= share {
+		return open
+	}
+	return newer
+}
+
+// notCrowded leaves out the instances at which more waits than the bound allows, of which an
+// entry sees little by itself. Those of which nothing is known stay.
+func notCrowded(open []registry.Instance, waiting map[string]int) []registry.Instance {
+	total, known := 0, 0
+	for _, in := range open {
+		if n, ok := waiting[in.ID]; ok {
+			total += n
+			known++
+		}
+	}
+	if total == 0 {
+		return open
+	}
+	bound := bounded(total, known)
+	var out []registry.Instance
+	for _, in := range open {
+		if float64(waiting[in.ID]+1) <= bound {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// bounded is the most that one of some instances may have of a total, and one more.
+func bounded(total, instances int) float64 {
+	return loadFactor*float64(total+instances)/float64(instances) + loadSpare
+}
+
+// pickByKey takes the first instance in the key's rank whose load is within the bound.
+func (b *Board) pickByKey(open []registry.Instance, key uint64) registry.Instance {
+	total := 0
+	for _, in := range open {
+		total += b.load(in.ID).inFlight
+	}
+	bound := loadFactor*float64(total+1)/float64(len(open)) + loadSpare
+	best := -1
+	var bestRank uint64
+	for i, in := range open {
+		if float64(b.load(in.ID).inFlight+1) > bound {
+			continue
+		}
+		if rank := rank(in.ID, key); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	if best < 0 {
+		return b.pickByWait(open)
+	}
+	return open[best]
+}
+
+func rank(id string, key uint64) uint64 {
+	x := xxhash.Sum64String(id) ^ key
+	// The finaliser of splitmix64 spreads the bits of the two.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// pickByWait takes the instance with the shortest expected wait; a share of failures
+// counts as time lost.
+func (b *Board) pickByWait(open []registry.Instance) registry.Instance {
+	offset := b.random.IntN(len(open))
+	best := math.Inf(1)
+	var chosen registry.Instance
+	for i := range open {
+		in := open[(i+offset)%len(open)]
+		l := b.load(in.ID)
+		slots := float64(max(in.Slots, 1))
+		wait := l.latency * (1 + float64(l.inFlight)/slots) * (1 + float64(l.inFlight)) / (failedBase - l.failed)
+		if wait < best {
+			best = wait
+			chosen = in
+		}
+	}
+	return chosen
+}
