Fleet: what a source answers in a file of its own, two long functions split

source.go held both what a control instance publishes and what it answers polls with. The marks of a poll have a type, and a follower's take leaves what concerns one source to it.

--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -17,7 +17,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
@@ -31,11 +30,6 @@
 	// newsInterval joins the news of all stores and engines: a part is known so much later,
 	// of the 2 s for which it is named.
 	newsInterval = 200 * time.Millisecond
-	// maxWait bounds a long poll.
-	maxWait = 5 * time.Second
-	// entryLifetime is how long an entry counts after its last poll, so that the share
-	// of the retries of entries that are cut off is not given to others at once.
-	entryLifetime = 30 * time.Second
 )
 
 // Source is what one control instance tells. Make one with NewSource. It is safe for
@@ -208,73 +202,3 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
-
-// Watch answers when something changed since the caller's marks, or after a wait.
-func (s *Source) Watch(ctx context.Context, in *wire.FleetRequest) (*wire.FleetResponse, error) {
-	wait := time.NewTimer(min(time.Duration(in.WaitMilliseconds)*time.Millisecond, maxWait))
-	defer wait.Stop()
-	for {
-		out, news, changed := s.look(in)
-		if news {
-			return out, nil
-		}
-		select {
-		case <-changed:
-		case <-wait.C:
-			return out, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// Configuration returns the configuration that this control instance has applied.
-func (s *Source) Configuration(context.Context, *wire.InstalledRequest) (*wire.InstalledResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return &wire.InstalledResponse{Version: s.installed.Version, Text: s.installed.Text}, nil
-}
-
-// look returns what the caller lacks, whether that is anything, and what is closed at
-// the next change.
-func (s *Source) look(in *wire.FleetRequest) (*wire.FleetResponse, bool, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if in.Entry {
-		s.entries[in.Name] = time.Now()
-	}
-	since, storesSince, controlSince, queuesSince := in.Change, in.StoreChange, in.ControlChange, in.QueuesChange
-	if in.Epoch != s.epoch {
-		since, storesSince, controlSince, queuesSince = 0, 0, 0, 0
-	}
-	out := &wire.FleetResponse{
-		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
-		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
-		QueuesChange: s.queuesChange,
-	}
-	if queuesSince != s.queuesChange {
-		out.Queues = fromQueues(s.queues)
-	}
-	if controlSince != s.controlChange {
-		out.Control = s.control
-	}
-	now := time.Now()
-	for _, r := range s.registry.Since(since) {
-		out.Instances = append(out.Instances, fromReport(r, now))
-	}
-	newConfig := s.installed.Version > in.ConfigVersion
-	if newConfig && !in.WithoutText {
-		out.ConfigText = s.installed.Text
-	}
-	s.stores.tell(storesSince, out)
-	news := in.Epoch != s.epoch || len(out.Instances) > 0 || newConfig || newer(s.weights, toWeights(in.Weights)) ||
-		in.Entry && (s.stores.hasNews(storesSince, time.Duration(in.StoresUntil)*time.Millisecond) || queuesSince != s.queuesChange || !slices.Equal(s.busy, in.Busy))
-	return out, news, s.changed
-}
-
-// countEntries counts the entries that asked lately; mu must be held.
-func (s *Source) countEntries() int {
-	now := time.Now()
-	maps.DeleteFunc(s.entries, func(_ string, at time.Time) bool { return now.Sub(at) > entryLifetime })
-	return len(s.entries)
-}
--- /dev/null
+++ b/internal/transport/fleet/source_answer.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+)
+
+const (
+	// maxWait bounds a long poll.
+	maxWait = 5 * time.Second
+	// entryLifetime is how long an entry counts after its last poll, so that the share
+	// of the retries of entries that are cut off is not given to others at once.
+	entryLifetime = 30 * time.Second
+)
+
+// Watch answers when something changed since the caller's marks, or after a wait.
+func (s *Source) Watch(ctx context.Context, in *wire.FleetRequest) (*wire.FleetResponse, error) {
+	wait := time.NewTimer(min(time.Duration(in.WaitMilliseconds)*time.Millisecond, maxWait))
+	defer wait.Stop()
+	for {
+		out, news, changed := s.look(in)
+		if news {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			return out, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Configuration returns the configuration that this control instance has applied.
+func (s *Source) Configuration(context.Context, *wire.InstalledRequest) (*wire.InstalledResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &wire.InstalledResponse{Version: s.installed.Version, Text: s.installed.Text}, nil
+}
+
+// marks are up to where a caller knows what a Source tells, by its numbers.
+type marks struct {
+	change, stores, control, queues uint64
+}
+
+// marksOf returns the caller's marks; those of another life of this source say nothing.
+func (s *Source) marksOf(in *wire.FleetRequest) marks {
+	if in.Epoch != s.epoch {
+		return marks{}
+	}
+	return marks{change: in.Change, stores: in.StoreChange, control: in.ControlChange, queues: in.QueuesChange}
+}
+
+// look returns what the caller lacks, whether that is anything, and what is closed at
+// the next change.
+func (s *Source) look(in *wire.FleetRequest) (*wire.FleetResponse, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.Entry {
+		s.entries[in.Name] = time.Now()
+	}
+	since := s.marksOf(in)
+	out := s.lacking(in, since)
+	news := in.Epoch != s.epoch || len(out.Instances) > 0 || s.installed.Version > in.ConfigVersion ||
+		newer(s.weights, toWeights(in.Weights)) || in.Entry && s.entryNews(in, since)
+	return out, news, s.changed
+}
+
+// lacking returns what a caller with some marks lacks; mu must be held.
+func (s *Source) lacking(in *wire.FleetRequest, since marks) *wire.FleetResponse {
+	out := &wire.FleetResponse{
+		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
+		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
+		QueuesChange: s.queuesChange,
+	}
+	if since.queues != s.queuesChange {
+		out.Queues = fromQueues(s.queues)
+	}
+	if since.control != s.controlChange {
+		out.Control = s.control
+	}
+	now := time.Now()
+	for _, r := range s.registry.Since(since.change) {
+		out.Instances = append(out.Instances, fromReport(r, now))
+	}
+	if s.installed.Version > in.ConfigVersion && !in.WithoutText {
+		out.ConfigText = s.installed.Text
+	}
+	s.stores.tell(since.stores, out)
+	return out
+}
+
+// entryNews reports whether there is news that only entries are woken for; mu must be held.
+func (s *Source) entryNews(in *wire.FleetRequest, since marks) bool {
+	return s.stores.hasNews(since.stores, time.Duration(in.StoresUntil)*time.Millisecond) ||
+		since.queues != s.queuesChange || !slices.Equal(s.busy, in.Busy)
+}
+
+// countEntries counts the entries that asked lately; mu must be held.
+func (s *Source) countEntries() int {
+	now := time.Now()
+	maps.DeleteFunc(s.entries, func(_ string, at time.Time) bool { return now.Sub(at) > entryLifetime })
+	return len(s.entries)
+}
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -111,6 +111,23 @@
 		f.merged.Forget(address, now)
 		s.stores = storesKnown{}
 	}
+	s.take(out, now)
+	reports := make([]registry.Report, 0, len(out.Instances))
+	for _, r := range out.Instances {
+		reports = append(reports, toReport(r, now))
+	}
+	f.merged.Take(address, reports, now)
+	if len(reports) > 0 {
+		f.joinInstances()
+	}
+	f.takeWeights(toWeights(out.Weights), now)
+	f.takeConfig(address, out.ConfigVersion, out.ConfigText)
+	f.wantConfig()
+	f.publish()
+}
+
+// take notes what an answer says of its source and of what the source alone vouches for.
+func (s *source) take(out *wire.FleetResponse, now time.Time) {
 	s.reached = true
 	s.answered = now
 	s.epoch = out.Epoch
@@ -127,18 +144,6 @@
 	s.busy = out.Busy
 	s.version = out.ConfigVersion
 	s.stores.take(out, now)
-	reports := make([]registry.Report, 0, len(out.Instances))
-	for _, r := range out.Instances {
-		reports = append(reports, toReport(r, now))
-	}
-	f.merged.Take(address, reports, now)
-	if len(reports) > 0 {
-		f.joinInstances()
-	}
-	f.takeWeights(toWeights(out.Weights), now)
-	f.takeConfig(address, out.ConfigVersion, out.ConfigText)
-	f.wantConfig()
-	f.publish()
 }
 
 func (f *Follower) takeWeights(weights map[string]uint64, now time.Time) {
