The deployment under test and its soak by what their files do

site_test.go held instances and stand-ins besides the deployment; soak_test.go the drawing of plans, the phases of a round and the look at votes; soak_judge_test.go what workers do and the verdicts. Each is a file of its own, and bounds stand where they are held.

--- /dev/null
+++ b/internal/system/site_standins_test.go
@@ -0,0 +1,126 @@
+package system_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedrock/shedrock/platform/standin"
+)
+
+// upstream is a stand-in of an instance that reports itself.
+type upstream struct {
+	*standin.Upstream
+	site          *site
+	name, address string
+	failureDomain string
+	sequence      atomic.Int64
+
+	mu sync.Mutex
+	// lives counts the incarnations; silent and leaving say what the next heartbeat tells.
+	lives           int
+	silent, leaving bool
+}
+
+// serveUpstream serves the stand-in of an instance.
+func (s *site) serveUpstream(n int) *upstream {
+	s.t.Helper()
+	host := int(hosts.Add(1))
+	u := &upstream{
+		Upstream: &standin.Upstream{Contract: s.contract, Record: s.record, Stores: map[string]*standin.Store{}},
+		site:     s, name: fmt.Sprint(s.plan.names, "u", n), failureDomain: s.domain(host),
+	}
+	for _, k := range s.stores {
+		u.Stores[k.address] = k.Store
+	}
+	u.address = s.serve(u.name, host, u.Upstream)
+	u.restart()
+	return u
+}
+
+// store is a stand-in of a store of kept context.
+type store struct {
+	*standin.Store
+	name, address string
+}
+
+func (s *site) serveStore(n int) *store {
+	s.t.Helper()
+	k := &store{Store: standin.NewStore(s.record, s.contract.StoreRoom), name: fmt.Sprint(s.plan.names, "k", n)}
+	k.address = s.serve(k.name, int(hosts.Add(1)), k.Store)
+	return k
+}
+
+// serve serves a stand-in, and returns where processes reach it.
+func (s *site) serve(name string, host int, handler http.Handler) (address string) {
+	s.t.Helper()
+	address, listen := s.front(name, host, standinPort)
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+// standinPort is where every stand-in is reached, at an address of its own.
+const standinPort = 9000
+
+// restart begins the next incarnation.
+func (u *upstream) restart() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lives++
+	u.silent, u.leaving = false, false
+	u.Start(fmt.Sprintf("%s-%d", u.name, u.lives))
+}
+
+// crash ends the incarnation without a word; it runs nothing more.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.silent = true
+	u.Start(fmt.Sprintf("%s-%d-gone", u.name, u.lives))
+}
+
+// leave makes the next heartbeats say that the instance will end.
+func (u *upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+// beat reports to one control instance.
+func (u *upstream) beat(c *instance) bool {
+	u.mu.Lock()
+	silent, leaving := u.silent, u.leaving
+	u.mu.Unlock()
+	id, weights := u.State()
+	b := standin.Beat{ID: id, Address: u.address, FailureDomain: u.failureDomain, Leaving: leaving, Sequence: u.sequence.Add(1), Weights: weights}
+	return !silent && u.site.contract.Send(c.control, b)
+}
+
+// keepBeating reports to whichever control instance answers, until the test ends.
+func (u *upstream) keepBeating() {
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	u.site.t.Cleanup(func() { close(stop); <-done })
+	go func() {
+		defer close(done)
+		for n := 0; ; {
+			if !u.beat(u.site.controls[n%len(u.site.controls)]) {
+				n++
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(u.site.plan.heartbeat):
+			}
+		}
+	}()
+}
