Fleet: a follower's word on a source has a name of its own

source beside Source read as the same thing; it is what a follower knows of one. Writing down reports says how the last one went by value and not through a pointer.

--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -52,7 +52,7 @@
 	merged    registry.Merged
 	weights   map[string]uint64
 	weightsAt map[string]time.Time
-	sources   map[string]*source
+	sources   map[string]*knownSource
 	// instances is the last view's; it is made anew only after reports, and each
 	// viewInterval for what ages.
 	instances map[string][]registry.Instance
@@ -68,7 +68,7 @@
 		f.merged = registry.Merged{Grace: silentBeats * f.Heartbeat}
 		f.weights = map[string]uint64{}
 		f.weightsAt = map[string]time.Time{}
-		f.sources = map[string]*source{}
+		f.sources = map[string]*knownSource{}
 		f.view.Store(&View{Entries: 1})
 	})
 }
@@ -107,7 +107,7 @@
 			continue
 		}
 		watch, cancel := context.WithCancel(ctx)
-		f.sources[address] = &source{cancel: cancel, answered: time.Now()}
+		f.sources[address] = &knownSource{cancel: cancel, answered: time.Now()}
 		go f.watch(watch, address)
 	}
 	for address, s := range f.sources {
--- a/internal/transport/fleet/follower_stores.go
+++ b/internal/transport/fleet/follower_stores.go
@@ -81,7 +81,7 @@
 }
 
 // newestStores returns for each store what was told with the latest end.
-func newestStores(sources map[string]*source) map[string]Kept {
+func newestStores(sources map[string]*knownSource) map[string]Kept {
 	out := map[string]Kept{}
 	for _, src := range sources {
 		for address, kept := range src.stores.stores {
--- a/internal/transport/fleet/memory.go
+++ b/internal/transport/fleet/memory.go
@@ -43,7 +43,8 @@
 			if err == nil {
 				written = change
 			}
-			s.noteMemory(err, &failed)
+			s.noteMemory(err, failed)
+			failed = err != nil
 		}
 	}()
 }
@@ -68,12 +69,12 @@
 	return change, text
 }
 
-// noteMemory logs when writing begins to fail, and when it works again.
-func (s *Source) noteMemory(err error, failed *bool) {
-	if (err != nil) == *failed {
+// noteMemory logs when writing begins to fail, and when it works again; failed is how the last
+// one went.
+func (s *Source) noteMemory(err error, failed bool) {
+	if (err != nil) == failed {
 		return
 	}
-	*failed = err != nil
 	if err != nil {
 		s.log.Error().Str("event", "instances_not_written").Str("error", err.Error()).Msg("")
 		return
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -21,8 +21,8 @@
 	retryFirst = 20 * time.Millisecond
 )
 
-// source is what is known of one control instance.
-type source struct {
+// knownSource is what a Follower knows of one control instance.
+type knownSource struct {
 	cancel context.CancelFunc
 	epoch  uint64
 	change uint64
@@ -127,7 +127,7 @@
 }
 
 // take notes what an answer says of its source and of what the source alone vouches for.
-func (s *source) take(out *wire.FleetResponse, now time.Time) {
+func (s *knownSource) take(out *wire.FleetResponse, now time.Time) {
 	s.reached = true
 	s.answered = now
 	s.epoch = out.Epoch
