--- a/internal/system/deployments_test.go
+++ b/internal/system/deployments_test.go
@@ -24,7 +24,7 @@
 		{"two losses, no spare, walls, small stores", func(p *plan) {
 			p.controls, p.losses, p.domains, p.stores = 5, 2, 2, 3
 			p.contract = standin.Contract{Name: "wall-", Attempts: 1, Engines: true, Key: "k", IsolatedKey: "q", StoreRoom: 4_100}
-			p.callersPort, p.readyPort, p.controlPort, p.peerPort = 80+7000, 81+7000, 82+7000, 83+7000
+			p.callersPort, p.readyPort, p.controlPort, p.peerPort = 7080, 7081, 7082, 7083
 		}},
 		{"spares, many attempts, no slack for repeats", func(p *plan) {
 			p.controls, p.upstreams, p.names = 5, 6, "zürich ñ-"
--- a/internal/system/seeds_test.go
+++ b/internal/system/seeds_test.go
@@ -1,7 +1,6 @@
 package system_test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -169,7 +168,7 @@
 		t.Error(status, diff)
 	}
 	e.terminate()
-	if !bytes.Contains([]byte(e.text()), []byte("event=entry_stopped")) {
+	if !strings.Contains(e.text(), "event=entry_stopped") {
 		t.Error("it did not end in order")
 	}
 }
--- a/internal/system/soak_faults_test.go
+++ b/internal/system/soak_faults_test.go
@@ -45,7 +45,11 @@
 	if len(r.free) == 0 {
 		return "none: every instance has one", func() {}
 	}
-	in := r.take()
+	return r.instanceFault(r.take())
+}
+
+// instanceFault harms a process, its links or its disk.
+func (r *soakRun) instanceFault(in *instance) (what string, undo func()) {
 	name := in.settings.Name
 	switch r.random.IntN(9) {
 	case 0:
@@ -66,13 +70,7 @@
 		r.links.reset(name)
 		return name + " reset", func() {}
 	case 5:
-		others := r.others(name)
-		r.links.cut([]string{name}, others)
-		if r.random.IntN(2) == 0 {
-			return name + " cannot send", func() {}
-		}
-		r.links.cut(others, []string{name})
-		return name + " silenced", func() {}
+		return r.silence(name), func() {}
 	case 6:
 		one, other := r.halves()
 		r.links.cut(one, other)
@@ -86,6 +84,17 @@
 	}
 }
 
+// silence cuts the way from a process, and at times the way to it as well.
+func (r *soakRun) silence(name string) (what string) {
+	others := r.others(name)
+	r.links.cut([]string{name}, others)
+	if r.random.IntN(2) == 0 {
+		return name + " cannot send"
+	}
+	r.links.cut(others, []string{name})
+	return name + " silenced"
+}
+
 // diskFault harms the disk of a control instance: it is lost, as long as no other one is,
 // or its last write is torn.
 func (r *soakRun) diskFault(in *instance) (what string, undo func()) {
--- a/internal/system/soak_judge_test.go
+++ b/internal/system/soak_judge_test.go
@@ -16,6 +16,10 @@
 	callPause   = 20 * time.Millisecond
 	changePause = 150 * time.Millisecond
 	readPause   = 40 * time.Millisecond
+	// Each worker draws from a random source of its own, by its number: callers from 0 on.
+	firstOperator = 100
+	readerNumber  = 200
+	proberNumber  = 201
 )
 
 // judge plays callers and operators against a deployment, and holds what they and the
@@ -93,14 +97,14 @@
 		work(n, callPause, j.callOne)
 	}
 	for n := range soakOperators {
-		work(100+n, changePause, func(random *rand.Rand, _ *standin.Caller) {
+		work(firstOperator+n, changePause, func(random *rand.Rand, _ *standin.Caller) {
 			if !j.quiet.Load() {
 				j.change(random)
 			}
 		})
 	}
-	work(200, readPause, func(random *rand.Rand, _ *standin.Caller) { j.readBack(random) })
-	work(201, readPause, func(random *rand.Rand, _ *standin.Caller) { j.probe(random) })
+	work(readerNumber, readPause, func(random *rand.Rand, _ *standin.Caller) { j.readBack(random) })
+	work(proberNumber, readPause, func(random *rand.Rand, _ *standin.Caller) { j.probe(random) })
 	j.t.Cleanup(j.halt)
 }
 
