--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return exchange.Unreached{Err: errors.Wrap(err, "make the request")}
 	}
-	res, x := c.exchange(req, a)
+	res, x := c.do(req, a)
 	switch o := classify.Outcome(x).(type) {
 	case outcome.Answered:
 		return receive(a, res)
@@ -48,7 +48,8 @@
 	panic("upstream: outcome that no exchange has")
 }
 
-func (c *Client) exchange(req *http.Request, a *exchange.Attempt) (*http.Response, classify.Exchange) {
+// do makes the exchange, over a connection of its own when the attempt may not be repeated.
+func (c *Client) do(req *http.Request, a *exchange.Attempt) (*http.Response, classify.Exchange) {
 	if a.Single {
 		return c.doOnce(req, a.Run, a.Number)
 	}
