--- a/internal/transport/callmetrics/callmetrics.go
+++ b/internal/transport/callmetrics/callmetrics.go
@@ -37,14 +37,28 @@
 func New(standing func() Standing) *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
-		calls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_calls_total", Help: "Calls of operators and instances by their status."}, []string{"call", "status"}),
-		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_call_seconds", Help: "From a call's arrival to its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}, []string{"call"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shedrock_calls_total", Help: "Calls of operators and instances by their status.",
+		}, []string{"call", "status"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "shedrock_call_seconds", Help: "From a call's arrival to its answer.",
+			// From 1 ms to 2 s.
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}, []string{"call"}),
 	}
+	m.registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.calls, m.took,
+	)
+	m.registry.MustRegister(gauges(standing)...)
+	return m
+}
+
+// gauges tell how a control instance stands whenever they are read.
+func gauges(standing func() Standing) []prometheus.Collector {
 	gauge := func(name, help string, value func(Standing) float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(standing()) })
 	}
-	m.registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.calls, m.took,
+	return []prometheus.Collector{
 		gauge("shedrock_leading", "1 while this instance leads the control log.", func(s Standing) float64 {
 			if s.Leading {
 				return 1
@@ -54,8 +68,7 @@
 		gauge("shedrock_term", "The term of the control log.", func(s Standing) float64 { return float64(s.Term) }),
 		gauge("shedrock_configuration_version", "The newest configuration applied here.", func(s Standing) float64 { return float64(s.Version) }),
 		gauge("shedrock_instances", "Instances that live, as far as is known here.", func(s Standing) float64 { return float64(s.Instances) }),
-	)
-	return m
+	}
 }
 
 // Handler serves the metrics as text.
