--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -1,9 +1,10 @@
 // Package registry holds the instances that registered by heartbeat.
 //
-// It is soft state: nothing of it is written to a disk. Each control instance keeps a
-// Registry of what it heard itself; whoever uses instances joins the reports of all
-// control instances in a Merged. An incarnation's newest sequence number decides which
-// report holds, so calls that arrive late or elsewhere change nothing.
+// It is soft state: what a control instance wrote down of it only bridges a restart, until
+// the instances report again (Recall). Each control instance keeps a Registry of what it heard
+// itself; whoever uses instances joins the reports of all control instances in a Merged. An
+// incarnation's newest sequence number decides which report holds, so calls that arrive late
+// or elsewhere change nothing.
 package registry
 
 import (
