Queues of a source's earlier life go with it; an answer that broke off was a word

Both found by reading. A source that restarted and had the same number of changes left the old queues in force: the epoch was compared after it had been noted (TestQueuesOfAnEarlierLife, seen failing). An attempt whose answer broke off after its head, at its deadline, counted as a witness that its failure domain is cut off, though the instance had spoken. In the soak, instances no longer share one list of seeds.

--- a/internal/system/soak_phases_test.go
+++ b/internal/system/soak_phases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -176,8 +177,9 @@
 
 // hangUp writes other settings, and says so.
 func (r *soakRun) hangUp(in *instance) {
-	seeds := in.settings.Seeds
+	seeds := slices.Clone(in.settings.Seeds)
 	r.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	in.settings.Seeds = seeds
 	in.write(r.site)
 	in.hangUp()
 }
--- a/internal/transport/fleet/stores_test.go
+++ b/internal/transport/fleet/stores_test.go
@@ -116,3 +116,15 @@
 	publish("z", 7*time.Second)
 	wait(t, "it is back", func() bool { return ends()["z"] == 7*time.Second })
 }
+
+// A source that began anew does not leave the queues of its earlier life in force, whatever
+// its marks are.
+func TestQueuesOfAnEarlierLife(t *testing.T) {
+	a := newControl(t)
+	f := follow(t, a)
+	a.source.Load().PublishWaiting(map[string]int{"x": 7})
+	wait(t, "the queue is known", func() bool { return f.View().Waiting["x"] == 7 })
+	a.restart()
+	a.source.Load().PublishWaiting(map[string]int{"y": 2})
+	wait(t, "only the new one is", func() bool { return cmp.Equal(map[string]int{"y": 2}, f.View().Waiting) })
+}
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -128,6 +128,7 @@
 
 // take notes what an answer says of its source and of what the source alone vouches for.
 func (s *knownSource) take(out *wire.FleetResponse, now time.Time) {
+	began := s.epoch != out.Epoch
 	s.reached = true
 	s.answered = now
 	s.epoch = out.Epoch
@@ -136,7 +137,7 @@
 		s.control = out.Control
 	}
 	s.controlChange = out.ControlChange
-	if s.queuesChange != out.QueuesChange || s.epoch != out.Epoch {
+	if s.queuesChange != out.QueuesChange || began {
 		s.queues = toQueues(out.Queues)
 	}
 	s.queuesChange = out.QueuesChange
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -173,9 +173,9 @@
 		result.Latency = heard.Sub(began)
 		result.Failed = end.Status >= 500
 	case retry.Unreached, retry.Misdirected:
-		result.Failed, result.Unreached, result.TimedOut = true, true, timedOut(err)
+		result.Failed, result.Unreached, result.TimedOut = true, true, timedOut(reply, err)
 	case retry.Broken:
-		result.Failed, result.TimedOut = true, timedOut(err)
+		result.Failed, result.TimedOut = true, timedOut(reply, err)
 	}
 	j.server.mu.Lock()
 	j.server.board.End(j.instance.ID, result, time.Now())
@@ -187,8 +187,14 @@
 	return end
 }
 
-// timedOut reports whether an address said nothing in time, not even that it refuses.
-func timedOut(err error) bool {
+// timedOut reports whether an address said nothing in time, not even that it refuses. An
+// answer that broke off after its head was a word.
+func timedOut(reply exchange.Reply, err error) bool {
+	switch reply.(type) {
+	case exchange.Unreached, exchange.Broken:
+	default:
+		return false
+	}
 	var network net.Error
 	return errors.As(err, &network) && network.Timeout()
 }
