Balance's package comment says what it goes by now

Cause: read as a newcomer, it still said that no shared knowledge is used; queues of engines and cut failure domains came after it was written. Change: the comment alone.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -1,8 +1,10 @@
 // Package balance chooses the instance for a request from what an entry saw of its own
-// requests: no shared knowledge is needed, so it works the same in a cut.
+// requests, and from the queues of engines where they are known; without those, and in a cut,
+// it works by itself.
 //
-// Prompts go by rendezvous hashing of their shared part, with a bound on the load of the
-// instance that is first in rank; other requests go where the expected wait is shortest.
+// Prompts go by rendezvous hashing of their shared part, past instances with more than their
+// bound; other requests go where the expected wait is shortest. A failure domain of which
+// nothing is heard any more is avoided as a whole.
 package balance
 
 import (
