--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/settings"
 )
 
@@ -110,10 +111,5 @@
 
 func wait(t *testing.T, done func() bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if done() {
-			return
-		}
-	}
-	t.Fatal("it never came true")
+	await.Until(t, 20*time.Second, "what is expected", done)
 }
--- a/internal/system/links_test.go
+++ b/internal/system/links_test.go
@@ -125,7 +125,7 @@
 		held := max(l.delays[from], l.delays[to])
 		l.mu.Unlock()
 		if !cut {
-			time.Sleep(held)
+			pass(held)
 			return true
 		}
 		select {
--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/shedrock/shedrock/internal/await"
 )
 
 const (
@@ -142,16 +144,7 @@
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.After(patience)
-	tick := time.NewTicker(checkEvery)
-	defer tick.Stop()
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			t.Fatalf("never came true: %s", what)
-		}
-	}
+	await.Until(t, patience, what, ok)
 }
 
 const (
--- a/internal/system/soak_judge_test.go
+++ b/internal/system/soak_judge_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shedrock/shedrock/platform/standin"
+
+	"github.com/shedrock/shedrock/internal/await"
 )
 
 const (
@@ -31,8 +33,9 @@
 	workers sync.WaitGroup
 	// sequence counts the requests; newest is the newest version that was sent.
 	sequence, newest atomic.Int64
-	// quiet holds back the operators.
-	quiet atomic.Bool
+	// quiet holds back the operators, and changing counts those that may be changing something.
+	quiet    atomic.Bool
+	changing atomic.Int64
 	// weights is the newest weight version that was named.
 	weights uint64
 
@@ -98,6 +101,8 @@
 	}
 	for n := range soakOperators {
 		work(firstOperator+n, changePause, func(random *rand.Rand, _ *standin.Caller) {
+			j.changing.Add(1)
+			defer j.changing.Add(-1)
 			if !j.quiet.Load() {
 				j.change(random)
 			}
@@ -133,11 +138,7 @@
 // within fails the test when something does not come true in time.
 func (j *judge) within(limit time.Duration, what string, ok func() bool) {
 	j.t.Helper()
-	for end := time.Now().Add(limit); !ok(); time.Sleep(checkEvery) {
-		if time.Now().After(end) {
-			j.t.Fatalf("not within %s: %s", limit, what)
-		}
-	}
+	await.Until(j.t, limit, what, ok)
 }
 
 // newLife notes that an instance is about to end.
--- a/internal/system/soak_phases_test.go
+++ b/internal/system/soak_phases_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/shedrock/shedrock/platform/standin"
 )
 
@@ -16,8 +14,9 @@
 	// longest time for which all of a round stay on.
 	mostOverlap = 700 * time.Millisecond
 	mostHeld    = 2500 * time.Millisecond
-	// plannedTime is how long a round looks at planned work alone.
-	plannedTime = 1500 * time.Millisecond
+	// plannedAnswers is how many more answers callers must get before planned work has been
+	// looked at: each of them some, over all entries.
+	plannedAnswers = 60
 
 	// What follows are the bounds that are promised to callers and operators, as the
 	// deployments seen so far have them.
@@ -58,18 +57,25 @@
 		name, end := r.fault()
 		r.t.Logf("%s fault: %s", time.Now().Format("05.000"), name)
 		undo = append(undo, end)
-		time.Sleep(time.Duration(r.random.Int64N(int64(mostOverlap))))
+		r.lasts(mostOverlap)
 	}
-	time.Sleep(time.Duration(r.random.Int64N(int64(mostHeld))))
+	r.lasts(mostHeld)
 	for _, n := range r.random.Perm(len(undo)) {
 		undo[n]()
 		r.thawed()
-		time.Sleep(time.Duration(r.random.Int64N(int64(mostOverlap))))
+		r.lasts(mostOverlap)
 	}
 	r.links.heal()
 	r.thawed()
 }
 
+// lasts lets a drawn time pass: how long a fault lasts is what the seed says.
+func (r *soakRun) lasts(most time.Duration) { pass(time.Duration(r.random.Int64N(int64(most)))) }
+
+// pass lets a time pass that a fault or a promise is made of; whatever can be waited for by
+// its condition is.
+func pass(d time.Duration) { <-time.After(d) }
+
 // settle waits until what was disturbed works again with no operator's help.
 func (r *soakRun) settle() {
 	for _, u := range r.upstreams {
@@ -86,20 +92,20 @@
 		})
 	}
 	r.within(healTime, "every vote is held by a running control instance", r.votesHeld)
-	time.Sleep(contactTime)
+	pass(contactTime)
 }
 
 // calm holds the deployment to what has a time bound; nothing disturbs it.
 func (r *soakRun) calm() {
 	r.holdChanges(true)
 	version := r.acknowledgeNewest()
-	time.Sleep(applyTime)
+	inForce := time.Now().Add(applyTime)
 	for _, e := range r.entries {
-		status, _ := r.call(e, r.contract.VersionPath(version), r.newID())
-		older, _ := r.call(e, r.contract.VersionPath(version-1), r.newID())
-		if diff := cmp.Diff([]int{http.StatusOK, http.StatusNotFound}, []int{status, older}); diff != "" {
-			r.t.Errorf("%s does not obey version %d: %s", e.settings.Name, version, diff)
-		}
+		r.within(time.Until(inForce), e.settings.Name+" obeys the newest version alone", func() bool {
+			status, _ := r.call(e, r.contract.VersionPath(version), r.newID())
+			older, _ := r.call(e, r.contract.VersionPath(version-1), r.newID())
+			return status == http.StatusOK && older == http.StatusNotFound
+		})
 	}
 	for _, c := range r.controls {
 		r.within(ackTime, c.settings.Name+" reads back the newest version", func() bool { return installed(c) >= version })
@@ -154,7 +160,8 @@
 		r.hangUp(other)
 	}
 	r.leaves(r.upstreams[r.random.IntN(len(r.upstreams))])
-	time.Sleep(plannedTime)
+	answered := r.answers()
+	r.within(patience, "callers go on being answered", func() bool { return r.answers() >= answered+plannedAnswers })
 	<-stopped
 	r.strict(false)
 	e.start()
@@ -166,7 +173,7 @@
 	u.leave()
 	r.within(ackTime, "a leaving instance is acknowledged", func() bool { return u.beat(r.controls[r.random.IntN(len(r.controls))]) })
 	acknowledged := time.Now()
-	time.Sleep(leaveTime + contactTime/4)
+	pass(leaveTime + contactTime/4)
 	for _, a := range r.record.Arrivals() {
 		if a.Instance == id && a.At.After(acknowledged.Add(leaveTime)) {
 			r.t.Errorf("%s got request %s %s after its leaving was acknowledged", id, a.ID, a.At.Sub(acknowledged))
--- a/internal/system/soak_work_test.go
+++ b/internal/system/soak_work_test.go
@@ -131,11 +131,22 @@
 	return j.acked
 }
 
+// answers counts the answers that callers got so far, of any kind.
+func (j *judge) answers() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for _, count := range j.counts {
+		n += count
+	}
+	return n
+}
+
 // holdChanges holds back the operators, and waits until none is on its way.
 func (j *judge) holdChanges(hold bool) {
 	j.quiet.Store(hold)
 	if hold {
-		time.Sleep(3 * standin.CallTimeout / 2)
+		j.within(patience, "no change is on its way", func() bool { return j.changing.Load() == 0 })
 	}
 }
 
--- a/internal/transport/fleet/fixture_test.go
+++ b/internal/transport/fleet/fixture_test.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/ledger"
@@ -104,12 +105,7 @@
 
 func wait(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		if done() {
-			return
-		}
-	}
-	t.Fatal("never came true: " + what)
+	await.Until(t, 20*time.Second, what, done)
 }
 
 func live(f *fleet.Follower) []string {
--- a/internal/transport/orders/registered_test.go
+++ b/internal/transport/orders/registered_test.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
@@ -141,12 +142,7 @@
 
 func wait(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if done() {
-			return
-		}
-	}
-	t.Fatal("never came true: " + what)
+	await.Until(t, 40*time.Second, what, done)
 }
 
 // Each engine loads once, a fifth at a time, and is asked a few times at most.
