A caller that leaves says nothing of its instance

Cause: found by reading. The end of such a request reached the balance as one that had not failed, so each lowered the share of failures and ended the pause after connections that failed; a sick instance whose callers give up looked sound again. Failure domains were kept for ever, too. Change: such an end only returns the place, and domains without an instance in use are forgotten with the instances. Test: TestCallersThatLeaveSayNothing, seen failing.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -105,6 +106,8 @@
 	// Failed counts against the instance; Unreached also has it avoided for a while, and
 	// TimedOut says that nothing was heard from its address until the time was over.
 	Failed, Unreached, TimedOut bool
+	// CallerLeft says that the caller ended it, so that nothing follows for the instance.
+	CallerLeft bool
 	// Latency is the time to the first byte of an answer, or 0 when there was none.
 	Latency time.Duration
 }
@@ -114,6 +117,9 @@
 	l := b.load(id)
 	l.inFlight--
 	l.seen = now
+	if r.CallerLeft {
+		return
+	}
 	share := 0.0
 	if r.Failed {
 		share = 1
@@ -134,11 +140,16 @@
 	l.avoidUntil = now.Add(min(pause, mostPause))
 }
 
-// Forget drops the loads of instances that were not used lately.
+// Forget drops the loads of instances that were not used lately, and what is known of the
+// failure domains that have no other.
 func (b *Board) Forget(before time.Time) {
+	used := map[string]bool{}
 	for id, l := range b.loads {
 		if l.inFlight == 0 && l.seen.Before(before) {
 			delete(b.loads, id)
+			continue
 		}
+		used[l.domain] = true
 	}
+	maps.DeleteFunc(b.domains, func(name string, _ *domain) bool { return !used[name] })
 }
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// Callers that leave say nothing of an instance: one that fails is not made sound by them.
+func TestCallersThatLeaveSayNothing(t *testing.T) {
+	b := balance.New(1)
+	two := instances(2)
+	for range 20 {
+		b.Begin(two[0], now)
+		b.End("i0", balance.Result{Failed: true, Latency: 10 * time.Millisecond}, now)
+		b.Begin(two[1], now)
+		b.End("i1", balance.Result{Latency: 10 * time.Millisecond}, now)
+	}
+	for range 100 {
+		b.Begin(two[0], now)
+		b.End("i0", balance.Result{CallerLeft: true}, now)
+	}
+	for range 10 {
+		if id := pick(t, b, two, balance.Wish{}); id != "i1" {
+			t.Fatalf("%s was chosen", id)
+		}
+	}
+}
+
 func TestBusyOnlyWhenNothingElseIsLeft(t *testing.T) {
 	b := balance.New(1)
 	two := instances(2)
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -176,6 +176,8 @@
 		result.Failed, result.Unreached, result.TimedOut = true, true, timedOut(reply, err)
 	case retry.Broken:
 		result.Failed, result.TimedOut = true, timedOut(reply, err)
+	case retry.CallerGone:
+		result.CallerLeft = true
 	}
 	j.server.mu.Lock()
 	j.server.board.End(j.instance.ID, result, time.Now())
