The test of callers that leave fails without its guard

Change: the failing one is the faster. Run: without the guard it fails ('i0 was chosen'), with it it passes.

--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -174,9 +174,9 @@
 	two := instances(2)
 	for range 20 {
 		b.Begin(two[0], now)
-		b.End("i0", balance.Result{Failed: true, Latency: 10 * time.Millisecond}, now)
+		b.End("i0", balance.Result{Failed: true, Latency: 5 * time.Millisecond}, now)
 		b.Begin(two[1], now)
-		b.End("i1", balance.Result{Latency: 10 * time.Millisecond}, now)
+		b.End("i1", balance.Result{Latency: 20 * time.Millisecond}, now)
 	}
 	for range 100 {
 		b.Begin(two[0], now)
