The tests of whole deployments and their stand-ins are test files of the platform's folder

Change: the deployments' tests, the soak and the stand-ins are one test package, platform/deployment; what runs, freezes and kills the real programs, the forwarders and the windows of ports are internal/system/processes, used by both kinds of system tests.

--- a/internal/system/control_test.go
+++ b/internal/system/control_test.go
@@ -34,17 +34,17 @@
 		if round%2 == 1 {
 			victim = (victim + 1) % 3
 		}
-		g.replicas[victim].kill()
+		g.replicas[victim].Kill()
 		change(5)
-		g.replicas[victim].start()
+		g.replicas[victim].Start()
 		change(5)
 	}
 	// All of them at once, and back.
 	for _, r := range g.replicas {
-		r.kill()
+		r.Kill()
 	}
 	for _, r := range g.replicas {
-		r.start()
+		r.Start()
 	}
 	change(1)
 	eventually(t, "every replica holds every change", func() bool {
@@ -104,11 +104,11 @@
 		g.apply("models", version, models(fmt.Sprint("v", version)))
 	}
 	lost := (g.leader() + 1) % 3
-	g.replicas[lost].kill()
+	g.replicas[lost].Kill()
 	if err := os.RemoveAll(g.folders[lost]); err != nil {
 		t.Fatal(err)
 	}
-	g.replicas[lost].start()
+	g.replicas[lost].Start()
 	var fresh string
 	eventually(t, "the blank replica answers", func() bool {
 		s, ok := g.status(lost)
@@ -141,7 +141,7 @@
 		return true
 	})
 	second := (lost + 1) % 3
-	g.replicas[second].kill()
+	g.replicas[second].Kill()
 	version++
 	if a := g.apply("models", version, models("after")); a.Result != wire.ApplyResponse_ACCEPTED {
 		t.Fatalf("after the second loss: %v", a)
@@ -159,13 +159,13 @@
 	g := newGroup(t, 3)
 	g.apply("models", 1, models("v1"))
 	frozen := g.leader()
-	g.replicas[frozen].signal(syscall.SIGSTOP)
+	g.replicas[frozen].Signal(syscall.SIGSTOP)
 	for version := 2; version <= 4; version++ {
 		if a := g.apply("models", version, models(fmt.Sprint("v", version))); a.Result != wire.ApplyResponse_ACCEPTED {
 			t.Fatalf("%v", a)
 		}
 	}
-	g.replicas[frozen].signal(syscall.SIGCONT)
+	g.replicas[frozen].Signal(syscall.SIGCONT)
 	// It is asked directly, and must not accept a second version 2.
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -186,7 +186,7 @@
 	g := newGroup(t, 3)
 	g.apply("models", 1, models("v1"))
 	away := (g.leader() + 1) % 3
-	g.replicas[away].signal(syscall.SIGSTOP)
+	g.replicas[away].Signal(syscall.SIGSTOP)
 	for version := 2; version <= 700; version++ {
 		g.apply("models", version, models(fmt.Sprint("v", version)))
 	}
@@ -194,7 +194,7 @@
 	if s, ok := g.status(g.leader()); ok {
 		term = s.Term
 	}
-	g.replicas[away].signal(syscall.SIGCONT)
+	g.replicas[away].Signal(syscall.SIGCONT)
 	eventually(t, "it has caught up", func() bool {
 		s, ok := g.status(away)
 		return ok && s.Revision == 700
@@ -211,7 +211,7 @@
 	for version := 1; version <= 5; version++ {
 		g.apply("models", version, models(fmt.Sprint("v", version)))
 	}
-	g.replicas[0].kill()
+	g.replicas[0].Kill()
 	path := g.folders[0] + "/log"
 	log, err := os.ReadFile(path)
 	if err != nil {
@@ -221,11 +221,11 @@
 	if err := os.WriteFile(path, torn, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	g.replicas[0].start()
+	g.replicas[0].Start()
 	if a := g.apply("models", 6, models("v6")); a.Revision != 6 {
 		t.Fatalf("after a torn tail: %v", a)
 	}
-	g.replicas[0].kill()
+	g.replicas[0].Kill()
 	log, err = os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -234,9 +234,9 @@
 	if err := os.WriteFile(path, log, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	g.replicas[0].start()
-	err = g.replicas[0].cmd.Wait()
-	if err == nil || !strings.Contains(g.replicas[0].text(), "data folder is damaged") {
+	g.replicas[0].Start()
+	err = g.replicas[0].Wait()
+	if err == nil || !strings.Contains(g.replicas[0].Text(), "data folder is damaged") {
 		t.Fatalf("a damaged folder was opened: %v", err)
 	}
 }
@@ -251,9 +251,9 @@
 		victim := g.leader()
 		began := time.Now()
 		if planned {
-			g.replicas[victim].terminate()
+			g.replicas[victim].Terminate()
 		} else {
-			g.replicas[victim].kill()
+			g.replicas[victim].Kill()
 		}
 		stopped := time.Since(began)
 		version++
@@ -261,10 +261,10 @@
 			t.Fatalf("after the stop: %v", a)
 		}
 		t.Logf("planned %v: stopped after %v, the next change accepted after %v", planned, stopped, time.Since(began))
-		if planned && !strings.Contains(g.replicas[victim].text(), "event=handed_over leader=") {
+		if planned && !strings.Contains(g.replicas[victim].Text(), "event=handed_over leader=") {
 			t.Fatal("the leader did not hand over")
 		}
-		g.replicas[victim].start()
+		g.replicas[victim].Start()
 		eventually(t, "it is back", func() bool { s, ok := g.status(victim); return ok && s.Revision == uint64(version) })
 	}
 }
--- a/internal/system/group_test.go
+++ b/internal/system/group_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/system/processes"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 )
 
@@ -17,9 +18,9 @@
 	// addresses are where others reach the replicas; with links they lead to listening.
 	addresses, listening []string
 	folders              []string
-	replicas             []*process
+	replicas             []*processes.Process
 	client               *controlclient.Client
-	links                *links
+	links                *processes.Links
 }
 
 func newGroup(t *testing.T, n int) *group {
@@ -28,23 +29,23 @@
 }
 
 // startGroup starts replicas that reach each other over links, or directly.
-func startGroup(t *testing.T, n int, l *links) *group {
+func startGroup(t *testing.T, n int, l *processes.Links) *group {
 	t.Helper()
 	g := &group{t: t, links: l}
 	for i := range n {
-		address := freeAddress(t)
+		address := processes.FreeAddress(t)
 		g.listening = append(g.listening, address)
 		if l != nil {
-			address = freeAddress(t)
-			l.forward(replicaName(i), address, g.listening[i])
+			address = processes.FreeAddress(t)
+			l.Forward(replicaName(i), address, g.listening[i])
 		}
 		g.addresses = append(g.addresses, address)
 		g.folders = append(g.folders, filepath.Join(t.TempDir(), "data"))
 	}
 	for i := range n {
-		p := start(t, g.args(i)...)
+		p := processes.Start(t, g.args(i)...)
 		g.replicas = append(g.replicas, p)
-		l.attach(replicaName(i), p)
+		l.Attach(replicaName(i), p)
 	}
 	g.client = controlclient.New(controlclient.Fixed(g.addresses))
 	return g
--- a/internal/system/limit_test.go
+++ b/internal/system/limit_test.go
@@ -13,7 +13,7 @@
 func TestTeamRateIsShared(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	eventually(t, "both entries know each other", func() bool {
-		return strings.Contains(f.entries[0].text(), "event=entries live=2") && strings.Contains(f.entries[1].text(), "event=entries live=2")
+		return strings.Contains(f.entries[0].Text(), "event=entries live=2") && strings.Contains(f.entries[1].Text(), "event=entries live=2")
 	})
 	teams := func(rate string) string {
 		return "teams:\n  - {name: demo, key_digests: [" + demoDigest + "], models: [demo], services: [orders]" + rate + "}\n"
--- a/internal/system/mix_test.go
+++ b/internal/system/mix_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/standin/fault"
+	"github.com/shedrock/shedrock/internal/system/processes"
 )
 
 // mixSeeds are the seeds that CI runs; make soak runs soakSeeds more.
@@ -63,7 +64,7 @@
 
 func faultMix(t *testing.T, seed uint64) {
 	m := &mix{
-		fleet:    startFleet(t, startGroup(t, 5, newLinks(t)), 3),
+		fleet:    startFleet(t, startGroup(t, 5, processes.NewLinks(t)), 3),
 		random:   rand.New(rand.NewPCG(seed, 0x313)),
 		stop:     make(chan struct{}),
 		outcomes: map[string][]string{},
@@ -81,7 +82,7 @@
 		for _, f := range undo {
 			f()
 		}
-		m.links.heal()
+		m.links.Heal()
 		m.progress()
 	}
 	close(m.stop)
@@ -98,27 +99,27 @@
 	m.t.Log("fault ", kind)
 	switch kind {
 	case 0:
-		replica.kill()
-		return replica.start
+		replica.Kill()
+		return replica.Start
 	case 1:
-		replica.signal(syscall.SIGSTOP)
-		return func() { replica.signal(syscall.SIGCONT) }
+		replica.Signal(syscall.SIGSTOP)
+		return func() { replica.Signal(syscall.SIGCONT) }
 	case 2:
 		one, other := m.split()
-		m.links.cut(one, other)
-		m.links.cut(other, one)
+		m.links.Cut(one, other)
+		m.links.Cut(other, one)
 	case 3:
 		one, other := m.split()
-		m.links.cut(one, other)
+		m.links.Cut(one, other)
 	case 4:
-		m.entries[entry].kill()
-		return m.entries[entry].start
+		m.entries[entry].Kill()
+		return m.entries[entry].Start
 	case 5:
-		m.entries[entry].signal(syscall.SIGSTOP)
-		return func() { m.entries[entry].signal(syscall.SIGCONT) }
+		m.entries[entry].Signal(syscall.SIGSTOP)
+		return func() { m.entries[entry].Signal(syscall.SIGCONT) }
 	case 6:
 		one, _ := m.split()
-		m.links.cut([]string{entryName(entry)}, one)
+		m.links.Cut([]string{entryName(entry)}, one)
 	case 7:
 		// Orders run, and their answers are lost.
 		m.faults(m.service, fault.Settings{CloseBeforeReply: true})
@@ -213,7 +214,7 @@
 		return true
 	})
 	for i, e := range m.entries {
-		m.onlyRises(i, e.text())
+		m.onlyRises(i, e.Text())
 		outcome, status, text := "", 0, ""
 		eventually(m.t, "an order runs", func() bool {
 			outcome, status, text = m.fleet.order(i, fmt.Sprint("last-", i), fmt.Sprint("last-", i))
--- a/internal/system/once_test.go
+++ b/internal/system/once_test.go
@@ -19,6 +19,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/standin/fault"
 	"github.com/shedrock/shedrock/internal/standin/service"
+	"github.com/shedrock/shedrock/internal/system/processes"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 )
 
@@ -29,8 +30,8 @@
 type fleet struct {
 	*group
 	engine, service string
-	engineProcess   *process
-	entries         []*process
+	engineProcess   *processes.Process
+	entries         []*processes.Process
 	callers         []string
 	operators       []string
 	peers           []string
@@ -46,7 +47,7 @@
 // startFleet starts entries, an engine and a service for a control log.
 func startFleet(t *testing.T, g *group, entries int) *fleet {
 	t.Helper()
-	f := &fleet{group: g, engine: freeAddress(t), service: freeAddress(t), callPatience: patience}
+	f := &fleet{group: g, engine: processes.FreeAddress(t), service: processes.FreeAddress(t), callPatience: patience}
 	f.engineProcess = startStandin(t, "upstream", f.engine, "--token-interval", "1ms", "--load-lag", "10ms")
 	startStandin(t, "service", f.service)
 	secret := filepath.Join(t.TempDir(), "secret")
@@ -54,15 +55,15 @@
 		t.Fatal(err)
 	}
 	for range entries {
-		f.peers = append(f.peers, freeAddress(t))
+		f.peers = append(f.peers, processes.FreeAddress(t))
 	}
 	for i := range entries {
-		f.callers = append(f.callers, freeAddress(t))
-		f.operators = append(f.operators, freeAddress(t))
+		f.callers = append(f.callers, processes.FreeAddress(t))
+		f.operators = append(f.operators, processes.FreeAddress(t))
 		args := []string{"entry", "--name", fmt.Sprint("e", i+1), "--failure-domain", "d1", "--callers", f.callers[i],
 			"--operators", f.operators[i], "--secret-file", secret, "--peers", f.peers[i], "--seeds", strings.Join(f.peers, ","), "--control", strings.Join(f.addresses, ",")}
-		f.entries = append(f.entries, start(t, args...))
-		g.links.attach(entryName(i), f.entries[i])
+		f.entries = append(f.entries, processes.Start(t, args...))
+		g.links.Attach(entryName(i), f.entries[i])
 	}
 	f.apply("models", 1, models("v1"))
 	f.apply("services", 1, "services:\n  - {name: orders, instances: ["+quote(f.service)+"], not_repeatable: [\"POST *\"]}\n")
@@ -161,15 +162,15 @@
 		}
 		switch n {
 		case 3:
-			f.entries[0].kill()
-			f.entries[0].start()
+			f.entries[0].Kill()
+			f.entries[0].Start()
 		case 6:
 			victim := f.leader()
-			f.replicas[victim].kill()
-			f.replicas[victim].start()
+			f.replicas[victim].Kill()
+			f.replicas[victim].Start()
 		case 9:
-			f.entries[1].signal(syscall.SIGSTOP)
-			f.entries[1].signal(syscall.SIGCONT)
+			f.entries[1].Signal(syscall.SIGSTOP)
+			f.entries[1].Signal(syscall.SIGCONT)
 		}
 	}
 	wg.Wait()
@@ -195,12 +196,12 @@
 		r, err := f.client.Lookup(context.Background(), "demo", "k")
 		return err == nil && r.Phase != wire.Record_ABSENT
 	})
-	f.entries[0].signal(syscall.SIGSTOP)
+	f.entries[0].Signal(syscall.SIGSTOP)
 	outcome, status, text := f.order(1, "k", "bread")
 	if outcome == "not run" || status == http.StatusOK && f.ran("bread") != 1 {
 		t.Fatalf("the second entry answered %q %d %s", outcome, status, text)
 	}
-	f.entries[0].signal(syscall.SIGCONT)
+	f.entries[0].Signal(syscall.SIGCONT)
 	<-first
 	eventually(t, "the answer is known everywhere", func() bool {
 		outcome, status, _ := f.order(1, "k", "bread")
@@ -217,7 +218,7 @@
 	f.faults(f.service, fault.Settings{Slow: 500 * time.Millisecond})
 	go f.order(0, "k", "bread")
 	eventually(t, "the service works on it", func() bool { return f.ran("bread") == 1 })
-	f.entries[0].kill()
+	f.entries[0].Kill()
 	for range 5 {
 		outcome, status, text := f.order(1, "k", "bread")
 		if outcome != "unknown" || status != http.StatusConflict {
@@ -236,8 +237,8 @@
 // and prompts go on.
 func TestNoMajority(t *testing.T) {
 	f := newFleet(t, 3, 1)
-	f.replicas[0].signal(syscall.SIGSTOP)
-	f.replicas[1].signal(syscall.SIGSTOP)
+	f.replicas[0].Signal(syscall.SIGSTOP)
+	f.replicas[1].Signal(syscall.SIGSTOP)
 	outcome, status, _ := f.order(0, "k", "bread")
 	if outcome != "not run" || status != http.StatusServiceUnavailable {
 		t.Fatalf("%q %d", outcome, status)
@@ -248,8 +249,8 @@
 	if n := f.ran("bread"); n != 0 {
 		t.Fatalf("an order that was refused as not run ran %d times", n)
 	}
-	f.replicas[0].signal(syscall.SIGCONT)
-	f.replicas[1].signal(syscall.SIGCONT)
+	f.replicas[0].Signal(syscall.SIGCONT)
+	f.replicas[1].Signal(syscall.SIGCONT)
 	eventually(t, "the refused order can be sent again", func() bool {
 		outcome, _, _ := f.order(0, "k", "bread")
 		return outcome == "ran"
@@ -315,14 +316,14 @@
 	for range 3 {
 		progress()
 		victim := g.leader()
-		g.replicas[victim].kill()
+		g.replicas[victim].Kill()
 		g.leader()
-		g.replicas[victim].start()
+		g.replicas[victim].Start()
 		progress()
 		frozen := g.leader()
-		g.replicas[frozen].signal(syscall.SIGSTOP)
+		g.replicas[frozen].Signal(syscall.SIGSTOP)
 		eventually(t, "another leads", func() bool { return g.leaderBut(frozen) })
-		g.replicas[frozen].signal(syscall.SIGCONT)
+		g.replicas[frozen].Signal(syscall.SIGCONT)
 	}
 	close(stop)
 	wg.Wait()
--- a/internal/system/links_test.go
+++ b/internal/system/processes/links.go
@@ -1,29 +1,25 @@
-package system_test
+package processes
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
-
-	"github.com/shedrock/shedrock/platform/standin"
 )
 
-// links forwards connections between processes, and can cut one process off from
+// Links forwards connections between processes, and can cut one process off from
 // another, in one direction or both. A cut is silent: bytes wait as they do in a
 // network, and arrive late after the heal.
-type links struct {
+type Links struct {
 	t *testing.T
 
 	mu sync.Mutex
 	// processes are known by name, to tell who opened a connection.
-	processes map[string]*process
+	processes map[string]*Process
 	// cuts holds pairs of names, from and to.
 	cuts map[[2]string]bool
 	// delays holds how long each piece that a process sends or gets is held back.
@@ -35,20 +31,25 @@
 	closed chan struct{}
 }
 
-// outside is the name of who is no process of the deployment.
-const outside = "outside"
+// Outside is the name of who is no process of the deployment.
+const Outside = "outside"
+
+// OutsideIP is where connections may come from that are known to be of no process, so that
+// nobody has to look for who opened them.
+var OutsideIP = net.IPv4(127, 255, 255, 1)
 
-func newLinks(t *testing.T) *links {
-	l := &links{
-		t: t, processes: map[string]*process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
+// NewLinks returns links that carry everything, until the test ends.
+func NewLinks(t *testing.T) *Links {
+	l := &Links{
+		t: t, processes: map[string]*Process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
 		open: map[string]map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
 	}
 	t.Cleanup(func() { close(l.closed) })
 	return l
 }
 
-// attach names a process. Without links it does nothing.
-func (l *links) attach(name string, p *process) {
+// Attach names a process. Without links it does nothing.
+func (l *Links) Attach(name string, p *Process) {
 	if l == nil {
 		return
 	}
@@ -57,8 +58,8 @@
 	l.processes[name] = p
 }
 
-// cut cuts the way from each of some processes to each of others.
-func (l *links) cut(from, to []string) {
+// Cut cuts the way from each of some processes to each of others.
+func (l *Links) Cut(from, to []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range from {
@@ -70,8 +71,8 @@
 	}
 }
 
-// heal ends every cut.
-func (l *links) heal() {
+// Heal ends every cut.
+func (l *Links) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.cuts)
@@ -79,15 +80,15 @@
 	l.healed = make(chan struct{})
 }
 
-// delay holds back what a process sends and gets; 0 ends it.
-func (l *links) delay(name string, by time.Duration) {
+// Delay holds back what a process sends and gets; 0 ends it.
+func (l *Links) Delay(name string, by time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.delays[name] = by
 }
 
-// reset resets the connections of a process, both those it opened and those it took.
-func (l *links) reset(name string) {
+// Reset resets the connections of a process, both those it opened and those it took.
+func (l *Links) Reset(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open[name] {
@@ -97,7 +98,7 @@
 }
 
 // hold keeps both ends of a joined connection for reset, until they are released.
-func (l *links) hold(from, to string, in, out *net.TCPConn) (release func()) {
+func (l *Links) hold(from, to string, in, out *net.TCPConn) (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, name := range []string{from, to} {
@@ -118,14 +119,14 @@
 }
 
 // wait returns once the way is open; ok is false when the test has ended.
-func (l *links) wait(from, to string) (ok bool) {
+func (l *Links) wait(from, to string) (ok bool) {
 	for {
 		l.mu.Lock()
 		cut, healed := l.cuts[[2]string{from, to}], l.healed
 		held := max(l.delays[from], l.delays[to])
 		l.mu.Unlock()
 		if !cut {
-			pass(held)
+			<-time.After(held)
 			return true
 		}
 		select {
@@ -136,8 +137,8 @@
 	}
 }
 
-// forward makes an address lead to the named process's own.
-func (l *links) forward(name, address, target string) {
+// Forward makes an address lead to the named process's own.
+func (l *Links) Forward(name, address, target string) {
 	l.t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -155,7 +156,7 @@
 	}()
 }
 
-func (l *links) join(name, target string, in net.Conn) {
+func (l *Links) join(name, target string, in net.Conn) {
 	defer in.Close()
 	from := l.opener(in)
 	if !l.wait(from, name) {
@@ -184,7 +185,7 @@
 }
 
 // carry copies what one process sends to another.
-func (l *links) carry(w io.Writer, r io.Reader, from, to string) {
+func (l *Links) carry(w io.Writer, r io.Reader, from, to string) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := r.Read(b)
@@ -199,9 +200,9 @@
 
 // opener finds out which process opened a connection: the one that holds the socket
 // whose local address is the connection's remote one.
-func (l *links) opener(c net.Conn) string {
-	if c.RemoteAddr().(*net.TCPAddr).IP.Equal(standin.Local) {
-		return outside
+func (l *Links) opener(c net.Conn) string {
+	if c.RemoteAddr().(*net.TCPAddr).IP.Equal(OutsideIP) {
+		return Outside
 	}
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr))
 	l.mu.Lock()
@@ -211,7 +212,7 @@
 			return name
 		}
 	}
-	return outside
+	return Outside
 }
 
 func inodeOf(a *net.TCPAddr) string {
@@ -244,58 +245,3 @@
 	}
 	return false
 }
-
-// TestLinksCutAndHeal checks the tool itself: what is sent over a cut way arrives after
-// the heal, and not before.
-func TestLinksCutAndHeal(t *testing.T) {
-	l := newLinks(t)
-	echo, err := net.Listen("tcp", freeAddress(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer echo.Close()
-	go func() {
-		for {
-			c, err := echo.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(c, c) }()
-		}
-	}()
-	address := freeAddress(t)
-	l.forward("echo", address, echo.Addr().String())
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	exchange := func() bool {
-		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-		_, err := io.ReadFull(c, make([]byte, 2))
-		return err == nil
-	}
-	write := func() { _, _ = c.Write([]byte("hi")) }
-	write()
-	eventually(t, "it is carried", exchange)
-	l.cut([]string{"echo"}, []string{outside})
-	write()
-	if exchange() {
-		t.Fatal("a cut way carried")
-	}
-	l.heal()
-	eventually(t, "it arrives late", exchange)
-	l.delay("echo", 300*time.Millisecond)
-	write()
-	if exchange() {
-		t.Fatal("it was not held back")
-	}
-	l.delay("echo", 0)
-	eventually(t, "it arrives after the delay", exchange)
-	l.reset("echo")
-	_ = c.SetReadDeadline(time.Now().Add(patience))
-	_, err = c.Read(make([]byte, 2))
-	if !errors.Is(err, syscall.ECONNRESET) {
-		t.Error("not reset: ", err)
-	}
-}
--- /dev/null
+++ b/internal/system/processes/links_test.go
@@ -0,0 +1,71 @@
+package processes_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/await"
+	"github.com/shedrock/shedrock/internal/system/processes"
+)
+
+// patience is above what a busy machine takes.
+const patience = 40 * time.Second
+
+// TestLinksCutAndHeal checks the tool itself: what is sent over a cut way arrives after
+// the heal, and not before.
+func TestLinksCutAndHeal(t *testing.T) {
+	l := processes.NewLinks(t)
+	echo, err := net.Listen("tcp", processes.FreeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	address := processes.FreeAddress(t)
+	l.Forward("echo", address, echo.Addr().String())
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	exchange := func() bool {
+		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		_, err := io.ReadFull(c, make([]byte, 2))
+		return err == nil
+	}
+	write := func() { _, _ = c.Write([]byte("hi")) }
+	write()
+	await.Until(t, patience, "it is carried", exchange)
+	l.Cut([]string{"echo"}, []string{processes.Outside})
+	write()
+	if exchange() {
+		t.Fatal("a cut way carried")
+	}
+	l.Heal()
+	await.Until(t, patience, "it arrives late", exchange)
+	l.Delay("echo", 300*time.Millisecond)
+	write()
+	if exchange() {
+		t.Fatal("it was not held back")
+	}
+	l.Delay("echo", 0)
+	await.Until(t, patience, "it arrives after the delay", exchange)
+	l.Reset("echo")
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	_, err = c.Read(make([]byte, 2))
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Error("not reset: ", err)
+	}
+}
--- /dev/null
+++ b/internal/system/processes/processes.go
@@ -0,0 +1,145 @@
+// Package processes runs the real program on loopback for tests, and stops, freezes and kills
+// it; Links stand between processes and cut them off from each other. No process but those that
+// a test started is ever signalled.
+package processes
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// binary is the program that Main built.
+var binary string
+
+// Main builds the program once and runs the tests; a package two folders below the root calls
+// it from its TestMain.
+func Main(m *testing.M) {
+	folder, err := os.MkdirTemp("", "shedrock-system-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(folder, "shedrock")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/shedrock").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// Process is one shedrock process, which can be started again.
+type Process struct {
+	// Args and Env are those of the next start; Env comes after this process's own.
+	Args, Env []string
+
+	t   *testing.T
+	cmd *exec.Cmd
+	// pid is 0 while the process does not run.
+	pid atomic.Int64
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// Write gathers the process's log.
+func (p *Process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+// Text returns all that the process has logged so far, in all its lives.
+func (p *Process) Text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Start starts a process, which ends with the test.
+func Start(t *testing.T, args ...string) *Process {
+	t.Helper()
+	p := &Process{t: t, Args: args}
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("%v\n%s", args, tail(p.Text()))
+			p.keepLog()
+		}
+	})
+	p.Start()
+	return p
+}
+
+// keepLog keeps the whole log of a process of a failed test in the folder SHEDROCK_TEST_LOGS.
+func (p *Process) keepLog() {
+	folder := os.Getenv("SHEDROCK_TEST_LOGS")
+	if folder == "" {
+		return
+	}
+	name := strings.ReplaceAll(p.t.Name(), "/", "-") + "-" + filepath.Base(p.Args[len(p.Args)-1]) + ".log"
+	err := os.WriteFile(filepath.Join(folder, name), []byte(p.Text()), 0o600)
+	if err != nil {
+		p.t.Log("the log is not kept: ", err)
+	}
+}
+
+func tail(s string) string { return s[max(0, len(s)-4000):] }
+
+// Start starts the process again.
+func (p *Process) Start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, p.Args...)
+	p.cmd.Stdout = p
+	p.cmd.Stderr = p
+	p.cmd.Env = append(os.Environ(), p.Env...)
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
+}
+
+// Signal sends a signal, unless the process has ended.
+func (p *Process) Signal(s syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once, also when it is stopped.
+func (p *Process) Kill() {
+	if p.cmd == nil {
+		return
+	}
+	p.Signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+	p.pid.Store(0)
+	p.cmd = nil
+}
+
+// Terminate stops the process as planned, and waits until it has ended.
+func (p *Process) Terminate() {
+	p.Signal(syscall.SIGTERM)
+	_ = p.cmd.Wait()
+	p.pid.Store(0)
+	p.cmd = nil
+}
+
+// Wait waits until the process has ended by itself, and returns why it was not well.
+func (p *Process) Wait() error { return p.cmd.Wait() }
+
+// Ended reports whether the process has ended by itself.
+func (p *Process) Ended() bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.pid.Load()))
+	// The state follows the name, which stands in brackets; Z has ended and is not waited for.
+	_, rest, found := strings.Cut(string(text), ") ")
+	return err != nil || !found || strings.HasPrefix(rest, "Z")
+}
--- a/internal/system/rollout_test.go
+++ b/internal/system/rollout_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/shedrock/shedrock/internal/protocol/engine"
+	"github.com/shedrock/shedrock/internal/system/processes"
 )
 
 // orders reads an engine's orders back.
@@ -36,7 +37,7 @@
 	var addresses []string
 	upstreams := "upstreams:\n"
 	for i := range engines {
-		address := freeAddress(t)
+		address := processes.FreeAddress(t)
 		addresses = append(addresses, address)
 		args := []string{"--token-interval", "1ms", "--load-lag", "10ms", "--load-time", "300ms"}
 		checks := i > 0
@@ -64,8 +65,8 @@
 	eventually(t, "a load has begun", func() bool { return orders(t, addresses[1]).Loading == "v2" || orders(t, addresses[1]).Version == "v2" })
 	first := orders(t, addresses[1]).Token
 	victim := f.leader()
-	f.replicas[victim].kill()
-	f.replicas[victim].start()
+	f.replicas[victim].Kill()
+	f.replicas[victim].Start()
 	most := 0
 	eventually(t, "every engine serves the new version", func() bool {
 		loading, done := 0, 0
--- a/internal/system/secret_test.go
+++ b/internal/system/secret_test.go
@@ -50,9 +50,9 @@
 	f := newFleet(t, 1, 2)
 	path := filepath.Join(t.TempDir(), "secret")
 	for _, e := range f.entries {
-		for i, arg := range e.args {
+		for i, arg := range e.Args {
 			if arg == "--secret-file" {
-				e.args[i+1] = path
+				e.Args[i+1] = path
 			}
 		}
 	}
@@ -73,8 +73,8 @@
 			t.Fatal(err)
 		}
 		for i, e := range f.entries {
-			e.terminate()
-			e.start()
+			e.Terminate()
+			e.Start()
 			f.ready(i)
 			if n == 0 && i == 0 {
 				// The other still has the secret that the fleet was started with.
