--- a/internal/transport/entry/fixture_test.go
+++ b/internal/transport/entry/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/protocol/openai"
 	"github.com/shedrock/shedrock/internal/standin/engine"
 	"github.com/shedrock/shedrock/internal/standin/service"
@@ -29,11 +30,10 @@
 const (
 	// patience bounds every wait for a condition; no verdict hangs on how much of
 	// it is used.
-	patience   = 20 * time.Second
-	checkEvery = 5 * time.Millisecond
-	demoKey    = "demo-key"
-	otherKey   = "other-key"
-	secret     = "a secret of the tests"
+	patience = 20 * time.Second
+	demoKey  = "demo-key"
+	otherKey = "other-key"
+	secret   = "a secret of the tests"
 )
 
 // client gives up on an answer that never comes.
@@ -199,16 +199,7 @@
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.After(patience)
-	tick := time.NewTicker(checkEvery)
-	defer tick.Stop()
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			t.Fatalf("never came true: %s", what)
-		}
-	}
+	await.Until(t, patience, what, ok)
 }
 
 // answer is what a caller got.
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/coordination/limits"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/state/prefix"
@@ -20,22 +21,12 @@
 )
 
 const (
-	patience   = 20 * time.Second
-	checkEvery = 5 * time.Millisecond
+	patience = 20 * time.Second
 )
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.After(patience)
-	tick := time.NewTicker(checkEvery)
-	defer tick.Stop()
-	for !ok() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			t.Fatalf("never came true: %s", what)
-		}
-	}
+	await.Until(t, patience, what, ok)
 }
 
 // member is one entry's part with a directory of its own.
