--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -21,8 +21,8 @@
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/keeping"
+	"github.com/shedrock/shedrock/internal/transport/loads"
 	"github.com/shedrock/shedrock/internal/transport/orders"
-	"github.com/shedrock/shedrock/internal/transport/queues"
 	"github.com/shedrock/shedrock/platform"
 )
 
@@ -74,7 +74,7 @@
 	client   *controlclient.Client
 	follower *fleet.Follower
 	keeper   *keeping.Keeper
-	queues   *queues.Watcher
+	loads    *loads.Watcher
 	// calls and metrics serve a listener each; replicas reach one another by the replica's.
 	calls, metrics *http.Server
 	log            *log.Logger
@@ -111,7 +111,7 @@
 		keeper: &keeping.Keeper{
 			View: follower.View, Leading: replica.Leading, Confirm: replica.Confirm, Source: source, Stores: platform.NewStores(), Log: logger,
 		},
-		queues: &queues.Watcher{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Log: logger},
+		loads: &loads.Watcher{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Log: logger},
 		calls: &http.Server{
 			Handler:           calls.Count(platform.Control{Control: client, Source: source, Log: logger}.Handler()),
 			ReadHeaderTimeout: headTimeout,
@@ -141,7 +141,7 @@
 	group.Go(func() error { r.client.KeepJoined(ctx, r.replica.Status, r.log); return nil })
 	group.Go(func() error { r.follower.Run(ctx); return nil })
 	group.Go(func() error { r.keeper.Run(ctx); return nil })
-	group.Go(func() error { r.queues.Run(ctx); return nil })
+	group.Go(func() error { r.loads.Run(ctx); return nil })
 	group.Go(func() error { return served(r.calls.Serve(calls)) })
 	group.Go(func() error { return served(r.metrics.Serve(metrics)) })
 	group.Go(func() error {
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -1,10 +1,10 @@
 // Package balance chooses the instance for a request from what an entry saw of its own
-// requests, and from the queues of engines where they are known; without those, and in a cut,
-// it works by itself.
+// requests, and from the queues and the memory of engines where they are known; without those,
+// and in a cut, it works by itself.
 //
-// Prompts go by rendezvous hashing of their shared part, past instances with more than their
-// bound; other requests go where the expected wait is shortest. A failure domain of which
-// nothing is heard any more is avoided as a whole.
+// Prompts go by rendezvous hashing of their shared part, past engines without room for them and
+// instances with more than their bound; other requests go where the expected wait is shortest.
+// A failure domain of which nothing is heard any more is avoided as a whole.
 package balance
 
 import (
@@ -43,6 +43,8 @@
 	// heard is when the instance last said anything, or when it was given a request while
 	// it had none.
 	heard time.Time
+	// sent holds the last requests that took memory, the oldest first.
+	sent []sent
 }
 
 // silent reports whether an instance keeps requests without a word: it may hang while its
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -135,39 +135,6 @@
 	}
 }
 
-// An instance at which the requests of others wait gets no more prompts until its queue is
-// as short as elsewhere; one of which nothing is known keeps its keys.
-func TestCrowdedInstanceGetsNoMore(t *testing.T) {
-	all := instances(4)
-	const key = 9
-	first := pick(t, balance.New(1), all, balance.Wish{Key: key})
-	waiting := func(n int) map[string]int {
-		out := map[string]int{}
-		for _, in := range all {
-			out[in.ID] = 1
-		}
-		out[first] = n
-		return out
-	}
-	cases := []struct {
-		name    string
-		waiting map[string]int
-		stays   bool
-	}{
-		{"nothing is known", nil, true},
-		{"nobody waits", map[string]int{"i0": 0, "i1": 0, "i2": 0, "i3": 0}, true},
-		{"a little more waits there", waiting(2), true},
-		{"much more waits there", waiting(9), false},
-		{"all have long queues", map[string]int{"i0": 9, "i1": 9, "i2": 9, "i3": 9}, true},
-	}
-	for _, c := range cases {
-		got := pick(t, balance.New(1), all, balance.Wish{Key: key, Waiting: c.waiting})
-		if diff := cmp.Diff(c.stays, got == first); diff != "" {
-			t.Error(c.name, diff)
-		}
-	}
-}
-
 // Callers that leave say nothing of an instance: one that fails is not made sound by them.
 func TestCallersThatLeaveSayNothing(t *testing.T) {
 	b := balance.New(1)
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -35,9 +35,11 @@
 	Tried []string
 	// Busy are instances that are taken only when nothing else is left.
 	Busy map[string]bool
-	// Waiting holds how many requests of all entries wait at each instance, as far as it is
-	// known. A prompt that is soon read goes by its key alone: it overtakes what waits.
-	Waiting map[string]int
+	// Tokens is the memory that the request takes at most, and Memory what each engine has;
+	// both are 0 for requests that take none.
+	Tokens, Memory int
+	// Loads holds what engines told of themselves, as far as it is known.
+	Loads map[string]EngineLoad
 	// Model and Weights, when set, name the weight version that is preferred.
 	Model   string
 	Weights uint64
@@ -51,7 +53,7 @@
 	}
 	open = b.preferNewer(open, w)
 	if w.Key != 0 {
-		return b.pickByKey(notCrowded(open, w.Waiting), w.Key), true
+		return b.pickByKey(b.withRoom(open, w, now), w.Key), true
 	}
 	return b.pickByWait(open), true
 }
@@ -94,34 +96,6 @@
 	return newer
 }
 
-// notCrowded leaves out the instances at which more waits than the bound allows, of which an
-// entry sees little by itself. Those of which nothing is known stay.
-func notCrowded(open []registry.Instance, waiting map[string]int) []registry.Instance {
-	total, known := 0, 0
-	for _, in := range open {
-		if n, ok := waiting[in.ID]; ok {
-			total += n
-			known++
-		}
-	}
-	if total == 0 {
-		return open
-	}
-	bound := bounded(total, known)
-	var out []registry.Instance
-	for _, in := range open {
-		if float64(waiting[in.ID]+1) <= bound {
-			out = append(out, in)
-		}
-	}
-	return out
-}
-
-// bounded is the most that one of some instances may have of a total, and one more.
-func bounded(total, instances int) float64 {
-	return loadFactor*float64(total+instances)/float64(instances) + loadSpare
-}
-
 // pickByKey takes the first instance in the key's rank whose load is within the bound.
 func (b *Board) pickByKey(open []registry.Instance, key uint64) registry.Instance {
 	total := 0
--- /dev/null
+++ b/internal/coordination/balance/room.go
@@ -0,0 +1,129 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// longShare says which prompts are long: those of which so many fill an engine. A few of
+	// them take all of its memory while most of its places are free. An engine without room
+	// makes the least urgent of its requests give way and reads their prompts again, and what
+	// was fetched for those that wait is dropped; in measured bursts two thirds of the
+	// prompts then came late, and half of the tokens were read twice.
+	longShare = 16
+	// headroomShare is the part of an engine's memory that is left to the answers of what runs
+	// there and to short prompts. A third of it and double measured the same.
+	headroomShare = 12
+	// countedShare bounds what of one prompt counts: the largest ones, of half an engine, would
+	// hardly ever find room under load, and be refused while others are served.
+	countedShare = 4
+	// unseen is for how long an engine's own word may lack what was sent there: engines tell
+	// their load 0.1 s late, and are asked, and entries told, each 0.2 s.
+	unseen = 600 * time.Millisecond
+)
+
+// EngineLoad is what an engine told of its queue and its memory.
+type EngineLoad struct {
+	// Waiting is how many requests wait there, and Used how many tokens of memory are taken
+	// by runs and cannot give way.
+	Waiting, Used int
+}
+
+// sent is a request on its way, which an engine's own word may not count yet.
+type sent struct {
+	at     time.Time
+	tokens int
+}
+
+// Sent notes how much memory a request takes that goes to an engine.
+func (b *Board) Sent(id string, tokens int, now time.Time) {
+	l := b.load(id)
+	l.sent = append(l.sentSince(now), sent{at: now, tokens: tokens})
+}
+
+// sentSince returns what went to an engine so lately that its own word may lack it.
+func (l *load) sentSince(now time.Time) []sent {
+	first := 0
+	for first < len(l.sent) && now.Sub(l.sent[first].at) > unseen {
+		first++
+	}
+	return l.sent[first:]
+}
+
+// Long reports whether a few requests like this one fill an engine.
+func (w Wish) Long() bool { return w.Memory > 0 && w.Tokens*longShare >= w.Memory }
+
+// Free returns how many tokens of an engine's memory are free, as far as it is known.
+func (b *Board) Free(id string, w Wish, now time.Time) (tokens int, known bool) {
+	told, known := w.Loads[id]
+	if !known || w.Memory == 0 {
+		return 0, false
+	}
+	free := w.Memory - told.Used
+	for _, s := range b.load(id).sentSince(now) {
+		free -= s.tokens
+	}
+	return free, true
+}
+
+// hasRoom reports whether an engine is known to have room for a request. A long one goes only
+// where nothing waits; a short one overtakes what waits.
+func (b *Board) hasRoom(id string, w Wish, now time.Time) bool {
+	free, known := b.Free(id, w, now)
+	switch {
+	case !known:
+		return false
+	case w.Long():
+		return w.Loads[id].Waiting == 0 && free >= min(w.Tokens, w.Memory/countedShare)+w.Memory/headroomShare
+	default:
+		return free >= w.Tokens
+	}
+}
+
+// withRoom keeps the engines that have room. Where none is known to have any, a long prompt
+// passes over those with the longest queues, and a short one goes by its key alone.
+func (b *Board) withRoom(open []registry.Instance, w Wish, now time.Time) []registry.Instance {
+	var out []registry.Instance
+	for _, in := range open {
+		if b.hasRoom(in.ID, w, now) {
+			out = append(out, in)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	if w.Long() {
+		return notCrowded(open, w.Loads)
+	}
+	return open
+}
+
+// notCrowded leaves out the engines at which more waits than the bound allows, of which an
+// entry sees little by itself. Those of which nothing is known stay.
+func notCrowded(open []registry.Instance, loads map[string]EngineLoad) []registry.Instance {
+	total, known := 0, 0
+	for _, in := range open {
+		if l, ok := loads[in.ID]; ok {
+			total += l.Waiting
+			known++
+		}
+	}
+	if total == 0 {
+		return open
+	}
+	bound := bounded(total, known)
+	var out []registry.Instance
+	for _, in := range open {
+		if float64(loads[in.ID].Waiting+1) <= bound {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// bounded is the most that one of some instances may have of a total, and one more.
+func bounded(total, instances int) float64 {
+	return loadFactor*float64(total+instances)/float64(instances) + loadSpare
+}
--- /dev/null
+++ b/internal/coordination/balance/room_test.go
@@ -0,0 +1,104 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+)
+
+const (
+	key = 9
+	// memory is that of each engine; long prompts take a fifth of it, short ones a fiftieth.
+	memory = 50_000
+	long   = 10_000
+	short  = 1_000
+)
+
+// prompt is a wish for a prompt of so many tokens.
+func prompt(tokens int, loads map[string]balance.EngineLoad) balance.Wish {
+	return balance.Wish{Key: key, Tokens: tokens, Memory: memory, Loads: loads}
+}
+
+// loadsOf gives four engines one load, and the one named another.
+func loadsOf(all balance.EngineLoad, id string, other balance.EngineLoad) map[string]balance.EngineLoad {
+	out := map[string]balance.EngineLoad{}
+	for _, in := range instances(4) {
+		out[in.ID] = all
+	}
+	out[id] = other
+	return out
+}
+
+// An engine at which the requests of others wait, or in whose memory a prompt has no room, gets
+// no prompt that others can take; one of which nothing is known keeps its keys.
+func TestCrowdedEngineGetsNoMore(t *testing.T) {
+	all := instances(4)
+	first := pick(t, balance.New(1), all, balance.Wish{Key: key})
+	waiting := func(all, there int) map[string]balance.EngineLoad {
+		return loadsOf(balance.EngineLoad{Waiting: all}, first, balance.EngineLoad{Waiting: there})
+	}
+	used := func(all, there int) map[string]balance.EngineLoad {
+		return loadsOf(balance.EngineLoad{Used: all}, first, balance.EngineLoad{Used: there})
+	}
+	cases := []struct {
+		name   string
+		tokens int
+		loads  map[string]balance.EngineLoad
+		stays  bool
+	}{
+		{"nothing is known", long, nil, true},
+		{"nobody waits", long, waiting(0, 0), true},
+		{"a little more waits there", long, waiting(1, 2), true},
+		{"much more waits there", long, waiting(1, 9), false},
+		{"all have long queues", long, waiting(9, 9), true},
+		{"a short prompt overtakes what waits", short, waiting(0, 9), true},
+		{"there is room", long, used(0, memory-2*long), true},
+		{"there is none", long, used(0, memory-long), false},
+		{"there is none for a short prompt", short, used(0, memory-short/2), false},
+		{"a short prompt takes the last", short, used(0, memory-short), true},
+		{"there is none anywhere", long, used(memory, memory), true},
+	}
+	for _, c := range cases {
+		got := pick(t, balance.New(1), all, prompt(c.tokens, c.loads))
+		if diff := cmp.Diff(c.stays, got == first); diff != "" {
+			t.Error(c.name, diff)
+		}
+	}
+}
+
+// What was sent to an engine counts until its own word can tell of it.
+func TestWhatWasSentTakesRoom(t *testing.T) {
+	b := balance.New(1)
+	all := instances(4)
+	loads := loadsOf(balance.EngineLoad{}, "i0", balance.EngineLoad{})
+	first := pick(t, b, all, prompt(long, loads))
+	free := func(at time.Time) int {
+		tokens, known := b.Free(first, prompt(long, loads), at)
+		if !known {
+			t.Fatal("nothing is known")
+		}
+		return tokens
+	}
+	for range 4 {
+		b.Sent(first, long, now)
+	}
+	if diff := cmp.Diff(memory-4*long, free(now)); diff != "" {
+		t.Error(diff)
+	}
+	if id := pick(t, b, all, prompt(long, loads)); id == first {
+		t.Error("an engine was chosen that is full by now")
+	}
+	later := now.Add(time.Second)
+	if diff := cmp.Diff(memory, free(later)); diff != "" {
+		t.Error(diff)
+	}
+	if got, _ := b.Pick(all, prompt(long, loads), later); got.ID != first {
+		t.Error("an engine was passed over for what its word counts already")
+	}
+	if _, known := b.Free(first, prompt(long, nil), later); known {
+		t.Error("something is known of an engine that told nothing")
+	}
+}
--- a/internal/coordination/keeping/book.go
+++ b/internal/coordination/keeping/book.go
@@ -5,10 +5,12 @@
 )
 
 const (
-	// NamedFor is how long a part may be fetched after it was read from its store. A
-	// request that is placed now starts its fetch within a second at most engines; and a
-	// store that restarts takes longer, so nothing named before is fetched after it.
-	NamedFor = 2 * time.Second
+	// NamedFor is how long a part may be fetched after it was read from its store. Under
+	// load a fetch waits up to 2 s for the links of the store and the engine, and a part is
+	// named again only once a leader has read its store; with 2 s in all, 60 to 1,900
+	// fetches a minute came too late and their parts were read again, with 6 s none. More
+	// (10 s, 15 s) measured the same, and would hold the room of old weights for longer.
+	NamedFor = 6 * time.Second
 	// freeMargin is waited on top of NamedFor before a part is freed, for what clocks of
 	// stores and engines differ.
 	freeMargin = time.Second
@@ -46,6 +48,9 @@
 	Room int
 	// Newest returns the newest version of a model's weights.
 	Newest func(model string) uint64
+	// OpenEpoch is a start of the store at which it was open for saves, as an earlier leader
+	// told; 0 when none is known. A start that was once open stays so.
+	OpenEpoch uint64
 
 	epoch, next uint64
 	listed      bool
@@ -77,9 +82,7 @@
 
 // List takes a store's whole list, read at a clock time.
 func (b *Book) List(epoch, next uint64, held []Held, clock time.Duration) {
-	if b.listed && epoch != b.epoch {
-		// What was named before the restart may still be looked for: nothing is written
-		// under the same names until that has ended.
+	if b.mayBeLookedFor(epoch) {
 		b.openAt = clock + NamedFor + freeMargin
 	}
 	if epoch != b.epoch || b.retired == nil {
@@ -94,6 +97,17 @@
 	}
 }
 
+// mayBeLookedFor reports whether parts that were named at an earlier start of the store may
+// still be fetched: nothing is written under the same names until that has ended, as a fetch
+// would find a part half written. A new leader does not know what was named before, unless
+// an earlier one has told that this start is open.
+func (b *Book) mayBeLookedFor(epoch uint64) bool {
+	if !b.listed {
+		return epoch != b.OpenEpoch
+	}
+	return epoch != b.epoch
+}
+
 func (b *Book) put(h Held) {
 	if h.Tokens <= 0 {
 		delete(b.parts, h.Part)
@@ -137,6 +151,14 @@
 	return out
 }
 
+// Opened returns the store's start if it may be saved to, and 0 while it rests.
+func (b *Book) Opened(clock time.Duration) uint64 {
+	if clock < b.openAt {
+		return 0
+	}
+	return b.epoch
+}
+
 // Open returns how many tokens may be saved.
 func (b *Book) Open(clock time.Duration) int {
 	if clock < b.openAt {
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestBookFollowsChanges(t *testing.T) {
-	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }}
+	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }, OpenEpoch: 1}
 	if !b.Take(keeping.Batch{Epoch: 1}) {
 		t.Fatal("an empty book wants no list")
 	}
@@ -63,24 +63,49 @@
 	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }}
 	b.List(1, 0, nil, 0)
 	b.List(2, 0, nil, 10*time.Second)
-	if diff := cmp.Diff(0, b.Open(10*time.Second+keeping.NamedFor)); diff != "" {
-		t.Error(diff)
+	rests(t, &b, 10*time.Second)
+}
+
+// rests checks that nothing may be saved from a time on until the names of before have ended,
+// and that the store is open then.
+func rests(t *testing.T, b *keeping.Book, from time.Duration) {
+	t.Helper()
+	if b.Open(from+keeping.NamedFor) != 0 || b.Opened(from+keeping.NamedFor) != 0 {
+		t.Error("a store is open while what was named before may be looked for")
+	}
+	after := from + 2*keeping.NamedFor
+	if b.Open(after) == 0 || b.Opened(after) != b.Epoch() {
+		t.Error("a store is not open though nothing is looked for any more")
+	}
+}
+
+// A new leader cannot know whether a store restarted before it, and lets it rest, unless an
+// earlier one told that the store has been open since the same start.
+func TestNewLeaderLetsStoresRest(t *testing.T) {
+	for _, known := range []uint64{0, 1} {
+		b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }, OpenEpoch: known}
+		b.List(2, 0, nil, time.Second)
+		rests(t, &b, time.Second)
 	}
-	if diff := cmp.Diff(1000, b.Open(20*time.Second)); diff != "" {
+	b := keeping.Book{Room: 1000, Newest: func(string) uint64 { return 1 }, OpenEpoch: 2}
+	b.List(2, 0, nil, time.Second)
+	if diff := cmp.Diff(1000, b.Open(time.Second)); diff != "" {
 		t.Error(diff)
 	}
 }
 
-// Under any course of saves, new versions, restarts and new leaders, a part is freed only
-// after every fetch that it was named for has ended.
-func TestNothingIsFreedUnderAFetch(t *testing.T) {
+// Under any course of saves, new versions, restarts and new leaders, a part is freed or written
+// anew only after every fetch that it was named for has ended.
+func TestNothingChangesUnderAFetch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		newest := uint64(1)
 		clock := time.Duration(0)
 		store := map[keeping.Part]int{}
 		epoch := uint64(1)
+		// open is the newest start of the store that a leader told to be open.
+		open := uint64(0)
 		newBook := func() *keeping.Book {
-			return &keeping.Book{Room: 10_000, Newest: func(string) uint64 { return newest }}
+			return &keeping.Book{Room: 10_000, Newest: func(string) uint64 { return newest }, OpenEpoch: open}
 		}
 		book := newBook()
 		// until holds the latest time until which a part was named by any leader.
@@ -94,6 +119,9 @@
 			for part := range book.Named(clock) {
 				until[part] = clock + keeping.NamedFor
 			}
+			if book.Open(clock) > 0 {
+				open = book.Opened(clock)
+			}
 			for _, part := range book.Free(clock) {
 				if clock <= until[part] {
 					t.Fatalf("%v is freed at %s, and may be fetched until %s", part, clock, until[part])
@@ -113,6 +141,13 @@
 			case 3, 4, 5:
 				version := uint64(rapid.IntRange(int(max(newest, 2))-1, int(newest)).Draw(t, "version"))
 				h := held(version, rapid.StringMatching("[a-d]").Draw(t, "id"), 100)
+				read()
+				if book.Open(clock) == 0 {
+					continue
+				}
+				if _, whole := store[h.Part]; !whole && clock <= until[h.Part] {
+					t.Fatalf("%v is written at %s, and may be fetched until %s", h.Part, clock, until[h.Part])
+				}
 				store[h.Part] = h.Tokens
 			default:
 				clock += time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms")) * time.Millisecond
@@ -120,7 +155,7 @@
 			}
 		}
 		// In the end only the newest version takes room.
-		for range 4 {
+		for end := clock + 2*keeping.NamedFor; clock < end; {
 			clock += 2 * time.Second
 			read()
 		}
--- a/internal/transport/fleet/kept.go
+++ b/internal/coordination/keeping/kept.go
@@ -1,19 +1,17 @@
-package fleet
+package keeping
 
-import (
-	"time"
-
-	"github.com/shedrock/shedrock/internal/coordination/keeping"
-)
+import "time"
 
 // Kept is what one store holds, as the leader of the control log told.
 type Kept struct {
 	// Until is the time on the clock of stores and engines until which Parts may be fetched.
 	Until time.Duration
-	// Open is how many tokens may be saved.
-	Open int
+	// Open is how many tokens may be saved, and OpenEpoch the start of the store at which
+	// it may be saved to; 0 while it rests after a start.
+	Open      int
+	OpenEpoch uint64
 	// Parts holds the tokens of each part that is whole. It never changes.
-	Parts map[keeping.Part]int
+	Parts map[Part]int
 	// At is when this process learned of it.
 	At time.Time
 }
--- a/internal/state/deployment/check.go
+++ b/internal/state/deployment/check.go
@@ -25,6 +25,7 @@
 // lookups. It must be called once, before the configuration is shared.
 func (c *Config) Check() error {
 	c.noteRanks()
+	c.noteStores()
 	err := c.checkRoutes()
 	if err != nil {
 		return err
@@ -32,6 +33,15 @@
 	return c.checkTeams()
 }
 
+func (c *Config) noteStores() {
+	c.stores = map[string]Store{}
+	for _, s := range c.Services {
+		if s.Store != nil {
+			c.stores[s.Store.Address] = *s.Store
+		}
+	}
+}
+
 func (c *Config) checkRoutes() error {
 	c.routes = map[string][]Route{}
 	seen := map[[2]string]bool{}
--- a/internal/state/deployment/deployment.go
+++ b/internal/state/deployment/deployment.go
@@ -49,8 +49,13 @@
 	teamRanks, routeRanks []int
 	// teams holds the index of the team of each key.
 	teams map[string]int
+	// stores are by address.
+	stores map[string]Store
 }
 
+// Stores returns the stores by their addresses; the map must not be changed.
+func (c *Config) Stores() map[string]Store { return c.stores }
+
 // Route says where requests to a host and path prefix run.
 type Route struct {
 	Name, Host, Prefix string
@@ -107,6 +112,8 @@
 type Store struct {
 	Address, FailureDomain string
 	MemoryTokens           int
+	// LinkRate is the speed of its link in megabits a second, or 0 when it is not told.
+	LinkRate float64
 }
 
 // Team is a group of callers with keys of its own.
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
@@ -55,18 +56,18 @@
 	return false
 }
 
-func fromQueues(queues map[string]int) []*wire.EngineQueue {
-	var out []*wire.EngineQueue
-	for id, waiting := range queues {
-		out = append(out, &wire.EngineQueue{Id: id, Waiting: uint32(waiting)})
+func fromLoads(loads map[string]balance.EngineLoad) []*wire.EngineLoad {
+	var out []*wire.EngineLoad
+	for id, l := range loads {
+		out = append(out, &wire.EngineLoad{Id: id, Waiting: uint32(l.Waiting), UsedTokens: uint32(l.Used)})
 	}
 	return out
 }
 
-func toQueues(in []*wire.EngineQueue) map[string]int {
-	out := make(map[string]int, len(in))
-	for _, q := range in {
-		out[q.Id] = int(q.Waiting)
+func toLoads(in []*wire.EngineLoad) map[string]balance.EngineLoad {
+	out := make(map[string]balance.EngineLoad, len(in))
+	for _, l := range in {
+		out[l.Id] = balance.EngineLoad{Waiting: int(l.Waiting), Used: int(l.UsedTokens)}
 	}
 	return out
 }
--- a/internal/transport/fleet/follower_stores.go
+++ b/internal/transport/fleet/follower_stores.go
@@ -10,7 +10,7 @@
 
 // storesKnown is what one source told of stores. The zero value knows none.
 type storesKnown struct {
-	stores map[string]Kept
+	stores map[string]keeping.Kept
 	// addresses are by the source's numbers.
 	addresses map[uint32]string
 	// change and until are the marks of the last answer.
@@ -48,12 +48,13 @@
 		return
 	}
 	if k.stores == nil {
-		k.stores = map[string]Kept{}
+		k.stores = map[string]keeping.Kept{}
 		k.addresses = map[uint32]string{}
 	}
 	k.addresses[state.Number] = state.Address
 	next := k.stores[state.Address]
 	next.Open = int(state.OpenTokens)
+	next.OpenEpoch = state.OpenEpoch
 	if state.Whole {
 		next.Parts = nil
 	}
@@ -81,8 +82,8 @@
 }
 
 // newestStores returns for each store what was told with the latest end.
-func newestStores(sources map[string]*knownSource) map[string]Kept {
-	out := map[string]Kept{}
+func newestStores(sources map[string]*knownSource) map[string]keeping.Kept {
+	out := map[string]keeping.Kept{}
 	for _, src := range sources {
 		for address, kept := range src.stores.stores {
 			if kept.Until > out[address].Until {
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -17,6 +17,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
@@ -52,11 +53,11 @@
 	stores storesFeed
 	// busy names the instances that load weights, or will next.
 	busy []string
-	// queues holds how many requests wait at each engine, while this control instance leads,
-	// and queuesChange numbers its changes.
-	queues       map[string]int
-	queuesChange uint64
-	// news is true while entries have not been told of what stores hold, or of queues.
+	// loads holds what engines told of their load, while this control instance leads, and
+	// loadsChange numbers its changes.
+	loads       map[string]balance.EngineLoad
+	loadsChange uint64
+	// news is true while entries have not been told of what stores hold, or of loads.
 	news bool
 	// entries holds when each entry last asked.
 	entries map[string]time.Time
@@ -156,19 +157,18 @@
 	s.wake()
 }
 
-// PublishWaiting sets how many requests wait at each engine that answered; nil says that
-// nothing is known. Entries are told with the next news of stores.
-func (s *Source) PublishWaiting(queues map[string]int) {
+// PublishLoads sets the load of each engine that answered; nil says that nothing is known. Entries are told with the next news of stores.
+func (s *Source) PublishLoads(loads map[string]balance.EngineLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !maps.Equal(s.queues, queues) {
-		s.queues = queues
-		s.queuesChange++
+	if !maps.Equal(s.loads, loads) {
+		s.loads = loads
+		s.loadsChange++
 		s.news = true
 	}
 }
 
-// tellNews wakes the entries if there is news of stores or queues.
+// tellNews wakes the entries if there is news of stores or loads.
 func (s *Source) tellNews() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -45,7 +45,7 @@
 
 // marks are up to where a caller knows what a Source tells, by its numbers.
 type marks struct {
-	change, stores, control, queues uint64
+	change, stores, control, loads uint64
 }
 
 // marksOf returns the caller's marks; those of another life of this source say nothing.
@@ -53,7 +53,7 @@
 	if in.Epoch != s.epoch {
 		return marks{}
 	}
-	return marks{change: in.Change, stores: in.StoreChange, control: in.ControlChange, queues: in.QueuesChange}
+	return marks{change: in.Change, stores: in.StoreChange, control: in.ControlChange, loads: in.LoadsChange}
 }
 
 // look returns what the caller lacks, whether that is anything, and what is closed at
@@ -76,10 +76,10 @@
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
 		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
-		QueuesChange: s.queuesChange,
+		LoadsChange: s.loadsChange,
 	}
-	if since.queues != s.queuesChange {
-		out.Queues = fromQueues(s.queues)
+	if since.loads != s.loadsChange {
+		out.Loads = fromLoads(s.loads)
 	}
 	if since.control != s.controlChange {
 		out.Control = s.control
@@ -98,7 +98,7 @@
 // entryNews reports whether there is news that only entries are woken for; mu must be held.
 func (s *Source) entryNews(in *wire.FleetRequest, since marks) bool {
 	return s.stores.hasNews(since.stores, time.Duration(in.StoresUntil)*time.Millisecond) ||
-		since.queues != s.queuesChange || !slices.Equal(s.busy, in.Busy)
+		since.loads != s.loadsChange || !slices.Equal(s.busy, in.Busy)
 }
 
 // countEntries counts the entries that asked lately; mu must be held.
--- a/internal/transport/fleet/source_stores.go
+++ b/internal/transport/fleet/source_stores.go
@@ -30,7 +30,7 @@
 
 // storeFeed is one store.
 type storeFeed struct {
-	kept   Kept
+	kept   keeping.Kept
 	number uint32
 	// change is the newest change of anything but Until.
 	change uint64
@@ -46,7 +46,7 @@
 
 // PublishStore sets what a store holds. Entries are told with the other stores' news, so
 // that many stores do not wake all entries many times a second.
-func (s *Source) PublishStore(address string, kept Kept) {
+func (s *Source) PublishStore(address string, kept keeping.Kept) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stores.publish(address, kept, time.Now())
@@ -66,7 +66,7 @@
 	return f.change
 }
 
-func (f *storesFeed) publish(address string, kept Kept, now time.Time) {
+func (f *storesFeed) publish(address string, kept keeping.Kept, now time.Time) {
 	store := f.stores[address]
 	if store == nil || !store.left.IsZero() {
 		store = f.add(address)
@@ -83,7 +83,7 @@
 			delete(store.gone, part)
 		}
 	}
-	if store.kept.Open != kept.Open {
+	if store.kept.Open != kept.Open || store.kept.OpenEpoch != kept.OpenEpoch {
 		f.next()
 		store.change = f.change
 	}
@@ -125,7 +125,7 @@
 	}
 	store.left = now
 	store.change = f.next()
-	store.parts, store.gone, store.kept = nil, nil, Kept{}
+	store.parts, store.gone, store.kept = nil, nil, keeping.Kept{}
 	maps.DeleteFunc(f.stores, func(_ string, other *storeFeed) bool {
 		return !other.left.IsZero() && now.Sub(other.left) > goneFor
 	})
@@ -149,7 +149,7 @@
 
 func (store *storeFeed) state(address string, since uint64) *wire.StoreState {
 	state := &wire.StoreState{
-		Address: address, Number: store.number, OpenTokens: int64(store.kept.Open),
+		Address: address, Number: store.number, OpenTokens: int64(store.kept.Open), OpenEpoch: store.kept.OpenEpoch,
 		Whole: since < store.complete, Gone: !store.left.IsZero(),
 	}
 	for part, change := range store.parts {
--- a/internal/transport/fleet/stores_test.go
+++ b/internal/transport/fleet/stores_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
@@ -26,7 +27,7 @@
 			for _, id := range ids {
 				parts[keeping.Part{ID: id}] = 10
 			}
-			source.PublishStore("store", fleet.Kept{Parts: parts})
+			source.PublishStore("store", keeping.Kept{Parts: parts})
 		}
 		// ask returns the parts that are told behind a mark: their tokens, and whether they
 		// are all that there are.
@@ -70,7 +71,7 @@
 	f := follow(t, a, b)
 	part := func(id string) keeping.Part { return keeping.Part{Salt: "v1", ID: id} }
 	publish := func(c *control, until time.Duration, parts map[keeping.Part]int) {
-		c.source.Load().PublishStore("store", fleet.Kept{Until: until, Open: 100, Parts: parts})
+		c.source.Load().PublishStore("store", keeping.Kept{Until: until, Open: 100, Parts: parts})
 	}
 	holds := func(want map[keeping.Part]int) func() bool {
 		return func() bool { return cmp.Equal(want, f.View().Stores["store"].Parts) }
@@ -100,7 +101,7 @@
 		return out
 	}
 	publish := func(address string, until time.Duration) {
-		source.PublishStore(address, fleet.Kept{Until: until, Parts: map[keeping.Part]int{{ID: "p"}: 1}})
+		source.PublishStore(address, keeping.Kept{Until: until, Parts: map[keeping.Part]int{{ID: "p"}: 1}})
 	}
 	publish("x", 5*time.Second)
 	publish("y", 2*time.Second)
@@ -117,14 +118,16 @@
 	wait(t, "it is back", func() bool { return ends()["z"] == 7*time.Second })
 }
 
-// A source that began anew does not leave the queues of its earlier life in force, whatever
+// A source that began anew does not leave the loads of its earlier life in force, whatever
 // its marks are.
-func TestQueuesOfAnEarlierLife(t *testing.T) {
+func TestLoadsOfAnEarlierLife(t *testing.T) {
 	a := newControl(t)
 	f := follow(t, a)
-	a.source.Load().PublishWaiting(map[string]int{"x": 7})
-	wait(t, "the queue is known", func() bool { return f.View().Waiting["x"] == 7 })
+	before := map[string]balance.EngineLoad{"x": {Waiting: 7, Used: 60_000}}
+	after := map[string]balance.EngineLoad{"y": {Waiting: 2}}
+	a.source.Load().PublishLoads(before)
+	wait(t, "the load is known", func() bool { return cmp.Equal(before, f.View().Loads) })
 	a.restart()
-	a.source.Load().PublishWaiting(map[string]int{"y": 2})
-	wait(t, "only the new one is", func() bool { return cmp.Equal(map[string]int{"y": 2}, f.View().Waiting) })
+	a.source.Load().PublishLoads(after)
+	wait(t, "only the new one is", func() bool { return cmp.Equal(after, f.View().Loads) })
 }
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
@@ -27,10 +29,12 @@
 	Control []string
 	// Busy holds the instances that load weights, or will next.
 	Busy map[string]bool
-	// Waiting holds how many requests wait at each engine of which that is known.
-	Waiting map[string]int
+	// Loads holds what engines told of their load, and LoadsAt when this process learned of
+	// the newest of it.
+	Loads   map[string]balance.EngineLoad
+	LoadsAt time.Time
 	// Stores holds what each store keeps, by its address.
-	Stores map[string]Kept
+	Stores map[string]keeping.Kept
 	// Entries is the highest number of entries that a source saw lately, at least 1.
 	Entries int
 }
@@ -48,14 +52,17 @@
 	v := &View{
 		Config: f.config, Instances: f.instances, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
-		Stores: newestStores(f.sources), Busy: map[string]bool{}, Waiting: map[string]int{},
+		Stores: newestStores(f.sources), Busy: map[string]bool{}, Loads: map[string]balance.EngineLoad{},
 	}
 	for _, s := range f.sources {
 		if time.Since(s.answered) < busyFor {
 			for _, id := range s.busy {
 				v.Busy[id] = true
 			}
-			maps.Copy(v.Waiting, s.queues)
+			maps.Copy(v.Loads, s.loads)
+			if s.loadsAt.After(v.LoadsAt) {
+				v.LoadsAt = s.loadsAt
+			}
 		}
 		v.Entries = max(v.Entries, s.entries)
 	}
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
@@ -37,10 +38,11 @@
 	stores        storesKnown
 	// version is the newest configuration that it told of.
 	version uint64
-	// queues holds how many requests wait at each engine, as the source knows it, and
-	// queuesChange its mark.
-	queues       map[string]int
-	queuesChange uint64
+	// loads holds the engines' load as the source knows it, loadsAt when it told of it, and
+	// loadsChange its mark.
+	loads       map[string]balance.EngineLoad
+	loadsAt     time.Time
+	loadsChange uint64
 	// busy names the instances that the source's process has load weights.
 	busy []string
 }
@@ -79,7 +81,7 @@
 		in.StoresUntil = s.stores.until.Milliseconds()
 		in.ControlChange = s.controlChange
 		in.Busy = s.busy
-		in.QueuesChange = s.queuesChange
+		in.LoadsChange = s.loadsChange
 	}
 	return in
 }
@@ -137,10 +139,11 @@
 		s.control = out.Control
 	}
 	s.controlChange = out.ControlChange
-	if s.queuesChange != out.QueuesChange || began {
-		s.queues = toQueues(out.Queues)
+	if s.loadsChange != out.LoadsChange || began {
+		s.loads = toLoads(out.Loads)
+		s.loadsAt = now
 	}
-	s.queuesChange = out.QueuesChange
+	s.loadsChange = out.LoadsChange
 	s.entries = int(out.Entries)
 	s.busy = out.Busy
 	s.version = out.ConfigVersion
--- a/internal/transport/keeping/keeping.go
+++ b/internal/transport/keeping/keeping.go
@@ -114,7 +114,10 @@
 }
 
 func (k *Keeper) newBook(store deployment.Store) *keeping.Book {
-	return &keeping.Book{Room: store.MemoryTokens, Newest: func(model string) uint64 { return k.View().Weights[model] }}
+	return &keeping.Book{
+		Room: store.MemoryTokens, Newest: func(model string) uint64 { return k.View().Weights[model] },
+		OpenEpoch: k.View().Stores[store.Address].OpenEpoch,
+	}
 }
 
 // watch is one store in one term of leadership.
@@ -176,8 +179,9 @@
 	if err != nil {
 		return err
 	}
-	w.keeper.Source.PublishStore(w.store.Address, fleet.Kept{
-		Until: batch.Clock + keeping.NamedFor, Open: w.book.Open(batch.Clock), Parts: w.book.Named(batch.Clock),
+	w.keeper.Source.PublishStore(w.store.Address, keeping.Kept{
+		Until: batch.Clock + keeping.NamedFor, Parts: w.book.Named(batch.Clock),
+		Open: w.book.Open(batch.Clock), OpenEpoch: w.book.Opened(batch.Clock),
 	})
 	return w.free(ctx, batch.Clock)
 }
--- a/internal/transport/queues/queues.go
+++ b/internal/transport/loads/loads.go
@@ -1,10 +1,10 @@
-// Package queues asks engines how many requests wait there, while this replica leads the
-// control log, and tells entries.
+// Package loads asks engines for their queues and the memory that is taken there, while this
+// replica leads the control log, and tells entries.
 //
 // Entries choose by what they see of their own requests, and each of many entries sees one
 // request at an engine now and then: a queue of two seconds at one engine is made of requests
 // of different entries, and none of them knows.
-package queues
+package loads
 
 import (
 	"context"
@@ -13,14 +13,15 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
 const (
-	// askInterval is how often an engine is asked: a queue that matters lasts longer than
-	// reading one long prompt, some hundred milliseconds.
-	askInterval = 400 * time.Millisecond
+	// askInterval is how often an engine is asked: a long prompt is read in 0.2 to 0.3 s, and
+	// then keeps its memory for about 2 s.
+	askInterval = 200 * time.Millisecond
 	// mostAsked bounds the questions a second, so that more engines are asked less often:
 	// one takes a control instance about 0.1 ms of processor time.
 	mostAsked = 150
@@ -32,8 +33,8 @@
 
 // Engines speaks to engines.
 type Engines interface {
-	// Waiting returns how many requests wait at an engine.
-	Waiting(ctx context.Context, in registry.Instance) (int, error)
+	// Usage returns how many requests wait at an engine, and how much of its memory is taken.
+	Usage(ctx context.Context, in registry.Instance) (balance.EngineLoad, error)
 }
 
 // Watcher asks the engines. Set the exported fields, then Run.
@@ -60,10 +61,10 @@
 		interval := idleInterval
 		if _, leads := w.Leading(); leads {
 			engines := enginesOf(w.View())
-			w.Source.PublishWaiting(w.ask(ctx, engines))
+			w.Source.PublishLoads(w.ask(ctx, engines))
 			interval = max(askInterval, time.Duration(len(engines))*time.Second/mostAsked)
 		} else {
-			w.Source.PublishWaiting(nil)
+			w.Source.PublishLoads(nil)
 		}
 		select {
 		case <-time.After(time.Until(began.Add(interval))):
@@ -86,20 +87,20 @@
 }
 
 // ask asks all engines; those that do not answer are left out, as nothing is known of them.
-func (w *Watcher) ask(ctx context.Context, engines []registry.Instance) map[string]int {
+func (w *Watcher) ask(ctx context.Context, engines []registry.Instance) map[string]balance.EngineLoad {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, atOnce)
-	out := make(map[string]int, len(engines))
+	out := make(map[string]balance.EngineLoad, len(engines))
 	for _, in := range engines {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			waiting, err := w.Engines.Waiting(ctx, in)
+			load, err := w.Engines.Usage(ctx, in)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.note(in, err)
 			if err == nil {
-				out[in.ID] = waiting
+				out[in.ID] = load
 			}
 		})
 	}
--- a/internal/transport/queues/queues_test.go
+++ b/internal/transport/loads/loads_test.go
@@ -1,4 +1,4 @@
-package queues_test
+package loads_test
 
 import (
 	"context"
@@ -11,28 +11,29 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
-	"github.com/shedrock/shedrock/internal/transport/queues"
+	"github.com/shedrock/shedrock/internal/transport/loads"
 )
 
 var quiet = &log.Logger{Level: log.PanicLevel}
 
-// engines answers with the queues that it holds; an engine without one does not answer.
+// engines answers with the loads that it holds; an engine without one does not answer.
 type engines struct {
-	queues map[string]int
-	asked  atomic.Int64
+	loads map[string]balance.EngineLoad
+	asked atomic.Int64
 }
 
-func (e *engines) Waiting(_ context.Context, in registry.Instance) (int, error) {
+func (e *engines) Usage(_ context.Context, in registry.Instance) (balance.EngineLoad, error) {
 	e.asked.Add(1)
-	n, ok := e.queues[in.ID]
+	load, ok := e.loads[in.ID]
 	if !ok {
-		return 0, errors.New("no answer")
+		return balance.EngineLoad{}, errors.New("no answer")
 	}
-	return n, nil
+	return load, nil
 }
 
 // viewOf has some engines, and a plain service that is never asked.
@@ -47,42 +48,42 @@
 	return view
 }
 
-// Entries are told of the queues of the engines that answer, while the replica leads, and of
+// Entries are told of the loads of the engines that answer, while the replica leads, and of
 // none once it does not.
-func TestQueuesAreTold(t *testing.T) {
+func TestLoadsAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
 		source := fleet.NewSource(ctx, time.Second, quiet)
-		e := &engines{queues: map[string]int{"a": 3, "b": 0}}
+		e := &engines{loads: map[string]balance.EngineLoad{"a": {Waiting: 3, Used: 60_000}, "b": {}}}
 		var leads atomic.Bool
-		w := &queues.Watcher{
+		w := &loads.Watcher{
 			View: func() *fleet.View { return viewOf("a", "b", "silent") }, Leading: func() (uint64, bool) { return 1, leads.Load() },
 			Engines: e, Source: source, Log: quiet,
 		}
 		go w.Run(ctx)
-		told := func() map[string]uint32 {
+		told := func() map[string]balance.EngineLoad {
 			time.Sleep(time.Second)
 			out, err := source.Watch(ctx, &wire.FleetRequest{Entry: true})
 			if err != nil {
 				t.Fatal(err)
 			}
-			got := map[string]uint32{}
-			for _, q := range out.Queues {
-				got[q.Id] = q.Waiting
+			got := map[string]balance.EngineLoad{}
+			for _, l := range out.Loads {
+				got[l.Id] = balance.EngineLoad{Waiting: int(l.Waiting), Used: int(l.UsedTokens)}
 			}
 			return got
 		}
-		if diff := cmp.Diff(map[string]uint32{}, told()); diff != "" || e.asked.Load() != 0 {
+		if diff := cmp.Diff(map[string]balance.EngineLoad{}, told()); diff != "" || e.asked.Load() != 0 {
 			t.Error("while another leads: ", e.asked.Load(), diff)
 		}
 		leads.Store(true)
-		if diff := cmp.Diff(map[string]uint32{"a": 3, "b": 0}, told()); diff != "" {
+		if diff := cmp.Diff(e.loads, told()); diff != "" {
 			t.Error(diff)
 		}
 		leads.Store(false)
-		if diff := cmp.Diff(map[string]uint32{}, told()); diff != "" {
+		if diff := cmp.Diff(map[string]balance.EngineLoad{}, told()); diff != "" {
 			t.Error("once another leads: ", diff)
 		}
 	})
@@ -100,7 +101,7 @@
 		}
 		e := &engines{}
 		view := viewOf(ids...)
-		w := &queues.Watcher{
+		w := &loads.Watcher{
 			View: func() *fleet.View { return view }, Leading: func() (uint64, bool) { return 1, true },
 			Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Log: quiet,
 		}
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -14,6 +14,7 @@
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
 const (
@@ -26,6 +27,13 @@
 	shortest = 5 * time.Millisecond
 )
 
+// known is how much of an engine's memory was free, by what was told age before.
+type known struct {
+	tokens int
+	age    time.Duration
+	ok     bool
+}
+
 // job is one request on its way.
 type job struct {
 	server  *Server
@@ -51,6 +59,8 @@
 	first time.Time
 	// fetch and save are how many parts the last attempt named stores for.
 	fetch, save int
+	// room is the free memory of the last attempt's engine, as far as it was known.
+	room known
 	// spare is a failure that an instance answered, for when no attempt does better.
 	spare *exchange.Whole
 }
@@ -103,8 +113,8 @@
 		var end retry.End
 		switch next := step.(type) {
 		case retry.Dispatch, retry.Resume:
-			if !j.place() {
-				j.stop(j.tries.GiveUp())
+			if o := j.place(); o != nil {
+				j.stop(o)
 				return
 			}
 			end = j.attempt(ctx)
@@ -127,33 +137,52 @@
 	return j.server.window(j.service).Take(time.Now(), entries)
 }
 
-// place chooses the instance of the next attempt.
-func (j *job) place() bool {
+// place chooses the instance of the next attempt; it returns the request's end when there is
+// none for it.
+func (j *job) place() outcome.Outcome {
 	if time.Until(j.deadline) < shortest {
-		return false
+		return j.tries.GiveUp()
 	}
 	view := j.server.View()
-	wish := balance.Wish{Tried: j.tried, Busy: view.Busy, Repeats: j.route.Repeats()}
-	if p := j.request.Prompt; p != nil {
-		wish.Key = p.SharedKey()
-		wish.Model = p.Model
-		wish.Weights = view.Weights[p.Model]
-		if p.Tokens >= leastKept {
-			wish.Waiting = view.Waiting
-		}
-	}
+	wish := j.wish(view)
 	now := time.Now()
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	in, ok := j.server.board.Pick(view.Instances[j.service], wish, now)
+	board := j.server.board
+	in, ok := board.Pick(view.Instances[j.service], wish, now)
 	if !ok {
-		return false
+		return j.tries.GiveUp()
 	}
-	j.server.board.Begin(in, now)
 	j.instance = in
 	j.tried = append(j.tried, in.ID)
 	j.number++
-	return true
+	j.room = known{}
+	if free, ok := board.Free(in.ID, wish, now); ok {
+		j.room = known{tokens: free, age: now.Sub(view.LoadsAt), ok: true}
+	}
+	board.Begin(in, now)
+	if wish.Tokens > 0 {
+		board.Sent(in.ID, wish.Tokens, now)
+	}
+	return nil
+}
+
+// wish says what the next attempt asks for.
+func (j *job) wish(view *fleet.View) balance.Wish {
+	wish := balance.Wish{Tried: j.tried, Busy: view.Busy, Repeats: j.route.Repeats()}
+	p := j.request.Prompt
+	if p == nil {
+		return wish
+	}
+	wish.Key = p.SharedKey()
+	wish.Model = p.Model
+	wish.Weights = view.Weights[p.Model]
+	if engine := view.Config.Services[j.service].Engine; engine != nil {
+		wish.Tokens = p.Tokens + p.MostOut
+		wish.Memory = engine.MemoryTokens
+		wish.Loads = view.Loads
+	}
+	return wish
 }
 
 // attempt sends the request once and passes the answer on.
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -13,7 +13,10 @@
 func (j *job) note(o outcome.Outcome) {
 	line := j.line(outcome.Label(o)).Int("attempts", j.number).Str("instance", j.instance.ID).Dur("took_ms", time.Since(j.request.Arrived))
 	if j.request.Prompt != nil {
-		line = line.Int("fetch", j.fetch).Int("save", j.save)
+		line = line.Int("fetch", j.fetch).Int("save", j.save).Int("tokens", j.request.Prompt.Tokens)
+	}
+	if j.room.ok {
+		line = line.Int("room", j.room.tokens).Dur("room_age_ms", j.room.age)
 	}
 	switch o := o.(type) {
 	case outcome.Answered:
