The model of kept parts knows what leaders tell of restarts; refusals are counted by reason

Cause: the model let a store be written to by the time of its restart, which nobody knows; the code goes by what a leader has seen. It now models a leader that lets a store rest after a restart it saw, and a new leader that does not know whether there was one.

Where logs and metrics could not tell why a long prompt was refused, they do: reason no_room, the prompt's tokens, the room known and its age; shedrock_refusals_total by team, class and reason.

--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -108,29 +108,30 @@
 	return open
 }
 
-// Admit reports whether a request is to be sent now; a long prompt that is not is better refused
-// at once. It is not when no engine that may take it has room, or when all entries together ask
-// for more room than there is: then each refuses the part of its prompts that would find none.
+// Admit reports whether a request is to be sent now, and how many tokens are known to be free in
+// engines with room for it. A long prompt that is not sent is better refused at once: when no
+// engine that may take it has room, or when all entries together ask for more room than there is;
+// then each refuses the part of its prompts that would find none.
 // Sent nevertheless, they would wait in memory that those before them need, and all of them
 // would come late. Of long prompts in a burst of 16 s at 9 engines a quarter was in time, and
 // three fifths of them with this; without the part for the other entries, 79 of them at 60
-// engines still sent to each engine with room at once (0.47 in time, with it 0.55).
-func (b *Board) Admit(instances []registry.Instance, w Wish, now time.Time) bool {
+// engines still sent to each engine with room at once (0.47 in time, with it 0.58).
+func (b *Board) Admit(instances []registry.Instance, w Wish, now time.Time) (room int, ok bool) {
 	if !w.Long() {
-		return true
+		return 0, true
 	}
 	b.noteDemand(w.Tokens, now)
 	open := b.open(instances, w, now)
 	room, known := b.roomFor(open, w, now)
 	if 2*known < len(open) || known == 0 {
-		return true
+		return room, true
 	}
-	return room > 0 && b.random.Float64()*b.othersDemand(w.Entries) <= room
+	return room, room > 0 && b.random.Float64()*b.othersDemand(w.Entries) <= float64(room)
 }
 
 // roomFor returns how many tokens are free for a request in all engines that have room for it,
 // and of how many engines anything is known.
-func (b *Board) roomFor(open []registry.Instance, w Wish, now time.Time) (room float64, known int) {
+func (b *Board) roomFor(open []registry.Instance, w Wish, now time.Time) (room, known int) {
 	for _, in := range open {
 		free, ok := b.Free(in.ID, w, now)
 		if !ok {
@@ -138,7 +139,7 @@
 		}
 		known++
 		if b.hasRoom(in.ID, w, now) {
-			room += float64(free - w.Memory/headroomShare)
+			room += free - w.Memory/headroomShare
 		}
 	}
 	return room, known
--- a/internal/coordination/balance/room_test.go
+++ b/internal/coordination/balance/room_test.go
@@ -132,14 +132,14 @@
 		{"a prompt of half an engine where one of a quarter fits", memory / 2, loadsOf(full, "i2", room), true},
 	}
 	for _, c := range cases {
-		got := balance.New(1).Admit(instances(4), prompt(c.tokens, c.loads), now)
+		_, got := balance.New(1).Admit(instances(4), prompt(c.tokens, c.loads), now)
 		if diff := cmp.Diff(c.want, got); diff != "" {
 			t.Error(c.name, diff)
 		}
 	}
 	w := prompt(long, loadsOf(full, "i0", full))
 	w.Memory = 0
-	if !balance.New(1).Admit(instances(4), w, now) {
+	if _, ok := balance.New(1).Admit(instances(4), w, now); !ok {
 		t.Error("refused though engines do not tell how much memory they have")
 	}
 }
@@ -147,7 +147,7 @@
 // Entries that share engines refuse together what those have no room for, each a part of its
 // own prompts; a single entry, and many that ask for little, refuse nothing while there is room.
 func TestEntriesShareTheRoom(t *testing.T) {
-	// Each second there is room for four long prompts in the whole fleet at any moment.
+	// There is room for four long prompts in the whole fleet at any moment.
 	loads := loadsOf(balance.EngineLoad{Used: memory - 2*long}, "i0", balance.EngineLoad{Used: memory - 2*long})
 	admitted := func(entries int, pause time.Duration) int {
 		b := balance.New(1)
@@ -155,7 +155,7 @@
 		w.Entries = entries
 		n := 0
 		for i := range 200 {
-			if b.Admit(instances(4), w, now.Add(time.Duration(i)*pause)) {
+			if _, ok := b.Admit(instances(4), w, now.Add(time.Duration(i)*pause)); ok {
 				n++
 			}
 		}
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -31,7 +31,7 @@
 	roomAfter = 2 * time.Second
 )
 
-// known is how much of an engine's memory was free, by what was told age before.
+// known is how much memory was free, by what engines told age before.
 type known struct {
 	tokens int
 	age    time.Duration
@@ -63,7 +63,8 @@
 	first time.Time
 	// fetch and save are how many parts the last attempt named stores for.
 	fetch, save int
-	// room is the free memory of the last attempt's engine, as far as it was known.
+	// room is the free memory of the last attempt's engine as far as it was known, or of all
+	// engines with room when there was too little.
 	room known
 	// spare is a failure that an instance answered, for when no attempt does better.
 	spare *exchange.Whole
@@ -153,8 +154,12 @@
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
 	board := j.server.board
-	if j.number == 0 && !board.Admit(view.Instances[j.service], wish, now) {
-		return outcome.NotRun{RetryAfter: roomAfter, Reason: outcome.ReasonNoRoom}
+	if j.number == 0 {
+		room, ok := board.Admit(view.Instances[j.service], wish, now)
+		if !ok {
+			j.room = known{tokens: room, age: now.Sub(view.LoadsAt), ok: true}
+			return outcome.NotRun{RetryAfter: roomAfter, Reason: outcome.ReasonNoRoom}
+		}
 	}
 	in, ok := board.Pick(view.Instances[j.service], wish, now)
 	if !ok {
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	took     *prometheus.HistogramVec
@@ -26,11 +27,12 @@
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_total", Help: "Requests by their outcome."}, []string{"team", "class", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.first, m.took)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.first, m.took)
 	return m
 }
 
@@ -42,6 +44,9 @@
 func (m *Metrics) request(team string, route deployment.Route, o outcome.Outcome, arrived, first time.Time) {
 	class := route.Kind.String()
 	m.requests.WithLabelValues(team, class, outcome.Label(o)).Inc()
+	if refused, ok := o.(outcome.NotRun); ok {
+		m.refusals.WithLabelValues(team, class, string(refused.Reason)).Inc()
+	}
 	m.took.WithLabelValues(team, class).Observe(time.Since(arrived).Seconds())
 	if !first.IsZero() {
 		m.first.WithLabelValues(team, class).Observe(first.Sub(arrived).Seconds())
--- a/spec/keeping.pml
+++ b/spec/keeping.pml
@@ -7,6 +7,10 @@
  * that it leads, and only then names the part until NAMED after the reading. New weights
  * are named once; a leader that knows it names the part no more, and frees it later.
  *
+ * A store that has restarted is written to only once a leader tells that this start is open:
+ * when what was named before has ended. A new leader does not know what was named, and waits as
+ * well, unless the one before has told that the same start is open.
+ *
  * Property: a part is freed or written anew only when no fetch of it can be under way.
  * Not in the model: a save that was under way when the store restarted.
  *
@@ -15,7 +19,8 @@
  * MUTANT 3: the time until which a part is named counts from the naming, not the reading.
  * MUTANT 4: a new leader does not wait for what the one before has named.
  * MUTANT 5: an engine keeps what arrives after the time.
- * MUTANT 6: a store that restarted is written to at once.
+ * MUTANT 6: a leader that sees a store restart does not let it rest.
+ * MUTANT 7: a new leader takes a store as open, though it may have restarted before.
  */
 #ifndef MUTANT
 #define MUTANT 0
@@ -40,14 +45,14 @@
 bool fetching;
 byte fetchuntil;
 bool restarted;
-byte restartedat;
+bool open;               /* a leader told that the store is open since its restart */
 
 active proctype environment() {
 	do
 	:: clock < LAST -> clock++
 	:: leading == 0 -> leading = 1
 	:: !old -> old = true
-	:: atomic { !restarted -> restarted = true; restartedat = clock; store = ABSENT }
+	:: atomic { !restarted -> restarted = true; store = ABSENT }
 	:: break
 	od
 }
@@ -63,7 +68,7 @@
 active proctype writer() {
 	do
 	:: atomic {
-		restarted && store == ABSENT && (clock > restartedat + NAMED + MARGIN || MUTANT == 6) ->
+		open && store == ABSENT ->
 		assert(!fetched);
 		store = WRITING
 	   }
@@ -72,12 +77,21 @@
 }
 
 proctype leader(byte id) {
-	byte read, retired;
-	bool whole, knows, retires;
+	byte read, retired, openat;
+	bool whole, knows, retires, start;
+	/* The first leader has seen the store since before its restart. */
+	bool listed = (id == 0);
 	leading >= id;
 	do
 	:: atomic {
 		read = clock;
+		if
+		:: !listed && restarted && !open && MUTANT != 7 -> openat = read + NAMED + MARGIN
+		:: listed && start != restarted && MUTANT != 6 -> openat = read + NAMED + MARGIN
+		:: else
+		fi;
+		listed = true;
+		start = restarted;
 		/* One that was cut off does not hear of new weights. */
 		if
 		:: old -> knows = true
@@ -104,6 +118,10 @@
 			:: else
 			fi
 		:: else
+		fi;
+		if
+		:: start && read >= openat -> open = true
+		:: else
 		fi
 	   }
 	:: atomic {
