--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -36,7 +36,8 @@
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
 	board := j.server.board
-	if j.number == 0 {
+	// Whoever goes on with a stream has a part of it already, and would lose that.
+	if j.number == 0 && !j.request.Resumes {
 		room, ok := board.Admit(view.Instances[j.service], wish, now)
 		if !ok {
 			j.room = known{tokens: room, age: now.Sub(view.LoadsAt), ok: true}
