The age of engines' loads in the logs is that of whoever tells them

Cause, found by reading the diff: a control instance that tells no loads was noted as having told some when it was first heard, so room_age_ms was too young after it restarted, though the loads were those of a leader that may have been silent. Decisions do not use the age. Change: only sources with loads count. TestLoadsKeepTheirAge failed before (one second too young) and passes.

--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -157,7 +157,8 @@
 	s.wake()
 }
 
-// PublishLoads sets the load of each engine that answered; nil says that nothing is known. Entries are told with the next news of stores.
+// PublishLoads sets the load of each engine that answered; nil says that nothing is known.
+// Entries are told with the next news of stores.
 func (s *Source) PublishLoads(loads map[string]balance.EngineLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/fleet/stores_test.go
+++ b/internal/transport/fleet/stores_test.go
@@ -11,6 +11,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
@@ -131,3 +132,19 @@
 	a.source.Load().PublishLoads(after)
 	wait(t, "only the new one is", func() bool { return cmp.Equal(after, f.View().Loads) })
 }
+
+// A control instance that tells no loads does not make those of the leader look younger.
+func TestLoadsKeepTheirAge(t *testing.T) {
+	leader, other := newControl(t), newControl(t)
+	f := follow(t, leader, other)
+	loads := map[string]balance.EngineLoad{"x": {Used: 60_000}}
+	leader.source.Load().PublishLoads(loads)
+	wait(t, "the load is known", func() bool { return cmp.Equal(loads, f.View().Loads) })
+	told := f.View().LoadsAt
+	other.restart()
+	other.source.Load().Publish(ledger.Installed{}, map[string]uint64{"m": 9})
+	wait(t, "the other is heard again", func() bool { return f.View().Weights["m"] == 9 })
+	if diff := cmp.Diff(told, f.View().LoadsAt); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -60,7 +60,7 @@
 				v.Busy[id] = true
 			}
 			maps.Copy(v.Loads, s.loads)
-			if s.loadsAt.After(v.LoadsAt) {
+			if len(s.loads) > 0 && s.loadsAt.After(v.LoadsAt) {
 				v.LoadsAt = s.loadsAt
 			}
 		}
