Metrics and a log line show an entry that lags behind the configuration

Cause: neither logs nor metrics told how far an entry is behind the newest version that it knows of, nor how much text control instances hand out.

Change: gauges of the version in force and of the newest known one at each entry, and a line at the control instance for each text that it gives, with its bytes.

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -74,6 +74,7 @@
 		View: follower.View, Upstreams: upstreams, Metrics: serving.NewMetrics(), Log: logger,
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
+	server.Metrics.Follow(follower.View)
 	return &platformEntry{
 		follower: follower, upstreams: upstreams, server: server, grace: s.Grace(), log: logger,
 		callers: &http.Server{
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -40,6 +40,7 @@
 func (s *Source) Configuration(context.Context, *wire.InstalledRequest) (*wire.InstalledResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.log.Info().Str("event", "configuration_given").Uint64("version", s.installed.Version).Int("bytes", len(s.installed.Text)).Msg("")
 	return &wire.InstalledResponse{Version: s.installed.Version, Text: s.installed.Text}, nil
 }
 
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -17,8 +17,11 @@
 
 // View is what an entry goes by. It never changes once it is published.
 type View struct {
-	// Config is nil until a configuration is known.
+	// Config is the configuration in force; it is nil until one is known.
 	Config *deployment.Config
+	// Newest is the newest version of the configuration that any source told of. While it is
+	// above Config's, this process serves by an older one and fetches the newer.
+	Newest uint64
 	// Instances holds the live instances of each service, in the order of their ids.
 	Instances map[string][]registry.Instance
 	// Weights holds the newest weight version of each model, and WeightsAt when this
@@ -50,7 +53,7 @@
 // publish makes the view anew; mu must be held.
 func (f *Follower) publish() {
 	v := &View{
-		Config: f.config, Instances: f.instances, Entries: 1,
+		Config: f.config, Newest: f.newestVersion(), Instances: f.instances, Entries: 1,
 		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
 		Stores: newestStores(f.sources), Busy: map[string]bool{}, Loads: map[string]balance.EngineLoad{},
 	}
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
 // Metrics counts what is served, by team and kind of request. Make one with NewMetrics.
@@ -36,6 +37,23 @@
 	return m
 }
 
+// Follow adds what a view says of the configuration: the version in force, and the newest that
+// is known to exist. The difference shows a process that lags. It must be called once.
+func (m *Metrics) Follow(view func() *fleet.View) {
+	inForce := func() float64 {
+		config := view().Config
+		if config == nil {
+			return 0
+		}
+		return float64(config.Version)
+	}
+	newest := func() float64 { return float64(view().Newest) }
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shedrock_configuration_version", Help: "The version of the configuration in force, 0 for none."}, inForce),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shedrock_configuration_newest_version", Help: "The newest version of the configuration that is known to exist."}, newest),
+	)
+}
+
 // Handler serves the metrics as text.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
