Entries fetch a configuration in pieces that count, from a source of their own

Cause: one attempt had to bring the whole text within 400 ms, kept nothing when it did not, and all entries asked the control instance that told of a version first.

Change: a text is cut where its content says, each piece is named by its digest and packed by itself. An entry asks what the newest version consists of and fetches what it lacks, some at a time: what has come counts whichever source is asked next, and a small change of a large text moves a piece or two. How much is asked for at a time shrinks when a question takes too long. Each entry asks in an order of its own (rendezvous hashing), and a source that applies the version some milliseconds later holds the question until then. A long text is decoded while polls go on; one that does not decode is not asked for again. The call that gave whole texts, and texts in the answers to polls, are gone. Logs tell the bytes fetched and the time taken. The fixture's silent source reads its request first, as only then does a server notice that the caller has gone.

--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
@@ -71,3 +74,42 @@
 	}
 	return out
 }
+
+func fromRefs(refs []chunks.Ref) []*wire.ConfigurationPiece {
+	out := make([]*wire.ConfigurationPiece, 0, len(refs))
+	for _, ref := range refs {
+		out = append(out, &wire.ConfigurationPiece{Id: ref.ID[:], Size: uint32(ref.Size)})
+	}
+	return out
+}
+
+func toRefs(in []*wire.ConfigurationPiece) ([]chunks.Ref, error) {
+	out := make([]chunks.Ref, 0, len(in))
+	for i, piece := range in {
+		id, ok := chunks.ParseID(piece.Id)
+		if !ok {
+			return nil, errors.Errorf("manifest[%d].id: has %d bytes", i, len(piece.Id))
+		}
+		out = append(out, chunks.Ref{ID: id, Size: int(piece.Size)})
+	}
+	return out, nil
+}
+
+func fromIDs(ids []chunks.ID) [][]byte {
+	out := make([][]byte, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, id[:])
+	}
+	return out
+}
+
+// toIDs reads ids; what is none names no piece, and is left out.
+func toIDs(in [][]byte) []chunks.ID {
+	out := make([]chunks.ID, 0, len(in))
+	for _, b := range in {
+		if id, ok := chunks.ParseID(b); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/transport/fleet/fixture_test.go
+++ b/internal/transport/fleet/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -46,6 +47,8 @@
 		if strings.HasSuffix(r.URL.Path, "/Configuration") {
 			c.texts.Add(1)
 			if c.mute.Load() {
+				// The end of the connection shows only once the request was read.
+				_, _ = io.Copy(io.Discard, r.Body)
 				<-r.Context().Done()
 				return
 			}
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/netdial"
@@ -47,8 +48,12 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	config *deployment.Config
-	// fetching is true while a configuration's text is asked for.
-	fetching  bool
+	// fetching is true while a configuration is fetched.
+	fetching bool
+	// unreadable is the newest version whose text did not decode; it is not fetched again.
+	unreadable uint64
+	// text is that of config. Only the fetch under way reads or replaces it.
+	text      *chunks.Text
 	merged    registry.Merged
 	weights   map[string]uint64
 	weightsAt map[string]time.Time
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -39,6 +39,8 @@
 	epoch     uint64
 	heartbeat time.Duration
 	log       *log.Logger
+	// text holds the configuration's text as it is given to entries.
+	text textLibrary
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -36,14 +36,6 @@
 	}
 }
 
-// Configuration returns the configuration that this control instance has applied.
-func (s *Source) Configuration(context.Context, *wire.InstalledRequest) (*wire.InstalledResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.log.Info().Str("event", "configuration_given").Uint64("version", s.installed.Version).Int("bytes", len(s.installed.Text)).Msg("")
-	return &wire.InstalledResponse{Version: s.installed.Version, Text: s.installed.Text}, nil
-}
-
 // marks are up to where a caller knows what a Source tells, by its numbers.
 type marks struct {
 	change, stores, control, loads uint64
@@ -89,9 +81,6 @@
 	for _, r := range s.registry.Since(since.change) {
 		out.Instances = append(out.Instances, fromReport(r, now))
 	}
-	if s.installed.Version > in.ConfigVersion && !in.WithoutText {
-		out.ConfigText = s.installed.Text
-	}
 	s.stores.tell(since.stores, out)
 	return out
 }
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -38,6 +38,9 @@
 	stores        storesKnown
 	// version is the newest configuration that it told of.
 	version uint64
+	// avoidUntil is until when it is asked for the configuration after all others, because
+	// it did not help.
+	avoidUntil time.Time
 	// loads holds the engines' load as the source knows it, loadsAt when it told of it, and
 	// loadsChange its mark.
 	loads       map[string]balance.EngineLoad
@@ -72,7 +75,7 @@
 	defer f.mu.Unlock()
 	in := &wire.FleetRequest{
 		Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds()),
-		ConfigVersion: f.newestVersion(), WithoutText: true,
+		ConfigVersion: f.newestVersion(),
 	}
 	if s := f.sources[address]; s != nil {
 		in.Epoch = s.epoch
@@ -123,7 +126,6 @@
 		f.joinInstances()
 	}
 	f.takeWeights(toWeights(out.Weights), now)
-	f.takeConfig(address, out.ConfigVersion, out.ConfigText)
 	f.wantConfig()
 	f.publish()
 }
