--- a/internal/state/chunks/assembly.go
+++ b/internal/state/chunks/assembly.go
@@ -75,6 +75,15 @@
 	return nil
 }
 
+// Prune drops the pieces of which the text does not consist, once it is whole.
+func (a *Assembly) Prune() {
+	kept := make(map[ID][]byte, len(a.refs))
+	for _, ref := range a.refs {
+		kept[ref.ID] = a.pieces[ref.ID]
+	}
+	a.pieces = kept
+}
+
 // Fetched returns how many bytes were taken by Add, packed.
 func (a *Assembly) Fetched() int { return a.fetched }
 
--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -270,6 +270,7 @@
 	}
 	version := c.version
 	c.version = 0
+	c.assembly.Prune()
 	// Decoding a long text takes a good part of a second, during which polls go on.
 	config, err := c.f.Decode(text.Bytes())
 	c.f.mu.Lock()
