Large entries cross slow links once, and cost no leader its place

Cause: all messages to a peer went in one row, a delivery had 2 s whatever its size, and each heartbeat without headway (150 ms) queued the same entries again. While a large entry was on its way no heartbeat and no answer came through: after 450 ms followers called for elections and the leader believed that it was alone.

A delivery has 2 s and the time that its bytes take at 1 Mbit/s.

--- a/internal/coordination/replication/exchange.go
+++ b/internal/coordination/replication/exchange.go
@@ -182,6 +182,7 @@
 	}
 	if msg.Reject {
 		p.next = max(p.match, min(p.next-1, msg.Hint)) + 1
+		p.from = p.next
 		// While a snapshot is on its way the member rejects everything else.
 		if p.snapshotTicks == 0 {
 			m.sendEntries(msg.From, p)
@@ -195,7 +196,7 @@
 		m.advance()
 	}
 	last, _ := m.log.last()
-	if m.role == leader && p.next <= last {
+	if m.role == leader && p.next <= last && m.hasRoom(p) {
 		m.sendEntries(msg.From, p)
 	}
 }
@@ -237,13 +238,20 @@
 func (m *Machine) broadcast() {
 	for _, other := range m.configs.current() {
 		p := m.others[other.Node]
-		if p != nil && p.next <= p.match+maxInFlight {
+		if p != nil && m.hasRoom(p) {
 			m.sendEntries(other.Node, p)
 		}
 	}
 	m.advance()
 }
 
+// hasRoom reports whether a member may be sent more before it acknowledges what it was
+// sent.
+func (m *Machine) hasRoom(p *progress) bool {
+	first := p.unacknowledged()
+	return p.next-first < maxInFlight && m.log.bytes(first, p.next) < maxInFlightBytes
+}
+
 // broadcastCommit tells members that have nothing to receive about the commit.
 func (m *Machine) broadcastCommit() {
 	for _, other := range m.configs.current() {
@@ -264,7 +272,7 @@
 			continue
 		}
 		if p.match == p.matchAtBeat {
-			p.next = p.match + 1
+			p.resend()
 		}
 		p.matchAtBeat = p.match
 		m.sendEntries(other.Node, p)
@@ -278,14 +286,24 @@
 		m.sendSnapshot(to, p)
 		return
 	}
-	entries := m.log.from(p.next, maxAppendBytes)
+	var entries []Entry
+	if m.hasRoom(p) {
+		entries = m.log.from(p.next, maxAppendBytes)
+	}
 	p.next += uint64(len(entries))
 	m.send(Message{Kind: AppendRequest, To: to, LogIndex: before, LogTerm: term, Commit: m.commit, Round: m.round, Entries: entries})
 }
 
+// sendSnapshot sends a snapshot to a member that answers. To make one costs the shell
+// time and memory by the size of the state, so a member that is gone gets none: it would
+// be lost, and the next one would wait for snapshotRetryTicks after the return.
 func (m *Machine) sendSnapshot(to Node, p *progress) {
-	if p.snapshotTicks > 0 {
-		// Still on its way: a bare message keeps the follower from an election.
+	gone := p.silent > ElectionTicks
+	if gone {
+		p.snapshotTicks = 0
+	}
+	if gone || p.snapshotTicks > 0 {
+		// A bare message keeps the follower from an election.
 		m.send(Message{Kind: AppendRequest, To: to, LogIndex: m.log.snapshot.Index, LogTerm: m.log.snapshot.Term, Round: m.round})
 		return
 	}
--- a/internal/coordination/replication/leader.go
+++ b/internal/coordination/replication/leader.go
@@ -21,7 +21,7 @@
 	for _, other := range m.configs.current() {
 		present[other.Node] = true
 		if other.Node != m.self && m.others[other.Node] == nil {
-			m.others[other.Node] = &progress{next: last + 1, heard: true}
+			m.others[other.Node] = &progress{next: last + 1, from: last + 1, heard: true}
 		}
 	}
 	for n := range m.others {
--- a/internal/coordination/replication/log.go
+++ b/internal/coordination/replication/log.go
@@ -48,6 +48,15 @@
 	return rest[:len(rest):len(rest)]
 }
 
+// bytes returns the size of the data of the entries in [low, high) that are here.
+func (l *entryLog) bytes(low, high uint64) int {
+	size := 0
+	for i := max(low, l.snapshot.Index+1); i < high; i++ {
+		size += len(l.entries[i-l.snapshot.Index-1].Data)
+	}
+	return size
+}
+
 // between returns the entries in (low, high].
 func (l *entryLog) between(low, high uint64) []Entry {
 	first := l.snapshot.Index
--- a/internal/coordination/replication/machine.go
+++ b/internal/coordination/replication/machine.go
@@ -12,8 +12,12 @@
 	ElectionTicks = 6
 	// maxAppendBytes bounds the entries of one message.
 	maxAppendBytes = 512 << 10
-	// maxInFlight bounds the entries sent to a follower and not acknowledged.
-	maxInFlight = 16384
+	// maxInFlight and maxInFlightBytes bound the entries sent to a follower and not
+	// acknowledged; the last message may go beyond the bytes. Two full messages keep
+	// a follower supplied while it syncs one, and what has to be sent again after a
+	// loss stays small beside what a slow link carries in a second.
+	maxInFlight      = 16384
+	maxInFlightBytes = 2 * maxAppendBytes
 )
 
 type role int
@@ -30,6 +34,9 @@
 	// match is the highest entry known to be durable there, and next the first
 	// one to send. Invariant: match < next.
 	match, next uint64
+	// from is where sending began: the entries before it are not on their way, and the
+	// member may hold them although match does not tell so yet. Invariant: from <= next.
+	from uint64
 	// heard is true when the member answered since the last quorum check.
 	heard bool
 	// round is the highest heartbeat round answered.
@@ -46,6 +53,13 @@
 	id, index, round uint64
 }
 
+// resend begins again with the first entry that may have been lost.
+func (p *progress) resend() { p.next = p.unacknowledged() }
+
+// unacknowledged returns the first entry that was sent, as far as is known, and not
+// acknowledged.
+func (p *progress) unacknowledged() uint64 { return max(p.match+1, min(p.from, p.next)) }
+
 // Machine is one replica. Make one with New.
 type Machine struct {
 	self   Node
--- a/internal/transport/control/network.go
+++ b/internal/transport/control/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -10,11 +11,18 @@
 )
 
 const (
-	// outgoingQueue bounds the messages that wait for one peer; more are lost,
-	// which the protocol allows.
-	outgoingQueue = 1024
-	// deliverTimeout bounds one delivery, so that a frozen peer is given up.
+	// deliverTimeout bounds a small delivery, so that a frozen peer is given up; a
+	// large one has the time on top that its bytes take at slowestRate.
 	deliverTimeout = 2 * time.Second
+	// slowestRate, in bytes a second, is 1 Mbit/s: a tenth of the slowest link that
+	// deployments have. A peer that takes nothing at all is noticed sooner, by
+	// netdial.UserTimeout on the connection.
+	slowestRate = 125_000
+	// urgentBytes is how much may be on its way in order before what decides on
+	// leadership overtakes it. The slowest link of deployments, of 10 Mbit/s, carries
+	// that much in 50 ms, which is little beside the 450 ms after which a follower
+	// that hears nothing calls for an election.
+	urgentBytes = 64 << 10
 )
 
 // sighting says where a node takes messages.
@@ -23,32 +31,74 @@
 	address string
 }
 
-// outgoing sends messages to one peer, in order, as many at a time as wait.
+// outgoing sends messages to one peer. The usual ones go in order. While entries or a
+// snapshot take their time on a slow link, heartbeats, votes and answers go by the side:
+// without them followers would call for elections, and the leader would believe that
+// it is alone, before a large entry has arrived anywhere.
 type outgoing struct {
 	address atomic.Value
-	queue   chan replication.Message
+	ordered *lane
+	urgent  *lane
 	cancel  context.CancelFunc
 }
 
-// transmit queues a message; a full queue loses it.
+// transmit queues a message, or loses it.
 func (r *Replica) transmit(m replication.Message) {
 	address := r.addressOf(m.To)
 	if address == "" {
 		return
 	}
-	if m.Kind == replication.SnapshotRequest && !r.fillSnapshot(&m) {
-		return
-	}
 	o, ok := r.outgoing[m.To]
 	if !ok {
 		o = r.newOutgoing()
 		r.outgoing[m.To] = o
 	}
 	o.address.Store(address)
-	select {
-	case o.queue <- m:
+	switch m.Kind {
+	case replication.SnapshotRequest:
+		// The one that is on its way may take longer than the machine waits for it.
+		if !o.ordered.holdsSnapshot() && r.fillSnapshot(&m) {
+			o.ordered.put(m)
+		}
+	case replication.AppendRequest:
+		o.sendAppend(m, m.LogIndex <= r.machine.Matched(m.To))
 	default:
+		o.sendBare(m, true)
+	}
+}
+
+// sendAppend sends those entries that are not on their way yet. The leader repeats
+// entries at each heartbeat until it hears that they have arrived, which on a slow link
+// takes large ones many heartbeats. follows says that the peer is known to hold the entry
+// before them.
+func (o *outgoing) sendAppend(m replication.Message, follows bool) {
+	held := o.ordered.heldFrom(m)
+	bare := m
+	bare.Entries = nil
+	busy := held > 0 || o.ordered.size() > urgentBytes
+	sensible := follows || o.ordered.precedes(m.LogIndex)
+	if len(m.Entries) == 0 || busy && sensible {
+		o.sendBare(bare, sensible)
+	}
+	if held == len(m.Entries) {
+		return
 	}
+	if held > 0 {
+		m.LogIndex = m.Entries[held-1].Index
+		m.LogTerm = m.Entries[held-1].Term
+		m.Entries = m.Entries[held:]
+	}
+	o.ordered.put(m)
+}
+
+// sendBare sends a message without entries. It overtakes a large delivery if it is
+// sensible to the peer before that.
+func (o *outgoing) sendBare(m replication.Message, sensible bool) {
+	if sensible && o.ordered.size() > urgentBytes {
+		o.urgent.put(m)
+		return
+	}
+	o.ordered.put(m)
 }
 
 // fillSnapshot puts the present state into a snapshot that is to be sent; it may
@@ -76,44 +126,30 @@
 	return r.addresses[n]
 }
 
-// newOutgoing starts the goroutine that delivers one peer's messages. One
-// delivery is under way at a time, so that they arrive in order; what waits
-// meanwhile goes together in the next.
+// newOutgoing starts the goroutines that deliver one peer's messages.
 func (r *Replica) newOutgoing() *outgoing {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &outgoing{queue: make(chan replication.Message, outgoingQueue), cancel: cancel}
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case m := <-o.queue:
-				batch := drain(o.queue, m, r.Address)
-				r.deliver(ctx, o.address.Load().(string), batch)
-			}
+	o := &outgoing{cancel: cancel}
+	deliver := func(client *http.Client) func([]replication.Message) error {
+		return func(messages []replication.Message) error {
+			return r.deliver(ctx, client, o.address.Load().(string), messages)
 		}
-	}()
+	}
+	o.ordered = newLane(ctx, deliver(r.client))
+	o.urgent = newLane(ctx, deliver(r.urgent))
 	return o
 }
 
-// drain joins the messages that wait into one delivery.
-func drain(queue <-chan replication.Message, first replication.Message, address string) *wire.MessageBatch {
-	batch := &wire.MessageBatch{Address: address, Messages: []*wire.Message{wire.FromMessage(first)}}
-	for {
-		select {
-		case m := <-queue:
-			batch.Messages = append(batch.Messages, wire.FromMessage(m))
-		default:
-			return batch
-		}
+func (r *Replica) deliver(ctx context.Context, client *http.Client, address string, messages []replication.Message) error {
+	batch := &wire.MessageBatch{Address: r.Address}
+	for _, m := range messages {
+		batch.Messages = append(batch.Messages, wire.FromMessage(m))
 	}
-}
-
-func (r *Replica) deliver(ctx context.Context, address string, batch *wire.MessageBatch) {
-	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	transfer := time.Duration(sizeOf(messages...)) * time.Second / slowestRate
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout+transfer)
 	defer cancel()
-	// A lost delivery is repeated by the protocol, so the error says nothing new.
-	_, _ = wire.NewReplicationProtobufClient("http://"+address, r.client).Deliver(ctx, batch)
+	_, err := wire.NewReplicationProtobufClient("http://"+address, client).Deliver(ctx, batch)
+	return err
 }
 
 func (r *Replica) stopOutgoing() {
@@ -121,6 +157,7 @@
 		o.cancel()
 	}
 	r.client.CloseIdleConnections()
+	r.urgent.CloseIdleConnections()
 }
 
 // replicationService takes the messages of other replicas.
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -91,6 +91,9 @@
 	once   sync.Once
 	inputs chan any
 	client *http.Client
+	// urgent has connections of its own, so that what overtakes a large delivery does
+	// not wait for what the other connection has taken of it already.
+	urgent *http.Client
 
 	// The fields below belong to the loop's goroutine.
 	machine  *replication.Machine
@@ -209,6 +212,7 @@
 		}
 		r.inputs = make(chan any, inputQueue)
 		r.client = rpc.NewClient()
+		r.urgent = rpc.NewClient()
 		r.outgoing = map[replication.Node]*outgoing{}
 		r.addresses = map[replication.Node]string{}
 		r.waiting = map[uint64]waiter{}
