--- a/internal/coordination/replication/log.go
+++ b/internal/coordination/replication/log.go
@@ -57,6 +57,20 @@
 	return size
 }
 
+// behind returns the lowest index after which the entries up to high are at most so many,
+// and their data at most so many bytes or one entry's.
+func (l *entryLog) behind(high uint64, entries, bytes int) uint64 {
+	low := high
+	for low > l.snapshot.Index && high-low < uint64(entries) {
+		bytes -= len(l.entries[low-l.snapshot.Index-1].Data)
+		if bytes < 0 && low < high {
+			break
+		}
+		low--
+	}
+	return low
+}
+
 // between returns the entries in (low, high].
 func (l *entryLog) between(low, high uint64) []Entry {
 	first := l.snapshot.Index
--- a/internal/coordination/replication/size_test.go
+++ b/internal/coordination/replication/size_test.go
@@ -157,3 +157,34 @@
 	}
 	t.Error("no snapshot within a heartbeat of the return")
 }
+
+// What stays behind a snapshot is bounded in entries and in bytes, but the last entry stays
+// whatever its size.
+func TestBehindBoundsEntriesAndBytes(t *testing.T) {
+	stored := replication.Restart{Term: 1, Snapshot: replication.Snapshot{Index: 10, Term: 1}}
+	for i, size := range []int{5, 1, 3, 2, 9} {
+		stored.Entries = append(stored.Entries, replication.Entry{Index: uint64(11 + i), Term: 1, Kind: replication.EntryCommand, Data: make([]byte, size)})
+	}
+	m := replication.New("n", 1, stored)
+	type bound struct {
+		high           uint64
+		entries, bytes int
+	}
+	got := map[bound]uint64{}
+	want := map[bound]uint64{
+		{15, 9, 100}: 10, // all
+		{15, 9, 8}:   14, // the last is larger
+		{15, 0, 100}: 15,
+		{15, 2, 100}: 13,
+		{14, 9, 6}:   11,
+		{14, 9, 5}:   12,
+		{14, 1, 5}:   13,
+		{10, 9, 100}: 10,
+	}
+	for b := range want {
+		got[b] = m.Behind(b.high, b.entries, b.bytes)
+	}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(bound{})); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/transport/control/effects.go
+++ b/internal/transport/control/effects.go
@@ -210,9 +210,11 @@
 	r.reading = kept
 }
 
-// compact writes a snapshot when the log has grown long.
+// compact writes a snapshot when the log has grown long. What a rewrite leaves does not
+// count: entries that are not applied yet may be longer than the bound, and would have
+// every round write another snapshot.
 func (r *Replica) compact() {
-	if r.Folder.Size() < r.SnapshotBytes || len(r.unsynced) > 0 {
+	if r.Folder.Size()-r.rewritten < r.SnapshotBytes || len(r.unsynced) > 0 {
 		return
 	}
 	data, err := r.Ledger.Marshal()
@@ -228,7 +230,7 @@
 		r.noteDisk(err)
 		return
 	}
-	cut := index - min(index, keptEntries)
+	cut := r.machine.Behind(index, keptEntries, keptBytes)
 	r.rewrite(index)
 	if cut > r.machine.SnapshotIndex() {
 		r.machine.Step(replication.Compacted{Index: cut})
@@ -242,7 +244,9 @@
 	err := r.Folder.Rewrite(toFrame(p))
 	if err != nil {
 		r.noteDisk(err)
+		return
 	}
+	r.rewritten = r.Folder.Size()
 }
 
 func (r *Replica) saveImage(s replication.Snapshot) error {
@@ -251,7 +255,12 @@
 		return err
 	}
 	p := replication.Persist{Term: r.machine.Term(), Vote: r.machine.Vote()}
-	return r.Folder.Rewrite(toFrame(p))
+	err = r.Folder.Rewrite(toFrame(p))
+	if err != nil {
+		return err
+	}
+	r.rewritten = r.Folder.Size()
+	return nil
 }
 
 // reconcile moves the configuration one step towards the declared replicas.
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -37,9 +37,15 @@
 	DefaultTick = 75 * time.Millisecond
 	// DefaultSnapshotBytes is how long the log file grows before a snapshot.
 	DefaultSnapshotBytes = 8 << 20
-	// keptEntries stay in the log behind a snapshot, for followers that are
-	// only a little behind.
+	// keptEntries and keptBytes bound the entries that stay in memory behind a
+	// snapshot, for followers that are only a little behind. Entries of usual
+	// commands have some hundred bytes, but one that installs a configuration has
+	// its whole text, up to megabytes: the bound in bytes keeps hundreds of those
+	// from filling the memory of all replicas at the same time. The last entry stays
+	// whatever its size. A follower that lacks more gets the snapshot, which holds
+	// only the last text.
 	keptEntries = 1024
+	keptBytes   = 4 << 20
 	// maxInputs is how many inputs one round of the loop takes.
 	maxInputs = 4096
 	// handOverTime bounds how long a leader that is stopped waits for another.
@@ -110,6 +116,8 @@
 	// unsynced holds what a failing disk has not taken yet, in order.
 	unsynced []durable
 	diskErr  error
+	// rewritten is the length of the log file after it was last rewritten.
+	rewritten int64
 	// repair says what change of the replicas is under way.
 	repair string
 	// joiners holds those that asked to join, by incarnation.
--- a/internal/transport/control/size_test.go
+++ b/internal/transport/control/size_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,8 +34,6 @@
 	sparse = 200_000
 )
 
-var quiet = &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}
-
 // link leads to a replica's listener at linkRate, and counts what it carries.
 type link struct {
 	listener net.Listener
@@ -105,7 +104,22 @@
 	path    string
 	link    *link
 	replica *control.Replica
-	stop    func()
+	// snapshots counts those that the replica has written.
+	snapshots lineCounter
+	stop      func()
+}
+
+// lineCounter counts the lines of a log that hold a word.
+type lineCounter struct {
+	word string
+	n    atomic.Int64
+}
+
+func (c *lineCounter) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), c.word) {
+		c.n.Add(1)
+	}
+	return len(line), nil
 }
 
 // group is a control log whose replicas reach each other over slow links.
@@ -118,7 +132,7 @@
 	t.Helper()
 	g := &group{t: t}
 	for i := range n {
-		g.nodes = append(g.nodes, &node{t: t, id: uint64(i + 1), path: t.TempDir(), link: newLink(t)})
+		g.nodes = append(g.nodes, &node{t: t, id: uint64(i + 1), path: t.TempDir(), link: newLink(t), snapshots: lineCounter{word: `"event":"snapshot"`}})
 	}
 	for _, n := range g.nodes {
 		listener := n.listen("127.0.0.1:0")
@@ -164,7 +178,7 @@
 	}
 	n.replica = &control.Replica{
 		ID: n.id, Address: n.link.address(), Peers: peers, Folder: folder, Restart: restart, Ledger: ledger,
-		Listener: listener, Log: quiet,
+		Listener: listener, Log: &log.Logger{Writer: log.IOWriter{Writer: &n.snapshots}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -187,6 +201,9 @@
 	}
 }
 
+// again starts a node that was stopped.
+func (g *group) again(n *node) { n.start(n.listen(n.link.target), g.peers()) }
+
 // leader waits until one replica leads and a majority follows it.
 func (g *group) leader() *node {
 	g.t.Helper()
@@ -251,6 +268,13 @@
 	}
 }
 
+// setRate sets the rate of all links.
+func (g *group) setRate(r rate.Limit) {
+	for _, n := range g.nodes {
+		n.link.limit.SetLimit(r)
+	}
+}
+
 func (g *group) carried() map[uint64]int64 {
 	out := map[uint64]int64{}
 	for _, n := range g.nodes {
@@ -319,3 +343,57 @@
 	}
 	g.mustCarryOnce(before, changes*sizeSeen)
 }
+
+// All replicas stop and start at once and go on from large entries. One that was away for
+// longer than the log is kept for gets a large snapshot over its slow link.
+func TestRestartsWithLargeEntries(t *testing.T) {
+	const size = 10 * sizeSeen
+	g := newSlowGroup(t, 3)
+	leader := g.leader()
+	leader.install(1, text(size, 1))
+	g.mustHold(leader, transfer(size)+slack)
+	g.each((*node).halt)
+	for _, n := range g.nodes {
+		g.again(n)
+	}
+	leader = g.leader()
+	leader.install(2, text(sizeSeen, 2))
+	g.mustHold(leader, transfer(sizeSeen)+slack)
+	away := g.nodes[int(leader.id)%3]
+	away.halt()
+	g.setRate(rate.Inf)
+	for version := uint64(3); version < 8; version++ {
+		leader.install(version, text(size, version))
+	}
+	g.setRate(linkRate)
+	g.again(away)
+	began := time.Now()
+	g.mustHold(leader, transfer(size)+slack)
+	t.Logf("the one that was away holds all after %s; the link alone takes %s", time.Since(began), transfer(size))
+}
+
+// While large entries are on their way, and the log file is longer than it should grow, no
+// snapshot is written that would not shorten it.
+func TestEntriesOnTheirWayCauseNoSnapshots(t *testing.T) {
+	const size, changes = 10 * sizeSeen, 2
+	g := newSlowGroup(t, 3)
+	leader := g.leader()
+	var wg sync.WaitGroup
+	for version := uint64(1); version <= changes; version++ {
+		wg.Go(func() {
+			client := rpc.NewClient()
+			defer client.CloseIdleConnections()
+			ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+			defer cancel()
+			in := &wire.InstallRequest{Version: version, Text: text(size, version)}
+			_, err := wire.NewControlProtobufClient("http://"+leader.link.target, client).Install(ctx, in)
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := leader.snapshots.n.Load(); n > changes+1 {
+		t.Errorf("%d snapshots were written for %d changes", n, changes)
+	}
+}
