Registry lists its changes in order, from either end

Cause: what a watcher lacks was found by a look at every record, in no order, so it could only be told all at once. And a source that began anew was forgotten at once, which is right only if its first answer holds everything.

Change: a log of changes (internal/state/changes) that lists the newest change of each item from either end; Registry.After and UpTo use it. Merged.Restart and ForgetEarlier let a source tell everything again in many steps before what it does not tell is gone.

--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -13,6 +13,8 @@
 	Grace time.Duration
 
 	instances map[string]*merged
+	// lives counts how often each source began anew.
+	lives map[string]int
 	// births counts the instances heard of so far.
 	births int
 }
@@ -24,8 +26,9 @@
 	// as they came here, to tell those of the same time apart.
 	first time.Time
 	order int
-	// sources vouch for the instance; since is when the last one ceased to.
-	sources map[string]bool
+	// sources vouch for the instance, each with its life in which it last did; since is when
+	// the last one ceased to.
+	sources map[string]int
 	since   time.Time
 }
 
@@ -38,7 +41,7 @@
 		k, ok := m.instances[r.ID]
 		if !ok {
 			m.births++
-			k = &merged{newest: r.Instance, first: now, order: m.births, sources: map[string]bool{}, since: now}
+			k = &merged{newest: r.Instance, first: now, order: m.births, sources: map[string]int{}, since: now}
 			m.instances[r.ID] = k
 		}
 		if !r.First.IsZero() && r.First.Before(k.first) {
@@ -55,7 +58,7 @@
 			k.drop(source, now.Add(-m.Grace))
 			continue
 		}
-		k.sources[source] = true
+		k.sources[source] = m.lives[source]
 	}
 }
 
@@ -66,8 +69,27 @@
 	}
 }
 
+// Restart notes that a source began anew. What it vouched for before holds until
+// ForgetEarlier, as it may take many calls to Take until it has told everything again.
+func (m *Merged) Restart(source string) {
+	if m.lives == nil {
+		m.lives = map[string]int{}
+	}
+	m.lives[source]++
+}
+
+// ForgetEarlier notes that a source told everything since it began anew, so that what it does
+// not vouch for again is gone.
+func (m *Merged) ForgetEarlier(source string, now time.Time) {
+	for _, k := range m.instances {
+		if k.sources[source] != m.lives[source] {
+			k.drop(source, now)
+		}
+	}
+}
+
 func (k *merged) drop(source string, now time.Time) {
-	if !k.sources[source] {
+	if _, ok := k.sources[source]; !ok {
 		return
 	}
 	delete(k.sources, source)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -8,8 +8,11 @@
 package registry
 
 import (
+	"iter"
 	"maps"
 	"time"
+
+	"github.com/shedrock/shedrock/internal/state/changes"
 )
 
 // leftFor is how long an incarnation that left is remembered, so that a late heartbeat
@@ -52,21 +55,18 @@
 	SilentAfter time.Duration
 
 	records map[string]*record
-	// change only rises.
-	change uint64
+	// log holds the ids of the instances in the order of their changes.
+	log changes.Log[string]
 }
 
 // Change returns the number of the newest change.
-func (r *Registry) Change() uint64 { return r.change }
+func (r *Registry) Change() uint64 { return r.log.Last() }
 
 // Hear takes a heartbeat; it reports whether anything changed that others must know.
 func (r *Registry) Hear(in Instance, now time.Time) bool {
-	if r.records == nil {
-		r.records = map[string]*record{}
-	}
 	known, ok := r.records[in.ID]
 	if !ok {
-		r.records[in.ID] = &record{report: Report{Instance: in, First: now, Change: r.next()}, heard: now}
+		r.put(&record{report: Report{Instance: in, First: now}, heard: now})
 		return true
 	}
 	known.heard = now
@@ -79,7 +79,7 @@
 	known.report.Instance = in
 	known.report.Silent = false
 	if changed {
-		known.report.Change = r.next()
+		r.note(known)
 	}
 	return changed
 }
@@ -96,7 +96,7 @@
 		return false
 	}
 	known.report.Weights = newest(known.report.Weights, map[string]uint64{model: version})
-	known.report.Change = r.next()
+	r.note(known)
 	return true
 }
 
@@ -119,29 +119,22 @@
 	if report.Silent {
 		return
 	}
-	if r.records == nil {
-		r.records = map[string]*record{}
-	}
-	report.Change = r.next()
-	r.records[report.ID] = &record{report: report, heard: now.Add(counts - r.SilentAfter)}
+	r.put(&record{report: report, heard: now.Add(counts - r.SilentAfter)})
 }
 
 // Leave takes the end of an incarnation.
 func (r *Registry) Leave(id string, now time.Time) {
-	if r.records == nil {
-		r.records = map[string]*record{}
-	}
 	known, ok := r.records[id]
 	if !ok {
-		known = &record{report: Report{Instance: Instance{ID: id}, First: now}}
-		r.records[id] = known
+		r.put(&record{report: Report{Instance: Instance{ID: id}, First: now, Left: true}, heard: now})
+		return
 	}
 	known.heard = now
 	if known.report.Left {
 		return
 	}
 	known.report.Left = true
-	known.report.Change = r.next()
+	r.note(known)
 }
 
 // Sweep marks the instances that fell silent, and forgets those that left long ago; it
@@ -157,29 +150,60 @@
 		}
 		if !gone && unheard > r.SilentAfter {
 			k.report.Silent = true
-			k.report.Change = r.next()
+			r.note(k)
 			silent = append(silent, k.report.Instance)
 		}
 	}
 	return silent
 }
 
-// Since returns the reports that changed after a change, in no order.
+// Since returns the reports that changed after a change, in the order of their changes.
 func (r *Registry) Since(change uint64) []Report {
 	var out []Report
-	for _, k := range r.records {
-		if k.report.Change > change {
-			out = append(out, k.report)
-		}
+	for _, report := range r.After(change) {
+		out = append(out, report)
 	}
 	return out
 }
 
-func (r *Registry) next() uint64 {
-	r.change++
-	return r.change
+// After lists the reports that changed after a change by their changes, the oldest first.
+func (r *Registry) After(change uint64) iter.Seq2[uint64, Report] {
+	return r.reports(r.log.After(change))
 }
 
+// UpTo lists the reports that did not change after a change, the newest first.
+func (r *Registry) UpTo(change uint64) iter.Seq2[uint64, Report] {
+	return r.reports(r.log.UpTo(change))
+}
+
+func (r *Registry) reports(ids iter.Seq2[uint64, string]) iter.Seq2[uint64, Report] {
+	return func(yield func(uint64, Report) bool) {
+		for change, id := range ids {
+			if !yield(change, r.records[id].report) {
+				return
+			}
+		}
+	}
+}
+
+// put takes a record that is new, or replaces one.
+func (r *Registry) put(k *record) {
+	if r.records == nil {
+		r.records = map[string]*record{}
+		r.log.Newest = func(id string) uint64 {
+			if known := r.records[id]; known != nil {
+				return known.report.Change
+			}
+			return 0
+		}
+	}
+	r.records[k.report.ID] = k
+	r.note(k)
+}
+
+// note numbers a change of a record.
+func (r *Registry) note(k *record) { k.report.Change = r.log.Add(k.report.ID) }
+
 func same(a, b Instance) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"testing"
 	"time"
 
@@ -221,3 +222,57 @@
 		t.Error(diff)
 	}
 }
+
+// A source that began anew vouches on for what it has not told again, until it has told
+// everything.
+func TestRestartedSourceTellsStepByStep(t *testing.T) {
+	now := time.Unix(0, 0)
+	m := registry.Merged{Grace: 4 * beat}
+	report := func(id string, silent bool) registry.Report {
+		return registry.Report{Instance: instance(id, 1, false), Silent: silent}
+	}
+	take(&m, "c1", now, report("x", false), report("y", false), report("z", false))
+	m.Restart("c1")
+	take(&m, "c1", now, report("x", false), report("z", true))
+	now = now.Add(60 * beat)
+	if diff := cmp.Diff([]string{"x", "y"}, ids(m.Live(now))); diff != "" {
+		t.Error(diff)
+	}
+	m.ForgetEarlier("c1", now)
+	if diff := cmp.Diff([]string{"x", "y"}, ids(m.Live(now.Add(3*beat)))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"x"}, ids(m.Live(now.Add(5*beat)))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Reports are listed by their newest change, from either end.
+func TestReportsAreListedInOrder(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := registry.Registry{SilentAfter: 4 * beat}
+	for _, id := range []string{"x", "y", "z"} {
+		r.Hear(instance(id, 1, false), now)
+	}
+	r.Hear(instance("x", 2, true), now)
+	list := func(reports iter.Seq2[uint64, registry.Report]) []string {
+		out := []string{}
+		for change, report := range reports {
+			out = append(out, fmt.Sprint(report.ID, change))
+		}
+		return out
+	}
+	if diff := cmp.Diff([]string{"z3", "x4"}, list(r.After(2))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]string{"z3", "y2"}, list(r.UpTo(3))); diff != "" {
+		t.Error(diff)
+	}
+	r.Leave("z", now)
+	r.Sweep(now.Add(2 * time.Minute))
+	for _, report := range r.Since(0) {
+		if report.ID == "z" || !report.Silent {
+			t.Errorf("%+v is listed", report)
+		}
+	}
+}
