Watch tells a bounded number of bytes in each answer

Cause: an answer held everything that a watcher lacked. After a start, a new epoch or a long absence that is all reports and all parts of stores, from each of 8 control instances over one link. At 3,100 instances they take 3.4 MB, 2.7 s of a link of 10 Mbit/s, while a poll is given up after 2 s and what had come is thrown away.

Change: an answer holds about 64 KB. Changes behind the watcher's mark come first, in order; a watcher that knows nothing is at the newest mark at once and is told the backlog newest first, instances before parts of stores. Loads are told once the instances are. While news of stores is cut short, the time until which parts are named does not move on, as what is gone may not be told yet. What a source vouched for in an earlier life holds until it has told everything again. A source that was lost for so long that its instances were forgotten is asked for all of them again; it told only changes before. catching_up and caught_up are logged for a source that needs more than three answers.

--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -22,6 +22,10 @@
 	lostAfter = 15 * time.Second
 	// viewInterval is how often the view is made anew without news, for what ages.
 	viewInterval = time.Second
+	// joinShare bounds the time spent on joining the instances while sources tell a backlog of
+	// them, to one part in so many: it takes longer the more there are, and 8 sources tell of
+	// 31,000 in about 530 answers.
+	joinShare = 10
 )
 
 // Follower watches all sources. Set the exported fields, then Run.
@@ -53,9 +57,11 @@
 	weights   map[string]uint64
 	weightsAt map[string]time.Time
 	sources   map[string]*knownSource
-	// instances is the last view's; it is made anew only after reports, and each
-	// viewInterval for what ages.
+	// instances is the last view's, made at joinedAt in joinTook; it is made anew only after
+	// reports, and each viewInterval for what ages.
 	instances map[string][]registry.Instance
+	joinedAt  time.Time
+	joinTook  time.Duration
 }
 
 func (f *Follower) init() {
@@ -146,7 +152,8 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-// forgetLost drops what only a long lost source vouches for; mu must be held.
+// forgetLost drops what only a long lost source vouches for, which is to tell it again once it
+// is back; mu must be held.
 func (f *Follower) forgetLost() {
 	reached := false
 	for _, s := range f.sources {
@@ -155,6 +162,7 @@
 	for address, s := range f.sources {
 		if reached && time.Since(s.answered) > lostAfter {
 			f.merged.Forget(address, time.Now())
+			s.forgetInstances()
 		}
 	}
 }
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -6,7 +6,10 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 const (
@@ -45,7 +48,8 @@
 
 // marks are up to where a caller knows what a Source tells, by its numbers.
 type marks struct {
-	change, stores, control, loads uint64
+	instances, stores progress
+	control, loads    uint64
 }
 
 // marksOf returns the caller's marks; those of another life of this source say nothing.
@@ -53,7 +57,10 @@
 	if in.Epoch != s.epoch {
 		return marks{}
 	}
-	return marks{change: in.Change, stores: in.StoreChange, control: in.ControlChange, loads: in.LoadsChange}
+	return marks{
+		instances: progress{in.Change, in.Backlog}, stores: progress{in.StoreChange, in.StoreBacklog},
+		control: in.ControlChange, loads: in.LoadsChange,
+	}
 }
 
 // look returns what the caller lacks, whether that is anything, and what is closed at
@@ -66,38 +73,66 @@
 	}
 	since := s.marksOf(in)
 	out := s.lacking(in, since)
-	news := in.Epoch != s.epoch || len(out.Instances) > 0 || s.installed.Version > in.ConfigVersion ||
+	behind := out.More || since.instances.backlog > 0 || since.stores.backlog > 0
+	news := in.Epoch != s.epoch || behind || len(out.Instances) > 0 || s.installed.Version > in.ConfigVersion ||
 		newer(s.weights, toWeights(in.Weights)) || in.Entry && s.entryNews(in, since)
 	return out, news, s.changed
 }
 
-// lacking returns what a caller with some marks lacks; mu must be held.
+// lacking returns what a caller with some marks lacks, as far as it fits into one answer:
+// instances first, as none is served without them; mu must be held.
 func (s *Source) lacking(in *wire.FleetRequest, since marks) *wire.FleetResponse {
 	out := &wire.FleetResponse{
-		Epoch: s.epoch, Change: s.registry.Change(), ConfigVersion: s.installed.Version,
+		Epoch: s.epoch, ConfigVersion: s.installed.Version,
 		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
-		LoadsChange: s.loadsChange,
-	}
-	if since.loads != s.loadsChange {
-		out.Loads = fromLoads(s.loads)
+		LoadsChange: since.loads,
 	}
 	if since.control != s.controlChange {
 		out.Control = s.control
 	}
-	now := time.Now()
-	for _, r := range s.registry.Since(since.change) {
-		out.Instances = append(out.Instances, fromReport(r, now))
-	}
 	if s.installed.Version > in.ConfigVersion && !in.WithoutText {
 		out.ConfigText = s.installed.Text
 	}
-	s.stores.tell(since.stores, out)
+	p := &page{left: answerBytes}
+	s.tellInstances(since.instances, p, out)
+	s.tellLoads(since.loads, p, out)
+	s.stores.tell(since.stores, time.Duration(in.StoresUntil)*time.Millisecond, p, out)
+	out.More = p.more
 	return out
 }
 
+// tellInstances adds the reports that a caller lacks; mu must be held.
+func (s *Source) tellInstances(since progress, p *page, out *wire.FleetResponse) {
+	last := s.registry.Change()
+	if since.change == 0 {
+		since = anew(last)
+	}
+	now := time.Now()
+	add := func(r registry.Report) int {
+		report := fromReport(r, now)
+		out.Instances = append(out.Instances, report)
+		return proto.Size(report)
+	}
+	out.Change = addNews(p, s.registry.After(since.change), since.change, last, add)
+	out.Backlog = addBacklog(p, s.registry.UpTo(since.backlog), add)
+}
+
+// tellLoads adds the loads, all at once, unless the caller does not know all engines yet; mu
+// must be held.
+func (s *Source) tellLoads(since uint64, p *page, out *wire.FleetResponse) {
+	if since == s.loadsChange || out.Backlog > 0 {
+		return
+	}
+	out.LoadsChange = s.loadsChange
+	out.Loads = fromLoads(s.loads)
+	for _, l := range out.Loads {
+		p.left -= proto.Size(l)
+	}
+}
+
 // entryNews reports whether there is news that only entries are woken for; mu must be held.
 func (s *Source) entryNews(in *wire.FleetRequest, since marks) bool {
-	return s.stores.hasNews(since.stores, time.Duration(in.StoresUntil)*time.Millisecond) ||
+	return s.stores.hasNews(since.stores.change, time.Duration(in.StoresUntil)*time.Millisecond) ||
 		since.loads != s.loadsChange || !slices.Equal(s.busy, in.Busy)
 }
 
--- a/internal/transport/fleet/source_stores.go
+++ b/internal/transport/fleet/source_stores.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/changes"
 )
 
 const (
@@ -21,25 +24,35 @@
 // storesFeed is what a Source tells of stores. The zero value knows none.
 type storesFeed struct {
 	stores map[string]*storeFeed
-	// change numbers the changes of all stores, but for those of Until.
-	change uint64
+	// log numbers the changes of all stores, but for those of Until, and holds those of parts.
+	log changes.Log[storedPart]
+	// forgotten is the newest change that is not remembered any more: watchers who were not
+	// told of it must be told everything anew.
+	forgotten uint64
 	// numbers counts the stores that ever were, and newest is the latest Until of any.
 	numbers uint32
 	newest  time.Duration
 }
 
+// storedPart is a part in one store.
+type storedPart struct {
+	store *storeFeed
+	part  keeping.Part
+}
+
 // storeFeed is one store.
 type storeFeed struct {
-	kept   keeping.Kept
-	number uint32
+	address string
+	kept    keeping.Kept
+	number  uint32
 	// change is the newest change of anything but Until.
 	change uint64
 	// parts holds the newest change of each part, also of those in gone, which the store
 	// does not hold any more since then.
 	parts map[keeping.Part]uint64
 	gone  map[keeping.Part]time.Time
-	// complete is the change from which on parts tells everything.
-	complete uint64
+	// began is the change with which the store became known.
+	began uint64
 	// left is set once the store is not part of the configuration any more.
 	left time.Time
 }
@@ -61,11 +74,6 @@
 	s.news = true
 }
 
-func (f *storesFeed) next() uint64 {
-	f.change++
-	return f.change
-}
-
 func (f *storesFeed) publish(address string, kept keeping.Kept, now time.Time) {
 	store := f.stores[address]
 	if store == nil || !store.left.IsZero() {
@@ -73,45 +81,51 @@
 	}
 	for part := range store.kept.Parts {
 		if _, still := kept.Parts[part]; !still {
-			store.parts[part] = f.next()
+			f.note(store, part)
 			store.gone[part] = now
 		}
 	}
 	for part, tokens := range kept.Parts {
 		if store.kept.Parts[part] != tokens {
-			store.parts[part] = f.next()
+			f.note(store, part)
 			delete(store.gone, part)
 		}
 	}
 	if store.kept.Open != kept.Open || store.kept.OpenEpoch != kept.OpenEpoch {
-		f.next()
-		store.change = f.change
-	}
-	store.forgetGone(now)
-	for _, change := range store.parts {
-		store.change = max(store.change, change)
+		store.change = f.log.Skip()
 	}
+	f.forgetGone(store, now)
 	store.kept = kept
 	f.newest = max(f.newest, kept.Until)
 }
 
+// note numbers the change of a part.
+func (f *storesFeed) note(store *storeFeed, part keeping.Part) {
+	store.change = f.log.Add(storedPart{store, part})
+	store.parts[part] = store.change
+}
+
 // add begins to tell of a store; what watchers knew of an earlier one there does not hold.
 func (f *storesFeed) add(address string) *storeFeed {
 	if f.stores == nil {
 		f.stores = map[string]*storeFeed{}
+		f.log.Newest = func(p storedPart) uint64 { return p.store.parts[p.part] }
 	}
 	f.numbers++
-	at := f.next()
-	store := &storeFeed{number: f.numbers, change: at, complete: at, parts: map[keeping.Part]uint64{}, gone: map[keeping.Part]time.Time{}}
+	at := f.log.Skip()
+	store := &storeFeed{
+		address: address, number: f.numbers, change: at, began: at,
+		parts: map[keeping.Part]uint64{}, gone: map[keeping.Part]time.Time{},
+	}
 	f.stores[address] = store
 	return store
 }
 
 // forgetGone forgets parts that are gone for long.
-func (store *storeFeed) forgetGone(now time.Time) {
+func (f *storesFeed) forgetGone(store *storeFeed, now time.Time) {
 	for part, since := range store.gone {
 		if now.Sub(since) > goneFor {
-			store.complete = max(store.complete, store.parts[part])
+			f.forgotten = max(f.forgotten, store.parts[part])
 			delete(store.parts, part)
 			delete(store.gone, part)
 		}
@@ -124,22 +138,42 @@
 		return
 	}
 	store.left = now
-	store.change = f.next()
+	store.change = f.log.Skip()
 	store.parts, store.gone, store.kept = nil, nil, keeping.Kept{}
 	maps.DeleteFunc(f.stores, func(_ string, other *storeFeed) bool {
 		return !other.left.IsZero() && now.Sub(other.left) > goneFor
 	})
 }
 
-// tell fills in what a watcher lacks that knows everything up to a change.
-func (f *storesFeed) tell(since uint64, out *wire.FleetResponse) {
-	out.StoreChange = f.change
-	out.StoresUntil = f.newest.Milliseconds()
+// tell adds what a watcher lacks; until is its mark for the times until which parts are named.
+func (f *storesFeed) tell(since progress, until time.Duration, p *page, out *wire.FleetResponse) {
+	last := f.log.Last()
+	whole := since.change < f.forgotten || since.change == 0
+	t := &storesTeller{out: out, states: map[*storeFeed]*wire.StoreState{}}
 	for _, address := range slices.Sorted(maps.Keys(f.stores)) {
 		store := f.stores[address]
-		if store.change > since {
-			out.Stores = append(out.Stores, store.state(address, since))
+		if whole || store.change > since.change {
+			t.state(store).Whole = whole || since.change < store.began
 		}
+	}
+	if whole {
+		since = anew(last)
+	}
+	out.StoreChange = addNews(p, f.log.After(since.change), since.change, last, t.add)
+	out.StoreBacklog = addBacklog(p, f.log.UpTo(since.backlog), t.addKept)
+	if out.StoreChange < last {
+		// A part that is gone may not be among those told: none is named for longer yet.
+		out.StoresUntil = until.Milliseconds()
+		return
+	}
+	f.tellUntil(out)
+}
+
+// tellUntil adds until when each store's parts are named.
+func (f *storesFeed) tellUntil(out *wire.FleetResponse) {
+	out.StoresUntil = f.newest.Milliseconds()
+	for _, address := range slices.Sorted(maps.Keys(f.stores)) {
+		store := f.stores[address]
 		if store.left.IsZero() {
 			out.StoreNumbers = append(out.StoreNumbers, store.number)
 			out.StoreAges = append(out.StoreAges, uint32((f.newest - store.kept.Until).Milliseconds()))
@@ -147,21 +181,44 @@
 	}
 }
 
-func (store *storeFeed) state(address string, since uint64) *wire.StoreState {
-	state := &wire.StoreState{
-		Address: address, Number: store.number, OpenTokens: int64(store.kept.Open), OpenEpoch: store.kept.OpenEpoch,
-		Whole: since < store.complete, Gone: !store.left.IsZero(),
-	}
-	for part, change := range store.parts {
-		tokens := store.kept.Parts[part]
-		if state.Whole && tokens > 0 || !state.Whole && change > since {
-			state.Parts = append(state.Parts, &wire.KeptPart{Salt: part.Salt, Id: part.ID, Tokens: int64(tokens)})
+// storesTeller adds stores and their parts to one answer.
+type storesTeller struct {
+	out    *wire.FleetResponse
+	states map[*storeFeed]*wire.StoreState
+}
+
+// state returns what is told of a store, which is added if it was not. It does not count into
+// the page: many changed stores would leave no room for their parts in any answer.
+func (t *storesTeller) state(store *storeFeed) *wire.StoreState {
+	state := t.states[store]
+	if state == nil {
+		state = &wire.StoreState{
+			Address: store.address, Number: store.number, OpenTokens: int64(store.kept.Open), OpenEpoch: store.kept.OpenEpoch,
+			Gone: !store.left.IsZero(),
 		}
+		t.states[store] = state
+		t.out.Stores = append(t.out.Stores, state)
 	}
 	return state
 }
 
+// add adds a part, and returns its bytes.
+func (t *storesTeller) add(p storedPart) int {
+	state := t.state(p.store)
+	part := &wire.KeptPart{Salt: p.part.Salt, Id: p.part.ID, Tokens: int64(p.store.kept.Parts[p.part])}
+	state.Parts = append(state.Parts, part)
+	return proto.Size(part)
+}
+
+// addKept adds a part unless it is gone: a watcher knows no part of its backlog.
+func (t *storesTeller) addKept(p storedPart) int {
+	if p.store.kept.Parts[p.part] == 0 {
+		return 0
+	}
+	return t.add(p)
+}
+
 // hasNews reports whether a watcher with some marks is to be told now.
 func (f *storesFeed) hasNews(change uint64, until time.Duration) bool {
-	return f.change > change || f.newest >= until+untilStep
+	return f.log.Last() > change || f.newest >= until+untilStep
 }
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -41,10 +41,13 @@
 
 // joinInstances lists the live instances of each service; mu must be held.
 func (f *Follower) joinInstances() {
+	began := time.Now()
 	f.instances = map[string][]registry.Instance{}
-	for _, in := range f.merged.Live(time.Now()) {
+	for _, in := range f.merged.Live(began) {
 		f.instances[in.Service] = append(f.instances[in.Service], in)
 	}
+	f.joinedAt = time.Now()
+	f.joinTook = f.joinedAt.Sub(began)
 }
 
 // publish makes the view anew; mu must be held.
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/balance"
@@ -20,13 +21,27 @@
 	// that processes that start together find each other at once.
 	retryWait  = 200 * time.Millisecond
 	retryFirst = 20 * time.Millisecond
+	// behindAnswers is after how many answers that do not hold everything a follower logs that
+	// it lags: with fewer it has caught up within 0.1 s of a link of 10 Mbit/s.
+	behindAnswers = 3
 )
 
 // knownSource is what a Follower knows of one control instance.
 type knownSource struct {
 	cancel context.CancelFunc
 	epoch  uint64
-	change uint64
+	// change and backlog are how far it told of instances, stores.change and stores.backlog
+	// how far of stores.
+	change, backlog uint64
+	// restarted is true from when it began anew until it has told of all instances again.
+	restarted bool
+	// unasked is true from when what it told of instances was forgotten until it is asked with
+	// those marks; an answer to an earlier question leaves out what did not change.
+	unasked bool
+	// answers counts the last answers in a row that did not hold everything, and behind is
+	// when the first of them came.
+	answers int
+	behind  time.Time
 	// answered is when it last answered, and reached whether the last poll did.
 	answered time.Time
 	reached  bool
@@ -75,8 +90,11 @@
 		ConfigVersion: f.newestVersion(), WithoutText: true,
 	}
 	if s := f.sources[address]; s != nil {
+		s.unasked = false
 		in.Epoch = s.epoch
 		in.Change = s.change
+		in.Backlog = s.backlog
+		in.StoreBacklog = s.stores.backlog
 		in.StoreChange = s.stores.change
 		in.StoresUntil = s.stores.until.Milliseconds()
 		in.ControlChange = s.controlChange
@@ -102,7 +120,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sources[address]
-	if s == nil {
+	if s == nil || s.unasked {
 		return
 	}
 	now := time.Now()
@@ -110,16 +128,22 @@
 		f.Log.Info().Str("event", "control_reached").Str("address", address).Uint64("epoch", out.Epoch).Msg("")
 	}
 	if s.epoch != out.Epoch {
-		f.merged.Forget(address, now)
+		f.merged.Restart(address)
+		s.restarted = true
 		s.stores = storesKnown{}
 	}
 	s.take(out, now)
+	f.noteBehind(address, s, out, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
 		reports = append(reports, toReport(r, now))
 	}
 	f.merged.Take(address, reports, now)
-	if len(reports) > 0 {
+	if s.restarted && out.Backlog == 0 {
+		s.restarted = false
+		f.merged.ForgetEarlier(address, now)
+	}
+	if len(reports) > 0 && (out.Backlog == 0 || slices.ContainsFunc(reports, ends) || now.Sub(f.joinedAt) >= joinShare*f.joinTook) {
 		f.joinInstances()
 	}
 	f.takeWeights(toWeights(out.Weights), now)
@@ -128,6 +152,9 @@
 	f.publish()
 }
 
+// ends reports whether an instance takes no more requests, which entries must know at once.
+func ends(r registry.Report) bool { return r.Leaving || r.Silent || r.Left }
+
 // take notes what an answer says of its source and of what the source alone vouches for.
 func (s *knownSource) take(out *wire.FleetResponse, now time.Time) {
 	began := s.epoch != out.Epoch
@@ -135,6 +162,7 @@
 	s.answered = now
 	s.epoch = out.Epoch
 	s.change = out.Change
+	s.backlog = out.Backlog
 	if s.controlChange != out.ControlChange || len(out.Control) > 0 {
 		s.control = out.Control
 	}
@@ -150,6 +178,33 @@
 	s.stores.take(out, now)
 }
 
+// forgetInstances makes the source tell of all instances again.
+func (s *knownSource) forgetInstances() {
+	if s.change > 0 {
+		s.change, s.backlog = 0, 0
+		s.unasked = true
+	}
+}
+
+// noteBehind logs when a source has more to tell than fits into several answers, and when
+// nothing is left; mu must be held.
+func (f *Follower) noteBehind(address string, s *knownSource, out *wire.FleetResponse, now time.Time) {
+	if out.More {
+		if s.answers == 0 {
+			s.behind = now
+		}
+		s.answers++
+		if s.answers == behindAnswers {
+			f.Log.Info().Str("event", "catching_up").Str("address", address).Uint64("change", out.Change).Uint64("backlog", out.Backlog).Uint64("store_change", out.StoreChange).Uint64("store_backlog", out.StoreBacklog).Msg("")
+		}
+		return
+	}
+	if s.answers >= behindAnswers {
+		f.Log.Info().Str("event", "caught_up").Str("address", address).Int("answers", s.answers+1).Int64("took_ms", now.Sub(s.behind).Milliseconds()).Msg("")
+	}
+	s.answers = 0
+}
+
 func (f *Follower) takeWeights(weights map[string]uint64, now time.Time) {
 	for model, version := range weights {
 		if version <= f.weights[model] {
