A large entry that is being stored is not sent again by the next heartbeat

Cause: what a peer took counts as on its way until it can have stored it, but the end of the next small delivery took that back at once. A heartbeat before the acknowledgement then sent the entry again.

Change: only a lost delivery or the end of that time takes it back.

--- a/internal/transport/control/lane.go
+++ b/internal/transport/control/lane.go
@@ -38,8 +38,8 @@
 	bytes int
 	// began is when the delivery that is under way began.
 	began time.Time
-	// delivered holds what the peer took last, if that was large, and counts as on its
-	// way until graceUntil: the peer has yet to store it before it acknowledges.
+	// delivered holds the last large delivery that the peer took. It counts as on its way
+	// until graceUntil, because the peer stores it before it acknowledges.
 	delivered  []replication.Message
 	graceUntil time.Time
 	// wake holds a token when messages may wait.
@@ -102,10 +102,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	done, rest := l.messages[:l.underWay], slices.Clone(l.messages[l.underWay:])
-	l.delivered = nil
+	now := time.Now()
+	if !ok || now.After(l.graceUntil) {
+		l.delivered = nil
+	}
 	if ok && sizeOf(done...) > urgentBytes {
 		l.delivered = done
-		l.graceUntil = time.Now().Add(min(time.Since(l.began), mostGrace))
+		l.graceUntil = now.Add(min(now.Sub(l.began), mostGrace))
 	}
 	if !ok {
 		rest = slices.DeleteFunc(rest, func(m replication.Message) bool { return m.Kind == replication.AppendRequest })
