Watch bounds its answers only for watchers that can ask for the rest

Cause: a watcher of an earlier version does not send the backlog back, so that it would take the first part of a bounded answer for everything, as in an upgrade of one process after the other.

--- a/internal/transport/fleet/catch_up_test.go
+++ b/internal/transport/fleet/catch_up_test.go
@@ -354,6 +354,7 @@
 				in := &wire.FleetRequest{
 					Epoch: out.GetEpoch(), Change: out.GetChange(), Backlog: out.GetBacklog(),
 					StoreChange: out.GetStoreChange(), StoreBacklog: out.GetStoreBacklog(), StoresUntil: out.GetStoresUntil(),
+					Paged: true,
 				}
 				var err error
 				out, err = source.Watch(ctx, in)
@@ -386,6 +387,13 @@
 		for i := range fleetSize {
 			source.Hear(fleetInstance(i))
 		}
+		unpaged, err := source.Watch(ctx, &wire.FleetRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]int{fleetSize, n}, []int{len(unpaged.Instances), len(unpaged.Stores[0].Parts)}); diff != "" || unpaged.More {
+			t.Error("who can't ask for the rest: ", diff)
+		}
 		first, parts, instances, whole := ask(nil)
 		if diff := cmp.Diff(kept, parts); diff != "" {
 			t.Error(diff)
--- a/internal/transport/fleet/page.go
+++ b/internal/transport/fleet/page.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "iter"
+import (
+	"iter"
+	"math"
+)
 
 // answerBytes is about how much of what a watcher lacks one answer holds. The answers of 8
 // control instances at once take 0.42 s on an entry's link of 10 Mbit/s, a fifth of
@@ -24,6 +27,14 @@
 	more bool
 }
 
+// newPage returns an empty page, which has no bound for a watcher that can't ask for the rest.
+func newPage(bounded bool) *page {
+	if bounded {
+		return &page{left: answerBytes}
+	}
+	return &page{left: math.MaxInt}
+}
+
 // addNews adds changes behind a mark in their order, with add, which returns their bytes. It
 // returns the mark behind them; last is the newest change of all.
 func addNews[K any](p *page, changes iter.Seq2[uint64, K], mark, last uint64, add func(K) int) uint64 {
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -93,7 +93,7 @@
 	if s.installed.Version > in.ConfigVersion && !in.WithoutText {
 		out.ConfigText = s.installed.Text
 	}
-	p := &page{left: answerBytes}
+	p := newPage(in.Paged)
 	s.tellInstances(since.instances, p, out)
 	s.tellLoads(since.loads, p, out)
 	s.stores.tell(since.stores, time.Duration(in.StoresUntil)*time.Millisecond, p, out)
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -87,7 +87,7 @@
 	defer f.mu.Unlock()
 	in := &wire.FleetRequest{
 		Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds()),
-		ConfigVersion: f.newestVersion(), WithoutText: true,
+		ConfigVersion: f.newestVersion(), WithoutText: true, Paged: true,
 	}
 	if s := f.sources[address]; s != nil {
 		s.unasked = false
