Followers are not held up by a laggard, a lost manifest or a late answer

Cause: a source that lagged at a version which does not decode was asked for it again and again, and never counted as one that does not help. A manifest was kept for good, so that a version whose pieces nobody had any more was asked for without end. An answer formed before a source told of a newer version took that word back, and the next poll was held for a second.

Change: a version that does not decode counts as settled; when no source helps, what the text consists of is asked anew (what has come stays); an answer does not take back what was told while it was under way.

--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -129,6 +129,9 @@
 		c.f.avoid(address)
 		c.f.Log.Info().Str("event", "configuration_not_fetched").Uint64("version", wanted).Str("from", address).Int("fetched_bytes", c.assembly.Fetched()).Int("asked_bytes", c.bytes).Str("error", err.Error()).Msg("")
 	}
+	// No source gave anything: what the text consists of is asked anew, as whoever told it may
+	// be gone, and others may cut it otherwise.
+	c.version = 0
 	return false
 }
 
@@ -181,12 +184,14 @@
 		in.MostBytes = uint32(c.bytes)
 		in.Pieces = fromIDs(c.assembly.Missing(c.bytes / leastPiecesBytes))
 	}
+	told := c.f.toldBy(address)
 	out, err := c.call(ctx, address, in)
 	if err != nil {
 		return err
 	}
+	c.f.noteVersion(address, told, out.Version)
 	if c.version == 0 {
-		err = c.begin(address, out)
+		err = c.begin(out)
 		if err != nil {
 			return err
 		}
@@ -198,7 +203,7 @@
 		}
 	}
 	if len(in.Pieces) > 0 && len(out.Packed) == 0 {
-		return c.without(address, out.Version)
+		return c.without(out.Version)
 	}
 	return c.finish(address)
 }
@@ -206,8 +211,7 @@
 // without follows an answer that held none of the pieces asked for. A source with a newer
 // version may not keep them any more: it is asked what that consists of, and what has come
 // counts for it too. One with an older version lags.
-func (c *configFetch) without(address string, version uint64) error {
-	c.f.noteVersion(address, version)
+func (c *configFetch) without(version uint64) error {
 	if version > c.version {
 		c.version = 0
 		return nil
@@ -229,13 +233,12 @@
 }
 
 // begin takes a manifest.
-func (c *configFetch) begin(address string, out *wire.ConfigurationResponse) error {
+func (c *configFetch) begin(out *wire.ConfigurationResponse) error {
 	refs, err := toRefs(out.Manifest)
 	if err != nil {
 		return err
 	}
-	c.f.noteVersion(address, out.Version)
-	if out.Version <= c.f.inForce() {
+	if out.Version <= c.f.settled() {
 		return errors.Errorf("it has version %d only", out.Version)
 	}
 	err = c.assembly.Want(refs)
@@ -246,20 +249,32 @@
 	return nil
 }
 
-// noteVersion takes a source's own word on its version: one that restarted, or was told of by
-// an answer that came late, may have an older one.
-func (f *Follower) noteVersion(address string, version uint64) {
+// toldBy returns the newest version that a source told of.
+func (f *Follower) toldBy(address string) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.sources[address]; s != nil {
+		return s.version
+	}
+	return 0
+}
+
+// noteVersion takes a source's own word on its version: one that restarted may have an older
+// one. What it told of while the answer was under way is newer than the answer, and stays;
+// told is what it had told before.
+func (f *Follower) noteVersion(address string, told, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.sources[address]; s != nil && s.version == told {
 		s.version = version
 	}
 }
 
-func (f *Follower) inForce() uint64 {
+// settled returns the newest version that needs no fetch: it is in force, or does not decode.
+func (f *Follower) settled() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.version()
+	return max(f.version(), f.unreadable)
 }
 
 // finish puts the text in force if it is whole.
@@ -275,7 +290,7 @@
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	if err != nil {
-		c.f.unreadable = version
+		c.f.unreadable = max(c.f.unreadable, version)
 		c.f.Log.Error().Str("event", "configuration_unreadable").Uint64("version", version).Str("from", address).Str("error", err.Error()).Msg("")
 		return nil
 	}
