--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -17,13 +17,19 @@
 const (
 	// pieceTimeout bounds one question to one source, so that another is asked well within the
 	// time that a change may take to be in force. It never has to be enough for a whole text:
-	// what is asked for at a time shrinks until it is enough, and what has come is kept.
+	// what is asked for at a time shrinks until it is enough, and what has come is kept. When
+	// the least is too much as well, the time grows up to slowTimeout, in which the largest
+	// piece fits at 130 kbit/s.
 	pieceTimeout = 400 * time.Millisecond
+	slowTimeout  = 10 * pieceTimeout
 	// mostPiecesBytes and leastPiecesBytes bound what is asked for at a time. The first takes
 	// 50 ms of a link of 10 Mbit/s, so that requests on the same link wait for less than that;
-	// the second fits into pieceTimeout at 80 kbit/s.
+	// the second is a piece of routes, packed.
 	mostPiecesBytes  = 64 << 10
 	leastPiecesBytes = 4 << 10
+	// namedBytes is for how many bytes asked for one piece is named, so that the answer is
+	// full: few pieces pack to less.
+	namedBytes = 512
 	// appliedWait is how long a source may take to apply a version that another one told of: a
 	// majority has it already, and the rest learns of it with the leader's next message.
 	appliedWait = 150 * time.Millisecond
@@ -73,7 +79,7 @@
 		return
 	}
 	defer assembly.Close()
-	fetch := &configFetch{f: f, assembly: assembly, bytes: mostPiecesBytes, began: time.Now()}
+	fetch := &configFetch{f: f, assembly: assembly, bytes: mostPiecesBytes, timeout: pieceTimeout, began: time.Now()}
 	for ctx.Err() == nil && f.behind() {
 		if !fetch.step(ctx) {
 			pause(ctx, retryWait)
@@ -109,8 +115,10 @@
 	assembly *chunks.Assembly
 	// version is the one that is put together, 0 before a manifest has come.
 	version uint64
-	// bytes is how much is asked for at a time, between leastPiecesBytes and mostPiecesBytes.
-	bytes int
+	// bytes is how much is asked for at a time, between leastPiecesBytes and mostPiecesBytes,
+	// and timeout how long an answer may take, between pieceTimeout and slowTimeout.
+	bytes   int
+	timeout time.Duration
 	// began is when this fetch, or the version after the last one in force, was begun.
 	began time.Time
 }
@@ -182,7 +190,7 @@
 	if c.version != 0 {
 		in.Version = c.version
 		in.MostBytes = uint32(c.bytes)
-		in.Pieces = fromIDs(c.assembly.Missing(c.bytes / leastPiecesBytes))
+		in.Pieces = fromIDs(c.assembly.Missing(c.bytes / namedBytes))
 	}
 	told := c.f.toldBy(address)
 	out, err := c.call(ctx, address, in)
@@ -221,14 +229,18 @@
 
 // call makes one call, and adapts how much is asked for at a time to what the link carries.
 func (c *configFetch) call(ctx context.Context, address string, in *wire.ConfigurationRequest) (*wire.ConfigurationResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, appliedWait+pieceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appliedWait+c.timeout)
 	defer cancel()
-	out, err := wire.NewFleetProtobufClient("http://"+address, c.f.client).Configuration(ctx, in)
+	out, err := wire.NewFleetProtobufClient("http://"+address, c.f.client).ConfigurationPieces(ctx, in)
 	if err != nil {
+		if c.bytes == leastPiecesBytes {
+			c.timeout = min(2*c.timeout, slowTimeout)
+		}
 		c.bytes = max(c.bytes/2, leastPiecesBytes)
 		return nil, errors.Wrap(err, "ask for the configuration")
 	}
 	c.bytes = min(2*c.bytes, mostPiecesBytes)
+	c.timeout = pieceTimeout
 	return out, nil
 }
 
@@ -280,6 +292,10 @@
 // finish puts the text in force if it is whole.
 func (c *configFetch) finish(address string) error {
 	text, ok := c.assembly.Text()
+	if !ok && len(c.assembly.Missing(1)) == 0 {
+		c.version = 0
+		return errors.New("its manifest does not fit the pieces")
+	}
 	if !ok {
 		return nil
 	}
--- a/internal/transport/fleet/source_configuration.go
+++ b/internal/transport/fleet/source_configuration.go
@@ -29,8 +29,8 @@
 	library chunks.Library
 }
 
-// Configuration tells what the configuration's text consists of, or gives pieces of it.
-func (s *Source) Configuration(ctx context.Context, in *wire.ConfigurationRequest) (*wire.ConfigurationResponse, error) {
+// ConfigurationPieces tells what the configuration's text consists of, or gives pieces of it.
+func (s *Source) ConfigurationPieces(ctx context.Context, in *wire.ConfigurationRequest) (*wire.ConfigurationResponse, error) {
 	installed := s.awaitInstalled(ctx, in.Version, time.Duration(in.WaitMilliseconds)*time.Millisecond)
 	out, err := s.text.answer(installed, in)
 	if err != nil {
