--- a/internal/transport/control/disk_test.go
+++ b/internal/transport/control/disk_test.go
@@ -3,18 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/transport/control"
-	"github.com/shedrock/shedrock/internal/transport/controlclient"
 )
 
 const patience = 20 * time.Second
@@ -34,25 +30,7 @@
 		}
 		return nil
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	r := &control.Replica{
-		ID: 1, Address: address, Peers: []control.Peer{{ID: 1, Address: address}}, Folder: folder, Restart: restart, Ledger: ledger,
-		Listener: listener, Log: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}}, Tick: 10 * time.Millisecond,
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- r.Run(ctx) }()
-	defer func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	}()
-	client := controlclient.New(controlclient.Fixed([]string{address}))
+	client := startAlone(t, &control.Replica{Folder: folder, Restart: restart, Ledger: ledger})
 	apply := func(version int, patience time.Duration) (*wire.ApplyResponse, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
--- a/internal/transport/control/resend_test.go
+++ b/internal/transport/control/resend_test.go
@@ -3,16 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
 
-	"github.com/phuslu/log"
-
 	"github.com/shedrock/shedrock/internal/transport/control"
-	"github.com/shedrock/shedrock/internal/transport/controlclient"
 )
 
 // An operator who got no clear answer sends a configuration again, and an older one may come
@@ -24,25 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	r := &control.Replica{
-		ID: 1, Address: address, Peers: []control.Peer{{ID: 1, Address: address}}, Folder: folder, Restart: restart, Ledger: ledger,
-		Listener: listener, Log: &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- r.Run(ctx) }()
-	defer func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	}()
-	client := controlclient.New(controlclient.Fixed([]string{address}))
+	client := startAlone(t, &control.Replica{Folder: folder, Restart: restart, Ledger: ledger})
 	logged := func() int64 {
 		info, err := os.Stat(filepath.Join(path, "log"))
 		if err != nil {
