Tests of a large fleet are held to their time without the race detector

Cause: one failed beside twelve busy processes, with the race detector: 3,100 instances were not known within 11 s. Its cases run side by side, and with the detector it is their processor time that passes: run again beside the same load they took 10.4 and 11.5 s, alone without it 2.7 s.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	@red=$$(cut -d, -f1 KNOWN-RED.txt 2>/dev/null | paste -sd'|'); \
 	  if [ -n "$$red" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi; \
 	  set -x; go test -race -timeout 8m $${red:+-skip "^($$red)$$"} ./... && \
-	  go test -timeout 2m $${red:+-skip "^($$red)$$"} -run 'Large|Entries' ./internal/transport/fleet ./internal/transport/control
+	  go test -timeout 2m $${red:+-skip "^($$red)$$"} -run 'Large|Many|Entries' ./internal/transport/fleet ./internal/transport/control
 
 check:
 	@bad=$$(gofmt -l $$(git ls-files '*.go' | grep -vE '$(GENERATED)')); \
--- a/internal/transport/fleet/catch_up_fixture_test.go
+++ b/internal/transport/fleet/catch_up_fixture_test.go
@@ -78,7 +78,8 @@
 }
 
 // knownWithin is how long so many bytes may take over an entry's link: twice what it
-// takes alone, and some seconds for a busy machine.
+// takes alone, and some seconds for a busy machine. Under the race detector it is processor
+// time that passes, so the tests are run without it as well.
 func knownWithin(bytes int) time.Duration {
-	return 5*time.Second + 2*time.Duration(bytes/linkRate)*time.Second
+	return slowdown * (5*time.Second + 2*time.Duration(bytes/linkRate)*time.Second)
 }
