The longest wait for a piece fits below the bound of every call

Cause: it was 4 s, while the client ends every call after 2 s, so its comment promised a link of 130 kbit/s that could not do. Change: 1.6 s, and 330 kbit/s.

--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -18,10 +18,11 @@
 	// pieceTimeout bounds one question to one source, so that another is asked well within the
 	// time that a change may take to be in force. It never has to be enough for a whole text:
 	// what is asked for at a time shrinks until it is enough, and what has come is kept. When
-	// the least is too much as well, the time grows up to slowTimeout, in which the largest
-	// piece fits at 130 kbit/s.
+	// the least is too much as well, the time grows up to slowTimeout, which with appliedWait is
+	// below pollTimeout, the bound of every call here; the largest piece fits into it at
+	// 330 kbit/s.
 	pieceTimeout = 400 * time.Millisecond
-	slowTimeout  = 10 * pieceTimeout
+	slowTimeout  = 4 * pieceTimeout
 	// mostPiecesBytes and leastPiecesBytes bound what is asked for at a time. The first takes
 	// 50 ms of a link of 10 Mbit/s, so that requests on the same link wait for less than that;
 	// the second is a piece of routes, packed.
