From a request's id: its weights, who told them, and when newer ones were named

Cause: no line told which weight version a prompt was sent for, which one the entry believed its engine to have, from whom and how old that was, or when the newest was acknowledged; so the incident's hypotheses could not be told apart by logs.

Change: control instances tell the age of each naming, and with each instance's weights how and when they were told; entries join these (state/weights) and write them on a prompt's request and attempt lines. No decision uses them yet.

--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -47,11 +47,12 @@
 		if !r.First.IsZero() && r.First.Before(k.first) {
 			k.first = r.First
 		}
-		weights := newest(k.newest.Weights, r.Weights)
+		told := r.Instance
+		told.learn(k.newest)
 		if r.Sequence > k.newest.Sequence {
 			k.newest = r.Instance
 		}
-		k.newest.Weights = weights
+		k.newest.Weights, k.newest.Told = told.Weights, told.Told
 		k.left = k.left || r.Left
 		if r.Silent || r.Left {
 			// It was given several heartbeats already: no grace on top.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -29,8 +29,20 @@
 	Leaving bool
 	// Sequence rises with each heartbeat.
 	Sequence uint64
-	// Weights holds the weight version of each model that it serves.
+	// Weights holds the weight version of each model that it serves, and Told is how they are
+	// known.
 	Weights map[string]uint64
+	Told    Word
+}
+
+// Word is how what an instance said of itself is known.
+type Word struct {
+	// At is when it was first said, as far as it was not said differently since.
+	At time.Time
+	// Asked says that a control instance asked for it; else a heartbeat told it.
+	Asked bool
+	// Via is the address of the control instance that passed it on, or empty where it was heard.
+	Via string
 }
 
 // Report is an instance as one control instance knows it.
@@ -65,6 +77,7 @@
 // Hear takes a heartbeat; it reports whether anything changed that others must know.
 func (r *Registry) Hear(in Instance, now time.Time) bool {
 	known, ok := r.records[in.ID]
+	in.Told = Word{At: now}
 	if !ok {
 		r.put(&record{report: Report{Instance: in, First: now}, heard: now})
 		return true
@@ -74,7 +87,7 @@
 		return false
 	}
 	changed := known.report.Silent || !same(known.report.Instance, in)
-	in.Weights = newest(known.report.Weights, in.Weights)
+	in.learn(known.report.Instance)
 	changed = changed || !maps.Equal(in.Weights, known.report.Weights)
 	known.report.Instance = in
 	known.report.Silent = false
@@ -96,10 +109,20 @@
 		return false
 	}
 	known.report.Weights = newest(known.report.Weights, map[string]uint64{model: version})
+	known.report.Told = Word{At: now, Asked: true}
 	r.note(known)
 	return true
 }
 
+// learn joins what is known of the weights from before.
+func (in *Instance) learn(before Instance) {
+	joined := newest(before.Weights, in.Weights)
+	if maps.Equal(joined, before.Weights) {
+		in.Told = before.Told
+	}
+	in.Weights = joined
+}
+
 // newest joins what is known of an incarnation's weights: its versions only rise, so a
 // heartbeat that was sent before a load ended takes nothing back.
 func newest(a, b map[string]uint64) map[string]uint64 {
--- /dev/null
+++ b/internal/state/weights/weights.go
@@ -0,0 +1,143 @@
+// Package weights decides which version of a model's weights a request must run on at least.
+//
+// An operator names versions, and engines are brought to the newest one by one, which may take
+// long or never end. Until a bound after its naming is over, a request may also begin on an
+// older version; after it, on none. A History holds what that depends on: when each version
+// was named, and up to which version the bound is certainly over. Whoever sends requests
+// decides by its own History at the moment of sending, so that no progress elsewhere is needed
+// for old weights to be left alone.
+//
+// Times are those of the process's own clock. What comes from another process comes as an age,
+// and histories join to the stricter of what each knows.
+package weights
+
+import (
+	"slices"
+	"time"
+)
+
+// mostNamed bounds the versions of one model whose times are remembered: so many may be named
+// within the bound and still be told apart.
+const mostNamed = 16
+
+// Naming is when a version was named.
+type Naming struct {
+	Version uint64
+	// At is when a majority of the control log had the version, or somewhat later: as much
+	// as it took to hear of it.
+	At time.Time
+}
+
+// History is what is known of the versions of one model. Its zero value knows none. It is a
+// value: its methods leave it as it is.
+type History struct {
+	// due is the newest version of which it is certain that the bound is over.
+	due uint64
+	// named is in the order of versions, and of times too: a version that was named after a
+	// newer one was heard of says nothing more.
+	named []Naming
+}
+
+// Name adds a naming. A version that is known keeps its earliest time.
+func (h History) Name(n Naming) History {
+	out := History{due: h.due}
+	for _, known := range h.named {
+		if known.Version == n.Version && known.At.Before(n.At) {
+			n.At = known.At
+		}
+	}
+	for _, known := range h.named {
+		if known.Version != n.Version {
+			out.named = append(out.named, known)
+		}
+	}
+	out.named = append(out.named, n)
+	return out.settled()
+}
+
+// Require notes that the bound of a version is over, whatever its naming's time.
+func (h History) Require(version uint64) History {
+	h.due = max(h.due, version)
+	return h.settled()
+}
+
+// Join adds all that another history knows.
+func (h History) Join(other History) History {
+	out := h.Require(other.due)
+	for _, n := range other.named {
+		out = out.Name(n)
+	}
+	return out
+}
+
+// settled drops what changes no answer, and joins the oldest namings when there are too many:
+// the newer version then counts from the older one's time, which is stricter.
+func (h History) settled() History {
+	named := slices.Clone(h.named)
+	slices.SortFunc(named, func(a, b Naming) int {
+		if a.Version < b.Version {
+			return -1
+		}
+		return 1
+	})
+	kept := named[:0]
+	for i, n := range named {
+		newerWasEarlier := slices.ContainsFunc(named[i+1:], func(later Naming) bool { return !later.At.After(n.At) })
+		if n.Version > h.due && !newerWasEarlier {
+			kept = append(kept, n)
+		}
+	}
+	for len(kept) > mostNamed {
+		kept[1].At = kept[0].At
+		kept = kept[1:]
+	}
+	return History{due: h.due, named: kept}
+}
+
+// Newest returns the newest version, or 0.
+func (h History) Newest() uint64 {
+	if len(h.named) == 0 {
+		return h.due
+	}
+	return h.named[len(h.named)-1].Version
+}
+
+// NewestAt returns when the newest version was named; ok is false when that is not known any
+// more, because its bound is over.
+func (h History) NewestAt() (at time.Time, ok bool) {
+	if len(h.named) == 0 {
+		return time.Time{}, false
+	}
+	return h.named[len(h.named)-1].At, true
+}
+
+// Due returns the newest version of which it is certain that its bound is over.
+func (h History) Due() uint64 { return h.due }
+
+// Named returns the namings in the order of versions.
+func (h History) Named() []Naming { return slices.Clone(h.named) }
+
+// Required returns the oldest version on which a request may begin at a time, when older ones
+// may be used until a bound after the naming of a newer one. 0 is any.
+func (h History) Required(now time.Time, bound time.Duration) uint64 {
+	required := h.due
+	for _, n := range h.named {
+		if !now.Before(n.At.Add(bound)) {
+			required = max(required, n.Version)
+		}
+	}
+	return required
+}
+
+// Until returns until when a request may begin on a version; ok is false when no end is known.
+func (h History) Until(version uint64, bound time.Duration) (end time.Time, ok bool) {
+	if version < h.due {
+		return time.Time{}, true
+	}
+	for _, n := range h.named {
+		if n.Version > version {
+			return n.At.Add(bound), true
+		}
+	}
+	return time.Time{}, false
+}
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -11,32 +11,52 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 func fromReport(r registry.Report, now time.Time) *wire.InstanceReport {
 	return &wire.InstanceReport{
 		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
-		AgeMilliseconds: uint64(now.Sub(r.First).Milliseconds()),
+		AgeMilliseconds:        uint64(now.Sub(r.First).Milliseconds()),
+		WeightsAgeMilliseconds: uint64(now.Sub(r.Told.At).Milliseconds()), WeightsAsked: r.Told.Asked,
 	}
 }
 
-func toReport(in *wire.InstanceReport, now time.Time) registry.Report {
+// toReport reads a report that a source gave; from is its address.
+func toReport(in *wire.InstanceReport, from string, now time.Time) registry.Report {
 	return registry.Report{
 		Instance: registry.Instance{
 			ID: in.Id, Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
 			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
+			Told: registry.Word{At: before(now, in.WeightsAgeMilliseconds), Asked: in.WeightsAsked, Via: from},
 		},
-		Silent: in.Silent, Left: in.Left, First: now.Add(-time.Duration(in.AgeMilliseconds) * time.Millisecond),
+		Silent: in.Silent, Left: in.Left, First: before(now, in.AgeMilliseconds),
 	}
 }
 
+// before returns a time that lies some milliseconds back.
+func before(now time.Time, milliseconds uint64) time.Time {
+	return now.Add(-time.Duration(milliseconds) * time.Millisecond)
+}
+
+// fromNamed lists the namings of each model, with their ages.
+func fromNamed(named map[string]weights.History, now time.Time) []*wire.WeightNaming {
+	var out []*wire.WeightNaming
+	for _, model := range slices.Sorted(maps.Keys(named)) {
+		for _, n := range named[model].Named() {
+			out = append(out, &wire.WeightNaming{Model: model, Version: n.Version, AgeMilliseconds: uint64(now.Sub(n.At).Milliseconds())})
+		}
+	}
+	return out
+}
+
 // fromWeights lists the versions in the order of the models, so that equal maps give
 // equal lists.
-func fromWeights(weights map[string]uint64) []*wire.WeightVersion {
+func fromWeights(versions map[string]uint64) []*wire.WeightVersion {
 	var out []*wire.WeightVersion
-	for _, model := range slices.Sorted(maps.Keys(weights)) {
-		out = append(out, &wire.WeightVersion{Model: model, Version: weights[model]})
+	for _, model := range slices.Sorted(maps.Keys(versions)) {
+		out = append(out, &wire.WeightVersion{Model: model, Version: versions[model]})
 	}
 	return out
 }
@@ -49,9 +69,9 @@
 	return out
 }
 
-// newer reports whether weights hold a higher version than known ones.
-func newer(weights, known map[string]uint64) bool {
-	for model, version := range weights {
+// newer reports whether some versions hold a higher one than known ones.
+func newer(versions, known map[string]uint64) bool {
+	for model, version := range versions {
 		if version > known[model] {
 			return true
 		}
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -14,6 +14,7 @@
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
@@ -57,11 +58,11 @@
 	// unreadable is the newest version whose text did not decode; it is not fetched again.
 	unreadable uint64
 	// text is that of config. Only the fetch under way reads or replaces it.
-	text      *chunks.Text
-	merged    registry.Merged
-	weights   map[string]uint64
-	weightsAt map[string]time.Time
-	sources   map[string]*knownSource
+	text   *chunks.Text
+	merged registry.Merged
+	// named holds what any source told of the versions of weights that were named.
+	named   map[string]weights.History
+	sources map[string]*knownSource
 	// instances is the last view's, made at joinedAt in joinTook; it is made anew only after
 	// reports, and each viewInterval for what ages.
 	instances map[string][]registry.Instance
@@ -77,8 +78,7 @@
 			DialContext: netdial.NewQuick(dialTimeout).DialContext,
 		}}
 		f.merged = registry.Merged{Grace: silentBeats * f.Heartbeat}
-		f.weights = map[string]uint64{}
-		f.weightsAt = map[string]time.Time{}
+		f.named = map[string]weights.History{}
 		f.sources = map[string]*knownSource{}
 		f.view.Store(&View{Entries: 1})
 	})
--- a/internal/transport/fleet/memory.go
+++ b/internal/transport/fleet/memory.go
@@ -100,7 +100,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, r := range in.Instances {
-		s.registry.Recall(toReport(r, now), now, recalledBeats*s.heartbeat)
+		s.registry.Recall(toReport(r, "", now), now, recalledBeats*s.heartbeat)
 	}
 	s.wake()
 	s.log.Info().Str("event", "instances_recalled").Int("instances", len(in.Instances)).Msg("")
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -20,6 +20,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 const (
@@ -46,7 +47,9 @@
 	// The fields below are guarded by mu.
 	registry  registry.Registry
 	installed ledger.Installed
-	weights   map[string]uint64
+	// named holds when versions of weights were named, as far as this control instance has
+	// been running since.
+	named map[string]weights.History
 	// control holds the addresses of the control instances, and controlChange numbers its
 	// changes.
 	control       []string
@@ -71,7 +74,7 @@
 // often instances report.
 func NewSource(ctx context.Context, heartbeat time.Duration, logger *log.Logger) *Source {
 	s := &Source{
-		epoch: rand.Uint64() | 1, heartbeat: heartbeat, log: logger, weights: map[string]uint64{},
+		epoch: rand.Uint64() | 1, heartbeat: heartbeat, log: logger, named: map[string]weights.History{},
 		registry: registry.Registry{SilentAfter: silentBeats * heartbeat},
 		entries:  map[string]time.Time{}, changed: make(chan struct{}),
 	}
@@ -115,11 +118,17 @@
 }
 
 // Publish sets what the log holds, as far as this control instance applied it.
-func (s *Source) Publish(installed ledger.Installed, weights map[string]uint64) {
+// newest is the newest version of each model's weights.
+func (s *Source) Publish(installed ledger.Installed, newest map[string]uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.installed = installed
-	s.weights = weights
+	now := time.Now()
+	for model, version := range newest {
+		if version > s.named[model].Newest() {
+			s.named[model] = s.named[model].Name(weights.Naming{Version: version, At: now})
+		}
+	}
 	s.wake()
 }
 
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -68,7 +68,7 @@
 	out := s.lacking(in, since)
 	behind := out.More || since.instances.backlog > 0 || since.stores.backlog > 0
 	news := in.Epoch != s.epoch || behind || len(out.Instances) > 0 || s.installed.Version > in.ConfigVersion ||
-		newer(s.weights, toWeights(in.Weights)) || in.Entry && s.entryNews(in, since)
+		newer(newestOf(s.named), toWeights(in.Weights)) || in.Entry && s.entryNews(in, since)
 	return out, news, s.changed
 }
 
@@ -77,7 +77,7 @@
 func (s *Source) lacking(in *wire.FleetRequest, since marks) *wire.FleetResponse {
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, ConfigVersion: s.installed.Version,
-		Entries: uint32(s.countEntries()), Weights: fromWeights(s.weights), Busy: s.busy, ControlChange: s.controlChange,
+		Entries: uint32(s.countEntries()), Weights: fromWeights(newestOf(s.named)), Named: fromNamed(s.named, time.Now()), Busy: s.busy, ControlChange: s.controlChange,
 		LoadsChange: since.loads,
 	}
 	if since.control != s.controlChange {
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -9,6 +9,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 // busyFor is how long the word of a source that does not answer any more holds about
@@ -24,10 +25,10 @@
 	Newest uint64
 	// Instances holds the live instances of each service, in the order of their ids.
 	Instances map[string][]registry.Instance
-	// Weights holds the newest weight version of each model, and WeightsAt when this
-	// process learned of it.
-	Weights   map[string]uint64
-	WeightsAt map[string]time.Time
+	// Weights holds the newest weight version of each model, and Named what is known of when
+	// its versions were named.
+	Weights map[string]uint64
+	Named   map[string]weights.History
 	// Control holds the addresses of the control instances.
 	Control []string
 	// Busy holds the instances that load weights, or will next.
@@ -42,6 +43,15 @@
 	Entries int
 }
 
+// newestOf returns the newest version of each model.
+func newestOf(named map[string]weights.History) map[string]uint64 {
+	out := make(map[string]uint64, len(named))
+	for model, h := range named {
+		out[model] = h.Newest()
+	}
+	return out
+}
+
 // joinInstances lists the live instances of each service; mu must be held.
 func (f *Follower) joinInstances() {
 	began := time.Now()
@@ -57,7 +67,7 @@
 func (f *Follower) publish() {
 	v := &View{
 		Config: f.config, Newest: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: maps.Clone(f.weights), WeightsAt: maps.Clone(f.weightsAt), Control: slices.Sorted(maps.Keys(f.sources)),
+		Weights: newestOf(f.named), Named: maps.Clone(f.named), Control: slices.Sorted(maps.Keys(f.sources)),
 		Stores: newestStores(f.sources), Busy: map[string]bool{}, Loads: map[string]balance.EngineLoad{},
 	}
 	for _, s := range f.sources {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -8,6 +8,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 const (
@@ -89,7 +90,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	in := &wire.FleetRequest{
-		Name: f.Name, Entry: f.Entry, Weights: fromWeights(f.weights), WaitMilliseconds: uint32(pollWait.Milliseconds()),
+		Name: f.Name, Entry: f.Entry, Weights: fromWeights(newestOf(f.named)), WaitMilliseconds: uint32(pollWait.Milliseconds()),
 		ConfigVersion: f.newestVersion(), Paged: true,
 	}
 	if s := f.sources[address]; s != nil {
@@ -139,7 +140,7 @@
 	f.noteBehind(address, s, out, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
-		reports = append(reports, toReport(r, now))
+		reports = append(reports, toReport(r, address, now))
 	}
 	f.merged.Take(address, reports, now)
 	if s.restarted && out.Backlog == 0 {
@@ -149,7 +150,7 @@
 	if len(reports) > 0 && (out.Backlog == 0 || slices.ContainsFunc(reports, ends) || now.Sub(f.joinedAt) >= joinShare*f.joinTook) {
 		f.joinInstances()
 	}
-	f.takeWeights(toWeights(out.Weights), now)
+	f.takeNamed(address, out, now)
 	f.wantConfig()
 	f.publish()
 }
@@ -207,13 +208,24 @@
 	s.answers = 0
 }
 
-func (f *Follower) takeWeights(weights map[string]uint64, now time.Time) {
-	for model, version := range weights {
-		if version <= f.weights[model] {
-			continue
+// takeNamed joins what a source knows of the versions of weights that were named; mu must be
+// held. One that does not tell when counts as if it had just heard of them.
+func (f *Follower) takeNamed(address string, out *wire.FleetResponse, now time.Time) {
+	for _, n := range out.Named {
+		f.name(address, n.Model, weights.Naming{Version: n.Version, At: before(now, n.AgeMilliseconds)}, now)
+	}
+	for _, w := range out.Weights {
+		if w.Version > f.named[w.Model].Newest() {
+			f.name(address, w.Model, weights.Naming{Version: w.Version, At: now}, now)
 		}
-		f.weights[model] = version
-		f.weightsAt[model] = now
-		f.Log.Info().Str("event", "weights_named").Str("model", model).Uint64("version", version).Msg("")
+	}
+}
+
+// name takes one naming; mu must be held.
+func (f *Follower) name(address, model string, n weights.Naming, now time.Time) {
+	known := f.named[model]
+	f.named[model] = known.Name(n)
+	if n.Version > known.Newest() {
+		f.Log.Info().Str("event", "weights_named").Str("model", model).Uint64("version", n.Version).Str("from", address).Dur("age_ms", now.Sub(n.At)).Msg("")
 	}
 }
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -52,6 +52,8 @@
 	// room is the free memory of the last attempt's engine as far as it was known, or of all
 	// engines with room when there was too little.
 	room known
+	// weights is what decided on the weights of the last attempt.
+	weights weightsKnown
 	// spare is a failure that an instance answered, for when no attempt does better.
 	spare *exchange.Whole
 }
@@ -191,6 +193,7 @@
 	}
 	if p := j.request.Prompt; p != nil {
 		j.keep(a, p)
+		j.weights = j.knownWeights(a.Weights)
 	}
 	return a
 }
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -18,6 +18,7 @@
 	if j.room.ok {
 		line = line.Int("room", j.room.tokens).Dur("room_age_ms", j.room.age)
 	}
+	line = j.weights.fields(line)
 	switch o := o.(type) {
 	case outcome.Answered:
 		line = line.Int("status", o.Status).Dur("first_ms", j.first.Sub(j.request.Arrived))
@@ -41,6 +42,7 @@
 	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.number).
 		Str("instance", j.instance.ID).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endName(end)).Dur("took_ms", took)
+	line = j.weights.fields(line)
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
