--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,9 @@
 	CatchUpMs int `json:"catch_up_ms"`
 	// LeaseMs is how long orders of two control instances must lie apart.
 	LeaseMs int `json:"lease_ms"`
+	// OldWeightsMs is how long after newer weights of a model are named requests may still
+	// begin on older ones; 0 is without an end.
+	OldWeightsMs int `json:"old_weights_ms"`
 	// GraceMs is how long a process may take to end.
 	GraceMs int `json:"grace_ms"`
 	// RetryRatio, RetryWindowMs and RetrySlack bound repeated sends over all entries.
@@ -150,6 +153,9 @@
 			return f.name, "must be above 0"
 		}
 	}
+	if s.OldWeightsMs < 0 {
+		return "old_weights_ms", "must not be below 0"
+	}
 	return "", ""
 }
 
@@ -184,6 +190,10 @@
 // Grace returns how long a process may take to end.
 func (s *Settings) Grace() time.Duration { return millis(s.GraceMs) }
 
+// OldWeights returns how long after newer weights are named requests may still begin on older
+// ones, or 0.
+func (s *Settings) OldWeights() time.Duration { return millis(s.OldWeightsMs) }
+
 // CatchUp returns how long a control instance that came back counts as lost.
 func (s *Settings) CatchUp() time.Duration { return millis(s.CatchUpMs) }
 
