--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -75,6 +75,7 @@
 	follower *fleet.Follower
 	keeper   *keeping.Keeper
 	loads    *loads.Watcher
+	requirer *orders.Requirer
 	// calls and metrics serve a listener each; replicas reach one another by the replica's.
 	calls, metrics *http.Server
 	log            *log.Logger
@@ -100,7 +101,7 @@
 		Folder: folder, Restart: restart, Ledger: ledger, Listener: peers, Log: logger,
 		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
 		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
-		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: engines, Holder: s.Name, Source: source, Log: logger},
+		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: engines, Holder: s.Name, Source: source, OldWeights: s.OldWeights(), Log: logger},
 	}
 	if s.FirstStart {
 		replica.Peers = founders(s)
@@ -112,6 +113,9 @@
 			View: follower.View, Leading: replica.Leading, Confirm: replica.Confirm, Source: source, Stores: platform.NewStores(), Log: logger,
 		},
 		loads: &loads.Watcher{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Log: logger},
+		requirer: &orders.Requirer{
+			View: follower.View, Leading: replica.Leading, Require: replica.RequireWeights, OldWeights: s.OldWeights(), Log: logger,
+		},
 		calls: &http.Server{
 			Handler:           calls.Count(platform.Control{Control: client, Source: source, Log: logger}.Handler()),
 			ReadHeaderTimeout: headTimeout,
@@ -142,6 +146,7 @@
 	group.Go(func() error { r.follower.Run(ctx); return nil })
 	group.Go(func() error { r.keeper.Run(ctx); return nil })
 	group.Go(func() error { r.loads.Run(ctx); return nil })
+	group.Go(func() error { r.requirer.Run(ctx); return nil })
 	group.Go(func() error { return served(r.calls.Serve(calls)) })
 	group.Go(func() error { return served(r.metrics.Serve(metrics)) })
 	group.Go(func() error {
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -72,7 +72,8 @@
 	upstreams := &platform.Upstreams{}
 	server := &serving.Server{
 		View: follower.View, Upstreams: upstreams, Metrics: serving.NewMetrics(), Log: logger,
-		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
+		OldWeights: s.OldWeights(),
+		Allowance:  retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
 	server.Metrics.Follow(follower.View)
 	return &platformEntry{
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -112,8 +112,9 @@
 	// Failed counts against the instance; Unreached also has it avoided for a while, and
 	// TimedOut says that nothing was heard from its address until the time was over.
 	Failed, Unreached, TimedOut bool
-	// CallerLeft says that the caller ended it, so that nothing follows for the instance.
-	CallerLeft bool
+	// Withdrawn says that this side ended it, as when the caller leaves, so that nothing follows
+	// for the instance.
+	Withdrawn bool
 	// Latency is the time to the first byte of an answer, or 0 when there was none.
 	Latency time.Duration
 }
@@ -123,7 +124,7 @@
 	l := b.load(id)
 	l.inFlight--
 	l.seen = now
-	if r.CallerLeft {
+	if r.Withdrawn {
 		return
 	}
 	share := 0.0
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -147,7 +147,7 @@
 	}
 	for range 100 {
 		b.Begin(two[0], now)
-		b.End("i0", balance.Result{CallerLeft: true}, now)
+		b.End("i0", balance.Result{Withdrawn: true}, now)
 	}
 	for range 10 {
 		if id := pick(t, b, two, balance.Wish{}); id != "i1" {
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -25,6 +25,8 @@
 	unchecked := instance("a", "v1", "")
 	unchecked.ChecksOrders = false
 	silent := rollout.Instance{Name: "a", Model: "m", ChecksOrders: true}
+	overdue := instance("a", "v1", "v2")
+	overdue.Overdue = true
 	cases := []struct {
 		name      string
 		instances []rollout.Instance
@@ -42,6 +44,9 @@
 			[]rollout.Order{{Name: "a", Model: "m", Version: "v2"}}},
 		{"one that is silent may be loading", []rollout.Instance{silent, instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", ""), instance("e", "v1", "")}, true, 0,
 			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}}},
+		{"one whose load does not end holds no place", []rollout.Instance{overdue, instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", ""), instance("e", "v1", ""), instance("f", "v1", "")}, true, 0,
+			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}, {Name: "c", Model: "m", Version: "v2"}}},
+		{"one whose load does not end serves nobody", []rollout.Instance{overdue, instance("b", "v1", ""), instance("c", "v1", ""), instance("d", "v1", "")}, true, 0, nil},
 		{"one that does not check waits", []rollout.Instance{unchecked, instance("b", "v1", ""), instance("c", "v2", ""), instance("d", "v2", ""), instance("e", "v2", "")}, false, 0,
 			[]rollout.Order{{Name: "b", Model: "m", Version: "v2"}}},
 		{"nothing to do", []rollout.Instance{instance("a", "v2", ""), instance("b", "v2", "")}, true, 0, nil},
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -32,8 +32,9 @@
 	tokenHolder string
 	// installed is the whole configuration with the highest version so far.
 	installed Installed
-	// weights holds the highest weight version named for each model.
-	weights map[string]uint64
+	// weights holds the highest weight version named for each model, and required the one
+	// before which no request may begin any more, which is never above it.
+	weights, required map[string]uint64
 }
 
 // Installed is a whole configuration as its operator sent it. It is a plain value;
@@ -50,6 +51,7 @@
 		records:    map[identity]Record{},
 		tombstones: map[tombstone]int64{},
 		weights:    map[string]uint64{},
+		required:   map[string]uint64{},
 	}
 }
 
@@ -69,8 +71,8 @@
 // Token is the result of taking a token.
 type Token struct{ Value uint64 }
 
-// Held is the result of installing a configuration or of naming weights: the version
-// that holds afterwards.
+// Held is the result of installing a configuration, or of naming or requiring weights: the
+// version that holds afterwards.
 type Held struct{ Version uint64 }
 
 // Malformed says that a command holds nothing that this binary knows. It changes
@@ -115,6 +117,10 @@
 		model := body.NameWeights.Model
 		l.weights[model] = max(l.weights[model], body.NameWeights.Version)
 		return Held{l.weights[model]}
+	case *command.Command_RequireWeights:
+		model := body.RequireWeights.Model
+		l.required[model] = max(l.required[model], min(body.RequireWeights.Version, l.weights[model]))
+		return Held{l.required[model]}
 	}
 	return Malformed{}
 }
@@ -125,6 +131,10 @@
 // Weights returns the newest weight version named for each model, as a copy.
 func (l *Ledger) Weights() map[string]uint64 { return maps.Clone(l.weights) }
 
+// RequiredWeights returns the version of each model before which no request may begin any
+// more, as a copy.
+func (l *Ledger) RequiredWeights() map[string]uint64 { return maps.Clone(l.required) }
+
 func (l *Ledger) apply(c *command.Apply) declared.Result {
 	d, faults := declared.Parse(c.File, c.Text)
 	if len(faults) > 0 {
@@ -156,6 +166,9 @@
 	for _, model := range slices.Sorted(maps.Keys(l.weights)) {
 		out.Weights = append(out.Weights, &command.NameWeights{Model: model, Version: l.weights[model]})
 	}
+	for _, model := range slices.Sorted(maps.Keys(l.required)) {
+		out.Required = append(out.Required, &command.RequireWeights{Model: model, Version: l.required[model]})
+	}
 	written := map[identity]bool{}
 	for _, id := range l.order {
 		r, ok := l.records[id]
@@ -190,6 +203,9 @@
 	for _, w := range in.Weights {
 		l.weights[w.Model] = w.Version
 	}
+	for _, w := range in.Required {
+		l.required[w.Model] = w.Version
+	}
 	l.declared, err = declared.Unmarshal(in.Declared)
 	if err != nil {
 		return nil, err
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// What is required of weights only rises, is never above what was named, and outlives a restart.
+func TestRequiredWeightsOnlyRise(t *testing.T) {
+	g := &log{t, ledger.New()}
+	name := func(version uint64) {
+		g.execute(0, &command.Command{Body: &command.Command_NameWeights{NameWeights: &command.NameWeights{Model: "m", Version: version}}})
+	}
+	require := func(version uint64) uint64 {
+		g.execute(0, &command.Command{Body: &command.Command_RequireWeights{RequireWeights: &command.RequireWeights{Model: "m", Version: version}}})
+		return g.l.RequiredWeights()["m"]
+	}
+	name(3)
+	got := []uint64{require(2), require(1), require(9)}
+	name(4)
+	got = append(got, require(3), require(4))
+	if diff := cmp.Diff([]uint64{2, 2, 3, 3, 4}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestUnknownCommandsChangeNothing(t *testing.T) {
 	l := ledger.New()
 	for _, data := range [][]byte{nil, []byte("garbage"), {0x08, 0x01}} {
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -63,6 +63,7 @@
 	ReasonLeaving       Reason = "entry_leaving"
 	ReasonRecordsFull   Reason = "records_full"
 	ReasonNoRoom        Reason = "no_room"
+	ReasonOldWeights    Reason = "old_weights"
 )
 
 // Label is the short name of an outcome for metrics, logs and the caller's header.
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -21,7 +21,11 @@
 
 type merged struct {
 	newest Instance
-	left   bool
+	// weights holds what is believed of each model; newest has it as of the last call of Live.
+	weights map[string]*belief
+	// unsettled is true while the weights of newest may not be what is believed.
+	unsettled bool
+	left      bool
 	// first is when any source first heard of the instance, and order numbers the instances
 	// as they came here, to tell those of the same time apart.
 	first time.Time
@@ -41,18 +45,16 @@
 		k, ok := m.instances[r.ID]
 		if !ok {
 			m.births++
-			k = &merged{newest: r.Instance, first: now, order: m.births, sources: map[string]int{}, since: now}
+			k = &merged{newest: r.Instance, weights: map[string]*belief{}, first: now, order: m.births, sources: map[string]int{}, since: now}
 			m.instances[r.ID] = k
 		}
 		if !r.First.IsZero() && r.First.Before(k.first) {
 			k.first = r.First
 		}
-		told := r.Instance
-		told.learn(k.newest)
+		k.learn(r.Instance)
 		if r.Sequence > k.newest.Sequence {
 			k.newest = r.Instance
 		}
-		k.newest.Weights, k.newest.Told = told.Weights, told.Told
 		k.left = k.left || r.Left
 		if r.Silent || r.Left {
 			// It was given several heartbeats already: no grace on top.
@@ -89,6 +91,37 @@
 	}
 }
 
+// learn takes what a source says of the weights.
+func (k *merged) learn(in Instance) {
+	k.unsettled = true
+	for model := range in.Weights {
+		c := in.claim(model)
+		if known := k.weights[model]; known != nil {
+			known.take(c)
+			continue
+		}
+		k.weights[model] = &belief{held: c}
+	}
+}
+
+// believe puts what is believed of the weights into newest.
+func (k *merged) believe(now time.Time) {
+	if !k.unsettled {
+		return
+	}
+	k.unsettled = false
+	k.newest.Weights = make(map[string]uint64, len(k.weights))
+	k.newest.Told = Word{}
+	for model, b := range k.weights {
+		c := b.at(now)
+		k.newest.Weights[model] = c.version
+		if c.word.At.After(k.newest.Told.At) {
+			k.newest.Told = c.word
+		}
+		k.unsettled = k.unsettled || b.doubt != nil
+	}
+}
+
 func (k *merged) drop(source string, now time.Time) {
 	if _, ok := k.sources[source]; !ok {
 		return
@@ -119,6 +152,7 @@
 		if owners[k.newest.Address] != k {
 			continue
 		}
+		k.believe(now)
 		out = append(out, k.newest)
 	}
 	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -35,16 +35,6 @@
 	Told    Word
 }
 
-// Word is how what an instance said of itself is known.
-type Word struct {
-	// At is when it was first said, as far as it was not said differently since.
-	At time.Time
-	// Asked says that a control instance asked for it; else a heartbeat told it.
-	Asked bool
-	// Via is the address of the control instance that passed it on, or empty where it was heard.
-	Via string
-}
-
 // Report is an instance as one control instance knows it.
 type Report struct {
 	Instance
@@ -87,7 +77,10 @@
 		return false
 	}
 	changed := known.report.Silent || !same(known.report.Instance, in)
-	in.learn(known.report.Instance)
+	in.Weights = known.report.heard(in, now)
+	if maps.Equal(in.Weights, known.report.Weights) {
+		in.Told = known.report.Told
+	}
 	changed = changed || !maps.Equal(in.Weights, known.report.Weights)
 	known.report.Instance = in
 	known.report.Silent = false
@@ -97,51 +90,56 @@
 	return changed
 }
 
-// Raise takes what an instance said of its weights elsewhere than in a heartbeat; it
-// reports whether that was new.
-func (r *Registry) Raise(in Instance, model string, version uint64, now time.Time) bool {
+// Asked takes what an instance answered when it was asked for its weights; in is what was
+// believed of it then. It reports whether others must know.
+func (r *Registry) Asked(in Instance, model string, version uint64, now time.Time) bool {
 	known, ok := r.records[in.ID]
 	if !ok {
 		r.Hear(in, now)
 		known = r.records[in.ID]
 	}
-	if known.report.Weights[model] >= version {
+	same := known.report.Weights[model] == version && in.Weights[model] == version
+	// The answer may be older than a heartbeat that came just before it.
+	early := version < known.report.Weights[model] && now.Sub(known.report.Told.At) <= lateFor
+	if same || early {
 		return false
 	}
-	known.report.Weights = newest(known.report.Weights, map[string]uint64{model: version})
+	known.report.Weights = maps.Clone(known.report.Weights)
+	known.report.Weights[model] = version
 	known.report.Told = Word{At: now, Asked: true}
 	r.note(known)
 	return true
 }
 
-// learn joins what is known of the weights from before.
-func (in *Instance) learn(before Instance) {
-	joined := newest(before.Weights, in.Weights)
-	if maps.Equal(joined, before.Weights) {
-		in.Told = before.Told
-	}
-	in.Weights = joined
-}
-
-// newest joins what is known of an incarnation's weights: its versions only rise, so a
-// heartbeat that was sent before a load ended takes nothing back.
-func newest(a, b map[string]uint64) map[string]uint64 {
-	out := maps.Clone(a)
+// heard returns the weights that are believed once a heartbeat has come: one that was sent
+// before a load ended takes nothing back.
+func (in Instance) heard(beat Instance, now time.Time) map[string]uint64 {
+	out := maps.Clone(in.Weights)
 	if out == nil {
 		out = map[string]uint64{}
 	}
-	for model, version := range b {
-		out[model] = max(out[model], version)
+	for model := range beat.Weights {
+		told := beat.claim(model)
+		if told.version > out[model] || told.refutes(in.claim(model), now) {
+			out[model] = told.version
+		}
 	}
 	return out
 }
 
+// claim returns what is said of one model.
+func (in Instance) claim(model string) claim {
+	return claim{version: in.Weights[model], word: in.Told, sequence: in.Sequence}
+}
+
 // Recall takes a report of an earlier life of this registry. Until the instance reports
 // itself it counts for a while only, and one that was silent then does not count at all.
 func (r *Registry) Recall(report Report, now time.Time, counts time.Duration) {
 	if report.Silent {
 		return
 	}
+	// What it says of its weights now goes before what it said then.
+	report.Told = Word{}
 	r.put(&record{report: report, heard: now.Add(counts - r.SilentAfter)})
 }
 
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -70,7 +70,7 @@
 		return in
 	}
 	r.Hear(with(1, 1), now)
-	if !r.Raise(with(1, 1), "m", 2, now) {
+	if !r.Asked(with(1, 1), "m", 2, now) {
 		t.Error("a new version is no news")
 	}
 	r.Hear(with(2, 1), now)
@@ -85,6 +85,39 @@
 	}
 }
 
+// An engine that has older weights again, as by an order that is carried out late, is believed
+// to have them: at once by heartbeats that follow one another, and some seconds after it was
+// asked, as a heartbeat may have been sent before. When it is asked once more, that holds.
+func TestWeightsThatFellAreBelieved(t *testing.T) {
+	now := time.Unix(0, 0)
+	with := func(sequence, version uint64) registry.Instance {
+		in := instance("x", sequence, false)
+		in.Weights = map[string]uint64{"m": version}
+		return in
+	}
+	one, two := registry.Registry{SilentAfter: time.Hour}, registry.Registry{SilentAfter: time.Hour}
+	m := registry.Merged{Grace: time.Hour}
+	at := func(after time.Duration) uint64 {
+		take(&m, "c1", now.Add(after), one.Since(0)...)
+		take(&m, "c2", now.Add(after), two.Since(0)...)
+		return m.Live(now.Add(after))[0].Weights["m"]
+	}
+	one.Hear(with(1, 2), now)
+	got := []uint64{at(0)}
+	one.Hear(with(2, 1), now.Add(time.Second))
+	got = append(got, at(time.Second))
+	one.Asked(with(2, 1), "m", 2, now.Add(2*time.Second))
+	got = append(got, at(2*time.Second))
+	// The second one hears the engine for the first time, and knows of no answer.
+	two.Hear(with(3, 1), now.Add(3*time.Second))
+	got = append(got, at(3*time.Second), at(6*time.Second), at(8*time.Second))
+	one.Asked(with(3, 1), "m", 2, now.Add(9*time.Second))
+	got = append(got, at(9*time.Second), at(20*time.Second))
+	if diff := cmp.Diff([]uint64{2, 1, 2, 2, 2, 1, 2, 2}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A crashed incarnation says nothing; the next one at its address takes its place at once.
 func TestAddressBelongsToTheNewestIncarnation(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/state/weights/weights.go
+++ b/internal/state/weights/weights.go
@@ -20,6 +20,26 @@
 // within the bound and still be told apart.
 const mostNamed = 16
 
+// Allowance says how long requests may begin on old weights.
+type Allowance struct {
+	// Bound is how long after the naming of newer ones; 0 is without an end.
+	Bound time.Duration
+	// Since, when set, is when this process was last out of reach of whoever brings engines to
+	// new weights: no bound is over sooner than if the versions had been named then.
+	Since time.Time
+	// Paused says that it is out of reach now: then no version is required, so that whoever is
+	// cut off goes on with what there is.
+	Paused bool
+}
+
+// end returns when the time of versions before one that was named at a time is over.
+func (a Allowance) end(at time.Time) time.Time {
+	if at.Before(a.Since) {
+		at = a.Since
+	}
+	return at.Add(a.Bound)
+}
+
 // Naming is when a version was named.
 type Naming struct {
 	Version uint64
@@ -117,12 +137,17 @@
 // Named returns the namings in the order of versions.
 func (h History) Named() []Naming { return slices.Clone(h.named) }
 
-// Required returns the oldest version on which a request may begin at a time, when older ones
-// may be used until a bound after the naming of a newer one. 0 is any.
-func (h History) Required(now time.Time, bound time.Duration) uint64 {
-	required := h.due
+// Required returns the oldest version on which a request may begin at a time. 0 is any.
+func (h History) Required(now time.Time, a Allowance) uint64 {
+	if a.Paused {
+		return 0
+	}
+	required := uint64(0)
+	if !now.Before(h.dueEnd(a)) {
+		required = h.due
+	}
 	for _, n := range h.named {
-		if !now.Before(n.At.Add(bound)) {
+		if a.Bound > 0 && !now.Before(a.end(n.At)) {
 			required = max(required, n.Version)
 		}
 	}
@@ -130,14 +155,26 @@
 }
 
 // Until returns until when a request may begin on a version; ok is false when no end is known.
-func (h History) Until(version uint64, bound time.Duration) (end time.Time, ok bool) {
+func (h History) Until(version uint64, a Allowance) (end time.Time, ok bool) {
+	if a.Paused {
+		return time.Time{}, false
+	}
 	if version < h.due {
-		return time.Time{}, true
+		return h.dueEnd(a), true
 	}
 	for _, n := range h.named {
-		if n.Version > version {
-			return n.At.Add(bound), true
+		if a.Bound > 0 && n.Version > version {
+			return a.end(n.At), true
 		}
 	}
 	return time.Time{}, false
 }
+
+// dueEnd returns when the time of versions before the one that is certainly due is over for
+// who was out of reach, and long ago for others.
+func (h History) dueEnd(a Allowance) time.Time {
+	if a.Since.IsZero() {
+		return time.Time{}
+	}
+	return a.Since.Add(a.Bound)
+}
--- a/internal/state/weights/weights_test.go
+++ b/internal/state/weights/weights_test.go
@@ -10,9 +10,10 @@
 	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
-const bound = 10 * time.Second
-
-var start = time.Unix(1000, 0)
+var (
+	start = time.Unix(1000, 0)
+	bound = weights.Allowance{Bound: 10 * time.Second}
+)
 
 func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 
@@ -67,6 +68,40 @@
 	}
 }
 
+// Who was out of reach of the control log has the whole time once more, also for a version that
+// is due for others; and while it is out of reach, it goes on with what there is.
+func TestOutOfReachCountsAnew(t *testing.T) {
+	h := weights.History{}.Name(named(3, 0)).Require(2)
+	paused := bound
+	paused.Paused = true
+	if _, ends := h.Until(1, paused); ends || h.Required(at(50), paused) != 0 {
+		t.Error("something is required of who is cut off")
+	}
+	since := bound
+	since.Since = at(50)
+	got := map[int]uint64{}
+	for _, second := range []int{50, 59, 60} {
+		got[second] = h.Required(at(second), since)
+	}
+	if diff := cmp.Diff(map[int]uint64{50: 0, 59: 0, 60: 3}, got); diff != "" {
+		t.Error(diff)
+	}
+	if end, _ := h.Until(1, since); !end.Equal(at(60)) {
+		t.Errorf("version 1 may begin until %v", end)
+	}
+}
+
+// Without a bound, only what is certainly due is required.
+func TestWithoutABoundOnlyMarksCount(t *testing.T) {
+	h := weights.History{}.Name(named(3, 0)).Require(2)
+	if diff := cmp.Diff(uint64(2), h.Required(at(1000), weights.Allowance{})); diff != "" {
+		t.Error(diff)
+	}
+	if _, ends := h.Until(2, weights.Allowance{}); ends {
+		t.Error("version 2 has an end")
+	}
+}
+
 // However many versions are named, and in whatever order they are heard of, what is required
 // never falls with time, and is never less than by the namings one by one.
 func TestNothingIsForgottenTooEarly(t *testing.T) {
@@ -85,7 +120,7 @@
 		for second := range 80 {
 			required := h.Required(at(second), bound)
 			for _, n := range all {
-				if n.Version > required && !at(second).Before(n.At.Add(bound)) {
+				if n.Version > required && !at(second).Before(n.At.Add(bound.Bound)) {
 					t.Fatalf("version %d is required at second %d, and %d only by the history", n.Version, second, required)
 				}
 			}
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -180,6 +180,14 @@
 	return controlService{r}.look(ctx, func(*ledger.Ledger) {})
 }
 
+// RequireWeights commits that the time is over for which requests may begin on versions of a
+// model's weights before one; only the leader can.
+func (r *Replica) RequireWeights(ctx context.Context, model string, version uint64) error {
+	c := &command.Command{Body: &command.Command_RequireWeights{RequireWeights: &command.RequireWeights{Model: model, Version: version}}}
+	_, err := controlService{r}.commit(ctx, c)
+	return err
+}
+
 // takeToken commits a new fencing token for this replica's orders.
 func (r *Replica) takeToken(ctx context.Context) (uint64, error) {
 	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: r.Folder.Incarnation()}}}
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -82,6 +82,9 @@
 		s.Replicas = append(s.Replicas, status)
 	}
 	r.view.set(s)
+	if r.Source != nil {
+		r.Source.PublishLeader(s.Leader != "")
+	}
 	r.publishControl()
 }
 
@@ -115,5 +118,6 @@
 func (r *Replica) publishInstalled() {
 	if r.Source != nil {
 		r.Source.Publish(r.Ledger.Installed(), r.Ledger.Weights())
+		r.Source.Require(r.Ledger.RequiredWeights())
 	}
 }
--- /dev/null
+++ b/internal/transport/fleet/contact.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "time"
+
+// outOfReachAfter is after how long without a word of a control instance that knows a leader a
+// process counts as out of reach of the control log: three long polls. An election takes half a
+// second to a second and a half, and an instance that is lost is not waited for by the others.
+const outOfReachAfter = 3 * time.Second
+
+// Contact is since when, and whether, a process is in reach of a control log with a leader.
+type Contact struct {
+	// Last is when a control instance that knew a leader last answered; it is zero before the
+	// first time.
+	Last time.Time
+	// Lost is when the control log was last out of reach, zero if it was not in this life: the
+	// last question before it was in reach again was sent then.
+	Lost time.Time
+}
+
+// OutOfReach reports whether the control log is out of reach. Who has never reached it knows
+// nothing that it could go on with.
+func (c Contact) OutOfReach(now time.Time) bool {
+	return !c.Last.IsZero() && now.Sub(c.Last) > outOfReachAfter
+}
+
+// reach returns the contact once a control instance that knows a leader has answered; asked is
+// when it was last asked in vain.
+func (c Contact) reach(asked, now time.Time) Contact {
+	if c.OutOfReach(now) {
+		c.Lost = asked
+	}
+	c.Last = now
+	return c
+}
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -62,6 +62,7 @@
 	merged registry.Merged
 	// named holds what any source told of the versions of weights that were named.
 	named   map[string]weights.History
+	contact Contact
 	sources map[string]*knownSource
 	// instances is the last view's, made at joinedAt in joinTook; it is made anew only after
 	// reports, and each viewInterval for what ages.
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -56,6 +56,8 @@
 	controlChange uint64
 	// stores holds what stores keep while this control instance leads.
 	stores storesFeed
+	// leaderless is true while this control instance knows no leader.
+	leaderless bool
 	// busy names the instances that load weights, or will next.
 	busy []string
 	// loads holds what engines told of their load, while this control instance leads, and
@@ -132,6 +134,23 @@
 	s.wake()
 }
 
+// Require sets the version of each model before which no request may begin any more. Entries
+// find out by themselves when its time is over, so they are told with the next news.
+func (s *Source) Require(due map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for model, version := range due {
+		s.named[model] = s.named[model].Require(version)
+	}
+}
+
+// PublishLeader sets whether a leader of the control log is known here.
+func (s *Source) PublishLeader(known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaderless = !known
+}
+
 // PublishControl sets the addresses of the control instances.
 func (s *Source) PublishControl(addresses []string) {
 	s.mu.Lock()
@@ -149,7 +168,7 @@
 func (s *Source) Loaded(in registry.Instance, model string, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.registry.Raise(in, model, version, time.Now()) {
+	if !s.registry.Asked(in, model, version, time.Now()) {
 		return
 	}
 	s.wake()
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -77,8 +77,8 @@
 func (s *Source) lacking(in *wire.FleetRequest, since marks) *wire.FleetResponse {
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, ConfigVersion: s.installed.Version,
-		Entries: uint32(s.countEntries()), Weights: fromWeights(newestOf(s.named)), Named: fromNamed(s.named, time.Now()), Busy: s.busy, ControlChange: s.controlChange,
-		LoadsChange: since.loads,
+		Entries: uint32(s.countEntries()), Weights: fromWeights(newestOf(s.named)), Named: fromNamed(s.named, time.Now()), Due: fromWeights(dueOf(s.named)), Busy: s.busy, ControlChange: s.controlChange,
+		LoadsChange: since.loads, Leaderless: s.leaderless,
 	}
 	if since.control != s.controlChange {
 		out.Control = s.control
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -29,6 +29,8 @@
 	// its versions were named.
 	Weights map[string]uint64
 	Named   map[string]weights.History
+	// Contact says whether the control log is in reach.
+	Contact Contact
 	// Control holds the addresses of the control instances.
 	Control []string
 	// Busy holds the instances that load weights, or will next.
@@ -43,6 +45,12 @@
 	Entries int
 }
 
+// OldWeights returns for how long requests may begin on old weights by this view, at a time and
+// when a bound is declared.
+func (v *View) OldWeights(bound time.Duration, now time.Time) weights.Allowance {
+	return weights.Allowance{Bound: bound, Since: v.Contact.Lost, Paused: v.Contact.OutOfReach(now)}
+}
+
 // newestOf returns the newest version of each model.
 func newestOf(named map[string]weights.History) map[string]uint64 {
 	out := make(map[string]uint64, len(named))
@@ -52,6 +60,17 @@
 	return out
 }
 
+// dueOf returns the version of each model that is required for certain.
+func dueOf(named map[string]weights.History) map[string]uint64 {
+	out := map[string]uint64{}
+	for model, h := range named {
+		if h.Due() > 0 {
+			out[model] = h.Due()
+		}
+	}
+	return out
+}
+
 // joinInstances lists the live instances of each service; mu must be held.
 func (f *Follower) joinInstances() {
 	began := time.Now()
@@ -67,7 +86,7 @@
 func (f *Follower) publish() {
 	v := &View{
 		Config: f.config, Newest: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: newestOf(f.named), Named: maps.Clone(f.named), Control: slices.Sorted(maps.Keys(f.sources)),
+		Weights: newestOf(f.named), Named: maps.Clone(f.named), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)),
 		Stores: newestStores(f.sources), Busy: map[string]bool{}, Loads: map[string]balance.EngineLoad{},
 	}
 	for _, s := range f.sources {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -46,6 +46,9 @@
 	// answered is when it last answered, and reached whether the last poll did.
 	answered time.Time
 	reached  bool
+	// asked is when the last poll was sent, and inVain when the last one was that found no
+	// control log with a leader.
+	asked, inVain time.Time
 	// control holds the addresses of the control instances that it knows, and controlChange
 	// its mark.
 	control       []string
@@ -94,6 +97,7 @@
 		ConfigVersion: f.newestVersion(), Paged: true,
 	}
 	if s := f.sources[address]; s != nil {
+		s.asked = time.Now()
 		s.unasked = false
 		in.Epoch = s.epoch
 		in.Change = s.change
@@ -112,7 +116,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sources[address]
-	if s == nil || !s.reached {
+	if s == nil {
+		return
+	}
+	s.inVain = s.asked
+	if !s.reached {
 		return
 	}
 	s.reached = false
@@ -137,6 +145,11 @@
 		s.stores = storesKnown{}
 	}
 	s.take(out, now)
+	if out.Leaderless {
+		s.inVain = s.asked
+	} else {
+		f.contact = f.contact.reach(s.inVain, now)
+	}
 	f.noteBehind(address, s, out, now)
 	reports := make([]registry.Report, 0, len(out.Instances))
 	for _, r := range out.Instances {
@@ -214,6 +227,9 @@
 	for _, n := range out.Named {
 		f.name(address, n.Model, weights.Naming{Version: n.Version, At: before(now, n.AgeMilliseconds)}, now)
 	}
+	for _, w := range out.Due {
+		f.named[w.Model] = f.named[w.Model].Require(w.Version)
+	}
 	for _, w := range out.Weights {
 		if w.Version > f.named[w.Model].Newest() {
 			f.name(address, w.Model, weights.Naming{Version: w.Version, At: now}, now)
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -30,6 +30,18 @@
 	// orderPending is how long an engine that does not answer after an order still counts
 	// as loading: a load takes about a second, and more while others load.
 	orderPending = 5 * time.Second
+	// loadOverdue is after how long a load holds no place any more, as it may never end: that is
+	// several loads one after the other, and leaves time for the engines that wait. The bound
+	// on how many serve meanwhile holds all the same.
+	loadOverdue = 5 * time.Second
+	// busyShare bounds how often an engine is asked that loads, to once in a part of the time for
+	// which it has: its end is known late by a part of what the load takes. mostBusyWait bounds
+	// the pause where a load never ends.
+	busyShare    = 8
+	mostBusyWait = time.Second
+	// reportHolds is how long the answer of an engine that is not busy is believed: its weights
+	// change by an order of another leader that is carried out late, seconds after it was given.
+	reportHolds = 5 * time.Second
 )
 
 // RegisteredEngines are the engines that registered by heartbeat. Those whose heartbeats
@@ -43,6 +55,9 @@
 	Holder string
 	// Source tells entries which engines load, or will next, and what they have loaded.
 	Source *fleet.Source
+	// OldWeights is how long after newer weights are named engines may still serve by older ones;
+	// 0 is without an end.
+	OldWeights time.Duration
 	// Log receives one line for each event.
 	Log *log.Logger
 
@@ -58,11 +73,47 @@
 // engineState is what is known of one engine.
 type engineState struct {
 	instance registry.Instance
-	// report is its last answer, and asked is false when the next round must ask again.
-	report EngineReport
-	asked  bool
+	// report is its last answer, which came at reported, and asked is false when the next round
+	// must ask again.
+	report   EngineReport
+	reported time.Time
+	asked    bool
 	// given is when it was last ordered, and named since when entries avoid it.
 	given, named time.Time
+	// busy is since when it has been known to load, or zero.
+	busy time.Time
+}
+
+// mustAsk reports whether the engine must be asked before it can be decided about.
+func (s *engineState) mustAsk(now time.Time) bool {
+	switch {
+	case now.Sub(s.given) < quietAfterOrder:
+		return false
+	case !s.busy.IsZero():
+		return now.Sub(s.reported) >= min(mostBusyWait, now.Sub(s.busy)/busyShare)
+	}
+	return !s.asked || now.Sub(s.reported) >= reportHolds
+}
+
+// overdue reports whether the engine has been loading for too long.
+func (s *engineState) overdue(now time.Time) bool {
+	return !s.busy.IsZero() && now.Sub(s.busy) >= loadOverdue
+}
+
+// take notes an answer; it reports whether the engine's load became overdue with it.
+func (s *engineState) take(report EngineReport, now time.Time) (overdue bool) {
+	before := s.overdue(s.reported)
+	s.report = report
+	s.reported = now
+	// An engine that is not busy stays as it is until it is ordered.
+	s.asked = !report.Busy
+	switch {
+	case !report.Busy:
+		s.busy = time.Time{}
+	case s.busy.IsZero():
+		s.busy = now
+	}
+	return s.overdue(now) && !before
 }
 
 // Target returns the newest version named for a model.
@@ -75,7 +126,13 @@
 	e.mu.Lock()
 	n := e.readable[model]
 	e.mu.Unlock()
-	return rollout.Target{Version: text(version), ConcurrentLoads: loadsAtOnce(n), MinServing: n / 2}, true
+	target := rollout.Target{Version: text(version), ConcurrentLoads: loadsAtOnce(n), MinServing: n / 2}
+	now := time.Now()
+	if view.Named[model].Required(now, view.OldWeights(e.OldWeights, now)) >= version {
+		// Those with older weights serve nobody any more.
+		target.MinServing = 0
+	}
+	return target, true
 }
 
 // loadsAtOnce is how many of some engines load at once: one more than a part of them, so
@@ -213,8 +270,7 @@
 	out := rollout.Instance{Name: in.ID, Model: model}
 	e.mu.Lock()
 	known := e.state(in)
-	quiet := time.Since(known.given) < quietAfterOrder
-	ask := !known.asked && !quiet
+	ask := known.mustAsk(time.Now())
 	pending := time.Since(known.given) < orderPending
 	e.mu.Unlock()
 	if ask {
@@ -223,20 +279,22 @@
 			return out, pending
 		}
 		e.mu.Lock()
-		known.report = report
-		// An engine that is not busy stays as it is until it is ordered.
-		known.asked = !report.Busy
+		if known.take(report, time.Now()) {
+			e.Log.Info().Str("event", "load_overdue").Str("instance", in.ID).Str("model", model).Uint64("version", wanted).Dur("busy_ms", time.Since(known.busy)).Msg("")
+		}
 		e.mu.Unlock()
 		e.Source.Loaded(in, model, report.Weights[model])
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	out.Reachable = true
-	out.Held = known.named.IsZero() || time.Since(known.named) < namedBefore
+	out.Held = known.named.IsZero() || now.Sub(known.named) < namedBefore
 	out.Version = text(min(known.report.Weights[model], wanted))
-	if known.report.Busy || quiet {
+	if known.report.Busy || now.Sub(known.given) < quietAfterOrder {
 		// The engine does not say what it loads; an order on top of it is refused.
 		out.Loading = text(wanted)
+		out.Overdue = known.overdue(now)
 	}
 	return out, true
 }
--- a/internal/transport/orders/registered_test.go
+++ b/internal/transport/orders/registered_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -14,6 +15,7 @@
 	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/orders"
 )
@@ -28,6 +30,8 @@
 	taken    map[string]uint64
 	busyTill map[string]time.Time
 	cutOff   map[string]bool
+	// endless holds engines whose loads never end.
+	endless map[string]bool
 	// late holds orders that are carried out after newer ones, as they were sent.
 	late []func()
 	// loseEvery has each so many-th order go unanswered and come late.
@@ -38,7 +42,7 @@
 const loadTime = 1200 * time.Millisecond
 
 func newEngines(n int) *engines {
-	e := &engines{versions: map[string]uint64{}, taken: map[string]uint64{}, busyTill: map[string]time.Time{}, cutOff: map[string]bool{}}
+	e := &engines{versions: map[string]uint64{}, taken: map[string]uint64{}, busyTill: map[string]time.Time{}, cutOff: map[string]bool{}, endless: map[string]bool{}}
 	for i := range n {
 		e.versions[fmt.Sprintf("e%02d", i)] = 1
 	}
@@ -79,6 +83,9 @@
 	e.taken[in.ID]++
 	e.versions[in.ID] = o.Version
 	e.busyTill[in.ID] = time.Now().Add(loadTime)
+	if e.endless[in.ID] {
+		e.busyTill[in.ID] = time.Now().Add(time.Hour)
+	}
 	busy := 0
 	for _, till := range e.busyTill {
 		if time.Now().Before(till) {
@@ -200,6 +207,86 @@
 	wait(t, "the others serve version 2", func() bool { return e.at(2) == 3 })
 }
 
+// Loads that never end hold up the others for a while only, and cost a question a second.
+func TestEndlessLoadsHoldUpNobodyForLong(t *testing.T) {
+	e := newEngines(10)
+	for _, id := range []string{"e00", "e01", "e02"} {
+		e.endless[id] = true
+	}
+	o, _ := newOrderer(t, e, 2)
+	run(t, o)
+	wait(t, "all have loaded, or do", func() bool { return e.at(2) == 10 })
+	if e.asked > 10*15+3*45 {
+		t.Errorf("%d questions", e.asked)
+	}
+}
+
+// An engine that is found to have older weights again is ordered again.
+func TestEngineThatFellBackIsOrderedAgain(t *testing.T) {
+	e := newEngines(3)
+	o, _ := newOrderer(t, e, 2)
+	run(t, o)
+	wait(t, "all serve version 2", func() bool { return e.at(2) == 3 })
+	wait(t, "none is loading", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return time.Now().After(e.busyTill["e00"].Add(time.Second))
+	})
+	e.mu.Lock()
+	e.versions["e00"] = 1
+	e.mu.Unlock()
+	wait(t, "it serves version 2 again", func() bool { return e.at(2) == 3 })
+}
+
+// The mark that old weights are due is committed by the leader, once for each version.
+func TestDueWeightsAreMarkedOnce(t *testing.T) {
+	var mu sync.Mutex
+	var history weights.History
+	var marks []uint64
+	leads := false
+	r := &orders.Requirer{
+		View: func() *fleet.View {
+			mu.Lock()
+			defer mu.Unlock()
+			return &fleet.View{Named: map[string]weights.History{"m": history}}
+		},
+		Leading: func() (uint64, bool) { mu.Lock(); defer mu.Unlock(); return 1, leads },
+		Require: func(_ context.Context, _ string, version uint64) error {
+			mu.Lock()
+			defer mu.Unlock()
+			marks = append(marks, version)
+			if len(marks) == 1 {
+				return errors.New("no majority")
+			}
+			history = history.Require(version)
+			return nil
+		},
+		OldWeights: 6 * time.Second, Log: quiet,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		mu.Lock()
+		history = weights.History{}.Name(weights.Naming{Version: 2, At: time.Now().Add(-time.Hour)}).Name(weights.Naming{Version: 3, At: time.Now()})
+		mu.Unlock()
+		go r.Run(ctx)
+		time.Sleep(2500 * time.Millisecond)
+		mu.Lock()
+		if diff := cmp.Diff(0, len(marks)); diff != "" {
+			t.Error("while another leads: ", diff)
+		}
+		leads = true
+		mu.Unlock()
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if diff := cmp.Diff([]uint64{2, 2, 3}, marks); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // One that cannot show that it still leads gives no order.
 func TestDeposedLeaderOrdersNothing(t *testing.T) {
 	e := newEngines(3)
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -133,10 +133,15 @@
 // attempt sends the request once and passes the answer on.
 func (j *job) attempt(ctx context.Context) retry.End {
 	began := time.Now()
-	reply := j.server.Upstreams.Send(ctx, j.outgoing())
+	watched, watch := j.watchBegin(ctx)
+	defer watch.over()
+	reply := j.server.Upstreams.Send(watched, j.outgoing())
 	heard := time.Now()
 	j.noteHeard(reply, heard)
-	end, err := j.pass(reply)
+	end, err := j.pass(reply, watch)
+	if withdrawn(end, watch) {
+		err = errTooOld
+	}
 	if _, whole := end.(retry.Whole); !whole && ctx.Err() == context.Canceled {
 		// The caller's leaving closed the connection: that says nothing of the instance.
 		end = retry.CallerGone{}
@@ -151,7 +156,11 @@
 	case retry.Broken:
 		result.Failed, result.TimedOut = true, timedOut(reply, err)
 	case retry.CallerGone:
-		result.CallerLeft = true
+		result.Withdrawn = true
+	}
+	if withdrawn(end, watch) {
+		// The engine did nothing wrong.
+		result = balance.Result{Withdrawn: true}
 	}
 	j.server.mu.Lock()
 	j.server.board.End(j.instance.ID, result, time.Now())
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -21,6 +21,8 @@
 	attempts *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	took     *prometheus.HistogramVec
+	// newest and required are versions of weights, and older counts engines.
+	newest, required, older *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics that count from 0.
@@ -32,8 +34,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
+
+		newest:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_newest_version", Help: "The newest version of a model's weights that was named."}, []string{"model"}),
+		required: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_required_version", Help: "The oldest version on which requests may begin, 0 for any."}, []string{"model"}),
+		older:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.first, m.took)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.first, m.took, m.newest, m.required, m.older)
 	return m
 }
 
@@ -71,6 +77,12 @@
 	}
 }
 
+func (m *Metrics) weights(model string, newest, required uint64, older int) {
+	m.newest.WithLabelValues(model).Set(float64(newest))
+	m.required.WithLabelValues(model).Set(float64(required))
+	m.older.WithLabelValues(model).Set(float64(older))
+}
+
 func (m *Metrics) attempt(service string, end retry.End) {
 	m.attempts.WithLabelValues(service, endName(end)).Inc()
 }
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -14,7 +14,8 @@
 var errOutOfOrder = errors.New("an event does not follow the one before")
 
 // pass turns a reply into the end of an attempt, and passes on what the caller may have.
-func (j *job) pass(reply exchange.Reply) (retry.End, error) {
+// The first event of a stream says that the engine has begun it.
+func (j *job) pass(reply exchange.Reply, watch *beginWatch) (retry.End, error) {
 	switch reply := reply.(type) {
 	case exchange.Unreached:
 		return retry.Unreached{}, reply.Err
@@ -29,7 +30,7 @@
 		return j.passWhole(reply)
 	case exchange.Stream:
 		defer reply.Events.Close()
-		return j.passStream(reply)
+		return j.passStream(reply, watch)
 	}
 	panic("serving: reply outside the sealed set")
 }
@@ -60,7 +61,7 @@
 	return retry.Whole{Status: a.Head.Status}, nil
 }
 
-func (j *job) passStream(a exchange.Stream) (retry.End, error) {
+func (j *job) passStream(a exchange.Stream, watch *beginWatch) (retry.End, error) {
 	for {
 		event, more, err := a.Events.Next()
 		if err == io.EOF {
@@ -69,6 +70,7 @@
 		if err != nil {
 			return retry.Broken{Sent: j.sent()}, err
 		}
+		watch.begun()
 		if event.Number > 0 && event.Number <= j.last {
 			if j.began {
 				// A run that goes on behind an event may repeat what the caller has.
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -33,18 +33,22 @@
 	view := j.server.View()
 	wish := j.wish(view)
 	now := time.Now()
+	instances := j.usable(view, now)
+	if len(instances) == 0 && len(view.Instances[j.service]) > 0 {
+		return j.noWeights()
+	}
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
 	board := j.server.board
 	// Whoever goes on with a stream has a part of it already, and would lose that.
 	if j.number == 0 && !j.request.Resumes {
-		room, ok := board.Admit(view.Instances[j.service], wish, now)
+		room, ok := board.Admit(instances, wish, now)
 		if !ok {
 			j.room = known{tokens: room, age: now.Sub(view.LoadsAt), ok: true}
 			return outcome.NotRun{RetryAfter: roomAfter, Reason: outcome.ReasonNoRoom}
 		}
 	}
-	in, ok := board.Pick(view.Instances[j.service], wish, now)
+	in, ok := board.Pick(instances, wish, now)
 	if !ok {
 		return j.tries.GiveUp()
 	}
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -81,6 +81,9 @@
 	Upstreams exchange.Upstreams
 	// Allowance bounds repeated sends over all entries.
 	Allowance retry.Allowance
+	// OldWeights is how long after newer weights are named requests may begin on older ones; 0
+	// is without an end.
+	OldWeights time.Duration
 	// Metrics counts what is served.
 	Metrics *Metrics
 	// Log receives one line for each event.
@@ -93,12 +96,15 @@
 	// The fields below are guarded by mu.
 	board   *balance.Board
 	windows map[string]*retry.Window
+	// required holds the version of each model that was last told to be required.
+	required map[string]uint64
 }
 
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.board = balance.New(rand.Uint64())
 		s.windows = map[string]*retry.Window{}
+		s.required = map[string]uint64{}
 	})
 }
 
@@ -112,6 +118,7 @@
 		case now := <-ticker.C:
 			s.mu.Lock()
 			s.board.Forget(now.Add(-forgetAfter))
+			s.tellRequired(now)
 			s.mu.Unlock()
 		case <-ctx.Done():
 			return
--- a/internal/transport/serving/weights.go
+++ b/internal/transport/serving/weights.go
@@ -5,10 +5,98 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/state/weights"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
+// What keeps requests from beginning on old weights once their time is over is decided here, at
+// each sending, by what this process knows by itself of when newer ones were named; and by the
+// engine, which refuses a version that it does not have. How far the engines have been brought
+// to the newest version decides only how many of them can serve.
+
+const (
+	// weightsMargin is how much before the end of their time old weights are left alone: it
+	// covers how late this process heard of a naming, and how long what it sends, or takes
+	// back, is on its way to an engine. weightsMarginShare bounds it to a part of short times.
+	weightsMargin      = 1500 * time.Millisecond
+	weightsMarginShare = 4
+	// weightsRetryAfter is when a caller may come back for whom no engine has the weights that
+	// are required: about the time in which one loads them.
+	weightsRetryAfter = time.Second
+)
+
+// oldWeights is how long after a naming this process uses older weights.
+func (s *Server) oldWeights() time.Duration {
+	return s.OldWeights - min(weightsMargin, s.OldWeights/weightsMarginShare)
+}
+
+// requiredWeights returns the oldest version of a model on which a request may begin.
+func (s *Server) requiredWeights(view *fleet.View, model string, now time.Time) uint64 {
+	return view.Named[model].Required(now, view.OldWeights(s.oldWeights(), now))
+}
+
+// weightsEnd returns until when a request may begin on a version of a model; ok is false while
+// no end of it is known.
+func (s *Server) weightsEnd(view *fleet.View, model string, version uint64, now time.Time) (end time.Time, ok bool) {
+	return view.Named[model].Until(version, view.OldWeights(s.oldWeights(), now))
+}
+
+// usable leaves out the engines on which the request may not begin any more. One whose answer
+// is no stream is not seen to begin, so it must have ended before.
+func (j *job) usable(view *fleet.View, now time.Time) []registry.Instance {
+	all := view.Instances[j.service]
+	p := j.request.Prompt
+	if p == nil {
+		return all
+	}
+	by := now.Add(j.route.Objective)
+	if j.route.Kind != deployment.Stream {
+		by = j.deadline
+	}
+	out := make([]registry.Instance, 0, len(all))
+	for _, in := range all {
+		end, ends := j.server.weightsEnd(view, p.Model, in.Weights[p.Model], now)
+		if !ends || by.Before(end) {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// noWeights is the end of a request for which every engine's weights are too old.
+func (j *job) noWeights() outcome.Outcome {
+	if j.number > 0 {
+		return j.tries.GiveUp()
+	}
+	return outcome.NotRun{RetryAfter: weightsRetryAfter, Reason: outcome.ReasonOldWeights}
+}
+
+// tellRequired logs what is required of each model when that rises; mu must be held.
+func (s *Server) tellRequired(now time.Time) {
+	view := s.View()
+	for model, named := range view.Named {
+		required := s.requiredWeights(view, model, now)
+		newest, older := named.Newest(), 0
+		for _, instances := range view.Instances {
+			for _, in := range instances {
+				if version, ok := in.Weights[model]; ok && version < newest {
+					older++
+				}
+			}
+		}
+		s.Metrics.weights(model, newest, required, older)
+		if required <= s.required[model] {
+			continue
+		}
+		s.required[model] = required
+		s.Log.Info().Str("event", "weights_required").Str("model", model).Uint64("version", required).Uint64("newest", newest).Int("engines_older", older).Msg("")
+	}
+}
+
 // weightsKnown is what was known of weights when an attempt was sent.
 type weightsKnown struct {
 	// sent is the only version under which the engine was to run it, 0 for any.
@@ -16,17 +104,21 @@
 	// believed is the version that the engine was believed to have, as told says.
 	believed uint64
 	told     registry.Word
-	// named is what was known of the versions that were named.
-	named weights.History
-	at    time.Time
+	// named is what was known of the versions that were named, and required the oldest on which
+	// a request might begin.
+	named    weights.History
+	required uint64
+	at       time.Time
 }
 
 // knownWeights returns what is known for the present attempt, which asks for a version.
 func (j *job) knownWeights(sent uint64) weightsKnown {
 	model := j.request.Prompt.Model
+	now := time.Now()
+	view := j.server.View()
 	return weightsKnown{
 		sent: sent, believed: j.instance.Weights[model], told: j.instance.Told,
-		named: j.server.View().Named[model], at: time.Now(),
+		named: view.Named[model], required: j.server.requiredWeights(view, model, now), at: now,
 	}
 }
 
@@ -42,9 +134,15 @@
 		by = "question"
 	}
 	line = line.Uint64("weights_sent", k.sent).Uint64("weights_believed", k.believed).Str("weights_by", by).Str("weights_from", k.told.Via).
-		Dur("weights_age_ms", k.at.Sub(k.told.At)).Uint64("weights_newest", k.named.Newest())
+		Dur("weights_age_ms", k.at.Sub(k.told.At)).Uint64("weights_required", k.required).Uint64("weights_newest", k.named.Newest())
 	if newestAt, ok := k.named.NewestAt(); ok {
 		line = line.Dur("weights_newest_age_ms", k.at.Sub(newestAt))
 	}
 	return line
 }
+
+// withdrawn says whether an attempt ended because its engine's weights had become too old.
+func withdrawn(end retry.End, w *beginWatch) bool {
+	_, whole := end.(retry.Whole)
+	return !whole && w.fired()
+}
