Declared models: nothing runs on a weight version that was never declared

Cause: the version of a new prompt was the one that most known upstreams told, so while only one upstream had answered, and with weights that nobody declared, prompts ran on those. Ruled out: a belief that fell behind, as the engine told the same from its start.

Change: only the version in force and the one declared before it count; control tells the second to processes that start, which could not know it.

--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -60,6 +60,8 @@
 	scores  []float64
 	weights routing.Weights
 	random  *rand.Rand
+	// superseded holds, for each model, the weight version declared before the one in force.
+	superseded map[string]string
 	// postponed holds copies that wait for their store's link, oldest first, at
 	// most maxPostponed.
 	postponed []Postponed
@@ -80,6 +82,7 @@
 // Declare makes the board agree with the declared state. Only upstreams and stores of
 // the entry's own region are used.
 func (b *Board) Declare(s *declared.State) {
+	b.superseded = s.AllSuperseded()
 	b.weights = routing.Weights{FirstToken: s.Control().FirstTokenWeight(), Recompute: s.Control().RecomputeWeight()}
 	present := map[string]bool{}
 	for _, u := range s.UpstreamsNear(b.domain) {
@@ -172,12 +175,17 @@
 func (b *Board) Weights() routing.Weights { return b.weights }
 
 // ServingVersion returns the weight version under which a new prompt should run: the
-// one in force as soon as enough upstreams serve it, and until then the one that most
-// upstreams serve. Only upstreams that may take the prompt count: not those that leave,
-// are ejected or were tried. While a rollout goes on both are served, each to its own
+// one in force as soon as enough upstreams serve it, and until then the one before it, if more
+// upstreams serve that. What upstreams serve besides these two was not declared, or no longer
+// is, and nothing runs on it, whoever else is known. Only upstreams that may take the prompt
+// count: not those that leave, are ejected or were tried. While a rollout goes on both are served, each to its own
 // prompts; their kept contexts never meet, because the version is part of every key.
 func (b *Board) ServingVersion(m declared.Model, tried []int, now time.Time) string {
 	wanted := m.WeightVersion()
+	before, ok := b.superseded[m.Name()]
+	if !ok {
+		return wanted
+	}
 	counts := map[string]int{}
 	for i := range b.upstreams {
 		u := &b.upstreams[i]
@@ -185,17 +193,11 @@
 			counts[u.Version]++
 		}
 	}
-	most, best := wanted, 0
-	for version, n := range counts {
-		if version != wanted && (n > best || n == best && version > most) {
-			most, best = version, n
-		}
-	}
 	enough := m.MinServing() > 0 && counts[wanted] >= m.MinServing()
-	if counts[wanted] >= best || enough {
+	if counts[wanted] >= counts[before] || enough {
 		return wanted
 	}
-	return most
+	return before
 }
 
 // Prompt is a request to be placed.
--- a/internal/state/declared/state.go
+++ b/internal/state/declared/state.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -63,7 +64,10 @@
 	docs map[Kind]*Document
 	// history is ordered by revision and holds at most HistoryLength changes.
 	history []accepted
-	index   index
+	// superseded holds, for each model, the weight version that was declared before the one in
+	// force.
+	superseded map[string]string
+	index      index
 }
 
 // index is derived from docs.
@@ -77,12 +81,12 @@
 
 // New returns the empty declared state at revision 0.
 func New() *State {
-	return &State{docs: map[Kind]*Document{}, index: newIndex(nil)}
+	return &State{docs: map[Kind]*Document{}, superseded: map[string]string{}, index: newIndex(nil)}
 }
 
 // Clone returns a copy that shares only immutable parts.
 func (s *State) Clone() *State {
-	c := &State{revision: s.revision, docs: map[Kind]*Document{}, index: s.index}
+	c := &State{revision: s.revision, docs: map[Kind]*Document{}, superseded: maps.Clone(s.superseded), index: s.index}
 	for k, d := range s.docs {
 		c.docs[k] = d
 	}
@@ -123,7 +127,7 @@
 	s.docs[d.kind] = d
 	s.revision++
 	s.remember(accepted{Digest: digest, Revision: s.revision})
-	s.index = newIndex(s.docs)
+	s.reindex()
 	return Accepted{Revision: s.revision}
 }
 
@@ -144,7 +148,40 @@
 		s.docs[d.kind] = d
 	}
 	s.revision = revision
+	s.reindex()
+}
+
+// reindex derives the index anew, and notes which weight versions it supersedes.
+func (s *State) reindex() {
+	before := s.index.models
 	s.index = newIndex(s.docs)
+	for name := range s.superseded {
+		if _, ok := s.index.models[name]; !ok {
+			delete(s.superseded, name)
+		}
+	}
+	for name, m := range s.index.models {
+		if old, ok := before[name]; ok && old.WeightVersion() != m.WeightVersion() {
+			s.superseded[name] = old.WeightVersion()
+		}
+	}
+}
+
+// Superseded returns the weight version that was declared for a model before the one in force;
+// ok is false when there was none.
+func (s *State) Superseded(model string) (version string, ok bool) {
+	version, ok = s.superseded[model]
+	return version, ok
+}
+
+// AllSuperseded returns what Superseded says, by model.
+func (s *State) AllSuperseded() map[string]string { return maps.Clone(s.superseded) }
+
+// SetSuperseded takes what Superseded says for each model where the state came from; it is for
+// processes that follow a control replica and were told every document.
+func (s *State) SetSuperseded(versions map[string]string) {
+	s.superseded = map[string]string{}
+	maps.Copy(s.superseded, versions)
 }
 
 // dangling checks every reference between documents, as if d were in force. With
@@ -298,11 +335,13 @@
 	Revision  uint64          `json:"revision"`
 	Documents map[Kind][]byte `json:"documents"`
 	History   []accepted      `json:"history"`
+	// Superseded holds weight versions by model.
+	Superseded map[string]string `json:"superseded,omitempty"`
 }
 
 // Marshal encodes the state for a snapshot.
 func (s *State) Marshal() ([]byte, error) {
-	out := snapshot{Revision: s.revision, Documents: map[Kind][]byte{}, History: s.history}
+	out := snapshot{Revision: s.revision, Documents: map[Kind][]byte{}, History: s.history, Superseded: s.superseded}
 	for k, d := range s.docs {
 		out.Documents[k] = d.text
 	}
@@ -320,6 +359,9 @@
 	s := New()
 	s.revision = in.Revision
 	s.history = in.History
+	if in.Superseded != nil {
+		s.superseded = in.Superseded
+	}
 	for kind, text := range in.Documents {
 		d, faults := Parse("snapshot", text)
 		if len(faults) > 0 {
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -206,6 +206,7 @@
 		}
 	}
 	out.Full = true
+	out.Superseded = f.state.AllSuperseded()
 	for _, kind := range declared.Kinds() {
 		d, ok := f.state.Document(kind)
 		if ok {
--- a/internal/transport/feed/follower.go
+++ b/internal/transport/feed/follower.go
@@ -140,6 +140,9 @@
 	}
 	next := state.Clone()
 	next.Install(answer.Revision, docs...)
+	if answer.Full {
+		next.SetSuperseded(answer.Superseded)
+	}
 	return next, nil
 }
 
--- a/internal/transport/serving/keep.go
+++ b/internal/transport/serving/keep.go
@@ -13,19 +13,18 @@
 // turn. From 192 tokens on, less was read again, and fewer were served in time.
 const leastKept = 1024
 
-// keep sets the weights and the salt of a prompt, and the stores of its shared parts: those that are whole
-// in a store are taken from there, as far as the engine does not have them itself, and the
-// others are brought to one.
+// keep sets the weights and the salt of a prompt, and the stores of its shared parts: those
+// that are whole in a store are taken from there, as far as the engine does not have them
+// itself, and the others are brought to one.
 func (j *job) keep(a *exchange.Attempt, p *exchange.Prompt) {
 	salt := keeping.Salt{Model: p.Model, Version: j.instance.Weights[p.Model]}
 	if j.team.Isolated {
 		salt.Team = j.team.Name
 	}
 	a.Salt = salt.String()
-	// The engine refuses what it was believed to be ready for and is not: under other weights,
-	// the request would begin on a version that nobody chose, and its context would be kept
-	// under a wrong salt.
-	a.Weights = salt.Version
+	if j.mustName(p.Model, salt.Version) {
+		a.Weights = salt.Version
+	}
 	stores := j.stores()
 	j.fetch, j.save = 0, 0
 	shared := p.Parts[:max(len(p.Parts)-1, 0)]
@@ -45,6 +44,10 @@
 			a.Save = at(a.Save, p, i, exchange.PartAt{Address: address, Tokens: part.Tokens})
 		}
 	}
+	if a.Fetch != nil || a.Save != nil {
+		// Under other weights, the context would be kept under a wrong salt.
+		a.Weights = salt.Version
+	}
 }
 
 // stores is what is known of stores now.
--- a/internal/transport/serving/weights.go
+++ b/internal/transport/serving/weights.go
@@ -67,6 +67,18 @@
 	return out
 }
 
+// mustName reports whether an attempt must name the version that its engine is believed to have,
+// so that the engine refuses it on another: that is so unless the time of that version is over
+// as soon as that of the oldest. Then the engine may run it on whatever it has, until that
+// end; if it were asked for the version, it would refuse while it is not known yet that it has
+// loaded newer ones, and each refusal is a repeated send.
+func (j *job) mustName(model string, version uint64) bool {
+	view, now := j.server.View(), time.Now()
+	end, ends := j.server.weightsEnd(view, model, version, now)
+	oldest, _ := j.server.weightsEnd(view, model, 0, now)
+	return !ends || !end.Equal(oldest)
+}
+
 // noWeights is the end of a request for which every engine's weights are too old.
 func (j *job) noWeights() outcome.Outcome {
 	if j.number > 0 {
