--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -147,7 +147,8 @@
 
 // noteSilence counts a question without an answer. An upstream that stays silent
 // is ejected, and the attempts under way there end, so that they can go on or run
-// again elsewhere.
+// again elsewhere. One that was sent since the question before is left until the next:
+// what was unanswered before it says nothing of it.
 func (p *poller) noteSilence(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
@@ -157,13 +158,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.board.Upstream(p.number).NoteFailure(time.Now())
-	if p.unanswered != silentAfter {
+	if p.unanswered < silentAfter {
 		return
 	}
-	for _, cancel := range e.active[p.number] {
-		cancel()
+	limit := time.Now().Add(-quietAfter - pollTimeout).UnixNano()
+	ended := 0
+	for j, cancel := range e.active[p.number] {
+		if j.heard.Load() < limit {
+			cancel()
+			ended++
+		}
+	}
+	if p.unanswered == silentAfter || ended > 0 {
+		e.Log.Warn().Str("event", "upstream_silent").Str("upstream", e.board.Name(p.number)).Int("attempts", ended).Msg("")
 	}
-	e.Log.Warn().Str("event", "upstream_silent").Str("upstream", e.board.Name(p.number)).Int("attempts", len(e.active[p.number])).Msg("")
 }
 
 // askEvents takes cache events. A gap or a new start means that events were
--- a/internal/transport/entry/traps_test.go
+++ b/internal/transport/entry/traps_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/standin/fault"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 )
@@ -318,6 +319,39 @@
 	}
 }
 
+// TestEarlierSilenceEndsNoNewAttempt has an engine answer prompts and no questions, as one does
+// that is short of processor time: the second question in a row that is not answered must not
+// end a prompt that was sent after it.
+func TestEarlierSilenceEndsNoNewAttempt(t *testing.T) {
+	slow := engineOptions()
+	slow.PrefillRate = 100
+	s := newSite(t, slow)
+	var mute atomic.Bool
+	var unanswered atomic.Int64
+	real := s.engines[0].Handler()
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engine.PathLoad && mute.Load() {
+			unanswered.Add(1)
+			<-r.Context().Done()
+			return
+		}
+		real.ServeHTTP(w, r)
+	}))
+	s.docs["upstreams"] = fmt.Sprintf("upstreams:\n  - {name: u1, address: %q, failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 100, link_bytes_per_second: 1e9}\n", address)
+	s.declare()
+	e := s.start()
+	body := chat("first", false, 1)
+	eventually(t, "the engine is used", func() bool {
+		return strings.Contains(e.send(t, "POST", "/v1/chat/completions", body).body, mark(t, body))
+	})
+	mute.Store(true)
+	eventually(t, "a second question is not answered", func() bool { return unanswered.Load() == 2 })
+	body = chat(strings.Repeat("second ", 100), false, 1)
+	if a := e.send(t, "POST", "/v1/chat/completions", body); !strings.Contains(a.body, mark(t, body)) {
+		t.Fatalf("answer %+v", a)
+	}
+}
+
 // TestListedLeavingUpstreamGetsNoNewWork has the platform's list name an engine as
 // leaving while the declared state and the engine itself say nothing.
 func TestListedLeavingUpstreamGetsNoNewWork(t *testing.T) {
