--- a/internal/transport/fleet/contact.go
+++ b/internal/transport/fleet/contact.go
@@ -23,6 +23,20 @@
 	return !c.Last.IsZero() && now.Sub(c.Last) > outOfReachAfter
 }
 
+// noteReach logs when the control log falls out of reach and when it is back; mu must be held.
+func (f *Follower) noteReach(now time.Time) {
+	out := f.contact.OutOfReach(now)
+	if out == f.outOfReach {
+		return
+	}
+	f.outOfReach = out
+	if out {
+		f.Log.Info().Str("event", "control_out_of_reach").Dur("unheard_ms", now.Sub(f.contact.Last)).Msg("")
+		return
+	}
+	f.Log.Info().Str("event", "control_in_reach").Dur("lost_ms", now.Sub(f.contact.Lost)).Msg("")
+}
+
 // reach returns the contact once a control instance that knows a leader has answered; asked is
 // when it was last asked in vain.
 func (c Contact) reach(asked, now time.Time) Contact {
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -63,7 +63,9 @@
 	// named holds what any source told of the versions of weights that were named.
 	named   map[string]weights.History
 	contact Contact
-	sources map[string]*knownSource
+	// outOfReach is what was last logged of contact.
+	outOfReach bool
+	sources    map[string]*knownSource
 	// instances is the last view's, made at joinedAt in joinTook; it is made anew only after
 	// reports, and each viewInterval for what ages.
 	instances map[string][]registry.Instance
@@ -130,6 +132,7 @@
 		}
 	}
 	f.forgetLost()
+	f.noteReach(time.Now())
 	f.joinInstances()
 	f.publish()
 }
--- a/internal/transport/serving/begin.go
+++ b/internal/transport/serving/begin.go
@@ -28,16 +28,16 @@
 
 // watchBegin watches the present attempt, which ends with the context that it returns.
 func (j *job) watchBegin(ctx context.Context) (context.Context, *beginWatch) {
-	p := j.request.Prompt
 	s := j.server
-	if p == nil || s.OldWeights == 0 {
+	if s.OldWeights == 0 || !j.needsWeights(s.View()) {
 		return ctx, &beginWatch{}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	version := j.instance.Weights[p.Model]
+	model := j.request.Prompt.Model
+	version := j.instance.Weights[model]
 	w := &beginWatch{
 		cancel: cancel, again: s.oldWeights(),
-		end: func() (time.Time, bool) { return s.weightsEnd(s.View(), p.Model, version, time.Now()) },
+		end: func() (time.Time, bool) { return s.weightsEnd(s.View(), model, version, time.Now()) },
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/transport/serving/weights.go
+++ b/internal/transport/serving/weights.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -49,22 +50,27 @@
 // is no stream is not seen to begin, so it must have ended before.
 func (j *job) usable(view *fleet.View, now time.Time) []registry.Instance {
 	all := view.Instances[j.service]
-	p := j.request.Prompt
-	if p == nil {
+	if !j.needsWeights(view) {
 		return all
 	}
 	by := now.Add(j.route.Objective)
 	if j.route.Kind != deployment.Stream {
 		by = j.deadline
 	}
-	out := make([]registry.Instance, 0, len(all))
-	for _, in := range all {
-		end, ends := j.server.weightsEnd(view, p.Model, in.Weights[p.Model], now)
-		if !ends || by.Before(end) {
-			out = append(out, in)
-		}
+	model := j.request.Prompt.Model
+	tooOld := func(in registry.Instance) bool {
+		end, ends := j.server.weightsEnd(view, model, in.Weights[model], now)
+		return ends && !by.Before(end)
+	}
+	if !slices.ContainsFunc(all, tooOld) {
+		return all
 	}
-	return out
+	return slices.DeleteFunc(slices.Clone(all), tooOld)
+}
+
+// needsWeights reports whether the request is a prompt for engines.
+func (j *job) needsWeights(view *fleet.View) bool {
+	return j.request.Prompt != nil && view.Config.Services[j.service].Engine != nil
 }
 
 // mustName reports whether an attempt must name the version that its engine is believed to have,
