--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -11,7 +11,6 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/registry"
-	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 func fromReport(r registry.Report, now time.Time) *wire.InstanceReport {
@@ -40,17 +39,6 @@
 	return now.Add(-time.Duration(milliseconds) * time.Millisecond)
 }
 
-// fromNamed lists the namings of each model, with their ages.
-func fromNamed(named map[string]weights.History, now time.Time) []*wire.WeightNaming {
-	var out []*wire.WeightNaming
-	for _, model := range slices.Sorted(maps.Keys(named)) {
-		for _, n := range named[model].Named() {
-			out = append(out, &wire.WeightNaming{Model: model, Version: n.Version, AgeMilliseconds: uint64(now.Sub(n.At).Milliseconds())})
-		}
-	}
-	return out
-}
-
 // fromWeights lists the versions in the order of the models, so that equal maps give
 // equal lists.
 func fromWeights(versions map[string]uint64) []*wire.WeightVersion {
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -45,32 +45,6 @@
 	Entries int
 }
 
-// OldWeights returns for how long requests may begin on old weights by this view, at a time and
-// when a bound is declared.
-func (v *View) OldWeights(bound time.Duration, now time.Time) weights.Allowance {
-	return weights.Allowance{Bound: bound, Since: v.Contact.Lost, Paused: v.Contact.OutOfReach(now)}
-}
-
-// newestOf returns the newest version of each model.
-func newestOf(named map[string]weights.History) map[string]uint64 {
-	out := make(map[string]uint64, len(named))
-	for model, h := range named {
-		out[model] = h.Newest()
-	}
-	return out
-}
-
-// dueOf returns the version of each model that is required for certain.
-func dueOf(named map[string]weights.History) map[string]uint64 {
-	out := map[string]uint64{}
-	for model, h := range named {
-		if h.Due() > 0 {
-			out[model] = h.Due()
-		}
-	}
-	return out
-}
-
 // joinInstances lists the live instances of each service; mu must be held.
 func (f *Follower) joinInstances() {
 	began := time.Now()
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -8,7 +8,6 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
-	"github.com/shedrock/shedrock/internal/state/weights"
 )
 
 const (
@@ -220,28 +219,3 @@
 	}
 	s.answers = 0
 }
-
-// takeNamed joins what a source knows of the versions of weights that were named; mu must be
-// held. One that does not tell when counts as if it had just heard of them.
-func (f *Follower) takeNamed(address string, out *wire.FleetResponse, now time.Time) {
-	for _, n := range out.Named {
-		f.name(address, n.Model, weights.Naming{Version: n.Version, At: before(now, n.AgeMilliseconds)}, now)
-	}
-	for _, w := range out.Due {
-		f.named[w.Model] = f.named[w.Model].Require(w.Version)
-	}
-	for _, w := range out.Weights {
-		if w.Version > f.named[w.Model].Newest() {
-			f.name(address, w.Model, weights.Naming{Version: w.Version, At: now}, now)
-		}
-	}
-}
-
-// name takes one naming; mu must be held.
-func (f *Follower) name(address, model string, n weights.Naming, now time.Time) {
-	known := f.named[model]
-	f.named[model] = known.Name(n)
-	if n.Version > known.Newest() {
-		f.Log.Info().Str("event", "weights_named").Str("model", model).Uint64("version", n.Version).Str("from", address).Dur("age_ms", now.Sub(n.At)).Msg("")
-	}
-}
--- a/internal/transport/serving/begin.go
+++ b/internal/transport/serving/begin.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
 )
 
 // errTooOld says that an engine had not begun a request when the time of its weights was over.
@@ -96,3 +98,9 @@
 	defer w.mu.Unlock()
 	return w.late
 }
+
+// withdrawn says whether an attempt ended because its engine's weights had become too old.
+func withdrawn(end retry.End, w *beginWatch) bool {
+	_, whole := end.(retry.Whole)
+	return !whole && w.fired()
+}
