--- a/internal/state/declared/state.go
+++ b/internal/state/declared/state.go
@@ -155,33 +155,7 @@
 func (s *State) reindex() {
 	before := s.index.models
 	s.index = newIndex(s.docs)
-	for name := range s.superseded {
-		if _, ok := s.index.models[name]; !ok {
-			delete(s.superseded, name)
-		}
-	}
-	for name, m := range s.index.models {
-		if old, ok := before[name]; ok && old.WeightVersion() != m.WeightVersion() {
-			s.superseded[name] = old.WeightVersion()
-		}
-	}
-}
-
-// Superseded returns the weight version that was declared for a model before the one in force;
-// ok is false when there was none.
-func (s *State) Superseded(model string) (version string, ok bool) {
-	version, ok = s.superseded[model]
-	return version, ok
-}
-
-// AllSuperseded returns what Superseded says, by model.
-func (s *State) AllSuperseded() map[string]string { return maps.Clone(s.superseded) }
-
-// SetSuperseded takes what Superseded says for each model where the state came from; it is for
-// processes that follow a control replica and were told every document.
-func (s *State) SetSuperseded(versions map[string]string) {
-	s.superseded = map[string]string{}
-	maps.Copy(s.superseded, versions)
+	s.supersede(before)
 }
 
 // dangling checks every reference between documents, as if d were in force. With
