--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -24,7 +24,7 @@
 }
 
 func limitMemory(s *settings.Settings) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryShare * s.MemoryMB * (1 << 20)))
 }
 
 func metricsAddress(s *settings.Settings) string {
--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -99,7 +99,7 @@
 	replica := &control.Replica{
 		ID: replicaID(s.IP), Address: s.PeerAddress(), FailureDomain: s.FailureDomain,
 		Folder: folder, Restart: restart, Ledger: ledger, Listener: peers, Log: logger,
-		Heal:   &membership.Policy{Voters: 2*s.Losses + 1, DeadTicks: deadTicks(s)},
+		Heal:   &membership.Policy{Voters: 2*int(s.Losses) + 1, DeadTicks: deadTicks(s)},
 		Source: source, WaitOut: s.Lease() + leaseMargin, OrderInterval: orderInterval,
 		Fleet: &orders.RegisteredEngines{View: follower.View, Engines: engines, Holder: s.Name, Source: source, OldWeights: s.OldWeights(), Log: logger},
 	}
@@ -117,7 +117,7 @@
 			View: follower.View, Leading: replica.Leading, Require: replica.RequireWeights, OldWeights: s.OldWeights(), Log: logger,
 		},
 		calls: &http.Server{
-			Handler:           calls.Count(platform.Control{Control: client, Source: source, Log: logger}.Handler()),
+			Handler:           calls.Count(platform.Control{Control: client, Source: source, Refused: calls.Refused, Log: logger}.Handler()),
 			ReadHeaderTimeout: headTimeout,
 		},
 		metrics: &http.Server{Handler: calls.Handler(), ReadHeaderTimeout: headTimeout},
--- a/internal/cli/platform_test.go
+++ b/internal/cli/platform_test.go
@@ -18,7 +18,7 @@
 func TestPlatformSettingsAreChecked(t *testing.T) {
 	valid := map[string]any{
 		"name": "c", "ip": "127.0.0.1", "failure_domain": "d", "control": "127.0.0.1:1", "peer_port": 2, "seeds": []string{},
-		"memory_mb": 10, "heartbeat_ms": 10, "grace_ms": 10, "retry_window_ms": 10,
+		"memory_mb": 10, "heartbeat": "10ms", "grace": "10ms", "retry_window": "10ms",
 	}
 	cases := []struct {
 		name, role, field string
@@ -27,7 +27,7 @@
 	}{
 		{"a wrong address", "entry", "callers", "nowhere", `callers: "nowhere" is not an IP number and port`},
 		{"no memory", "entry", "memory_mb", 0, "memory_mb: must be above 0"},
-		{"a wrong type", "control", "losses", "one", "losses: expected int, got string"},
+		{"a wrong type", "control", "losses", "one", `losses: expected a whole number, got "one"`},
 		{"no folder", "control", "data", "", "data: a control instance needs a folder"},
 	}
 	for _, c := range cases {
--- a/internal/coordination/balance/admit.go
+++ b/internal/coordination/balance/admit.go
@@ -42,12 +42,12 @@
 // and of how many engines anything is known.
 func (b *Board) roomFor(open []registry.Instance, w Wish, now time.Time) (room, known int) {
 	for _, in := range open {
-		free, ok := b.Free(in.ID, w, now)
+		free, ok := b.Free(in.Incarnation(), w, now)
 		if !ok {
 			continue
 		}
 		known++
-		if b.hasRoom(in.ID, w, now) {
+		if b.hasRoom(in.Incarnation(), w, now) {
 			room += free - w.Memory/headroomShare
 		}
 	}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -63,7 +63,7 @@
 // Board holds the loads. Make one with New. It is not safe for concurrent use.
 type Board struct {
 	random  *rand.Rand
-	loads   map[string]*load
+	loads   map[registry.Incarnation]*load
 	domains map[string]*domain
 	// demand holds the tokens of long prompts as they were asked for, each fading with
 	// demandOver; demandAt is when it was brought up to date.
@@ -73,21 +73,22 @@
 
 // New returns an empty board.
 func New(seed uint64) *Board {
-	return &Board{random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[string]*load{}, domains: map[string]*domain{}}
+	return &Board{random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[registry.Incarnation]*load{}, domains: map[string]*domain{}}
 }
 
-func (b *Board) load(id string) *load {
-	l, ok := b.loads[id]
+// load returns what is known of an incarnation. Nothing of it passes to the next one of its id.
+func (b *Board) load(of registry.Incarnation) *load {
+	l, ok := b.loads[of]
 	if !ok {
 		l = &load{latency: firstLatency}
-		b.loads[id] = l
+		b.loads[of] = l
 	}
 	return l
 }
 
 // Begin notes that a request goes to an instance.
 func (b *Board) Begin(in registry.Instance, now time.Time) {
-	l := b.load(in.ID)
+	l := b.load(in.Incarnation())
 	l.domain = in.FailureDomain
 	d := b.domain(l.domain)
 	if now.Sub(d.heard) >= darkAfter {
@@ -101,8 +102,8 @@
 }
 
 // Heard notes that an instance answered a request, though the answer may go on.
-func (b *Board) Heard(id string, now time.Time) {
-	l := b.load(id)
+func (b *Board) Heard(from registry.Incarnation, now time.Time) {
+	l := b.load(from)
 	l.heard = now
 	b.domain(l.domain).hear(now)
 }
@@ -120,8 +121,8 @@
 }
 
 // End notes the end of a request.
-func (b *Board) End(id string, r Result, now time.Time) {
-	l := b.load(id)
+func (b *Board) End(at registry.Incarnation, r Result, now time.Time) {
+	l := b.load(at)
 	l.inFlight--
 	l.seen = now
 	if r.Withdrawn {
@@ -136,7 +137,7 @@
 		l.latency += smooth * (r.Latency.Seconds() - l.latency)
 	}
 	if r.TimedOut {
-		b.domain(l.domain).unreached[id] = true
+		b.domain(l.domain).unreached[at] = true
 	}
 	if !r.Unreached {
 		l.failures = 0
@@ -151,9 +152,9 @@
 // failure domains that have no other.
 func (b *Board) Forget(before time.Time) {
 	used := map[string]bool{}
-	for id, l := range b.loads {
+	for of, l := range b.loads {
 		if l.inFlight == 0 && l.seen.Before(before) {
-			delete(b.loads, id)
+			delete(b.loads, of)
 			continue
 		}
 		used[l.domain] = true
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -21,6 +21,9 @@
 	return out
 }
 
+// life is the incarnation of an instance that never started again.
+func life(id string) registry.Incarnation { return registry.Incarnation{ID: id} }
+
 func pick(t *testing.T, b *balance.Board, in []registry.Instance, w balance.Wish) string {
 	t.Helper()
 	got, ok := b.Pick(in, w, now)
@@ -70,16 +73,16 @@
 	b := balance.New(1)
 	two := instances(2)
 	b.Begin(registry.Instance{ID: "i0"}, now)
-	b.End("i0", balance.Result{Failed: true, Unreached: true}, now)
+	b.End(life("i0"), balance.Result{Failed: true, Unreached: true}, now)
 	for range 20 {
 		if id := pick(t, b, two, balance.Wish{}); id != "i1" {
 			t.Fatalf("%s was chosen", id)
 		}
 	}
-	if id := pick(t, b, two, balance.Wish{Tried: []string{"i1"}}); id != "i0" {
+	if id := pick(t, b, two, balance.Wish{Tried: []registry.Incarnation{life("i1")}}); id != "i0" {
 		t.Error("the only one left was not chosen")
 	}
-	if _, ok := b.Pick(two, balance.Wish{Tried: []string{"i0", "i1"}}, now); ok {
+	if _, ok := b.Pick(two, balance.Wish{Tried: []registry.Incarnation{life("i0"), life("i1")}}, now); ok {
 		t.Error("one that was tried was chosen again")
 	}
 }
@@ -101,7 +104,7 @@
 				if id == "i0" {
 					result = sick
 				}
-				b.End(id, result, now)
+				b.End(life(id), result, now)
 			}
 			if got["i0"] > 60 {
 				t.Errorf("%v", got)
@@ -122,13 +125,13 @@
 	if got.ID == first {
 		t.Error("a silent instance was chosen")
 	}
-	b.Heard(first, later)
+	b.Heard(life(first), later)
 	got, _ = b.Pick(two, balance.Wish{Key: key}, later)
 	if diff := cmp.Diff(first, got.ID); diff != "" {
 		t.Error(diff)
 	}
 	// One without requests has no reason to speak.
-	b.End(first, balance.Result{Latency: time.Millisecond}, later)
+	b.End(life(first), balance.Result{Latency: time.Millisecond}, later)
 	got, _ = b.Pick(two, balance.Wish{Key: key}, later.Add(time.Hour))
 	if diff := cmp.Diff(first, got.ID); diff != "" {
 		t.Error(diff)
@@ -141,13 +144,13 @@
 	two := instances(2)
 	for range 20 {
 		b.Begin(two[0], now)
-		b.End("i0", balance.Result{Failed: true, Latency: 5 * time.Millisecond}, now)
+		b.End(life("i0"), balance.Result{Failed: true, Latency: 5 * time.Millisecond}, now)
 		b.Begin(two[1], now)
-		b.End("i1", balance.Result{Latency: 20 * time.Millisecond}, now)
+		b.End(life("i1"), balance.Result{Latency: 20 * time.Millisecond}, now)
 	}
 	for range 100 {
 		b.Begin(two[0], now)
-		b.End("i0", balance.Result{Withdrawn: true}, now)
+		b.End(life("i0"), balance.Result{Withdrawn: true}, now)
 	}
 	for range 10 {
 		if id := pick(t, b, two, balance.Wish{}); id != "i1" {
@@ -159,7 +162,7 @@
 func TestBusyOnlyWhenNothingElseIsLeft(t *testing.T) {
 	b := balance.New(1)
 	two := instances(2)
-	w := balance.Wish{Busy: map[string]bool{"i0": true}}
+	w := balance.Wish{Busy: map[registry.Incarnation]bool{life("i0"): true}}
 	if id := pick(t, b, two, w); id != "i1" {
 		t.Error("a busy one was chosen")
 	}
--- a/internal/coordination/balance/burst_test.go
+++ b/internal/coordination/balance/burst_test.go
@@ -94,7 +94,7 @@
 	boards  []*balance.Board
 	random  *rand.Rand
 	// told holds the loads on their way to entries, the oldest first.
-	told  []map[string]balance.EngineLoad
+	told  []map[registry.Incarnation]balance.EngineLoad
 	later []*promptRun
 	// asked counts prompts, and refused those that were refused twice.
 	asked, timely, late, refused int
@@ -136,9 +136,9 @@
 }
 
 func (f *fleetReplay) tell() {
-	loads := map[string]balance.EngineLoad{}
+	loads := map[registry.Incarnation]balance.EngineLoad{}
 	for id, e := range f.engines {
-		loads[id] = e.load()
+		loads[life(id)] = e.load()
 	}
 	f.told = append(f.told, loads)
 	if len(f.told) > 1+int(tellDelay/askPause) {
@@ -172,8 +172,8 @@
 	}
 	in, _ := b.Pick(f.all, w, clock)
 	b.Begin(in, clock)
-	b.Sent(in.ID, promptTokens, clock)
-	b.End(in.ID, balance.Result{Latency: time.Millisecond}, clock)
+	b.Sent(in.Incarnation(), promptTokens, clock)
+	b.End(in.Incarnation(), balance.Result{Latency: time.Millisecond}, clock)
 	f.engines[in.ID].waiting = append(f.engines[in.ID].waiting, r)
 }
 
--- a/internal/coordination/balance/domains.go
+++ b/internal/coordination/balance/domains.go
@@ -30,7 +30,7 @@
 	// heard is when any instance there last said a word.
 	heard time.Time
 	// unreached holds the instances with which time ran out since then.
-	unreached map[string]bool
+	unreached map[registry.Incarnation]bool
 	// probed is when a request was last let through while it was cut off.
 	probed time.Time
 }
@@ -38,7 +38,7 @@
 func (b *Board) domain(name string) *domain {
 	d, ok := b.domains[name]
 	if !ok {
-		d = &domain{unreached: map[string]bool{}}
+		d = &domain{unreached: map[registry.Incarnation]bool{}}
 		b.domains[name] = d
 	}
 	return d
@@ -56,7 +56,7 @@
 	all := map[string]bool{}
 	for _, in := range instances {
 		all[in.FailureDomain] = true
-		if b.domain(in.FailureDomain).unreached[in.ID] || b.load(in.ID).quiet(now) {
+		if b.domain(in.FailureDomain).unreached[in.Incarnation()] || b.load(in.Incarnation()).quiet(now) {
 			witnesses[in.FailureDomain]++
 		}
 	}
--- a/internal/coordination/balance/domains_test.go
+++ b/internal/coordination/balance/domains_test.go
@@ -24,22 +24,22 @@
 // answer; it returns how many went to each, and what ends those that wait.
 func cutOff(b *balance.Board, w balance.Wish, requests int, cut string, at time.Time) (got map[string]int, giveUp func(time.Time)) {
 	got = map[string]int{}
-	var waiting []string
+	var waiting []registry.Incarnation
 	for n := range requests {
 		w.Key = uint64(n + 1)
 		in, _ := b.Pick(spread(), w, at)
 		got[in.FailureDomain]++
 		b.Begin(in, at)
 		if in.FailureDomain == cut {
-			waiting = append(waiting, in.ID)
+			waiting = append(waiting, in.Incarnation())
 			continue
 		}
-		b.Heard(in.ID, at)
-		b.End(in.ID, balance.Result{Latency: 10 * time.Millisecond}, at)
+		b.Heard(in.Incarnation(), at)
+		b.End(in.Incarnation(), balance.Result{Latency: 10 * time.Millisecond}, at)
 	}
 	return got, func(at time.Time) {
-		for _, id := range waiting {
-			b.End(id, balance.Result{Failed: true}, at)
+		for _, in := range waiting {
+			b.End(in, balance.Result{Failed: true}, at)
 		}
 	}
 }
@@ -71,7 +71,7 @@
 	}
 	giveUp(at)
 	giveUpToo(at)
-	b.Heard("i1", at)
+	b.Heard(life("i1"), at)
 	got, _ = cutOff(b, repeats, 100, "", at)
 	if got["d1"] < 10 {
 		t.Errorf("%d of 100 after a word", got["d1"])
@@ -87,14 +87,14 @@
 		in, _ := b.Pick(spread(), balance.Wish{Repeats: true}, at)
 		b.Begin(in, at)
 		if in.FailureDomain == "d0" {
-			b.Heard(in.ID, at)
-			b.End(in.ID, balance.Result{Latency: 10 * time.Millisecond}, at)
+			b.Heard(in.Incarnation(), at)
+			b.End(in.Incarnation(), balance.Result{Latency: 10 * time.Millisecond}, at)
 			at = at.Add(10 * time.Millisecond)
 			continue
 		}
 		lost++
 		at = at.Add(500 * time.Millisecond)
-		b.End(in.ID, balance.Result{Failed: true, Unreached: true, TimedOut: true}, at)
+		b.End(in.Incarnation(), balance.Result{Failed: true, Unreached: true, TimedOut: true}, at)
 	}
 	if lost > 16 {
 		t.Errorf("%d of 200 ran into a timeout", lost)
@@ -110,7 +110,7 @@
 	for _, in := range spread()[4:] {
 		if in.FailureDomain == "d1" {
 			b.Begin(in, at)
-			b.End(in.ID, balance.Result{Failed: true, Unreached: true}, at)
+			b.End(in.Incarnation(), balance.Result{Failed: true, Unreached: true}, at)
 		}
 	}
 	at = at.Add(3 * time.Second)
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -31,15 +31,15 @@
 	Key uint64
 	// Repeats says that the request may run once more elsewhere, if nothing is heard of it.
 	Repeats bool
-	// Tried are the ids of instances that had the request already.
-	Tried []string
+	// Tried are the instances that had the request already.
+	Tried []registry.Incarnation
 	// Busy are instances that are taken only when nothing else is left.
-	Busy map[string]bool
+	Busy map[registry.Incarnation]bool
 	// Tokens is the memory that the request takes at most, and Memory what each engine has;
 	// both are 0 for requests that take none.
 	Tokens, Memory int
 	// Loads holds what engines told of themselves, as far as it is known.
-	Loads map[string]EngineLoad
+	Loads map[registry.Incarnation]EngineLoad
 	// Entries is how many entries send requests there, at least 1.
 	Entries int
 	// Model and Weights, when set, name the weight version that is preferred.
@@ -66,9 +66,10 @@
 	var sound, rest []registry.Instance
 	dark := b.dark(instances, w, now)
 	for _, in := range instances {
+		life := in.Incarnation()
 		switch {
-		case slices.Contains(w.Tried, in.ID):
-		case dark[in.FailureDomain] || w.Busy[in.ID] || now.Before(b.load(in.ID).avoidUntil) || b.load(in.ID).silent(now):
+		case slices.Contains(w.Tried, life):
+		case dark[in.FailureDomain] || w.Busy[life] || now.Before(b.load(life).avoidUntil) || b.load(life).silent(now):
 			rest = append(rest, in)
 		default:
 			sound = append(sound, in)
@@ -102,13 +103,13 @@
 func (b *Board) pickByKey(open []registry.Instance, key uint64) registry.Instance {
 	total := 0
 	for _, in := range open {
-		total += b.load(in.ID).inFlight
+		total += b.load(in.Incarnation()).inFlight
 	}
 	bound := loadFactor*float64(total+1)/float64(len(open)) + loadSpare
 	best := -1
 	var bestRank uint64
 	for i, in := range open {
-		if float64(b.load(in.ID).inFlight+1) > bound {
+		if float64(b.load(in.Incarnation()).inFlight+1) > bound {
 			continue
 		}
 		if rank := rank(in.ID, key); best < 0 || rank > bestRank {
@@ -137,7 +138,7 @@
 	var chosen registry.Instance
 	for i := range open {
 		in := open[(i+offset)%len(open)]
-		l := b.load(in.ID)
+		l := b.load(in.Incarnation())
 		slots := float64(max(in.Slots, 1))
 		wait := l.latency * (1 + float64(l.inFlight)/slots) * (1 + float64(l.inFlight)) / (failedBase - l.failed)
 		if wait < best {
--- a/internal/coordination/balance/room.go
+++ b/internal/coordination/balance/room.go
@@ -38,8 +38,8 @@
 }
 
 // Sent notes how much memory a request takes that goes to an engine.
-func (b *Board) Sent(id string, tokens int, now time.Time) {
-	l := b.load(id)
+func (b *Board) Sent(to registry.Incarnation, tokens int, now time.Time) {
+	l := b.load(to)
 	l.sent = append(l.sentSince(now), sent{at: now, tokens: tokens})
 }
 
@@ -56,13 +56,13 @@
 func (w Wish) Long() bool { return w.Memory > 0 && w.Tokens*longShare >= w.Memory }
 
 // Free returns how many tokens of an engine's memory are free, as far as it is known.
-func (b *Board) Free(id string, w Wish, now time.Time) (tokens int, known bool) {
-	told, known := w.Loads[id]
+func (b *Board) Free(of registry.Incarnation, w Wish, now time.Time) (tokens int, known bool) {
+	told, known := w.Loads[of]
 	if !known || w.Memory == 0 {
 		return 0, false
 	}
 	free := w.Memory - told.Used
-	for _, s := range b.load(id).sentSince(now) {
+	for _, s := range b.load(of).sentSince(now) {
 		free -= s.tokens
 	}
 	return free, true
@@ -70,13 +70,13 @@
 
 // hasRoom reports whether an engine is known to have room for a request. A long one goes only
 // where nothing waits; a short one overtakes what waits.
-func (b *Board) hasRoom(id string, w Wish, now time.Time) bool {
-	free, known := b.Free(id, w, now)
+func (b *Board) hasRoom(in registry.Incarnation, w Wish, now time.Time) bool {
+	free, known := b.Free(in, w, now)
 	switch {
 	case !known:
 		return false
 	case w.Long():
-		return w.Loads[id].Waiting == 0 && free >= min(w.Tokens, w.Memory/countedShare)+w.Memory/headroomShare
+		return w.Loads[in].Waiting == 0 && free >= min(w.Tokens, w.Memory/countedShare)+w.Memory/headroomShare
 	default:
 		return free >= w.Tokens
 	}
@@ -87,7 +87,7 @@
 func (b *Board) withRoom(open []registry.Instance, w Wish, now time.Time) []registry.Instance {
 	var out []registry.Instance
 	for _, in := range open {
-		if b.hasRoom(in.ID, w, now) {
+		if b.hasRoom(in.Incarnation(), w, now) {
 			out = append(out, in)
 		}
 	}
@@ -102,10 +102,10 @@
 
 // notCrowded leaves out the engines at which more waits than the bound allows, of which an
 // entry sees little by itself. Those of which nothing is known stay.
-func notCrowded(open []registry.Instance, loads map[string]EngineLoad) []registry.Instance {
+func notCrowded(open []registry.Instance, loads map[registry.Incarnation]EngineLoad) []registry.Instance {
 	total, known := 0, 0
 	for _, in := range open {
-		if l, ok := loads[in.ID]; ok {
+		if l, ok := loads[in.Incarnation()]; ok {
 			total += l.Waiting
 			known++
 		}
@@ -116,7 +116,7 @@
 	bound := bounded(total, known)
 	var out []registry.Instance
 	for _, in := range open {
-		if float64(loads[in.ID].Waiting+1) <= bound {
+		if float64(loads[in.Incarnation()].Waiting+1) <= bound {
 			out = append(out, in)
 		}
 	}
--- a/internal/coordination/balance/room_test.go
+++ b/internal/coordination/balance/room_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 const (
@@ -18,17 +19,17 @@
 )
 
 // prompt is a wish for a prompt of so many tokens.
-func prompt(tokens int, loads map[string]balance.EngineLoad) balance.Wish {
+func prompt(tokens int, loads map[registry.Incarnation]balance.EngineLoad) balance.Wish {
 	return balance.Wish{Key: key, Tokens: tokens, Memory: memory, Loads: loads}
 }
 
 // loadsOf gives four engines one load, and the one named another.
-func loadsOf(all balance.EngineLoad, id string, other balance.EngineLoad) map[string]balance.EngineLoad {
-	out := map[string]balance.EngineLoad{}
+func loadsOf(all balance.EngineLoad, id string, other balance.EngineLoad) map[registry.Incarnation]balance.EngineLoad {
+	out := map[registry.Incarnation]balance.EngineLoad{}
 	for _, in := range instances(4) {
-		out[in.ID] = all
+		out[in.Incarnation()] = all
 	}
-	out[id] = other
+	out[life(id)] = other
 	return out
 }
 
@@ -37,16 +38,16 @@
 func TestCrowdedEngineGetsNoMore(t *testing.T) {
 	all := instances(4)
 	first := pick(t, balance.New(1), all, balance.Wish{Key: key})
-	waiting := func(all, there int) map[string]balance.EngineLoad {
+	waiting := func(all, there int) map[registry.Incarnation]balance.EngineLoad {
 		return loadsOf(balance.EngineLoad{Waiting: all}, first, balance.EngineLoad{Waiting: there})
 	}
-	used := func(all, there int) map[string]balance.EngineLoad {
+	used := func(all, there int) map[registry.Incarnation]balance.EngineLoad {
 		return loadsOf(balance.EngineLoad{Used: all}, first, balance.EngineLoad{Used: there})
 	}
 	cases := []struct {
 		name   string
 		tokens int
-		loads  map[string]balance.EngineLoad
+		loads  map[registry.Incarnation]balance.EngineLoad
 		stays  bool
 	}{
 		{"nothing is known", long, nil, true},
@@ -76,14 +77,14 @@
 	loads := loadsOf(balance.EngineLoad{}, "i0", balance.EngineLoad{})
 	first := pick(t, b, all, prompt(long, loads))
 	free := func(at time.Time) int {
-		tokens, known := b.Free(first, prompt(long, loads), at)
+		tokens, known := b.Free(life(first), prompt(long, loads), at)
 		if !known {
 			t.Fatal("nothing is known")
 		}
 		return tokens
 	}
 	for range 4 {
-		b.Sent(first, long, now)
+		b.Sent(life(first), long, now)
 	}
 	if diff := cmp.Diff(memory-4*long, free(now)); diff != "" {
 		t.Error(diff)
@@ -98,7 +99,7 @@
 	if got, _ := b.Pick(all, prompt(long, loads), later); got.ID != first {
 		t.Error("an engine was passed over for what its word counts already")
 	}
-	if _, known := b.Free(first, prompt(long, nil), later); known {
+	if _, known := b.Free(life(first), prompt(long, nil), later); known {
 		t.Error("something is known of an engine that told nothing")
 	}
 }
@@ -109,17 +110,17 @@
 	full := balance.EngineLoad{Used: memory - long}
 	queue := balance.EngineLoad{Waiting: 1}
 	room := balance.EngineLoad{Used: memory - 2*long}
-	some := func(ids ...string) map[string]balance.EngineLoad {
-		out := map[string]balance.EngineLoad{}
+	some := func(ids ...string) map[registry.Incarnation]balance.EngineLoad {
+		out := map[registry.Incarnation]balance.EngineLoad{}
 		for _, id := range ids {
-			out[id] = full
+			out[life(id)] = full
 		}
 		return out
 	}
 	cases := []struct {
 		name   string
 		tokens int
-		loads  map[string]balance.EngineLoad
+		loads  map[registry.Incarnation]balance.EngineLoad
 		want   bool
 	}{
 		{"no engine has room", long, loadsOf(full, "i0", full), false},
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -12,11 +12,11 @@
 
 // Allowance bounds repeated sends over all entries together.
 type Allowance struct {
-	// Ratio is the share of the requests in Window that may be sent again, and Slack is
-	// what may be sent again besides.
+	// Ratio is the share of the requests in Window that may be sent again, and Slack is how
+	// many may be besides; both may be fractions.
 	Ratio  float64
 	Window time.Duration
-	Slack  int
+	Slack  float64
 }
 
 // Window counts the requests and repeated sends of one service at one entry. The
@@ -46,7 +46,7 @@
 		sum.requests += c.requests
 		sum.repeats += c.repeats
 	}
-	allowed := safety * (w.Allowance.Ratio*float64(sum.requests) + float64(w.Allowance.Slack)/float64(max(entries, 1)))
+	allowed := safety * (w.Allowance.Ratio*float64(sum.requests) + w.Allowance.Slack/float64(max(entries, 1)))
 	if float64(sum.repeats+1) > allowed {
 		return false
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,10 +7,12 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -47,24 +49,25 @@
 	// Data is the folder of a control instance.
 	Data string `json:"data"`
 	// MemoryMB bounds the process.
-	MemoryMB int `json:"memory_mb"`
-	// HeartbeatMs is how often instances report.
-	HeartbeatMs int `json:"heartbeat_ms"`
+	MemoryMB float64 `json:"memory_mb"`
+	// HeartbeatInterval is how often instances report.
+	HeartbeatInterval Duration `json:"heartbeat"`
 	// Losses is how many control instances may be lost at once.
-	Losses int `json:"losses"`
-	// CatchUpMs is how long a control instance that came back counts as lost.
-	CatchUpMs int `json:"catch_up_ms"`
-	// LeaseMs is how long orders of two control instances must lie apart.
-	LeaseMs int `json:"lease_ms"`
-	// OldWeightsMs is how long after newer weights of a model are named requests may still
+	Losses Count `json:"losses"`
+	// CatchUpTime is how long a control instance that came back counts as lost.
+	CatchUpTime Duration `json:"catch_up"`
+	// LeaseTime is how long orders of two control instances must lie apart.
+	LeaseTime Duration `json:"lease"`
+	// OldWeightsTime is how long after newer weights of a model are named requests may still
 	// begin on older ones; 0 is without an end.
-	OldWeightsMs int `json:"old_weights_ms"`
-	// GraceMs is how long a process may take to end.
-	GraceMs int `json:"grace_ms"`
-	// RetryRatio, RetryWindowMs and RetrySlack bound repeated sends over all entries.
-	RetryRatio    float64 `json:"retry_ratio"`
-	RetryWindowMs int     `json:"retry_window_ms"`
-	RetrySlack    int     `json:"retry_slack"`
+	OldWeightsTime Duration `json:"old_weights"`
+	// GraceTime is how long a process may take to end.
+	GraceTime Duration `json:"grace"`
+	// RetryRatio, RetryWindowTime and RetrySlack bound repeated sends over all entries: to a
+	// share of the requests in the window, and some besides. Without them there are none.
+	RetryRatio      float64  `json:"retry_ratio"`
+	RetryWindowTime Duration `json:"retry_window"`
+	RetrySlack      float64  `json:"retry_slack"`
 }
 
 // FieldError names the file, line and field of a wrong value.
@@ -101,7 +104,8 @@
 	case errors.As(err, &syntax):
 		return nil, &FieldError{path, lineAt(text, syntax.Offset), "the file", err.Error()}
 	case err != nil:
-		return nil, errors.Wrapf(err, "%s", path)
+		field, reason := wrongField(text)
+		return nil, &FieldError{path, lineOf(text, field), field, reason}
 	}
 	field, reason := s.check()
 	if reason != "" {
@@ -110,6 +114,25 @@
 	return &s, nil
 }
 
+// wrongField returns the first field, by name, whose value does not read by itself, and why.
+func wrongField(text []byte) (field, reason string) {
+	var fields map[string]json.RawMessage
+	err := json.Unmarshal(text, &fields)
+	if err != nil {
+		return "the file", err.Error()
+	}
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		one, err := json.Marshal(map[string]json.RawMessage{name: fields[name]})
+		if err == nil {
+			err = json.Unmarshal(one, &Settings{})
+		}
+		if err != nil {
+			return name, err.Error()
+		}
+	}
+	return "the file", "does not read"
+}
+
 func lineAt(text []byte, offset int64) int {
 	return 1 + bytes.Count(text[:min(offset, int64(len(text)))], []byte("\n"))
 }
@@ -144,17 +167,25 @@
 	}
 	for _, f := range []struct {
 		name string
-		n    int
+		n    float64
 	}{
-		{"peer_port", int(s.PeerPort)}, {"memory_mb", s.MemoryMB}, {"heartbeat_ms", s.HeartbeatMs},
-		{"grace_ms", s.GraceMs}, {"retry_window_ms", s.RetryWindowMs},
+		{"peer_port", float64(s.PeerPort)}, {"memory_mb", s.MemoryMB}, {"heartbeat", float64(s.HeartbeatInterval)},
+		{"grace", float64(s.GraceTime)}, {"retry_window", float64(s.RetryWindowTime)},
 	} {
 		if f.n <= 0 {
 			return f.name, "must be above 0"
 		}
 	}
-	if s.OldWeightsMs < 0 {
-		return "old_weights_ms", "must not be below 0"
+	for _, f := range []struct {
+		name string
+		n    float64
+	}{
+		{"losses", float64(s.Losses)}, {"catch_up", float64(s.CatchUpTime)}, {"lease", float64(s.LeaseTime)},
+		{"old_weights", float64(s.OldWeightsTime)}, {"retry_ratio", s.RetryRatio}, {"retry_slack", s.RetrySlack},
+	} {
+		if f.n < 0 {
+			return f.name, "must not be below 0"
+		}
 	}
 	return "", ""
 }
@@ -182,25 +213,23 @@
 }
 
 // Heartbeat returns how often instances report.
-func (s *Settings) Heartbeat() time.Duration { return millis(s.HeartbeatMs) }
+func (s *Settings) Heartbeat() time.Duration { return time.Duration(s.HeartbeatInterval) }
 
 // Lease returns how long orders of two control instances must lie apart.
-func (s *Settings) Lease() time.Duration { return millis(s.LeaseMs) }
+func (s *Settings) Lease() time.Duration { return time.Duration(s.LeaseTime) }
 
 // Grace returns how long a process may take to end.
-func (s *Settings) Grace() time.Duration { return millis(s.GraceMs) }
+func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceTime) }
 
 // OldWeights returns how long after newer weights are named requests may still begin on older
 // ones, or 0.
-func (s *Settings) OldWeights() time.Duration { return millis(s.OldWeightsMs) }
+func (s *Settings) OldWeights() time.Duration { return time.Duration(s.OldWeightsTime) }
 
 // CatchUp returns how long a control instance that came back counts as lost.
-func (s *Settings) CatchUp() time.Duration { return millis(s.CatchUpMs) }
+func (s *Settings) CatchUp() time.Duration { return time.Duration(s.CatchUpTime) }
 
 // RetryWindow returns the span of the bound on repeated sends.
-func (s *Settings) RetryWindow() time.Duration { return millis(s.RetryWindowMs) }
-
-func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func (s *Settings) RetryWindow() time.Duration { return time.Duration(s.RetryWindowTime) }
 
 // File is a settings file that may change. Make one with Open.
 type File struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,9 +25,9 @@
   "peer_port": 7740,
   "seeds": ["10.0.0.2:8566","10.0.0.3:8566"],
   "memory_mb": 100,
-  "heartbeat_ms": 1200,
-  "grace_ms": 8000,
-  "retry_window_ms": 10000
+  "heartbeat": "1200ms",
+  "grace": "8s",
+  "retry_window": "10s"
 }
 `
 
@@ -49,10 +49,16 @@
 	cases := []struct{ name, old, new, want string }{
 		{"a missing field", `"name": "e1",`, ``, "f:13: name: is missing"},
 		{"no address", `10.0.0.1:8080`, `here`, `f:5: callers: "here" is not an IP number and port`},
-		{"a wrong type", `"grace_ms": 8000`, `"grace_ms": "8 s"`, "f:10: grace_ms: expected int, got string"},
+		{"a wrong type", `"memory_mb": 100`, `"memory_mb": "100"`, "f:8: memory_mb: expected float64, got string"},
+		{"a time without its unit", `"grace": "8s"`, `"grace": 8000`, `f:10: grace: expected a time with its unit such as "1.5s" or "250ms", got 8000`},
+		{"an unknown unit", `"grace": "8s"`, `"grace": "8 days"`, `f:10: grace: expected a time with its unit such as "1.5s" or "250ms", got "8 days"`},
+		{"no figure", `"grace": "8s"`, `"grace": "s"`, `f:10: grace: expected a time with its unit such as "1.5s" or "250ms", got "s"`},
+		{"a time without an end", `"grace": "8s"`, `"grace": "1e999s"`, `f:10: grace: expected a time with its unit such as "1.5s" or "250ms", got "1e999s"`},
+		{"half a loss", `"memory_mb": 100`, `"losses": 1.5, "memory_mb": 100`, "f:8: losses: expected a whole number, got 1.5"},
+		{"fewer than none", `"memory_mb": 100`, `"retry_slack": -0.5, "memory_mb": 100`, "f:8: retry_slack: must not be below 0"},
 		{"no listening address", `"peer_port": 7740,`, `"peer_port": 7740, "peer_listen": "near",`, `f:6: peer_listen: "near" is not an IP number and port`},
 		{"nothing", `"memory_mb": 100`, `"memory_mb": 0`, "f:8: memory_mb: must be above 0"},
-		{"a half file", `"retry_window_ms": 10000
+		{"a half file", `"retry_window": "10s"
 }`, ``, "f:12: the file: unexpected end of JSON input"},
 	}
 	for _, c := range cases {
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -116,7 +116,7 @@
 			}
 			want := usual
 			c.want(&want)
-			got := read{s.CatchUp(), s.Lease(), s.Grace(), s.OldWeights(), s.RetryWindow(), s.Heartbeat(), float64(s.RetryRatio), float64(s.RetrySlack), float64(s.MemoryMB), s.Losses}
+			got := read{s.CatchUp(), s.Lease(), s.Grace(), s.OldWeights(), s.RetryWindow(), s.Heartbeat(), float64(s.RetryRatio), float64(s.RetrySlack), float64(s.MemoryMB), int(s.Losses)}
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Error(diff)
 			}
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -11,14 +12,20 @@
 	// Grace is how long an instance that no source vouches for any more is kept, so
 	// that a source that came back empty makes nobody forget it.
 	Grace time.Duration
+	// Declared, when set, says which services there are. An instance of another one takes no
+	// address from theirs.
+	Declared func(service string) bool
 
-	instances map[string]*merged
+	// instances holds the incarnations of each id, the latest start last. Those before it are
+	// over; they are remembered for a while, as what they said may come late.
+	instances map[string][]*merged
 	// lives counts how often each source began anew.
 	lives map[string]int
-	// births counts the instances heard of so far.
+	// births counts the incarnations heard of so far.
 	births int
 }
 
+// merged is one incarnation as several sources know it.
 type merged struct {
 	newest Instance
 	// weights holds what is believed of each model; newest has it as of the last call of Live.
@@ -39,35 +46,83 @@
 // Take notes what one source reports.
 func (m *Merged) Take(source string, reports []Report, now time.Time) {
 	if m.instances == nil {
-		m.instances = map[string]*merged{}
+		m.instances = map[string][]*merged{}
 	}
 	for _, r := range reports {
-		k, ok := m.instances[r.ID]
-		if !ok {
-			m.births++
-			k = &merged{newest: r.Instance, weights: map[string]*belief{}, first: now, order: m.births, sources: map[string]int{}, since: now}
-			m.instances[r.ID] = k
+		if r.Left && r.Start == 0 {
+			m.endBefore(r, now)
 		}
-		if !r.First.IsZero() && r.First.Before(k.first) {
-			k.first = r.First
+		k := m.incarnation(r, now)
+		for _, other := range m.instances[r.ID] {
+			if other != k {
+				// A source vouches for one incarnation of an id.
+				other.drop(source, now)
+			}
 		}
-		k.learn(r.Instance)
-		if r.Sequence > k.newest.Sequence {
-			k.newest = r.Instance
+		k.take(source, m.lives[source], r, now.Add(-m.Grace))
+	}
+}
+
+// incarnation returns the incarnation of a report.
+func (m *Merged) incarnation(r Report, now time.Time) *merged {
+	of := m.instances[r.ID]
+	i, ok := slices.BinarySearchFunc(of, r.Start, func(k *merged, s Start) int { return cmp.Compare(k.newest.Start, s) })
+	if ok {
+		return of[i]
+	}
+	m.births++
+	k := &merged{newest: r.Instance, weights: map[string]*belief{}, first: now, order: m.births, sources: map[string]int{}, since: now}
+	m.instances[r.ID] = slices.Insert(of, i, k)
+	return k
+}
+
+// endBefore ends the incarnations of an id that were heard of before it left without a word of
+// its start.
+func (m *Merged) endBefore(left Report, now time.Time) {
+	for _, k := range m.instances[left.ID] {
+		if left.First.IsZero() || !k.first.After(left.First) {
+			k.left = true
+			clear(k.sources)
+			k.since = now.Add(-m.Grace)
 		}
-		k.left = k.left || r.Left
-		if r.Silent || r.Left {
-			// It was given several heartbeats already: no grace on top.
-			k.drop(source, now.Add(-m.Grace))
-			continue
+	}
+}
+
+// take notes what a source reports in one of its lives; gone is since when an instance that it
+// calls silent or gone is not vouched for.
+func (k *merged) take(source string, life int, r Report, gone time.Time) {
+	if !r.First.IsZero() && r.First.Before(k.first) {
+		k.first = r.First
+	}
+	k.learn(r.Instance)
+	if r.Sequence > k.newest.Sequence {
+		k.newest = r.Instance
+	}
+	k.left = k.left || r.Left
+	if r.Silent || r.Left {
+		// It was given several heartbeats already: no grace on top.
+		k.drop(source, gone)
+		return
+	}
+	k.sources[source] = life
+}
+
+// all lists the incarnations.
+func (m *Merged) all() iter.Seq[*merged] {
+	return func(yield func(*merged) bool) {
+		for _, of := range m.instances {
+			for _, k := range of {
+				if !yield(k) {
+					return
+				}
+			}
 		}
-		k.sources[source] = m.lives[source]
 	}
 }
 
 // Forget notes that a source knows nothing any more: it came back empty, or it is gone.
 func (m *Merged) Forget(source string, now time.Time) {
-	for _, k := range m.instances {
+	for k := range m.all() {
 		k.drop(source, now)
 	}
 }
@@ -84,7 +139,7 @@
 // ForgetEarlier notes that a source told everything since it began anew, so that what it does
 // not vouch for again is gone.
 func (m *Merged) ForgetEarlier(source string, now time.Time) {
-	for _, k := range m.instances {
+	for k := range m.all() {
 		if k.sources[source] != m.lives[source] {
 			k.drop(source, now)
 		}
@@ -133,19 +188,18 @@
 }
 
 // Live returns the instances that are neither gone nor leaving nor left, in the order
-// of their ids, and forgets those that nobody vouched for during Grace. An address belongs
-// to the youngest incarnation: one that crashed says nothing, and its successor reports long
-// before it counts as silent. The order in which they are heard of here says nothing: who
+// of their ids, and forgets those that nobody vouched for during Grace. Of an id only the latest
+// start counts, also after it has gone: a heartbeat of an earlier one may come late. An address
+// belongs to the youngest incarnation: one that crashed says nothing, and its successor reports
+// long before it counts as silent. The order in which they are heard of here says nothing: who
 // starts late may hear of the successor first.
 func (m *Merged) Live(now time.Time) []Instance {
+	m.forget(now)
 	var out []Instance
 	owners := m.owners()
-	for id, k := range m.instances {
+	for _, of := range m.instances {
+		k := of[len(of)-1]
 		unvouched := len(k.sources) == 0
-		if unvouched && now.Sub(k.since) > max(m.Grace, leftFor) {
-			delete(m.instances, id)
-			continue
-		}
 		if k.left || k.newest.Leaving || k.newest.Address == "" || unvouched && now.Sub(k.since) >= m.Grace {
 			continue
 		}
@@ -159,18 +213,48 @@
 	return out
 }
 
-// owners returns the youngest incarnation at each address.
+// forget drops the incarnations that nobody vouched for lately.
+func (m *Merged) forget(now time.Time) {
+	for id, of := range m.instances {
+		of = slices.DeleteFunc(of, func(k *merged) bool {
+			return len(k.sources) == 0 && now.Sub(k.since) > max(m.Grace, leftFor)
+		})
+		m.instances[id] = of
+		if len(of) == 0 {
+			delete(m.instances, id)
+		}
+	}
+}
+
+// owners returns the youngest incarnation at each address. One that has ended counts as well: if
+// it had the address after another one, that one is gone too.
 func (m *Merged) owners() map[string]*merged {
 	out := make(map[string]*merged, len(m.instances))
-	for _, k := range m.instances {
-		if other := out[k.newest.Address]; other == nil || k.younger(other) {
+	for k := range m.all() {
+		if other := out[k.newest.Address]; other == nil || m.owns(k, other) {
 			out[k.newest.Address] = k
 		}
 	}
 	return out
 }
 
+// owns reports whether an incarnation has an address rather than another one that told it.
+func (m *Merged) owns(k, other *merged) bool {
+	if m.Declared != nil {
+		declared := m.Declared(k.newest.Service)
+		if declared != m.Declared(other.newest.Service) {
+			return declared
+		}
+	}
+	return k.younger(other)
+}
+
+// younger compares two incarnations at one address by their starts, and where these are not
+// told by when they were first heard of, which a late heartbeat of the older one may mislead.
 func (k *merged) younger(other *merged) bool {
+	if k.newest.Start != 0 && other.newest.Start != 0 && k.newest.Start != other.newest.Start {
+		return k.newest.Start > other.newest.Start
+	}
 	if k.first.Equal(other.first) {
 		return k.order > other.order
 	}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -2,9 +2,9 @@
 //
 // It is soft state: what a control instance wrote down of it only bridges a restart, until
 // the instances report again (Recall). Each control instance keeps a Registry of what it heard
-// itself; whoever uses instances joins the reports of all control instances in a Merged. An
-// incarnation's newest sequence number decides which report holds, so calls that arrive late
-// or elsewhere change nothing.
+// itself; whoever uses instances joins the reports of all control instances in a Merged. The
+// latest start of an instance decides which report holds, and of that start the newest sequence
+// number, so calls that arrive late or elsewhere change nothing.
 package registry
 
 import (
@@ -21,8 +21,10 @@
 
 // Instance is what one incarnation said of itself.
 type Instance struct {
-	// ID is new at each start of the instance.
+	// ID names the instance, which may start again under it, and Start is that of the
+	// incarnation.
 	ID                              string
+	Start                           Start
 	Service, Address, FailureDomain string
 	Slots                           int
 	// Leaving is true once it said that it will end.
@@ -38,7 +40,8 @@
 // Report is an instance as one control instance knows it.
 type Report struct {
 	Instance
-	// Silent is true after several missing heartbeats, and Left once it signed off.
+	// Silent is true after several missing heartbeats, and Left once it signed off. One that
+	// left without a start is the end of every incarnation of the id that was heard of before.
 	Silent, Left bool
 	// First is when the registry first heard of it; zero stands for now.
 	First time.Time
@@ -68,10 +71,16 @@
 func (r *Registry) Hear(in Instance, now time.Time) bool {
 	known, ok := r.records[in.ID]
 	in.Told = Word{At: now}
-	if !ok {
+	if !ok || known.endsWith(in.Start) {
 		r.put(&record{report: Report{Instance: in, First: now}, heard: now})
 		return true
 	}
+	if in.Start < known.report.Start {
+		return false
+	}
+	if known.report.Left && in.Start != known.report.Start {
+		return false
+	}
 	known.heard = now
 	if known.report.Left || in.Sequence < known.report.Sequence {
 		return false
@@ -90,14 +99,23 @@
 	return changed
 }
 
+// endsWith reports whether an incarnation that begins at a start ends the one that is known. An
+// instance that left without a word of its start stays away: its heartbeats may still come.
+func (k *record) endsWith(start Start) bool {
+	return start > k.report.Start && !(k.report.Left && k.report.Start == 0)
+}
+
 // Asked takes what an instance answered when it was asked for its weights; in is what was
 // believed of it then. It reports whether others must know.
 func (r *Registry) Asked(in Instance, model string, version uint64, now time.Time) bool {
 	known, ok := r.records[in.ID]
-	if !ok {
+	if !ok || known.endsWith(in.Start) {
 		r.Hear(in, now)
 		known = r.records[in.ID]
 	}
+	if known.report.Start != in.Start {
+		return false
+	}
 	same := known.report.Weights[model] == version && in.Weights[model] == version
 	// The answer may be older than a heartbeat that came just before it.
 	early := version < known.report.Weights[model] && now.Sub(known.report.Told.At) <= lateFor
@@ -133,9 +151,11 @@
 }
 
 // Recall takes a report of an earlier life of this registry. Until the instance reports
-// itself it counts for a while only, and one that was silent then does not count at all.
+// itself it counts for a while only, and one that was silent then does not count at all; nor
+// does one that has reported itself since.
 func (r *Registry) Recall(report Report, now time.Time, counts time.Duration) {
-	if report.Silent {
+	known, ok := r.records[report.ID]
+	if report.Silent || ok && !known.endsWith(report.Start) {
 		return
 	}
 	// What it says of its weights now goes before what it said then.
@@ -143,11 +163,14 @@
 	r.put(&record{report: report, heard: now.Add(counts - r.SilentAfter)})
 }
 
-// Leave takes the end of an incarnation.
-func (r *Registry) Leave(id string, now time.Time) {
-	known, ok := r.records[id]
-	if !ok {
-		r.put(&record{report: Report{Instance: Instance{ID: id}, First: now, Left: true}, heard: now})
+// Leave takes the end of an incarnation, or without a start that of all before.
+func (r *Registry) Leave(in Incarnation, now time.Time) {
+	known, ok := r.records[in.ID]
+	if !ok || known.endsWith(in.Start) {
+		r.put(&record{report: Report{Instance: Instance{ID: in.ID, Start: in.Start}, First: now, Left: true}, heard: now})
+		return
+	}
+	if in.Start != 0 && in.Start < known.report.Start {
 		return
 	}
 	known.heard = now
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -34,9 +34,9 @@
 	if diff := cmp.Diff(true, r.Since(0)[0].Leaving); diff != "" {
 		t.Error(diff)
 	}
-	r.Leave("x", now)
+	r.Leave(registry.Incarnation{ID: "x"}, now)
 	r.Hear(instance("x", 3, false), now)
-	r.Leave("never seen", now)
+	r.Leave(registry.Incarnation{ID: "never seen"}, now)
 	r.Hear(instance("never seen", 1, false), now)
 	for _, report := range r.Since(0) {
 		if !report.Left {
@@ -301,7 +301,7 @@
 	if diff := cmp.Diff([]string{"z3", "y2"}, list(r.UpTo(3))); diff != "" {
 		t.Error(diff)
 	}
-	r.Leave("z", now)
+	r.Leave(registry.Incarnation{ID: "z"}, now)
 	r.Sweep(now.Add(2 * time.Minute))
 	for _, report := range r.Since(0) {
 		if report.ID == "z" || !report.Silent {
--- a/internal/transport/callmetrics/callmetrics.go
+++ b/internal/transport/callmetrics/callmetrics.go
@@ -30,6 +30,7 @@
 type Metrics struct {
 	registry *prometheus.Registry
 	calls    *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 }
 
@@ -40,6 +41,9 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shedrock_calls_total", Help: "Calls of operators and instances by their status.",
 		}, []string{"call", "status"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shedrock_reports_refused_total", Help: "Reports of instances that were not taken, by what is wrong.",
+		}, []string{"reason"}),
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shedrock_call_seconds", Help: "From a call's arrival to its answer.",
 			// From 1 ms to 2 s.
@@ -47,7 +51,7 @@
 		}, []string{"call"}),
 	}
 	m.registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.calls, m.took,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.calls, m.refused, m.took,
 	)
 	m.registry.MustRegister(gauges(standing)...)
 	return m
@@ -92,6 +96,9 @@
 	})
 }
 
+// Refused counts a report of an instance that was not taken; reason is one of few words.
+func (m *Metrics) Refused(reason string) { m.refused.WithLabelValues(reason).Inc() }
+
 // statusWriter remembers the status that was written.
 type statusWriter struct {
 	http.ResponseWriter
--- a/internal/transport/connpool/connpool.go
+++ b/internal/transport/connpool/connpool.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
@@ -27,27 +28,37 @@
 	DefaultIdle = 4 * time.Second
 	// idleMargin is taken off the time that a peer names, for the way of its close.
 	idleMargin = 500 * time.Millisecond
-	// maxIdle bounds the idle connections to one address.
+	// maxIdle bounds the idle connections to one peer.
 	maxIdle = 16
 	// readBuffer holds an answer's head and most events.
 	readBuffer = 2048
 )
 
+// Peer is whom a connection leads to. A connection to one incarnation is none to the next at its
+// address, which may know nothing of it, and say nothing on it.
+type Peer struct {
+	Address string
+	Of      registry.Incarnation
+}
+
+// PeerOf returns an instance as a peer.
+func PeerOf(in registry.Instance) Peer { return Peer{in.Address, in.Incarnation()} }
+
 // Conn is a connection to an instance.
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
 	// Used says that it carried a request before.
-	Used    bool
-	address string
-	until   time.Time
+	Used  bool
+	peer  Peer
+	until time.Time
 }
 
-// Pool keeps idle connections by address. It is safe for concurrent use, and its zero
-// value is empty.
+// Pool keeps idle connections by peer. It is safe for concurrent use, and its zero value is
+// empty.
 type Pool struct {
 	mu   sync.Mutex
-	idle map[string][]*Conn
+	idle map[Peer][]*Conn
 	// opened counts the connections opened so far.
 	opened uint64
 }
@@ -60,11 +71,11 @@
 }
 
 // Get returns a clean idle connection, or opens one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, peer Peer) (*Conn, error) {
 	for {
-		c := p.take(address)
+		c := p.take(peer)
 		if c == nil {
-			return p.open(ctx, address)
+			return p.open(ctx, peer)
 		}
 		if time.Now().Before(c.until) && quiet(c.Conn) {
 			return c, nil
@@ -73,27 +84,27 @@
 	}
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
-	c, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+func (p *Pool) open(ctx context.Context, peer Peer) (*Conn, error) {
+	c, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBuffer), peer: peer}, nil
 }
 
 // take returns the connection that was used last: it is the least likely to be closed.
-func (p *Pool) take(address string) *Conn {
+func (p *Pool) take(peer Peer) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[peer]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	p.idle[peer] = list[:len(list)-1]
 	return c
 }
 
@@ -113,20 +124,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
-		p.idle = map[string][]*Conn{}
+		p.idle = map[Peer][]*Conn{}
 	}
-	if len(p.idle[c.address]) >= maxIdle {
+	if len(p.idle[c.peer]) >= maxIdle {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.peer] = append(p.idle[c.peer], c)
 }
 
 // Sweep closes what is idle too long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
+	for peer, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
 			if now.Before(c.until) {
@@ -135,9 +146,9 @@
 			}
 			_ = c.Close()
 		}
-		p.idle[address] = kept
+		p.idle[peer] = kept
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, peer)
 		}
 	}
 }
--- a/internal/transport/connpool/connpool_test.go
+++ b/internal/transport/connpool/connpool_test.go
@@ -10,18 +10,20 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/connpool"
 )
 
 // pair returns a pool's connection and the other side of it.
-func pair(t *testing.T, p *connpool.Pool) (ours *connpool.Conn, theirs net.Conn, address string) {
+func pair(t *testing.T, p *connpool.Pool) (ours *connpool.Conn, theirs net.Conn, peer connpool.Peer) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	ours, err = p.Get(context.Background(), l.Addr().String())
+	peer = connpool.Peer{Address: l.Addr().String(), Of: registry.Incarnation{ID: "i", Start: 1}}
+	ours, err = p.Get(context.Background(), peer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +32,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = theirs.Close() })
-	return ours, theirs, l.Addr().String()
+	return ours, theirs, peer
 }
 
 // settle waits until what the other side did has arrived here.
@@ -48,9 +50,9 @@
 
 func TestCleanConnectionIsUsedAgain(t *testing.T) {
 	var p connpool.Pool
-	ours, _, address := pair(t, &p)
+	ours, _, peer := pair(t, &p)
 	p.Put(ours, 0)
-	again, err := p.Get(context.Background(), address)
+	again, err := p.Get(context.Background(), peer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,36 +66,43 @@
 func TestSurplusBytesEndTheConnection(t *testing.T) {
 	t.Run("before it is given back", func(t *testing.T) {
 		var p connpool.Pool
-		ours, theirs, address := pair(t, &p)
+		ours, theirs, peer := pair(t, &p)
 		_, _ = theirs.Write([]byte("HTTP/1.1 200 OK\r\n"))
 		settle(t, ours)
 		p.Put(ours, 0)
-		checkFresh(t, &p, address, ours)
+		checkFresh(t, &p, peer, ours)
 	})
 	t.Run("while it rests", func(t *testing.T) {
 		var p connpool.Pool
-		ours, theirs, address := pair(t, &p)
+		ours, theirs, peer := pair(t, &p)
 		// The bytes go past the pool's reader, as those that arrive later do.
 		probe := probeOf(t, ours)
 		p.Put(ours, 0)
 		_, _ = theirs.Write([]byte("x"))
 		probe()
-		checkFresh(t, &p, address, ours)
+		checkFresh(t, &p, peer, ours)
 	})
 	t.Run("closed while it rests", func(t *testing.T) {
 		var p connpool.Pool
-		ours, theirs, address := pair(t, &p)
+		ours, theirs, peer := pair(t, &p)
 		probe := probeOf(t, ours)
 		p.Put(ours, 0)
 		_ = theirs.Close()
 		probe()
-		checkFresh(t, &p, address, ours)
+		checkFresh(t, &p, peer, ours)
+	})
+	t.Run("its peer started again", func(t *testing.T) {
+		var p connpool.Pool
+		ours, _, peer := pair(t, &p)
+		p.Put(ours, 0)
+		peer.Of.Start++
+		checkFresh(t, &p, peer, ours)
 	})
 	t.Run("longer than its peer keeps it", func(t *testing.T) {
 		var p connpool.Pool
-		ours, _, address := pair(t, &p)
+		ours, _, peer := pair(t, &p)
 		p.Put(ours, time.Millisecond)
-		checkFresh(t, &p, address, ours)
+		checkFresh(t, &p, peer, ours)
 	})
 }
 
@@ -117,9 +126,9 @@
 	}
 }
 
-func checkFresh(t *testing.T, p *connpool.Pool, address string, old *connpool.Conn) {
+func checkFresh(t *testing.T, p *connpool.Pool, peer connpool.Peer, old *connpool.Conn) {
 	t.Helper()
-	next, err := p.Get(context.Background(), address)
+	next, err := p.Get(context.Background(), peer)
 	if err == nil && next == old {
 		t.Error("the old connection was used again")
 	}
--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -314,6 +314,8 @@
 	}
 	c.f.text = text
 	c.f.config = config
+	// Other services may be declared now.
+	c.f.joinInstances()
 	c.f.publish()
 	c.f.Log.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).Str("from", address).Int("routes", len(config.Routes)).
 		Int("bytes", len(text.Bytes())).Int("pieces", text.Pieces()).Int("fetched_bytes", c.assembly.Fetched()).Dur("took_ms", time.Since(c.began)).Msg("")
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -15,7 +15,7 @@
 
 func fromReport(r registry.Report, now time.Time) *wire.InstanceReport {
 	return &wire.InstanceReport{
-		Id: r.ID, Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
+		Id: r.ID, Start: int64(r.Start), Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
 		AgeMilliseconds:        uint64(now.Sub(r.First).Milliseconds()),
 		WeightsAgeMilliseconds: uint64(now.Sub(r.Told.At).Milliseconds()), WeightsAsked: r.Told.Asked,
@@ -26,7 +26,7 @@
 func toReport(in *wire.InstanceReport, from string, now time.Time) registry.Report {
 	return registry.Report{
 		Instance: registry.Instance{
-			ID: in.Id, Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
+			ID: in.Id, Start: registry.Start(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
 			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
 			Told: registry.Word{At: before(now, in.WeightsAgeMilliseconds), Asked: in.WeightsAsked, Via: from},
 		},
@@ -67,18 +67,34 @@
 	return false
 }
 
-func fromLoads(loads map[string]balance.EngineLoad) []*wire.EngineLoad {
+func fromLoads(loads map[registry.Incarnation]balance.EngineLoad) []*wire.EngineLoad {
 	var out []*wire.EngineLoad
-	for id, l := range loads {
-		out = append(out, &wire.EngineLoad{Id: id, Waiting: uint32(l.Waiting), UsedTokens: uint32(l.Used)})
+	for of, l := range loads {
+		out = append(out, &wire.EngineLoad{Id: of.ID, Start: int64(of.Start), Waiting: uint32(l.Waiting), UsedTokens: uint32(l.Used)})
 	}
 	return out
 }
 
-func toLoads(in []*wire.EngineLoad) map[string]balance.EngineLoad {
-	out := make(map[string]balance.EngineLoad, len(in))
+func toLoads(in []*wire.EngineLoad) map[registry.Incarnation]balance.EngineLoad {
+	out := make(map[registry.Incarnation]balance.EngineLoad, len(in))
 	for _, l := range in {
-		out[l.Id] = balance.EngineLoad{Waiting: int(l.Waiting), Used: int(l.UsedTokens)}
+		out[registry.Incarnation{ID: l.Id, Start: registry.Start(l.Start)}] = balance.EngineLoad{Waiting: int(l.Waiting), Used: int(l.UsedTokens)}
+	}
+	return out
+}
+
+func fromIncarnations(list []registry.Incarnation) []*wire.Incarnation {
+	var out []*wire.Incarnation
+	for _, in := range list {
+		out = append(out, &wire.Incarnation{Id: in.ID, Start: int64(in.Start)})
+	}
+	return out
+}
+
+func toIncarnations(list []*wire.Incarnation) []registry.Incarnation {
+	var out []registry.Incarnation
+	for _, in := range list {
+		out = append(out, registry.Incarnation{ID: in.Id, Start: registry.Start(in.Start)})
 	}
 	return out
 }
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -80,13 +80,23 @@
 		f.client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
 			DialContext: netdial.NewQuick(dialTimeout).DialContext,
 		}}
-		f.merged = registry.Merged{Grace: silentBeats * f.Heartbeat}
+		f.merged = registry.Merged{Grace: silentBeats * f.Heartbeat, Declared: f.declared}
 		f.named = map[string]weights.History{}
 		f.sources = map[string]*knownSource{}
 		f.view.Store(&View{Entries: 1})
 	})
 }
 
+// declared reports whether the configuration in force has a service; before the first one is
+// known, any may come. mu must be held.
+func (f *Follower) declared(service string) bool {
+	if f.config == nil {
+		return true
+	}
+	_, ok := f.config.Services[service]
+	return ok
+}
+
 // View returns the newest view.
 func (f *Follower) View() *View {
 	f.init()
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -59,10 +59,10 @@
 	// leaderless is true while this control instance knows no leader.
 	leaderless bool
 	// busy names the instances that load weights, or will next.
-	busy []string
+	busy []registry.Incarnation
 	// loads holds what engines told of their load, while this control instance leads, and
 	// loadsChange numbers its changes.
-	loads       map[string]balance.EngineLoad
+	loads       map[registry.Incarnation]balance.EngineLoad
 	loadsChange uint64
 	// news is true while entries have not been told of what stores hold, or of loads.
 	news bool
@@ -107,16 +107,28 @@
 		return
 	}
 	s.wake()
-	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
+	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
 }
 
-// Leave takes the end of an instance.
-func (s *Source) Leave(id string) {
+// Leave takes the end of an incarnation, or without a start that of all before.
+func (s *Source) Leave(in registry.Incarnation) {
+	s.end(in, "instance_left")
+}
+
+// StartedAgain takes the end of an incarnation that showed when the next one of its id answered
+// in its place. The next one is known once it reports itself.
+func (s *Source) StartedAgain(err *registry.StartedAgainError) {
+	if err.Asked.Start != 0 && err.Answered > err.Asked.Start {
+		s.end(err.Asked, "instance_started_again")
+	}
+}
+
+func (s *Source) end(in registry.Incarnation, event string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.registry.Leave(id, time.Now())
+	s.registry.Leave(in, time.Now())
 	s.wake()
-	s.log.Info().Str("event", "instance_left").Str("instance", id).Msg("")
+	s.log.Info().Str("event", event).Str("instance", in.ID).Int64("start", int64(in.Start)).Msg("")
 }
 
 // Publish sets what the log holds, as far as this control instance applied it.
@@ -172,24 +184,24 @@
 		return
 	}
 	s.wake()
-	s.log.Info().Str("event", "weights_loaded").Str("instance", in.ID).Str("model", model).Uint64("version", version).Msg("")
+	s.log.Info().Str("event", "weights_loaded").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("model", model).Uint64("version", version).Msg("")
 }
 
 // PublishBusy names the instances that requests had better avoid, because they load
 // weights or will next.
-func (s *Source) PublishBusy(ids []string) {
+func (s *Source) PublishBusy(instances []registry.Incarnation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.Equal(s.busy, ids) {
+	if slices.Equal(s.busy, instances) {
 		return
 	}
-	s.busy = ids
+	s.busy = instances
 	s.wake()
 }
 
 // PublishLoads sets the load of each engine that answered; nil says that nothing is known.
 // Entries are told with the next news of stores.
-func (s *Source) PublishLoads(loads map[string]balance.EngineLoad) {
+func (s *Source) PublishLoads(loads map[registry.Incarnation]balance.EngineLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !maps.Equal(s.loads, loads) {
@@ -224,7 +236,7 @@
 		s.wake()
 	}
 	for _, in := range silent {
-		s.log.Info().Str("event", "instance_silent").Str("instance", in.ID).Str("service", in.Service).Str("address", in.Address).Msg("")
+		s.log.Info().Str("event", "instance_silent").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Msg("")
 	}
 }
 
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -77,7 +77,7 @@
 func (s *Source) lacking(in *wire.FleetRequest, since marks) *wire.FleetResponse {
 	out := &wire.FleetResponse{
 		Epoch: s.epoch, ConfigVersion: s.installed.Version,
-		Entries: uint32(s.countEntries()), Weights: fromWeights(newestOf(s.named)), Named: fromNamed(s.named, time.Now()), Due: fromWeights(dueOf(s.named)), Busy: s.busy, ControlChange: s.controlChange,
+		Entries: uint32(s.countEntries()), Weights: fromWeights(newestOf(s.named)), Named: fromNamed(s.named, time.Now()), Due: fromWeights(dueOf(s.named)), Busy: fromIncarnations(s.busy), ControlChange: s.controlChange,
 		LoadsChange: since.loads, Leaderless: s.leaderless,
 	}
 	if since.control != s.controlChange {
@@ -123,7 +123,7 @@
 // entryNews reports whether there is news that only entries are woken for; mu must be held.
 func (s *Source) entryNews(in *wire.FleetRequest, since marks) bool {
 	return s.stores.hasNews(since.stores.change, time.Duration(in.StoresUntil)*time.Millisecond) ||
-		since.loads != s.loadsChange || !slices.Equal(s.busy, in.Busy)
+		since.loads != s.loadsChange || !slices.Equal(s.busy, toIncarnations(in.Busy))
 }
 
 // countEntries counts the entries that asked lately; mu must be held.
--- a/internal/transport/fleet/stores_test.go
+++ b/internal/transport/fleet/stores_test.go
@@ -12,6 +12,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/ledger"
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
@@ -124,8 +125,8 @@
 func TestLoadsOfAnEarlierLife(t *testing.T) {
 	a := newControl(t)
 	f := follow(t, a)
-	before := map[string]balance.EngineLoad{"x": {Waiting: 7, Used: 60_000}}
-	after := map[string]balance.EngineLoad{"y": {Waiting: 2}}
+	before := map[registry.Incarnation]balance.EngineLoad{{ID: "x"}: {Waiting: 7, Used: 60_000}}
+	after := map[registry.Incarnation]balance.EngineLoad{{ID: "y"}: {Waiting: 2}}
 	a.source.Load().PublishLoads(before)
 	wait(t, "the load is known", func() bool { return cmp.Equal(before, f.View().Loads) })
 	a.restart()
@@ -137,7 +138,7 @@
 func TestLoadsKeepTheirAge(t *testing.T) {
 	leader, other := newControl(t), newControl(t)
 	f := follow(t, leader, other)
-	loads := map[string]balance.EngineLoad{"x": {Used: 60_000}}
+	loads := map[registry.Incarnation]balance.EngineLoad{{ID: "x"}: {Used: 60_000}}
 	leader.source.Load().PublishLoads(loads)
 	wait(t, "the load is known", func() bool { return cmp.Equal(loads, f.View().Loads) })
 	told := f.View().LoadsAt
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -34,10 +34,10 @@
 	// Control holds the addresses of the control instances.
 	Control []string
 	// Busy holds the instances that load weights, or will next.
-	Busy map[string]bool
+	Busy map[registry.Incarnation]bool
 	// Loads holds what engines told of their load, and LoadsAt when this process learned of
 	// the newest of it.
-	Loads   map[string]balance.EngineLoad
+	Loads   map[registry.Incarnation]balance.EngineLoad
 	LoadsAt time.Time
 	// Stores holds what each store keeps, by its address.
 	Stores map[string]keeping.Kept
@@ -61,12 +61,12 @@
 	v := &View{
 		Config: f.config, Newest: f.newestVersion(), Instances: f.instances, Entries: 1,
 		Weights: newestOf(f.named), Named: maps.Clone(f.named), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)),
-		Stores: newestStores(f.sources), Busy: map[string]bool{}, Loads: map[string]balance.EngineLoad{},
+		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Loads: map[registry.Incarnation]balance.EngineLoad{},
 	}
 	for _, s := range f.sources {
 		if time.Since(s.answered) < busyFor {
-			for _, id := range s.busy {
-				v.Busy[id] = true
+			for _, in := range s.busy {
+				v.Busy[in] = true
 			}
 			maps.Copy(v.Loads, s.loads)
 			if len(s.loads) > 0 && s.loadsAt.After(v.LoadsAt) {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -61,11 +61,11 @@
 	avoidUntil time.Time
 	// loads holds the engines' load as the source knows it, loadsAt when it told of it, and
 	// loadsChange its mark.
-	loads       map[string]balance.EngineLoad
+	loads       map[registry.Incarnation]balance.EngineLoad
 	loadsAt     time.Time
 	loadsChange uint64
 	// busy names the instances that the source's process has load weights.
-	busy []string
+	busy []registry.Incarnation
 }
 
 // watch polls one source until ctx ends.
@@ -105,7 +105,7 @@
 		in.StoreChange = s.stores.change
 		in.StoresUntil = s.stores.until.Milliseconds()
 		in.ControlChange = s.controlChange
-		in.Busy = s.busy
+		in.Busy = fromIncarnations(s.busy)
 		in.LoadsChange = s.loadsChange
 	}
 	return in
@@ -188,7 +188,7 @@
 	}
 	s.loadsChange = out.LoadsChange
 	s.entries = int(out.Entries)
-	s.busy = out.Busy
+	s.busy = toIncarnations(out.Busy)
 	s.version = out.ConfigVersion
 	s.stores.take(out, now)
 }
--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -33,7 +34,8 @@
 
 // Engines speaks to engines.
 type Engines interface {
-	// Usage returns how many requests wait at an engine, and how much of its memory is taken.
+	// Usage returns how many requests wait at an engine, and how much of its memory is taken. The
+	// error is a registry.StartedAgainError when another start of the engine answered.
 	Usage(ctx context.Context, in registry.Instance) (balance.EngineLoad, error)
 }
 
@@ -51,7 +53,7 @@
 
 	mu sync.Mutex
 	// lost holds the engines that did not answer; it is guarded by mu.
-	lost map[string]bool
+	lost map[registry.Incarnation]bool
 }
 
 // Run asks until ctx ends.
@@ -87,20 +89,24 @@
 }
 
 // ask asks all engines; those that do not answer are left out, as nothing is known of them.
-func (w *Watcher) ask(ctx context.Context, engines []registry.Instance) map[string]balance.EngineLoad {
+func (w *Watcher) ask(ctx context.Context, engines []registry.Instance) map[registry.Incarnation]balance.EngineLoad {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, atOnce)
-	out := make(map[string]balance.EngineLoad, len(engines))
+	out := make(map[registry.Incarnation]balance.EngineLoad, len(engines))
 	for _, in := range engines {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
 			load, err := w.Engines.Usage(ctx, in)
+			var again *registry.StartedAgainError
+			if errors.As(err, &again) {
+				w.Source.StartedAgain(again)
+			}
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.note(in, err)
 			if err == nil {
-				out[in.ID] = load
+				out[in.Incarnation()] = load
 			}
 		})
 	}
@@ -111,16 +117,16 @@
 // note logs when an engine's answers are lost and found; mu must be held.
 func (w *Watcher) note(in registry.Instance, err error) {
 	if w.lost == nil {
-		w.lost = map[string]bool{}
+		w.lost = map[registry.Incarnation]bool{}
 	}
-	if (err != nil) == w.lost[in.ID] {
+	if (err != nil) == w.lost[in.Incarnation()] {
 		return
 	}
 	if err != nil {
-		w.lost[in.ID] = true
-		w.Log.Info().Str("event", "engine_not_heard").Str("instance", in.ID).Str("address", in.Address).Str("error", err.Error()).Msg("")
+		w.lost[in.Incarnation()] = true
+		w.Log.Info().Str("event", "engine_not_heard").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("address", in.Address).Str("error", err.Error()).Msg("")
 		return
 	}
-	delete(w.lost, in.ID)
-	w.Log.Info().Str("event", "engine_heard").Str("instance", in.ID).Str("address", in.Address).Msg("")
+	delete(w.lost, in.Incarnation())
+	w.Log.Info().Str("event", "engine_heard").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("address", in.Address).Msg("")
 }
--- a/internal/transport/orders/engines.go
+++ b/internal/transport/orders/engines.go
@@ -28,6 +28,8 @@
 
 // Engines speaks to registered engines.
 type Engines interface {
+	// Report asks an engine for its state. The error is a registry.StartedAgainError when
+	// another start of the engine answered.
 	Report(ctx context.Context, in registry.Instance) (EngineReport, error)
 	Load(ctx context.Context, in registry.Instance, order LoadOrder) error
 }
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -47,8 +47,8 @@
 	Log *log.Logger
 
 	mu sync.Mutex
-	// engines holds what is known of the engines that do not show the newest version; it
-	// is guarded by mu.
+	// engines holds what is known of the engines that do not show the newest version, by their
+	// ids, each of the incarnation that was read last; it is guarded by mu.
 	engines map[string]*engineState
 	// readable is how many engines of a model the last Read reached, or knows to serve the
 	// newest version: only of these can some load while others serve.
@@ -162,16 +162,22 @@
 func (e *RegisteredEngines) tellBusy(waiting, loading []string, engines int) {
 	slices.Sort(waiting)
 	next := waiting[:min(len(waiting), loadsAtOnce(engines))]
-	busy := append(loading, next...)
-	slices.Sort(busy)
+	names := append(loading, next...)
+	slices.Sort(names)
+	var busy []registry.Incarnation
 	e.mu.Lock()
 	for id, known := range e.engines {
-		if !slices.Contains(busy, id) {
+		if !slices.Contains(names, id) {
 			known.named = time.Time{}
 		} else if known.named.IsZero() {
 			known.named = time.Now()
 		}
 	}
+	for _, id := range names {
+		if known := e.engines[id]; known != nil {
+			busy = append(busy, known.instance.Incarnation())
+		}
+	}
 	e.mu.Unlock()
 	e.Source.PublishBusy(busy)
 }
@@ -189,13 +195,14 @@
 	maps.DeleteFunc(e.engines, func(id string, _ *engineState) bool { return !live[id] })
 }
 
-// state returns what is known of an engine; mu must be held.
+// state returns what is known of an incarnation of an engine: the orders of the one before, and
+// what it was believed to load, say nothing of it. mu must be held.
 func (e *RegisteredEngines) state(in registry.Instance) *engineState {
 	if e.engines == nil {
 		e.engines = map[string]*engineState{}
 	}
 	known, ok := e.engines[in.ID]
-	if !ok {
+	if !ok || known.instance.Incarnation() != in.Incarnation() {
 		known = &engineState{}
 		e.engines[in.ID] = known
 	}
@@ -214,6 +221,10 @@
 	e.mu.Unlock()
 	if ask {
 		report, err := e.report(ctx, in)
+		var again *registry.StartedAgainError
+		if errors.As(err, &again) {
+			e.Source.StartedAgain(again)
+		}
 		if err != nil {
 			return out, pending
 		}
@@ -242,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := e.Engines.Report(ctx, in)
-	line := e.Log.Info().Str("event", "engine_read").Str("instance", in.ID).Str("address", in.Address)
+	line := e.Log.Info().Str("event", "engine_read").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("address", in.Address)
 	if err != nil {
 		line.Str("error", err.Error()).Msg("")
 		return report, err
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -37,7 +37,7 @@
 	urgency  int
 	deadline time.Time
 	tries    retry.Tries
-	tried    []string
+	tried    []registry.Incarnation
 	// instance is that of the present attempt, and number counts the attempts.
 	instance registry.Instance
 	number   int
@@ -163,7 +163,7 @@
 		result = balance.Result{Withdrawn: true}
 	}
 	j.server.mu.Lock()
-	j.server.board.End(j.instance.ID, result, time.Now())
+	j.server.board.End(j.instance.Incarnation(), result, time.Now())
 	j.server.mu.Unlock()
 	j.server.Metrics.attempt(j.service, end)
 	if _, whole := end.(retry.Whole); !whole || result.Failed {
@@ -192,7 +192,7 @@
 	}
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	j.server.board.Heard(j.instance.ID, now)
+	j.server.board.Heard(j.instance.Incarnation(), now)
 }
 
 func (j *job) outgoing() *exchange.Attempt {
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -11,7 +11,7 @@
 
 // note logs and counts the end of the request.
 func (j *job) note(o outcome.Outcome) {
-	line := j.line(outcome.Label(o)).Int("attempts", j.number).Str("instance", j.instance.ID).Dur("took_ms", time.Since(j.request.Arrived))
+	line := j.line(outcome.Label(o)).Int("attempts", j.number).Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Dur("took_ms", time.Since(j.request.Arrived))
 	if j.request.Prompt != nil {
 		line = line.Int("fetch", j.fetch).Int("save", j.save).Int("tokens", j.request.Prompt.Tokens)
 	}
@@ -40,7 +40,7 @@
 
 func (j *job) logAttempt(end retry.End, err error, took time.Duration) {
 	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.number).
-		Str("instance", j.instance.ID).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
+		Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endName(end)).Dur("took_ms", took)
 	line = j.weights.fields(line)
 	if err != nil {
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -53,15 +53,15 @@
 		return j.tries.GiveUp()
 	}
 	j.instance = in
-	j.tried = append(j.tried, in.ID)
+	j.tried = append(j.tried, in.Incarnation())
 	j.number++
 	j.room = known{}
-	if free, ok := board.Free(in.ID, wish, now); ok {
+	if free, ok := board.Free(in.Incarnation(), wish, now); ok {
 		j.room = known{tokens: free, age: now.Sub(view.LoadsAt), ok: true}
 	}
 	board.Begin(in, now)
 	if wish.Tokens > 0 {
-		board.Sent(in.ID, wish.Tokens, now)
+		board.Sent(in.Incarnation(), wish.Tokens, now)
 	}
 	return nil
 }
