--- /dev/null
+++ b/internal/coordination/retry/truthful_test.go
@@ -0,0 +1,59 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+)
+
+// A caller is told "not run" only if no attempt can have run: in every sequence of ends, for every
+// kind of request, with and without an allowance for repeated sends.
+func TestNotRunIsTrue(t *testing.T) {
+	ends := []retry.End{
+		retry.Whole{Status: 200}, retry.Whole{Status: 500}, retry.Refused{}, retry.Unreached{}, retry.Misdirected{},
+		retry.Broken{}, retry.Broken{Sent: 3}, retry.CallerGone{},
+	}
+	const most = 5
+	var try func(tries retry.Tries, may func() bool, ran bool, depth int)
+	try = func(tries retry.Tries, may func() bool, ran bool, depth int) {
+		if notRun(tries.GiveUp()) && ran {
+			t.Errorf("%+v gives up as not run after it may have run", tries)
+		}
+		if depth == most {
+			return
+		}
+		for _, end := range ends {
+			next := tries
+			ranBy := ran || mayHaveRun(end)
+			stop, ok := next.Next(end, may).(retry.Stop)
+			if !ok {
+				try(next, may, ranBy, depth+1)
+				continue
+			}
+			if ranBy && notRun(stop.Outcome) {
+				t.Errorf("%+v after %#v: not run", tries, end)
+			}
+		}
+	}
+	for _, attempts := range []int{1, 2, 3} {
+		for _, kind := range []retry.Tries{{}, {Repeats: true}, {Streamed: true}, {Repeats: true, Streamed: true}} {
+			kind.Attempts = attempts
+			try(kind, yes, false, 0)
+			try(kind, no, false, 0)
+		}
+	}
+}
+
+func mayHaveRun(end retry.End) bool {
+	switch end.(type) {
+	case retry.Whole, retry.Broken:
+		return true
+	}
+	return false
+}
+
+func notRun(o outcome.Outcome) bool {
+	_, ok := o.(outcome.NotRun)
+	return ok
+}
