Callers who left are not sent anywhere, and a send to an earlier start ends with it

Cause: net/http tells that a caller closed only some time after the request was read; nothing tied an attempt to the process that it was sent to.

Change: a request's connection is looked at (without reading) once the request has been read, and one whose caller has gone is not sent; no further attempt begins once it is known. Attempts under way are ended when a later start of their instance, or another one at its address, is known: what may be repeated runs elsewhere, what may not has its end at once.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -27,9 +27,10 @@
 	// Key is the caller's key, or empty.
 	Key string
 	// Arrived is when the head was read, and Wait how long the caller waits from then
-	// on; 0 when it does not say.
+	// on; 0 when it does not say. Left says that the caller had gone by then.
 	Arrived time.Time
 	Wait    time.Duration
+	Left    bool
 	// Prompt is set for requests to a model, and Streamed when the answer is to come as
 	// events from an upstream that answers either way.
 	Prompt   *Prompt
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -64,6 +64,7 @@
 	ReasonRecordsFull   Reason = "records_full"
 	ReasonNoRoom        Reason = "no_room"
 	ReasonOldWeights    Reason = "old_weights"
+	ReasonCallerLeft    Reason = "caller_left"
 )
 
 // Label is the short name of an outcome for metrics, logs and the caller's header.
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -62,6 +62,10 @@
 // had its end.
 func (j *job) admit() bool {
 	r := j.request
+	if r.Left {
+		j.finish(outcome.NotRun{Reason: outcome.ReasonCallerLeft})
+		return false
+	}
 	config := j.server.View().Config
 	if config == nil {
 		j.finish(outcome.NotRun{RetryAfter: notReadyAfter, Reason: outcome.ReasonNotReady})
@@ -106,6 +110,10 @@
 		var end retry.End
 		switch next := step.(type) {
 		case retry.Dispatch, retry.Resume:
+			if ctx.Err() == context.Canceled {
+				j.stop(outcome.CallerGone)
+				return
+			}
 			if o := j.place(); o != nil {
 				j.stop(o)
 				return
@@ -133,7 +141,9 @@
 // attempt sends the request once and passes the answer on.
 func (j *job) attempt(ctx context.Context) retry.End {
 	began := time.Now()
-	watched, watch := j.watchBegin(ctx)
+	tracked, over := j.track(ctx)
+	defer over()
+	watched, watch := j.watchBegin(tracked)
 	defer watch.over()
 	reply := j.server.Upstreams.Send(watched, j.outgoing())
 	heard := time.Now()
@@ -142,6 +152,9 @@
 	if withdrawn(end, watch) {
 		err = errTooOld
 	}
+	if superseded(tracked) {
+		err = errSuperseded
+	}
 	if _, whole := end.(retry.Whole); !whole && ctx.Err() == context.Canceled {
 		// The caller's leaving closed the connection: that says nothing of the instance.
 		end = retry.CallerGone{}
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -96,6 +96,7 @@
 	// The fields below are guarded by mu.
 	board   *balance.Board
 	windows map[string]*retry.Window
+	sends   sends
 	// required holds the version of each model that was last told to be required.
 	required map[string]uint64
 }
@@ -104,17 +105,24 @@
 	s.once.Do(func() {
 		s.board = balance.New(rand.Uint64())
 		s.windows = map[string]*retry.Window{}
+		s.sends = sends{}
 		s.required = map[string]uint64{}
 	})
 }
 
-// Run forgets what is not used any more, until ctx ends.
+// Run forgets what is not used any more, and ends what can have no answer, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	s.init()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	starts := time.NewTicker(supersededInterval)
+	defer starts.Stop()
 	for {
 		select {
+		case <-starts.C:
+			s.mu.Lock()
+			s.endSuperseded()
+			s.mu.Unlock()
 		case now := <-ticker.C:
 			s.mu.Lock()
 			s.board.Forget(now.Add(-forgetAfter))
