--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -28,6 +27,8 @@
 	delays map[string]time.Duration
 	// open holds the connections from and to each process.
 	open map[string]map[*net.TCPConn]bool
+	// silent holds the connections that carry nothing any more.
+	silent map[*net.TCPConn]bool
 	// healed is closed and replaced whenever a cut ends.
 	healed chan struct{}
 	closed chan struct{}
@@ -44,7 +45,7 @@
 func NewLinks(t *testing.T) *Links {
 	l := &Links{
 		t: t, processes: map[string]*Process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
-		open: map[string]map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
+		open: map[string]map[*net.TCPConn]bool{}, silent: map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
 	}
 	t.Cleanup(func() { close(l.closed) })
 	return l
@@ -99,6 +100,22 @@
 	}
 }
 
+// Silence has the present connections of a process carry nothing any more, for good and without a
+// reset, not even their end; new ones work.
+func (l *Links) Silence(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open[name] {
+		l.silent[c] = true
+	}
+}
+
+func (l *Links) silenced(c *net.TCPConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[c]
+}
+
 // hold keeps both ends of a joined connection for reset, until they are released.
 func (l *Links) hold(from, to string, in, out *net.TCPConn) (release func()) {
 	l.mu.Lock()
@@ -113,6 +130,8 @@
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		delete(l.silent, in)
+		delete(l.silent, out)
 		for _, name := range []string{from, to} {
 			delete(l.open[name], in)
 			delete(l.open[name], out)
@@ -181,19 +200,26 @@
 		}
 	}()
 	done := make(chan struct{}, 2)
-	go func() { l.carry(out, in, from, name); done <- struct{}{} }()
-	go func() { l.carry(in, out, name, from); done <- struct{}{} }()
+	go func() { l.carry(out.(*net.TCPConn), in.(*net.TCPConn), from, name); done <- struct{}{} }()
+	go func() { l.carry(in.(*net.TCPConn), out.(*net.TCPConn), name, from); done <- struct{}{} }()
 	<-done
+	if l.silenced(in.(*net.TCPConn)) {
+		// The other side is not told.
+		<-done
+	}
 }
 
 // carry copies what one process sends to another.
-func (l *Links) carry(w io.Writer, r io.Reader, from, to string) {
+func (l *Links) carry(w, r *net.TCPConn, from, to string) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := r.Read(b)
 		if err != nil || !l.wait(from, to) {
 			return
 		}
+		if l.silenced(r) {
+			continue
+		}
 		if _, err := w.Write(b[:n]); err != nil {
 			return
 		}
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -18,8 +18,8 @@
 
 const (
 	// loadShare is the part of a model's engines that load at once: with a sixth the last of
-	// 14 engines was ordered 11 s after a version was named, with a fifth rounded up 8 s
-	// (bench/days/weights.toml), of the 12 s that it may take.
+	// 14 engines was ordered 11 s after a version was named, with a fifth rounded up 8 s, of the
+	// 12 s that it may take.
 	loadShare = 5
 	// namedBefore is how long entries have avoided an engine before it is ordered: what
 	// comes after the order is refused, and each refusal is a repeated send.
