--- a/internal/cli/ask.go
+++ b/internal/cli/ask.go
@@ -5,14 +5,19 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/protocol/openai"
 	"github.com/shedrock/shedrock/internal/transport/entry"
+	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
+// askDialTimeout bounds the setting up of a connection to an entry that may be far away.
+const askDialTimeout = 5 * time.Second
+
 type askCommand struct {
 	Entry     string `help:"IP:PORT of an entry's callers' listener." default:"127.0.0.1:8080"`
 	Key       string `help:"The team's key." default:"demo-key"`
@@ -37,7 +42,7 @@
 	if err != nil {
 		return failure{exitFailed, err}
 	}
-	res, err := http.DefaultClient.Do(req.WithContext(p.ctx))
+	res, err := netdial.Client(askDialTimeout, 0).Do(req.WithContext(p.ctx))
 	if err != nil {
 		return failure{exitFailed, err}
 	}
--- a/internal/transport/netdial/netdial.go
+++ b/internal/transport/netdial/netdial.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -41,3 +42,9 @@
 		},
 	}
 }
+
+// Client returns an HTTP client whose connections notice a silent peer; each call may take up to
+// timeout, or any time with 0.
+func Client(dialTimeout, timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DialContext: Dialer(dialTimeout).DialContext}}
+}
--- a/internal/transport/orders/declared.go
+++ b/internal/transport/orders/declared.go
@@ -11,6 +11,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/rollout"
 	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/declared"
+	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
 // atOnce bounds the questions to declared engines under way.
@@ -82,7 +83,7 @@
 }
 
 func (d *DeclaredEngines) call(ctx context.Context, s *sling.Sling, out any) error {
-	d.once.Do(func() { d.client = &http.Client{Timeout: callTimeout} })
+	d.once.Do(func() { d.client = netdial.Client(callTimeout, callTimeout) })
 	req, err := s.Request()
 	if err != nil {
 		return err
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/protocol/classify"
+	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
 
 const (
@@ -41,7 +42,7 @@
 }
 
 func newHTTP(keep bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := netdial.Dialer(dialTimeout)
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
