A process that a test stops has stopped before the test goes on

Two of three replicas were sent a stop, and an order sent right after it still ran: the leader reserved it 30 ms before its threads had taken the signal (its line event=reserve stands in its log after the signal was sent). A signal that stops a process is sent before its threads have stopped. Ruled out: a reservation without a majority; the replica that was not stopped and the leader, which still ran, made one.

Change: Process.Signal waits until all threads are seen stopped; no check of a test is different.

--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -14,6 +14,9 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/await"
 )
 
 // program is the path of the program that Main built.
@@ -107,10 +110,19 @@
 	p.pid.Store(int64(p.cmd.Process.Pid))
 }
 
-// Signal sends a signal, unless the process has ended.
+// stopTime is how long the threads of a process may take to stop on a busy machine.
+const stopTime = 20 * time.Second
+
+// Signal sends a signal, unless the process has ended. One that stops the process has done so when
+// this returns.
 func (p *Process) Signal(s syscall.Signal) {
-	if p.cmd != nil && p.cmd.Process != nil {
-		_ = p.cmd.Process.Signal(s)
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	pid := p.cmd.Process.Pid
+	err := p.cmd.Process.Signal(s)
+	if err == nil && s == syscall.SIGSTOP {
+		await.Until(p.t, stopTime, fmt.Sprint("process ", pid, " has stopped"), func() bool { return stopped(pid) })
 	}
 }
 
