Tests send a hangup to a program that has begun

Change: the tests' processes get a hangup once /proc shows that they take it. The deployment's own checks are as they were.

--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -110,19 +110,22 @@
 	p.pid.Store(int64(p.cmd.Process.Pid))
 }
 
-// stopTime is how long the threads of a process may take to stop on a busy machine.
-const stopTime = 20 * time.Second
+// signalTime is how long a process may take to begin, or its threads to stop, on a busy machine.
+const signalTime = 20 * time.Second
 
 // Signal sends a signal, unless the process has ended. One that stops the process has done so when
-// this returns.
+// this returns; a hangup waits until the program has begun.
 func (p *Process) Signal(s syscall.Signal) {
 	if p.cmd == nil || p.cmd.Process == nil {
 		return
 	}
 	pid := p.cmd.Process.Pid
+	if s == syscall.SIGHUP {
+		await.Until(p.t, signalTime, fmt.Sprint("process ", pid, " has begun"), func() bool { return takes(pid, s) })
+	}
 	err := p.cmd.Process.Signal(s)
 	if err == nil && s == syscall.SIGSTOP {
-		await.Until(p.t, stopTime, fmt.Sprint("process ", pid, " has stopped"), func() bool { return stopped(pid) })
+		await.Until(p.t, signalTime, fmt.Sprint("process ", pid, " has stopped"), func() bool { return stopped(pid) })
 	}
 }
 
--- a/internal/system/processes/stopped.go
+++ b/internal/system/processes/signals.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 )
 
 // stopped reports whether every thread of a process has stopped, or it has ended: a signal that
@@ -28,3 +30,23 @@
 	}
 	return true
 }
+
+// takes reports whether a process has said what a signal is to do, or has ended. Until a program
+// has begun, the system ends it at most signals, whatever it will say.
+func takes(pid int, s syscall.Signal) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return true
+	}
+	for line := range strings.Lines(string(text)) {
+		name, mask, _ := strings.Cut(line, ":")
+		if name != "SigCgt" && name != "SigIgn" {
+			continue
+		}
+		bits, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+		if err == nil && bits&(1<<(uint(s)-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
