Entries know of engines that fell dark within 0.8 s

Each entry found the dark ones by itself, by a request or a time-out each.

Change: a turn waits 0.4 s for an engine that answered before; one that does not is asked again each second beside the others.

--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -31,9 +31,13 @@
 	// atOnce bounds the questions under way: a quarter of 163 engines that fell dark at once are
 	// waited for in a single turn.
 	atOnce = 64
+	// answerTime is how long a turn waits for an engine that answered before: a lost packet is sent
+	// again after 0.2 s, and all entries send on to an engine that fell dark until a turn has ended
+	// without it.
+	answerTime = 400 * time.Millisecond
 	// lostInterval is how often an engine is asked that did not answer, and lostAtOnce how many
 	// of them in one turn: a question to a dark engine takes a second until it is given up.
-	lostInterval = 2 * time.Second
+	lostInterval = time.Second
 	lostAtOnce   = 16
 	// idleInterval is the pause while another replica leads.
 	idleInterval = 250 * time.Millisecond
@@ -115,6 +119,8 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, answerTime)
+			defer cancel()
 			load, err := w.usage(ctx, in)
 			if err != nil {
 				return
