--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -44,6 +44,9 @@
 	LoadsInterval time.Duration
 	// Entries is how many entries send requests there, at least 1.
 	Entries int
+	// ColdRate is how many requests a second an instance bears from all entries while it is cold;
+	// 0 is without a bound.
+	ColdRate float64
 	// Model and Weights, when set, name the weight version that is preferred.
 	Model   string
 	Weights uint64
@@ -57,9 +60,12 @@
 	}
 	open = b.preferNewer(open, w)
 	if w.Key != 0 {
-		return b.pickByKey(b.withRoom(open, w, now), w.Key), true
+		chosen = b.pickByKey(b.withRoom(open, w, now), w.Key)
+	} else {
+		chosen = b.pickByWait(open)
 	}
-	return b.pickByWait(open), true
+	b.noteCold(chosen, w, now)
+	return chosen, true
 }
 
 // open leaves out what was tried, and what is busy, silent, cut off or failed lately unless
@@ -71,6 +77,8 @@
 		life := in.Incarnation()
 		switch {
 		case slices.Contains(w.Tried, life):
+		case !b.bears(in, w, now):
+			rest = append(rest, in)
 		case dark[in.FailureDomain] || w.Busy[life] || now.Before(b.load(life).avoidUntil) || b.load(life).silent(now):
 			rest = append(rest, in)
 		default:
--- a/internal/state/deployment/deployment.go
+++ b/internal/state/deployment/deployment.go
@@ -93,6 +93,9 @@
 	HealthPath string
 	// MaxConnections bounds the connections to one instance, from all entries together.
 	MaxConnections int
+	// ColdRate is how many requests a second one instance bears, from all entries together, while
+	// it is cold; 0 is without a bound.
+	ColdRate float64
 	// Engine is set for services that run models.
 	Engine *Engine
 	// Store is set for stores of kept context.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -19,6 +19,10 @@
 // does not bring it back: heartbeats come at most some seconds late.
 const leftFor = time.Minute
 
+// coldStep is by how much the end of being cold must move to be told: heartbeats tell what remains,
+// and are under way for some time.
+const coldStep = 500 * time.Millisecond
+
 // Instance is what one incarnation said of itself.
 type Instance struct {
 	// ID names the instance, which may start again under it, and Start is that of the
@@ -27,6 +31,9 @@
 	Start                           Start
 	Service, Address, FailureDomain string
 	Slots                           int
+	// ColdUntil is until when it is cold by its own word, and bears less than otherwise; it is
+	// in the past for one that is not.
+	ColdUntil time.Time
 	// Leaving is true once it said that it will end.
 	Leaving bool
 	// Sequence rises with each heartbeat.
@@ -250,5 +257,5 @@
 
 func same(a, b Instance) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving
+		a.Slots == b.Slots && a.Leaving == b.Leaving && b.ColdUntil.Sub(a.ColdUntil).Abs() < coldStep
 }
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -18,6 +18,7 @@
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
 		AgeMilliseconds:        uint64(now.Sub(r.First).Milliseconds()),
 		WeightsAgeMilliseconds: uint64(now.Sub(r.Told.At).Milliseconds()), WeightsAsked: r.Told.Asked,
+		ColdMilliseconds: uint32(max(0, r.ColdUntil.Sub(now).Milliseconds())),
 	}
 }
 
@@ -27,7 +28,8 @@
 		Instance: registry.Instance{
 			ID: in.Id, Start: registry.Start(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
 			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
-			Told: registry.Word{At: before(now, in.WeightsAgeMilliseconds), Asked: in.WeightsAsked, Via: from},
+			ColdUntil: now.Add(time.Duration(in.ColdMilliseconds) * time.Millisecond),
+			Told:      registry.Word{At: before(now, in.WeightsAgeMilliseconds), Asked: in.WeightsAsked, Via: from},
 		},
 		Silent: in.Silent, Left: in.Left, First: before(now, in.AgeMilliseconds),
 	}
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -68,7 +68,9 @@
 
 // wish says what the next attempt asks for.
 func (j *job) wish(view *fleet.View) balance.Wish {
-	wish := balance.Wish{Tried: j.tried, Busy: view.Busy, Repeats: j.route.Repeats()}
+	wish := balance.Wish{
+		Tried: j.tried, Busy: view.Busy, Repeats: j.route.Repeats(), Entries: view.Entries, ColdRate: view.Config.Services[j.service].ColdRate,
+	}
 	p := j.request.Prompt
 	if p == nil {
 		return wish
@@ -81,7 +83,6 @@
 		wish.Memory = engine.MemoryTokens
 		wish.Loads = view.Loads
 		wish.LoadsInterval = view.LoadsInterval
-		wish.Entries = view.Entries
 	}
 	return wish
 }
