The fault mix tells an entry's lives by its process, not by a line that may come late

A life was told by the line event=entry_serves; the feed runs beside the listeners, and on a busy machine a new life's first event=in_force was written before that line. The entry's later lines rise from 37 to 315 in one life. Ruled out: an older revision from the feed, which is refused there and tested; no later line falls.

Change: each life of a test's process begins with a line of the test itself, and the check starts anew there: what it holds is the same, by exact lives.

--- a/internal/system/mix_test.go
+++ b/internal/system/mix_test.go
@@ -244,7 +244,7 @@
 func (m *mix) onlyRises(i int, log string) {
 	revision := 0
 	for line := range strings.Lines(log) {
-		if strings.Contains(line, "event=entry_serves") {
+		if strings.Contains(line, processes.Began) {
 			revision = 0
 		}
 		_, rest, ok := strings.Cut(line, "event=in_force revision=")
--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -100,6 +100,7 @@
 // Start starts the process again.
 func (p *Process) Start() {
 	p.t.Helper()
+	_, _ = p.Write([]byte("\n" + Began + "\n"))
 	p.cmd = exec.Command(program, p.Args...)
 	p.cmd.Stdout = p
 	p.cmd.Stderr = p
@@ -110,6 +111,9 @@
 	p.pid.Store(int64(p.cmd.Process.Pid))
 }
 
+// Began stands in a process's log before the lines of each of its lives.
+const Began = "event=process_began"
+
 // signalTime is how long a process may take to begin, or its threads to stop, on a busy machine.
 const signalTime = 20 * time.Second
 
