--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -32,7 +32,7 @@
 	Service, Address, FailureDomain string
 	Slots                           int
 	// ColdUntil is until when it is cold by its own word, and bears less than otherwise; it is
-	// in the past for one that is not.
+	// zero, or in the past, for one that is not.
 	ColdUntil time.Time
 	// Leaving is true once it said that it will end.
 	Leaving bool
