Entries log and count what instances say of their limits

An instance may name in its answers how many requests a second it takes from all entries together. That was read nowhere, so neither logs nor metrics could tell whether an entry knew of a limit when it sent a request. What an instance says of itself with an answer is now decoded once, as a Condition (cold, limit), and an entry notes the limit: a line at each change, two counters, and the limit with its age on the lines of a request. Nothing is decided by it yet.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -51,6 +51,10 @@
 	// coldUntil is until when the instance is cold by what its answers say, and coldNext when it may
 	// be sent the next request while it is cold.
 	coldUntil, coldNext time.Time
+	// limit is what the instance said of how many requests it takes.
+	limit Limit
+	// limitUnreadable says that the last limit that it named did not read.
+	limitUnreadable bool
 }
 
 // silent reports whether an instance keeps requests without a word: it may hang while its
--- /dev/null
+++ b/internal/protocol/exchange/condition.go
@@ -0,0 +1,47 @@
+package exchange
+
+import "time"
+
+// Condition is what an instance says of itself with an answer. Its zero value says nothing.
+type Condition struct {
+	// ColdFor is for how much longer the instance is cold, or 0.
+	ColdFor time.Duration
+	// Limit is how many requests a second the instance takes from all entries together.
+	Limit Limit
+}
+
+// Limit is one of NoLimit, RateLimit or UnreadableLimit, or nil when nothing is known.
+type Limit interface{ limit() }
+
+// NoLimit says that the instance names no limit.
+type NoLimit struct{}
+
+// RateLimit is a limit that the instance names.
+type RateLimit struct {
+	// PerSecond is a finite number of requests a second, at least 0.
+	PerSecond float64
+}
+
+// UnreadableLimit says that the instance names a limit that is no number of requests.
+type UnreadableLimit struct{ Text string }
+
+func (NoLimit) limit()         {}
+func (RateLimit) limit()       {}
+func (UnreadableLimit) limit() {}
+
+// ConditionOf returns what the instance says of itself with a reply.
+func ConditionOf(reply Reply) Condition {
+	switch reply := reply.(type) {
+	case Whole:
+		return reply.Head.Condition
+	case Stream:
+		return reply.Head.Condition
+	case NotRun:
+		return reply.Condition
+	case Broken:
+		return reply.Condition
+	case Unreached:
+		return Condition{}
+	}
+	panic("exchange: reply outside the sealed set")
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -137,21 +137,24 @@
 	Misdirected bool
 	// RetryAfter is 0 when the instance did not say.
 	RetryAfter time.Duration
-	// ColdFor is for how much longer the instance says it is cold, or 0.
-	ColdFor time.Duration
+	Condition  Condition
 	// Header is the refusal's, where it says more.
 	Header http.Header
 }
 
 // Broken says that the request was sent and may have run.
-type Broken struct{ Err error }
+type Broken struct {
+	Err error
+	// Condition is what the instance said of itself, if the head of an answer came.
+	Condition Condition
+}
 
 // Head is the head of an instance's answer.
 type Head struct {
 	Status int
 	Header http.Header
-	// ColdFor is for how much longer the instance says it is cold, or 0.
-	ColdFor time.Duration
+	// Condition is what the instance says of itself.
+	Condition Condition
 }
 
 // Whole is a complete answer.
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -71,6 +71,8 @@
 	// room is the free memory of the last attempt's engine as far as it was known, or of all
 	// engines with room when there was too little.
 	room known
+	// limit is what was known of the limit of the last attempt's instance.
+	limit balance.Limit
 	// weights is what decided on the weights of the last attempt.
 	weights weightsKnown
 	// spare is a failure that an instance answered, for when no attempt does better.
@@ -268,29 +270,14 @@
 	if answersItself(reply) {
 		j.server.Ends.Heard(track)
 	}
-	switch reply.(type) {
-	case exchange.Unreached, exchange.Broken:
-		return
-	}
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	j.server.board.Heard(j.instance.Incarnation(), now)
-	if cold := coldFor(reply); cold > 0 {
-		j.server.board.NoteCold(j.instance.Incarnation(), now.Add(cold))
-	}
-}
-
-// coldFor returns for how much longer an instance is cold by its answer.
-func coldFor(reply exchange.Reply) time.Duration {
-	switch reply := reply.(type) {
-	case exchange.Whole:
-		return reply.Head.ColdFor
-	case exchange.Stream:
-		return reply.Head.ColdFor
-	case exchange.NotRun:
-		return reply.ColdFor
+	j.noteCondition(exchange.ConditionOf(reply), track.Sent, now)
+	switch reply.(type) {
+	case exchange.Unreached, exchange.Broken:
+	default:
+		j.server.board.Heard(j.instance.Incarnation(), now)
 	}
-	return 0
 }
 
 func (j *job) outgoing() *exchange.Attempt {
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
@@ -20,8 +21,11 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	attempts *prometheus.CounterVec
-	first    *prometheus.HistogramVec
-	took     *prometheus.HistogramVec
+	// limited counts attempts at instances with a limit, and limits how often one is named, changed or
+	// taken back.
+	limited, limits *prometheus.CounterVec
+	first           *prometheus.HistogramVec
+	took            *prometheus.HistogramVec
 	// newest and required are versions of weights, and older counts engines.
 	newest, required, older *prometheus.GaugeVec
 }
@@ -33,6 +37,8 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_total", Help: "Requests by their outcome."}, []string{"team", "class", "outcome"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
+		limited:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
+		limits:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 
@@ -40,7 +46,7 @@
 		required: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_required_version", Help: "The oldest version on which requests may begin, 0 for any."}, []string{"model"}),
 		older:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.first, m.took, m.newest, m.required, m.older)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limits, m.first, m.took, m.newest, m.required, m.older)
 	return m
 }
 
@@ -90,6 +96,15 @@
 	}
 }
 
+// begin counts an attempt at an instance whose limit is known so far.
+func (m *Metrics) begin(service string, limit balance.Limit) {
+	if limit.Named {
+		m.limited.WithLabelValues(service).Inc()
+	}
+}
+
+func (m *Metrics) limitChange(service string) { m.limits.WithLabelValues(service).Inc() }
+
 func (m *Metrics) weights(model string, newest, required uint64, older int) {
 	m.newest.WithLabelValues(model).Set(float64(newest))
 	m.required.WithLabelValues(model).Set(float64(required))
