Entries share the limit that an instance names

Callers' upstreams saw: an instance that names how many requests a second it takes from all entries together got its usual share from each entry that it had told; two of 14 engines got 63 and 70 requests in 4 s, 36 and 31 were allowed.

Cause: the limit was read nowhere, and since entries log it, known and not used: what an instance says in an answer had a way to the choice of instances for being cold only.

Now the choice asks it for every send: first ones, retries, resumed streams, probes of failing instances. Entries take turns by their ranks, as for cold instances, but over 4 s: exactly as many turns are given out as the instance takes, at most half of what it may get in 4 s, for two groups of entries that do not know of each other. Whoever gets a turn, or is told, waits for as long as it is from one of its requests to the next, so that a change of ranks adds nothing. When every instance has what it takes, the caller is refused at once and told when the next request is due. The limit outlasts disuse, and ends with the incarnation.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -53,6 +53,9 @@
 	coldUntil, coldNext time.Time
 	// limit is what the instance said of how many requests it takes.
 	limit Limit
+	// limitNext is when it may be sent the next request while it has a limit, or zero while this entry
+	// has no turn.
+	limitNext time.Time
 	// limitUnreadable says that the last limit that it named did not read.
 	limitUnreadable bool
 }
@@ -173,7 +176,10 @@
 			continue
 		}
 		if unused {
-			*l = load{domain: l.domain, latency: firstLatency, listed: l.listed}
+			*l = load{
+				domain: l.domain, latency: firstLatency, listed: l.listed,
+				limit: l.limit, limitNext: l.limitNext, limitUnreadable: l.limitUnreadable,
+			}
 		}
 		used[l.domain] = true
 	}
--- a/internal/coordination/balance/cold.go
+++ b/internal/coordination/balance/cold.go
@@ -18,17 +18,17 @@
 	coldGroups = 2
 )
 
-// ColdBound is what a cold instance bears from all entries together; its zero value is without a
-// bound.
-type ColdBound struct {
-	// Rate is how many requests a second it bears.
+// Bound is what an instance bears from all entries together in some span, a second while it is cold;
+// its zero value is without a bound.
+type Bound struct {
+	// Rate is how many requests it bears in a span.
 	Rate float64
-	// Most is how many it must not get more of in any second, 0 where that is not declared.
+	// Most is how many it must not get more of in any span, 0 where that is not declared.
 	Most float64
 }
 
-// part is how many requests a second the entries that know of each other send a cold instance.
-func (b ColdBound) part() int {
+// part is how many requests the entries that know of each other send an instance in a span.
+func (b Bound) part() int {
 	if b.Most <= 0 {
 		return max(1, int(coldShare*b.Rate))
 	}
--- a/internal/coordination/balance/limit.go
+++ b/internal/coordination/balance/limit.go
@@ -1,11 +1,27 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
+const (
+	// limitSpan is the span over which entries share what an instance with a limit takes. Each leaves
+	// limitMargin more between its own requests, which are not all as long on their way.
+	limitSpan   = 4 * time.Second
+	limitMargin = 200 * time.Millisecond
+	// limitOverage and limitSlack bound what an instance may get in limitSpan from entries that do not
+	// all know of each other: so many times its limit, and so many requests more.
+	limitOverage = 1.5
+	limitSlack   = 5
+	// limitRarely is the longest time between two requests to an instance that takes any.
+	limitRarely = time.Hour
+	// limitMost is a limit in requests a second that no instance reaches.
+	limitMost = 1e6
+)
+
 // Limit is what an instance said last of how many requests it takes from all entries together.
 type Limit struct {
 	// Named is false when it takes as many as come.
@@ -50,5 +66,86 @@
 		return false
 	}
 	l.limit = word
+	if known.Named != word.Named || known.PerSecond != word.PerSecond {
+		l.limitNext = time.Time{}
+	}
 	return known.Named != word.Named || known.PerSecond != word.PerSecond
 }
+
+// bound is what an instance with a limit takes in limitSpan.
+func (l Limit) bound() Bound {
+	number := min(l.PerSecond, limitMost) * limitSpan.Seconds()
+	return Bound{Rate: number, Most: limitOverage*number + limitSlack}
+}
+
+// pause is how much time lies between two requests of one entry to an instance with a limit; ok is false
+// when the entry sends it none.
+func (l Limit) pause(w Wish, hash uint64) (pause time.Duration, ok bool) {
+	if l.PerSecond == 0 {
+		return 0, false
+	}
+	n := w.turn(l.bound().part(), hash)
+	if n <= 0 {
+		return 0, false
+	}
+	alone := math.Min(1/l.PerSecond, limitRarely.Seconds())
+	return max((limitSpan+limitMargin)/time.Duration(n), time.Duration(alone*float64(time.Second))), true
+}
+
+// withinLimit reports whether an instance that may have a limit takes one more request from this entry.
+// An entry that gets a turn waits for as long as it is from one of its requests to the next: whoever had
+// the turn before it, or sent freely until the limit was known, may have sent just now.
+func (c *candidate) withinLimit(w Wish, now time.Time) bool {
+	l := c.load
+	if !l.limit.Named {
+		return true
+	}
+	pause, ok := l.limit.pause(w, c.hash)
+	if !ok {
+		l.limitNext = time.Time{}
+		return false
+	}
+	if l.limitNext.IsZero() {
+		l.limitNext = now.Add(pause)
+	}
+	return !now.Before(l.limitNext)
+}
+
+// noteSent notes that a request goes to an instance that may have a limit.
+func (c *candidate) noteSent(w Wish, now time.Time) {
+	if !c.load.limit.Named {
+		return
+	}
+	if pause, ok := c.load.limit.pause(w, c.hash); ok {
+		c.load.limitNext = now.Add(pause)
+	}
+}
+
+// LimitedFor returns for how long this entry sends nothing to any of some instances because of their
+// limits; ok is false when it is not for that reason that a request finds none.
+func (b *Board) LimitedFor(instances []registry.Instance, w Wish, now time.Time) (wait time.Duration, ok bool) {
+	r := b.roster(instances, now)
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		if c.domain.evacuated || w.tried(c.in) || c.withinLimit(w, now) {
+			continue
+		}
+		left := c.limitedFor(now)
+		if !ok || left < wait {
+			wait, ok = left, true
+		}
+	}
+	return wait, ok
+}
+
+// limitedFor is how long it is until an instance with a limit takes one more request: of this entry, or
+// where others have the turns, of any.
+func (c *candidate) limitedFor(now time.Time) time.Duration {
+	if !c.load.limitNext.IsZero() {
+		return c.load.limitNext.Sub(now)
+	}
+	if c.load.limit.PerSecond == 0 {
+		return limitSpan
+	}
+	return time.Duration(math.Min(1/c.load.limit.PerSecond, limitSpan.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordination/balance/limit_test.go
@@ -0,0 +1,147 @@
+package balance_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+// limitedBoard is a board of one entry among some, with one instance that may name a limit.
+type limitedBoard struct {
+	*balance.Board
+	in   registry.Instance
+	wish balance.Wish
+}
+
+func newLimitedBoard(entries int) *limitedBoard {
+	return &limitedBoard{Board: balance.New(1), in: registry.Instance{ID: "few", Slots: 4}, wish: balance.Wish{Entries: entries}}
+}
+
+// sendFor asks for an instance each 10 ms for some time, and returns how often there was one.
+func (b *limitedBoard) sendFor(from, length time.Duration) (sent int) {
+	all := []registry.Instance{b.in}
+	for at := from; at < from+length; at += 10 * time.Millisecond {
+		if _, ok := b.Pick(all, b.wish, now.Add(at)); ok {
+			sent++
+		}
+	}
+	return sent
+}
+
+// A limit was passed over whatever its number: one entry alone sends no more than it in the long run.
+func TestOneEntryKeepsToALimit(t *testing.T) {
+	const length = 200 * time.Second
+	for _, c := range []struct {
+		perSecond   float64
+		least, most int
+	}{
+		{4.5, 600, 900}, {1, 150, 200}, {0.25, 40, 50}, {0.1, 15, 21}, {0, 0, 0}, {1e-12, 0, 1}, {1e300, 19000, 20000}, {math.MaxFloat64, 19000, 20000},
+	} {
+		b := newLimitedBoard(1)
+		b.NoteLimit(b.in.Incarnation(), c.perSecond, now)
+		if sent := b.sendFor(0, length); sent < c.least || sent > c.most {
+			t.Errorf("%g a second: %d requests in %s, expected %d to %d", c.perSecond, sent, length, c.least, c.most)
+		}
+	}
+}
+
+// An answer that was overtaken took back a limit that had just been named.
+func TestLimitIsTakenBackByALaterRequestOnly(t *testing.T) {
+	b := newLimitedBoard(1)
+	of := b.in.Incarnation()
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	got := []bool{
+		b.NoteNoLimit(of, at(0)),
+		b.NoteLimit(of, 4, at(100)),
+		b.NoteLimit(of, 4, at(110)),
+		b.NoteNoLimit(of, at(90)),
+		b.Limit(of).Named,
+		b.NoteLimit(of, 2, at(120)),
+		b.NoteNoLimit(of, at(130)),
+		b.NoteNoLimit(of, at(140)),
+		b.Limit(of).Named,
+	}
+	if diff := cmp.Diff([]bool{false, true, false, false, true, true, true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A limit that does not read took the place of the one that was known.
+func TestUnreadableLimitLeavesTheKnownOne(t *testing.T) {
+	b := newLimitedBoard(1)
+	of := b.in.Incarnation()
+	b.NoteLimit(of, 4, now)
+	got := []bool{b.NoteUnreadableLimit(of), b.NoteUnreadableLimit(of), b.Limit(of).Named, b.NoteLimit(of, 4, now.Add(time.Second)), b.NoteUnreadableLimit(of)}
+	if diff := cmp.Diff([]bool{true, false, true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A limit was forgotten with the load of an instance that is not used, as one that takes nothing is not.
+func TestLimitOutlastsDisuse(t *testing.T) {
+	b := newLimitedBoard(1)
+	b.NoteLimit(b.in.Incarnation(), 0, now)
+	for s := range 200 {
+		// Lists are joined anew all the time.
+		b.sendFor(time.Duration(s)*time.Second, time.Second)
+		b.Forget(now.Add(time.Duration(s-60) * time.Second))
+	}
+	if sent := b.sendFor(200*time.Second, time.Second); sent > 0 {
+		t.Errorf("%d requests to an instance that takes none", sent)
+	}
+}
+
+// The next incarnation at an address was held to the limit of the one before.
+func TestLimitEndsWithTheIncarnation(t *testing.T) {
+	b := newLimitedBoard(8)
+	b.NoteLimit(b.in.Incarnation(), 0, now)
+	b.in.Start = 1
+	if sent := b.sendFor(0, time.Second); sent != 100 {
+		t.Errorf("%d of 100 requests", sent)
+	}
+}
+
+// All that had been sent freely until a limit was known came on top of the first requests within it.
+func TestEntryThatIsToldWaitsFirst(t *testing.T) {
+	b := newLimitedBoard(1)
+	b.sendFor(0, time.Second)
+	b.NoteLimit(b.in.Incarnation(), 1, now.Add(time.Second))
+	if sent := b.sendFor(time.Second, time.Second); sent > 0 {
+		t.Errorf("%d requests within a second of the limit of one a second", sent)
+	}
+	if sent := b.sendFor(2*time.Second, 10*time.Second); sent == 0 {
+		t.Error("no request within the limit")
+	}
+}
+
+// A caller was told to come back at any time when all instances had as many requests as they take.
+func TestLimitedForSaysHowLong(t *testing.T) {
+	b := newLimitedBoard(1)
+	all := []registry.Instance{b.in}
+	b.NoteLimit(b.in.Incarnation(), 0.1, now)
+	_, ok := b.Pick(all, b.wish, now)
+	wait, limited := b.LimitedFor(all, b.wish, now.Add(3*time.Second))
+	if diff := cmp.Diff([]any{false, true, 7 * time.Second}, []any{ok, limited, wait}); diff != "" {
+		t.Error(diff)
+	}
+	b.NoteNoLimit(b.in.Incarnation(), now.Add(time.Second))
+	_, limited = b.LimitedFor(all, b.wish, now.Add(3*time.Second))
+	if limited {
+		t.Error("limited without a limit")
+	}
+}
+
+// What a replay must tell apart: with equal parts of the rate, or without sharing, fifty entries send more.
+func TestLimitReplayRejectsOtherWays(t *testing.T) {
+	for _, how := range []sharing{equally, notAtAll} {
+		most, _ := limitReplay{entries: 50, rate: 20, sharing: how}.play(1)
+		if most <= limitAllowed {
+			t.Errorf("%s: %d requests in a window pass", how, most)
+		}
+	}
+}
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -46,7 +46,7 @@
 	// them, from 0.
 	Entries, Rank int
 	// Cold is what an instance bears from all entries while it is cold.
-	Cold ColdBound
+	Cold Bound
 	// ColdFor is for how long instances count as cold that are used again after an evacuation.
 	ColdFor time.Duration
 	// Evacuated holds the failure domains whose instances get no request, and Returned since when
@@ -57,12 +57,18 @@
 	Weights uint64
 }
 
+// tried reports whether an instance had the request already.
+func (w Wish) tried(in *registry.Instance) bool {
+	return len(w.Tried) > 0 && slices.Contains(w.Tried, in.Incarnation())
+}
+
 // Pick chooses an instance; ok is false when there is none that was not tried. The list must not
 // be written to later.
 func (b *Board) Pick(instances []registry.Instance, w Wish, now time.Time) (chosen registry.Instance, ok bool) {
 	open := b.open(b.roster(instances, now), w, now)
 	if c := b.scratch.probe; c != nil {
 		c.load.probeNext = now.Add(probeFailing)
+		c.noteSent(w, now)
 		return *c.in, true
 	}
 	if len(open) == 0 {
@@ -76,6 +82,7 @@
 		best = b.pickByWait(open)
 	}
 	best.noteCold(w, now)
+	best.noteSent(w, now)
 	return *best.in, true
 }
 
@@ -91,8 +98,8 @@
 		c := &r.candidates[i]
 		switch {
 		case c.domain.evacuated:
-		case len(w.Tried) > 0 && slices.Contains(w.Tried, c.in.Incarnation()):
-		case !c.bears(w, now):
+		case w.tried(c.in):
+		case !c.bears(w, now), !c.withinLimit(w, now):
 		case len(w.Failing) > 0 && w.Failing[c.in.Incarnation()]:
 			rest = append(rest, c)
 			if c.mayProbe(w, now) {
--- a/internal/coordination/balance/pick_cost_test.go
+++ b/internal/coordination/balance/pick_cost_test.go
@@ -37,7 +37,7 @@
 // wishOf is the n-th prompt of some tokens.
 func wishOf(n, tokens int, loads map[registry.Incarnation]balance.EngineLoad) balance.Wish {
 	return balance.Wish{
-		Key: uint64(n)*0x9e3779b97f4a7c15 | 1, Model: "m", Weights: 1, Tokens: tokens, Memory: 87_000, Loads: loads, Entries: 90, Cold: balance.ColdBound{Rate: 14, Most: 26},
+		Key: uint64(n)*0x9e3779b97f4a7c15 | 1, Model: "m", Weights: 1, Tokens: tokens, Memory: 87_000, Loads: loads, Entries: 90, Cold: balance.Bound{Rate: 14, Most: 26},
 	}
 }
 
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -70,6 +70,8 @@
 	// same one is under way, under which one did.
 	ReasonEndsInstances Reason = "ends_instances"
 	ReasonUnderWay      Reason = "under_way"
+	// ReasonLimited says that the upstreams have limits, and get as many requests as they take.
+	ReasonLimited Reason = "upstream_limited"
 )
 
 // Label is the short name of an outcome for metrics, logs and the caller's header.
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -31,8 +31,8 @@
 }
 
 // bound returns what a cold instance bears that bears so many requests a second.
-func (c Cold) bound(rate float64) balance.ColdBound {
-	out := balance.ColdBound{Rate: rate}
+func (c Cold) bound(rate float64) balance.Bound {
+	out := balance.Bound{Rate: rate}
 	if c.Overage > 0 {
 		out.Most = rate*c.Overage + c.Slack
 	}
@@ -87,7 +87,7 @@
 		return j.tries.Withhold(evacuatedAfter, outcome.ReasonEvacuated)
 	}
 	if !ok {
-		return j.tries.GiveUp()
+		return j.noInstance(instances, wish, now)
 	}
 	j.instance = in
 	j.tried = append(j.tried, in.Incarnation())
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// noInstance is the request's end when none of some instances takes it now; the server's mu must be held.
+func (j *job) noInstance(instances []registry.Instance, wish balance.Wish, now time.Time) outcome.Outcome {
+	if wait, limited := j.server.board.LimitedFor(instances, wish, now); limited {
+		return j.tries.Withhold(wait, outcome.ReasonLimited)
+	}
+	return j.tries.GiveUp()
+}
+
 // evacuated reports whether there are instances, all of them in failure domains that are evacuated.
 func evacuated(instances []registry.Instance, view *fleet.View) bool {
 	used := func(in registry.Instance) bool {
