Entries log and count rests and leavings that instances tell

How long an instance wants nothing was decoded from its refusals and asked by nobody, and that it will end was not read from its answers, so neither logs nor metrics could tell whether an entry knew of it when it sent a request. Both are part of an instance's condition now: a line as a rest begins and as an instance is heard to leave, counters, and both on the lines of a request that is sent there all the same. Nothing is decided by them yet. What instances say of themselves is held together, and outlasts disuse.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -48,16 +48,7 @@
 	sent []sent
 	// probeNext is when the instance may be tried next while it fails.
 	probeNext time.Time
-	// coldUntil is until when the instance is cold by what its answers say, and coldNext when it may
-	// be sent the next request while it is cold.
-	coldUntil, coldNext time.Time
-	// limit is what the instance said of how many requests it takes.
-	limit Limit
-	// limitNext is when it may be sent the next request while it has a limit, or zero while this entry
-	// has no turn.
-	limitNext time.Time
-	// limitUnreadable says that the last limit that it named did not read.
-	limitUnreadable bool
+	condition
 }
 
 // silent reports whether an instance keeps requests without a word: it may hang while its
@@ -176,10 +167,7 @@
 			continue
 		}
 		if unused {
-			*l = load{
-				domain: l.domain, latency: firstLatency, listed: l.listed,
-				limit: l.limit, limitNext: l.limitNext, limitUnreadable: l.limitUnreadable,
-			}
+			*l = load{domain: l.domain, latency: firstLatency, listed: l.listed, condition: l.condition}
 		}
 		used[l.domain] = true
 	}
--- /dev/null
+++ b/internal/coordination/balance/condition.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+// condition is what an instance said of itself in its answers. It outlasts disuse: an instance that wants
+// no requests is not used.
+type condition struct {
+	// coldUntil is until when the instance is cold, and coldNext when it may be sent the next request
+	// while it is cold.
+	coldUntil, coldNext time.Time
+	// limit is how many requests it takes.
+	limit Limit
+	// limitNext is when it may be sent the next request while it has a limit, or zero while this entry
+	// has no turn.
+	limitNext time.Time
+	// limitUnreadable says that the last limit that it named did not read.
+	limitUnreadable bool
+	// restUntil is until when it wants nothing from this entry.
+	restUntil time.Time
+	// leaving says that it will end, and wants nothing more.
+	leaving bool
+}
+
+// NoteRest takes that an instance wants no request from this entry until some time, and reports whether it
+// wanted none already. An earlier end takes nothing back.
+func (b *Board) NoteRest(of registry.Incarnation, until, now time.Time) (began bool) {
+	l := b.load(of)
+	began = !now.Before(l.restUntil)
+	l.restUntil = latest(l.restUntil, until)
+	return began
+}
+
+// RestLeft returns for how long an instance wants no request from this entry, or 0.
+func (b *Board) RestLeft(of registry.Incarnation, now time.Time) time.Duration {
+	return max(0, b.load(of).restUntil.Sub(now))
+}
+
+// NoteLeaving takes that an instance will end, and reports whether that is news.
+func (b *Board) NoteLeaving(of registry.Incarnation) (news bool) {
+	l := b.load(of)
+	news = !l.leaving
+	l.leaving = true
+	return news
+}
+
+// Leaving reports whether an instance said that it will end.
+func (b *Board) Leaving(of registry.Incarnation) bool { return b.load(of).leaving }
--- a/internal/protocol/exchange/condition.go
+++ b/internal/protocol/exchange/condition.go
@@ -6,6 +6,10 @@
 type Condition struct {
 	// ColdFor is for how much longer the instance is cold, or 0.
 	ColdFor time.Duration
+	// RestFor is for how long the instance wants no request from this entry, or 0.
+	RestFor time.Duration
+	// Leaving says that the instance will end, and wants nothing more from anybody.
+	Leaving bool
 	// Limit is how many requests a second the instance takes from all entries together.
 	Limit Limit
 }
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -135,9 +135,7 @@
 	Status int
 	// Misdirected says that another instance has the address now.
 	Misdirected bool
-	// RetryAfter is 0 when the instance did not say.
-	RetryAfter time.Duration
-	Condition  Condition
+	Condition   Condition
 	// Header is the refusal's, where it says more.
 	Header http.Header
 }
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -71,8 +71,8 @@
 	// room is the free memory of the last attempt's engine as far as it was known, or of all
 	// engines with room when there was too little.
 	room known
-	// limit is what was known of the limit of the last attempt's instance.
-	limit balance.Limit
+	// sent is what the last attempt's instance had said of itself.
+	condition conditionKnown
 	// weights is what decided on the weights of the last attempt.
 	weights weightsKnown
 	// spare is a failure that an instance answered, for when no attempt does better.
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -19,7 +19,7 @@
 	if j.room.ok {
 		line = line.Int("room", j.room.tokens).Dur("room_age_ms", j.room.age)
 	}
-	line = limitFields(knownEnds(j.weights.fields(line), j.known), j.limit)
+	line = j.condition.fields(knownEnds(j.weights.fields(line), j.known))
 	switch o := o.(type) {
 	case outcome.Answered:
 		line = line.Int("status", o.Status).Dur("first_ms", j.first.Sub(j.request.Arrived))
@@ -44,7 +44,7 @@
 		Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endName(end)).Dur("took_ms", took)
 	line = line.Str("digest", j.digest.String())
-	line = limitFields(knownEnds(j.weights.fields(line), j.known), j.limit)
+	line = j.condition.fields(knownEnds(j.weights.fields(line), j.known))
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shedrock/shedrock/internal/clock"
-	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
@@ -24,8 +23,11 @@
 	// limited counts attempts at instances with a limit, and limits how often one is named, changed or
 	// taken back.
 	limited, limits *prometheus.CounterVec
-	first           *prometheus.HistogramVec
-	took            *prometheus.HistogramVec
+	// unwanted counts attempts at instances that want none, rests how often one begins to rest, and
+	// leavings those that say that they will end.
+	unwanted, rests, leavings *prometheus.CounterVec
+	first                     *prometheus.HistogramVec
+	took                      *prometheus.HistogramVec
 	// newest and required are versions of weights, and older counts engines.
 	newest, required, older *prometheus.GaugeVec
 }
@@ -39,6 +41,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		limited:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
 		limits:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
+		unwanted: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_unwanted_attempts_total", Help: "Attempts at instances that asked for rest or said that they will end."}, []string{"service"}),
+		rests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_rests_total", Help: "How often an instance asked for rest."}, []string{"service"}),
+		leavings: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_leavings_total", Help: "Instances that said in an answer that they will end."}, []string{"service"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 
@@ -46,7 +51,7 @@
 		required: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_required_version", Help: "The oldest version on which requests may begin, 0 for any."}, []string{"model"}),
 		older:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limits, m.first, m.took, m.newest, m.required, m.older)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limits, m.unwanted, m.rests, m.leavings, m.first, m.took, m.newest, m.required, m.older)
 	return m
 }
 
@@ -96,15 +101,16 @@
 	}
 }
 
-// begin counts an attempt at an instance whose limit is known so far.
-func (m *Metrics) begin(service string, limit balance.Limit) {
-	if limit.Named {
+// begin counts an attempt by what its instance has said of itself.
+func (m *Metrics) begin(service string, to conditionKnown) {
+	if to.limit.Named {
 		m.limited.WithLabelValues(service).Inc()
 	}
+	if to.restLeft > 0 || to.leaving {
+		m.unwanted.WithLabelValues(service).Inc()
+	}
 }
 
-func (m *Metrics) limitChange(service string) { m.limits.WithLabelValues(service).Inc() }
-
 func (m *Metrics) weights(model string, newest, required uint64, older int) {
 	m.newest.WithLabelValues(model).Set(float64(newest))
 	m.required.WithLabelValues(model).Set(float64(required))
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -92,13 +92,13 @@
 	j.instance = in
 	j.tried = append(j.tried, in.Incarnation())
 	j.number++
-	j.limit = board.Limit(in.Incarnation())
+	j.condition = j.knownCondition(now)
 	j.room = known{}
 	if free, ok := board.Free(in.Incarnation(), wish, now); ok {
 		j.room = known{tokens: free, age: now.Sub(view.LoadsAt), ok: true}
 	}
 	board.Begin(in, now)
-	j.server.Metrics.begin(j.service, j.limit)
+	j.server.Metrics.begin(j.service, j.condition)
 	j.server.failures.Request(j.service, j.team.Name, now)
 	if wish.Tokens > 0 {
 		board.Sent(in.Incarnation(), wish, now)
