An instance that asks for rest gets nothing until the time is over

Callers saw: 65 to 80 of some 185 short prompts a second refused for 9 s. Four engines turned every request away and asked for 3 s of rest; they got three times as many as before, 12 and 13 from one entry within a second of the time for which it had been asked, two are allowed.

Cause: the time was decoded from a refusal and asked by no decision. An instance that refuses in a millisecond has nothing in flight and no failure, so the choice by expected wait preferred it to those that work. The class is that of the limits: what an instance says of itself in an answer had no way to the choice of instances.

Now the choice leaves a resting instance out for whatever it is asked: first sends, retries, resumed streams, tries of failing instances, and also when nothing else is left. When all rest, the caller is refused at once and told when the first rest ends. A later, shorter word takes nothing back; disuse does not forget it; the next incarnation is free.

--- a/internal/coordination/balance/condition.go
+++ b/internal/coordination/balance/condition.go
@@ -49,3 +49,51 @@
 
 // Leaving reports whether an instance said that it will end.
 func (b *Board) Leaving(of registry.Incarnation) bool { return b.load(of).leaving }
+
+// rests reports whether an instance wants no request from this entry now.
+func (c *condition) rests(now time.Time) bool { return now.Before(c.restUntil) }
+
+// HeldBack says why a request finds no instance though there are some, by the one that takes it first. It
+// is one of Resting or Limited.
+type HeldBack interface{ heldBack() }
+
+// Resting says that the instance asked for rest.
+type Resting struct{ Left time.Duration }
+
+// Limited says that the instance has as many requests as it takes.
+type Limited struct{ Left time.Duration }
+
+func (Resting) heldBack() {}
+func (Limited) heldBack() {}
+
+// HeldBack returns what holds a request back for which Pick finds none of some instances, or nil when
+// that is nothing that they said of themselves.
+func (b *Board) HeldBack(instances []registry.Instance, w Wish, now time.Time) HeldBack {
+	var first HeldBack
+	var least time.Duration
+	r := b.roster(instances, now)
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		if c.domain.evacuated || w.tried(c.in) {
+			continue
+		}
+		held, left := c.heldBack(w, now)
+		if held != nil && (first == nil || left < least) {
+			first, least = held, left
+		}
+	}
+	return first
+}
+
+// heldBack returns what an instance said that keeps a request from it, and for how long.
+func (c *candidate) heldBack(w Wish, now time.Time) (held HeldBack, left time.Duration) {
+	switch {
+	case c.load.rests(now):
+		left = c.load.restUntil.Sub(now)
+		return Resting{left}, left
+	case !c.withinLimit(w, now):
+		left = c.limitedFor(now)
+		return Limited{left}, left
+	}
+	return nil, 0
+}
--- /dev/null
+++ b/internal/coordination/balance/condition_test.go
@@ -0,0 +1,101 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+// A caller was told to come back at any time when all instances rested or had as many requests as they
+// take: it is told when the first of them takes one.
+func TestHeldBackSaysHowLong(t *testing.T) {
+	limited, tired := registry.Instance{ID: "limited", Slots: 4}, registry.Instance{ID: "tired", Slots: 4}
+	both := []registry.Instance{limited, tired}
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	for _, c := range []struct {
+		name  string
+		say   func(b *balance.Board)
+		among []registry.Instance
+		wish  balance.Wish
+		want  balance.HeldBack
+	}{
+		{"a limit", func(b *balance.Board) {
+			b.NoteLimit(limited.Incarnation(), 0.1, at(0))
+			b.Pick(both[:1], balance.Wish{}, at(0))
+		}, both[:1], balance.Wish{}, balance.Limited{Left: 7 * time.Second}},
+		{"a limit that was taken back", func(b *balance.Board) {
+			b.NoteLimit(limited.Incarnation(), 0.1, at(0))
+			b.NoteNoLimit(limited.Incarnation(), at(1))
+		}, both[:1], balance.Wish{}, nil},
+		{"another entry's turn", func(b *balance.Board) { b.NoteLimit(limited.Incarnation(), 0.5, at(0)) }, both[:1], balance.Wish{Entries: 300, Rank: 17}, balance.Limited{Left: 2 * time.Second}},
+		{"rest", func(b *balance.Board) { b.NoteRest(tired.Incarnation(), at(5), at(0)) }, both[1:], balance.Wish{}, balance.Resting{Left: 2 * time.Second}},
+		{"a shorter rest later", func(b *balance.Board) {
+			b.NoteRest(tired.Incarnation(), at(5), at(0))
+			b.NoteRest(tired.Incarnation(), at(4), at(1))
+		}, both[1:], balance.Wish{}, balance.Resting{Left: 2 * time.Second}},
+		{"the first of both", func(b *balance.Board) {
+			b.NoteLimit(limited.Incarnation(), 0.1, at(0))
+			b.Pick(both[:1], balance.Wish{}, at(0))
+			b.NoteRest(tired.Incarnation(), at(5), at(0))
+		}, both, balance.Wish{}, balance.Resting{Left: 2 * time.Second}},
+		{"one that was tried", func(b *balance.Board) { b.NoteRest(tired.Incarnation(), at(5), at(0)) }, both[1:], balance.Wish{Tried: []registry.Incarnation{tired.Incarnation()}}, nil},
+		{"rest that is over", func(b *balance.Board) { b.NoteRest(tired.Incarnation(), at(3), at(0)) }, both[1:], balance.Wish{}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := balance.New(1)
+			c.say(b)
+			_, ok := b.Pick(c.among, c.wish, at(3))
+			if diff := cmp.Diff(c.want, b.HeldBack(c.among, c.wish, at(3))); diff != "" {
+				t.Error(diff)
+			}
+			if tried := len(c.wish.Tried) > 0; ok != (c.want == nil && !tried) {
+				t.Errorf("chosen: %v", ok)
+			}
+		})
+	}
+}
+
+// A resting instance was chosen when nothing else was left, when the others were busy or failing, and by
+// those that go on with a stream.
+func TestRestIsKeptWhateverElseIsThere(t *testing.T) {
+	tired, other := registry.Instance{ID: "tired", Slots: 4}, registry.Instance{ID: "other", Slots: 4}
+	all := []registry.Instance{tired, other}
+	those := func(in registry.Instance) map[registry.Incarnation]bool {
+		return map[registry.Incarnation]bool{in.Incarnation(): true}
+	}
+	for name, w := range map[string]balance.Wish{
+		"by wait": {}, "by key": {Key: 1}, "others busy": {Busy: those(other)}, "others failing": {Failing: those(other)},
+		"itself failing, and to be tried": {Failing: those(tired), Repeats: true}, "others tried": {Tried: []registry.Incarnation{other.Incarnation()}},
+	} {
+		b := balance.New(1)
+		b.NoteRest(tired.Incarnation(), now.Add(time.Second), now)
+		for range 100 {
+			if in, ok := b.Pick(all, w, now); ok && in.ID == tired.ID {
+				t.Errorf("%s: chosen while it rests", name)
+				break
+			}
+		}
+	}
+}
+
+// A rest was forgotten with the load of an instance that is not used, as one that rests is not.
+func TestRestOutlastsDisuse(t *testing.T) {
+	tired := registry.Instance{ID: "tired", Slots: 4}
+	b := balance.New(1)
+	b.NoteRest(tired.Incarnation(), now.Add(time.Hour), now)
+	for s := range 200 {
+		at := now.Add(time.Duration(s) * time.Second)
+		if _, ok := b.Pick([]registry.Instance{tired}, balance.Wish{}, at); ok {
+			t.Fatalf("chosen after %d s", s)
+		}
+		b.Forget(at.Add(-time.Minute))
+	}
+	tired.Start = 1
+	if _, ok := b.Pick([]registry.Instance{tired}, balance.Wish{}, now); !ok {
+		t.Error("the next incarnation was not chosen")
+	}
+}
--- a/internal/coordination/balance/limit.go
+++ b/internal/coordination/balance/limit.go
@@ -121,23 +121,6 @@
 	}
 }
 
-// LimitedFor returns for how long this entry sends nothing to any of some instances because of their
-// limits; ok is false when it is not for that reason that a request finds none.
-func (b *Board) LimitedFor(instances []registry.Instance, w Wish, now time.Time) (wait time.Duration, ok bool) {
-	r := b.roster(instances, now)
-	for i := range r.candidates {
-		c := &r.candidates[i]
-		if c.domain.evacuated || w.tried(c.in) || c.withinLimit(w, now) {
-			continue
-		}
-		left := c.limitedFor(now)
-		if !ok || left < wait {
-			wait, ok = left, true
-		}
-	}
-	return wait, ok
-}
-
 // limitedFor is how long it is until an instance with a limit takes one more request: of this entry, or
 // where others have the turns, of any.
 func (c *candidate) limitedFor(now time.Time) time.Duration {
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -72,6 +72,8 @@
 	ReasonUnderWay      Reason = "under_way"
 	// ReasonLimited says that the upstreams have limits, and get as many requests as they take.
 	ReasonLimited Reason = "upstream_limited"
+	// ReasonResting says that the upstreams asked for rest.
+	ReasonResting Reason = "upstream_resting"
 )
 
 // Label is the short name of an outcome for metrics, logs and the caller's header.
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -108,8 +108,11 @@
 
 // noInstance is the request's end when none of some instances takes it now; the server's mu must be held.
 func (j *job) noInstance(instances []registry.Instance, wish balance.Wish, now time.Time) outcome.Outcome {
-	if wait, limited := j.server.board.LimitedFor(instances, wish, now); limited {
-		return j.tries.Withhold(wait, outcome.ReasonLimited)
+	switch held := j.server.board.HeldBack(instances, wish, now).(type) {
+	case balance.Resting:
+		return j.tries.Withhold(held.Left, outcome.ReasonResting)
+	case balance.Limited:
+		return j.tries.Withhold(held.Left, outcome.ReasonLimited)
 	}
 	return j.tries.GiveUp()
 }
