An instance that says it will end gets nothing more

An instance that leaves says so in its answers too, and that was read nowhere: entries went on until a control instance had it from a heartbeat, and would have begun again if one came late or a control instance that had not heard told them of it.

The word is the incarnation's own and final, as an entry has it from the instance itself: the choice leaves it out from then on, whatever lists it, also when nothing else is left (a caller is refused at once and not told to wait for it), and the next incarnation at the address is free. Heartbeats that say the same have been heeded so at once all along.

--- a/internal/coordination/balance/condition.go
+++ b/internal/coordination/balance/condition.go
@@ -74,7 +74,7 @@
 	r := b.roster(instances, now)
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		if c.domain.evacuated || w.tried(c.in) {
+		if c.domain.evacuated || c.load.leaving || w.tried(c.in) {
 			continue
 		}
 		held, left := c.heldBack(w, now)
--- a/internal/coordination/balance/condition_test.go
+++ b/internal/coordination/balance/condition_test.go
@@ -99,3 +99,26 @@
 		t.Error("the next incarnation was not chosen")
 	}
 }
+
+// An instance that had said in an answer that it will end was chosen again by whatever listed it as there:
+// its own word holds for the incarnation, and the next one at the address is chosen.
+func TestLeavingHoldsForTheIncarnation(t *testing.T) {
+	leaves := registry.Instance{ID: "leaves", Slots: 4}
+	b := balance.New(1)
+	got := []bool{b.NoteLeaving(leaves.Incarnation()), b.NoteLeaving(leaves.Incarnation())}
+	for s := range 200 {
+		at := now.Add(time.Duration(s) * time.Second)
+		if _, ok := b.Pick([]registry.Instance{leaves}, balance.Wish{}, at); ok {
+			t.Fatalf("chosen after %d s", s)
+		}
+		b.Forget(at.Add(-time.Minute))
+	}
+	if held := b.HeldBack([]registry.Instance{leaves}, balance.Wish{}, now); held != nil {
+		t.Errorf("a request is to wait for one that will end: %+v", held)
+	}
+	leaves.Start = 1
+	_, ok := b.Pick([]registry.Instance{leaves}, balance.Wish{}, now)
+	if diff := cmp.Diff([]bool{true, false, true}, append(got, ok)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -86,7 +86,7 @@
 	return *best.in, true
 }
 
-// open leaves out what was tried, what is evacuated, what asked for rest and what bears or takes no more, and also
+// open leaves out what was tried, what is evacuated, what leaves or asked for rest and what bears or takes no more, and also
 // what is busy, silent, cut off or failed lately unless nothing else is left. The list holds until
 // the next choice.
 func (b *Board) open(r *roster, w Wish, now time.Time) []*candidate {
@@ -98,7 +98,7 @@
 		c := &r.candidates[i]
 		switch {
 		case c.domain.evacuated:
-		case w.tried(c.in), c.load.rests(now):
+		case w.tried(c.in), c.load.leaving, c.load.rests(now):
 		case !c.bears(w, now), !c.withinLimit(w, now):
 		case len(w.Failing) > 0 && w.Failing[c.in.Incarnation()]:
 			rest = append(rest, c)
