Turns at an instance with a limit go round

With more entries than turns, the entries without one never sent to the instance again, so they never learned that it had taken its limit back: 60 of 76 would have left it alone for good. A limit of nothing was kept for good by all of them.

Turns now go to the next entries every 12.6 s, counted from when the limit was first heard; whoever gets one waits first, as before. And an instance is sent one request in ten seconds at least, over all entries, however little it takes. Weighed and not built: to tell the end of a limit by way of the control instances, which is quicker (a second) and needs them; the rotation works in a cut.

--- a/internal/coordination/balance/limit.go
+++ b/internal/coordination/balance/limit.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -16,10 +15,13 @@
 	// all know of each other: so many times its limit, and so many requests more.
 	limitOverage = 1.5
 	limitSlack   = 5
-	// limitRarely is the longest time between two requests to an instance that takes any.
-	limitRarely = time.Hour
-	// limitMost is a limit in requests a second that no instance reaches.
-	limitMost = 1e6
+	// limitRotation is for how long turns stay with the same entries, where there are more entries than
+	// turns. Then others have them, so that each learns in the end that a limit was taken back.
+	limitRotation = 3 * (limitSpan + limitMargin)
+	// limitLeast is what an instance is sent at least, in requests a second, so that entries learn that it
+	// takes more again; limitMost is a limit that no instance reaches.
+	limitLeast = 0.1
+	limitMost  = 1e6
 )
 
 // Limit is what an instance said last of how many requests it takes from all entries together.
@@ -31,6 +33,8 @@
 	// At is when it was heard, or, of one that is not named any more, when the request was sent whose
 	// answer named none. A later word takes the place of an earlier one.
 	At time.Time
+	// since is when the first of the limits was heard that have been named without a break.
+	since time.Time
 }
 
 // NoteLimit takes the limit that an instance named in an answer, and reports whether it is another one
@@ -65,6 +69,10 @@
 	if !word.At.After(known.At) {
 		return false
 	}
+	word.since = word.At
+	if known.Named {
+		word.since = known.since
+	}
 	l.limit = word
 	if known.Named != word.Named || known.PerSecond != word.PerSecond {
 		l.limitNext = time.Time{}
@@ -72,24 +80,35 @@
 	return known.Named != word.Named || known.PerSecond != word.PerSecond
 }
 
+// rate is how many requests a second all entries together send an instance with a limit.
+func (l Limit) rate() float64 { return min(max(l.PerSecond, limitLeast), limitMost) }
+
 // bound is what an instance with a limit takes in limitSpan.
 func (l Limit) bound() Bound {
-	number := min(l.PerSecond, limitMost) * limitSpan.Seconds()
+	number := l.rate() * limitSpan.Seconds()
 	return Bound{Rate: number, Most: limitOverage*number + limitSlack}
 }
 
+// interval is how much time lies between two requests of all entries.
+func (l Limit) interval() time.Duration { return time.Duration(float64(time.Second) / l.rate()) }
+
+// turns is how many requests this entry may send in limitSpan.
+func (l Limit) turns(w Wish, hash uint64, now time.Time) int {
+	number := l.bound().part()
+	entries := max(w.Entries, 1)
+	rotations := int(now.Sub(l.since) / limitRotation)
+	w.Rank = (w.Rank + rotations%entries*number) % entries
+	return w.turn(number, hash)
+}
+
 // pause is how much time lies between two requests of one entry to an instance with a limit; ok is false
 // when the entry sends it none.
-func (l Limit) pause(w Wish, hash uint64) (pause time.Duration, ok bool) {
-	if l.PerSecond == 0 {
-		return 0, false
-	}
-	n := w.turn(l.bound().part(), hash)
+func (l Limit) pause(w Wish, hash uint64, now time.Time) (pause time.Duration, ok bool) {
+	n := l.turns(w, hash, now)
 	if n <= 0 {
 		return 0, false
 	}
-	alone := math.Min(1/l.PerSecond, limitRarely.Seconds())
-	return max((limitSpan+limitMargin)/time.Duration(n), time.Duration(alone*float64(time.Second))), true
+	return max((limitSpan+limitMargin)/time.Duration(n), l.interval()), true
 }
 
 // withinLimit reports whether an instance that may have a limit takes one more request from this entry.
@@ -100,7 +119,7 @@
 	if !l.limit.Named {
 		return true
 	}
-	pause, ok := l.limit.pause(w, c.hash)
+	pause, ok := l.limit.pause(w, c.hash, now)
 	if !ok {
 		l.limitNext = time.Time{}
 		return false
@@ -116,7 +135,7 @@
 	if !c.load.limit.Named {
 		return
 	}
-	if pause, ok := c.load.limit.pause(w, c.hash); ok {
+	if pause, ok := c.load.limit.pause(w, c.hash, now); ok {
 		c.load.limitNext = now.Add(pause)
 	}
 }
@@ -127,8 +146,5 @@
 	if !c.load.limitNext.IsZero() {
 		return c.load.limitNext.Sub(now)
 	}
-	if c.load.limit.PerSecond == 0 {
-		return limitSpan
-	}
-	return time.Duration(math.Min(1/c.load.limit.PerSecond, limitSpan.Seconds()) * float64(time.Second))
+	return c.load.limit.interval()
 }
