--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -113,6 +113,7 @@
 	if b.addresses[n] != u.Address() {
 		b.addresses[n] = u.Address()
 		known.Version = ""
+		known.EndRest()
 		b.directory.ForgetUpstream(n)
 	}
 	known.Slots = u.Slots()
@@ -178,7 +179,7 @@
 // one in force as soon as enough upstreams serve it, and until then the one before it, if more
 // upstreams serve that. What upstreams serve besides these two was not declared, or no longer
 // is, and nothing runs on it, whoever else is known. Only upstreams that may take the prompt
-// count: not those that leave, are ejected or were tried. While a rollout goes on both are served, each to its own
+// count: not those that leave, rest, are ejected or were tried. While a rollout goes on both are served, each to its own
 // prompts; their kept contexts never meet, because the version is part of every key.
 func (b *Board) ServingVersion(m declared.Model, tried []int, now time.Time) string {
 	wanted := m.WeightVersion()
@@ -189,7 +190,7 @@
 	counts := map[string]int{}
 	for i := range b.upstreams {
 		u := &b.upstreams[i]
-		if u.Model == m.Name() && u.Version != "" && !u.Leaving() && !u.Ejected(now) && !slices.Contains(tried, i) {
+		if u.Model == m.Name() && u.Version != "" && !u.Leaving() && !u.Ejected(now) && !u.Resting(now) && !slices.Contains(tried, i) {
 			counts[u.Version]++
 		}
 	}
@@ -274,6 +275,13 @@
 	return out, true
 }
 
+// RestLeft returns for how long the first of the upstreams that rest still does, when a prompt finds none
+// for that reason.
+func (b *Board) RestLeft(p Prompt, now time.Time) (left time.Duration, ok bool) {
+	q := routing.Prompt{Model: p.Model.Name(), Version: p.Version, Tried: p.Tried}
+	return routing.RestLeft(b.upstreams, &q, now)
+}
+
 // fetchable returns how many leading blocks one store holds, and the bandwidth a
 // fetch would get there now.
 func (b *Board) fetchable(now time.Time) (blocks int, rate float64, storeNumber int) {
--- a/internal/coordination/routing/choose.go
+++ b/internal/coordination/routing/choose.go
@@ -139,9 +139,29 @@
 	return winner
 }
 
-// mayRun reports whether a prompt may be sent to the upstream at all. One whose
-// version is not known yet may be tried: it refuses a run that expects another one.
+// RestLeft returns for how long the first of the upstreams that rest still does, of those that may run the
+// prompt otherwise; ok is false when there is none.
+func RestLeft(upstreams []Upstream, p *Prompt, now time.Time) (left time.Duration, ok bool) {
+	for i := range upstreams {
+		u := &upstreams[i]
+		if !u.Resting(now) || !u.mayRunLater(i, p, now) {
+			continue
+		}
+		if d := u.restUntil.Sub(now); !ok || d < left {
+			left, ok = d, true
+		}
+	}
+	return left, ok
+}
+
+// mayRun reports whether a prompt may be sent to the upstream at all now.
 func (u *Upstream) mayRun(i int, p *Prompt, now time.Time) bool {
+	return !u.Resting(now) && u.mayRunLater(i, p, now)
+}
+
+// mayRunLater reports whether a prompt may be sent to the upstream once it does not rest. One whose
+// version is not known yet may be tried: it refuses a run that expects another one.
+func (u *Upstream) mayRunLater(i int, p *Prompt, now time.Time) bool {
 	if u.Leaving() || u.Model != p.Model || u.Version != "" && u.Version != p.Version {
 		return false
 	}
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -59,6 +59,8 @@
 	failures, ejections int
 	ejectedUntil        time.Time
 	returningUntil      time.Time
+	// restUntil is until when it wants nothing from this entry.
+	restUntil time.Time
 }
 
 // NoteLoad takes a load report; reading is the prompt tokens that wait there to be
@@ -80,6 +82,20 @@
 // Leaving reports whether the upstream takes no new work.
 func (u *Upstream) Leaving() bool { return u.leaving || u.listed }
 
+// NoteRest takes that the upstream wants no run from this entry until some time; an earlier end takes
+// nothing back.
+func (u *Upstream) NoteRest(until time.Time) {
+	if until.After(u.restUntil) {
+		u.restUntil = until
+	}
+}
+
+// EndRest forgets a rest, as another process has the upstream's place.
+func (u *Upstream) EndRest() { u.restUntil = time.Time{} }
+
+// Resting reports whether the upstream wants no run from this entry now.
+func (u *Upstream) Resting(now time.Time) bool { return now.Before(u.restUntil) }
+
 // Begin notes a dispatch; tokens is how many of the prompt are to be computed.
 func (u *Upstream) Begin(tokens int) {
 	u.own++
--- a/internal/protocol/exchange/condition.go
+++ b/internal/protocol/exchange/condition.go
@@ -1,6 +1,13 @@
 package exchange
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"time"
+)
+
+// maxRest is the longest time for which an instance is left alone at its word.
+const maxRest = 24 * time.Hour
 
 // Condition is what an instance says of itself with an answer. Its zero value says nothing.
 type Condition struct {
@@ -49,3 +56,13 @@
 	}
 	panic("exchange: reply outside the sealed set")
 }
+
+// ParseRest reads for how many seconds an instance wants no request, fractions included; what does not
+// read says nothing, and no rest is longer than a day.
+func ParseRest(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
+}
--- a/internal/transport/entry/attempt.go
+++ b/internal/transport/entry/attempt.go
@@ -53,7 +53,7 @@
 		return retry.Unreached{}
 	case exchange.NotRun:
 		e.noteLoad(j, reply.Header)
-		e.noteRefusal(j, reply.Header)
+		e.noteRefusal(j, reply)
 		return retry.Refused{}
 	case exchange.Broken:
 		return retry.Broken{Sent: s.sent}
@@ -86,12 +86,17 @@
 	e.board.Upstream(j.plan.Upstream).NoteLoad(load.Running, load.Queued, load.Reading, false)
 }
 
-// noteRefusal learns from a refusal: the upstream leaves, or serves another
+// noteRefusal learns from a refusal: the upstream wants rest, leaves, or serves another
 // weight version than was thought.
-func (e *Entry) noteRefusal(j *job, h http.Header) {
+func (e *Entry) noteRefusal(j *job, reply exchange.NotRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	h := reply.Header
 	u := e.board.Upstream(j.plan.Upstream)
+	if rest := reply.Condition.RestFor; rest > 0 {
+		u.NoteRest(clock.Now().Add(rest))
+		e.logRest(j.plan.Address, rest)
+	}
 	if h.Get(engine.HeaderLeaving) == "true" {
 		u.NoteLeaving(true)
 	}
--- a/internal/transport/entry/ends.go
+++ b/internal/transport/entry/ends.go
@@ -96,5 +96,6 @@
 	attempt := call.attempt(instance, number, single)
 	reply := e.upstreams.Send(ctx, attempt)
 	e.trackCall(ctx, ends.Attempt{Request: c.request, Digest: d, To: attempt.Instance, Sent: sent}, reply)
+	e.noteRest(instance, reply)
 	return resultOf(reply), true
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -111,6 +111,7 @@
 	lender   *limits.Lender
 	borrower *limits.Borrower
 	polls    map[string]context.CancelFunc
+	rests    rests
 	// active holds, by upstream, what ends the attempts under way there.
 	active map[int]map[*job]context.CancelFunc
 }
@@ -189,6 +190,7 @@
 		e.lender = limits.NewLender()
 		e.borrower = limits.NewBorrower()
 		e.polls = map[string]context.CancelFunc{}
+		e.rests = rests{}
 		e.active = map[int]map[*job]context.CancelFunc{}
 		e.state.Store(declared.New())
 	})
--- a/internal/transport/entry/once.go
+++ b/internal/transport/entry/once.go
@@ -57,8 +57,8 @@
 // dispatchOnce sends the call; another instance is tried only when no byte
 // reached the one before, or it refused this very run.
 func (e *Entry) dispatchOnce(ctx context.Context, c caller, call *serviceCall) result {
-	last := result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
-	for i, instance := range shuffled(call.service.Instances()) {
+	awake, last := e.awake(call.service.Instances())
+	for i, instance := range shuffled(awake) {
 		if i >= retry.MaxAttempts {
 			break
 		}
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -67,7 +67,7 @@
 			}
 			if !e.place(r.Context(), j) {
 				permitted()
-				step = retry.Stop{Outcome: j.retry.GiveUp(outcome.ReasonNoUpstream)}
+				step = retry.Stop{Outcome: e.noUpstream(j)}
 				continue
 			}
 			ctx, done := e.watched(r.Context(), j)
@@ -138,8 +138,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := placement.Prompt{Model: j.model, Version: j.version, Keys: j.keys, Tokens: j.request.Prompt.Tokens, Tried: j.tried, Hints: hints}
-	plan, ok := e.board.Place(p, clock.Now())
+	plan, ok := e.board.Place(j.prompt(hints), clock.Now())
 	if !ok {
 		return false
 	}
@@ -150,6 +149,21 @@
 	return true
 }
 
+// prompt is the job as it is placed.
+func (j *job) prompt(hints *placement.Hints) placement.Prompt {
+	return placement.Prompt{Model: j.model, Version: j.version, Keys: j.keys, Tokens: j.request.Prompt.Tokens, Tried: j.tried, Hints: hints}
+}
+
+// noUpstream is the outcome of a prompt that no upstream may run now.
+func (e *Entry) noUpstream(j *job) outcome.Outcome {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if left, ok := e.board.RestLeft(j.prompt(nil), clock.Now()); ok {
+		return j.retry.Withhold(left, outcome.ReasonResting)
+	}
+	return j.retry.GiveUp(outcome.ReasonNoUpstream)
+}
+
 // after notes how an attempt ended and decides what follows.
 func (e *Entry) after(ctx context.Context, c caller, j *job, end retry.End) retry.Step {
 	e.metrics.attempts.WithLabelValues(j.plan.Name, retry.Label(end)).Inc()
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -105,8 +105,8 @@
 func (e *Entry) callRepeatable(w http.ResponseWriter, r *http.Request, c caller, call *serviceCall) {
 	ctx, cancel := context.WithTimeout(r.Context(), call.service.Timeout())
 	defer cancel()
-	last := result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
-	for i, instance := range shuffled(call.service.Instances()) {
+	awake, last := e.awake(call.service.Instances())
+	for i, instance := range shuffled(awake) {
 		if i >= retry.MaxAttempts || i > 0 && !e.mayRetry() {
 			break
 		}
--- a/internal/transport/upstream/send.go
+++ b/internal/transport/upstream/send.go
@@ -38,7 +38,7 @@
 			return exchange.Unreached{Err: x.Err}
 		}
 		_ = res.Body.Close()
-		return exchange.NotRun{Status: x.Status, Header: x.Header}
+		return exchange.NotRun{Status: x.Status, Header: x.Header, Condition: conditionOf(x)}
 	case outcome.Unknown:
 		if res != nil {
 			_ = res.Body.Close()
@@ -48,6 +48,14 @@
 	panic("upstream: outcome that no exchange has")
 }
 
+// conditionOf returns what an upstream says of itself as it refuses a run.
+func conditionOf(x classify.Exchange) exchange.Condition {
+	if x.Status != http.StatusServiceUnavailable {
+		return exchange.Condition{}
+	}
+	return exchange.Condition{RestFor: exchange.ParseRest(x.Header.Get("Retry-After"))}
+}
+
 // do makes the exchange, over a connection of its own when the attempt may not be repeated.
 func (c *Client) do(req *http.Request, a *exchange.Attempt) (*http.Response, classify.Exchange) {
 	if a.Single {
