A popular request is not held for what a deadly one explains

A deadly request had ended the same three instances, and was held itself. Instances that rest or have limits leave fewer to both, so they met more often.

Cause: an end counts against every request that was there. A good answer in the last minute makes one harmless unless three ends follow one another with none answered in between; beside a deadly request that happens to whatever is sent most.

Now, for a request that lately came to a good end, an end does not count at which another one was that ended as many instances as it takes to be held and did not come to a good end. What ends instances alone is held as before, as are two deadly requests together: neither is answered.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -180,7 +180,7 @@
 	}
 	against := c.Ends
 	if b.sure(c, now) {
-		against = c.Rounds
+		against = rounds(b.unexplained(d, ends, now))
 	}
 	if against < endsToHold {
 		return c
@@ -206,6 +206,32 @@
 	return out
 }
 
+// unexplained leaves out the ends of instances that also ended under another request which ends what runs
+// it, as far as is known: a popular request is at most of them.
+func (b *Book) unexplained(d Digest, ends []Ended, now time.Time) []Ended {
+	if len(ends) < endsToHold {
+		return ends
+	}
+	return slices.DeleteFunc(slices.Clone(ends), func(e Ended) bool {
+		for other := range b.ends {
+			if other != d && b.facts[Key{digest: other, of: e.Of}] != nil && b.isDeadly(other, now) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// isDeadly reports whether a request ended as many instances as it takes to hold it, and did not lately
+// come to a good end.
+func (b *Book) isDeadly(d Digest, now time.Time) bool {
+	var c Case
+	if answered, ok := b.facts[Key{digest: d}]; ok {
+		c.Answered = answered.fact.When()
+	}
+	return !b.sure(c, now) && len(b.standing(d, c.Answered)) >= endsToHold
+}
+
 // rounds returns how many ends followed one another: the largest number of which each request
 // was sent after the instance before had ended. Those that came at once may have one cause.
 func rounds(ends []Ended) int {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -274,3 +274,26 @@
 		}
 	}
 }
+
+// A harmless request that many callers send was at three ends in a row with a deadly one, and held for
+// minutes: what the deadly one explains does not count against it, and what it does not explain does.
+func TestPopularRequestBesideADeadlyOneIsSent(t *testing.T) {
+	const popular, deadly = 1, 2
+	play := func(both, alone []string) []bool {
+		b := quarantine.New(1)
+		b.Take(answered(0))
+		for n, instance := range append(both, alone...) {
+			b.Take(end(instance, float64(n+1)))
+		}
+		for n, instance := range both {
+			b.Take(quarantine.Ended{Digest: digestOf(deadly), Of: of(instance), Address: instance, Sent: at(float64(n) + 0.5), At: at(float64(n + 1))})
+		}
+		return []bool{b.Case(digestOf(popular), 8, at(10)).Held, b.Case(digestOf(deadly), 8, at(10)).Held}
+	}
+	got := [][]bool{
+		play([]string{"a", "b", "c"}, nil), play([]string{"a", "b"}, []string{"c"}), play([]string{"a", "b", "c"}, []string{"d", "e", "f"}),
+	}
+	if diff := cmp.Diff([][]bool{{false, true}, {true, false}, {true, true}}, got); diff != "" {
+		t.Error(diff)
+	}
+}
