The replay of limits in short steps

play did everything in one function; entries' disturbances, a request and what the instance tells are apart now, and both replays count what lies within a span by the same function.

--- a/internal/coordination/balance/cold_replay_test.go
+++ b/internal/coordination/balance/cold_replay_test.go
@@ -97,7 +97,7 @@
 	for i := range coldInstances {
 		times := arrived[warm[i].ID]
 		got += len(times)
-		most = max(most, inASecond(times))
+		most = max(most, mostWithin(times, time.Second))
 	}
 	return most, float64(got) / coldInstances / (coldFor - coldLate).Seconds()
 }
@@ -112,11 +112,11 @@
 	}
 }
 
-// inASecond returns the most of some times, in their order, that lie within a second.
-func inASecond(times []time.Time) int {
+// mostWithin returns the most of some times, in their order, that lie within a span.
+func mostWithin(times []time.Time, span time.Duration) int {
 	most, first := 0, 0
 	for i, at := range times {
-		for at.Sub(times[first]) >= time.Second {
+		for at.Sub(times[first]) >= span {
 			first++
 		}
 		most = max(most, i-first+1)
--- a/internal/coordination/balance/limit_replay_test.go
+++ b/internal/coordination/balance/limit_replay_test.go
@@ -67,68 +67,91 @@
 	next time.Time
 }
 
+// limitPlay is a replay under way.
+type limitPlay struct {
+	limitReplay
+	random  *rand.Rand
+	all     []registry.Instance
+	entries []*limitEntry
+	// left is how many of the entries have left, the first ones.
+	left                   int
+	nextRestart, nextLeave time.Duration
+	// counted holds when the instance got requests from entries that had been told, and sent counts what
+	// it got from the first window on.
+	counted []time.Time
+	sent    int
+}
+
 // play returns the most that the instance got in a window from entries that had been told, and how much of
 // its limit was used from the first window on.
 func (r limitReplay) play(seed uint64) (most int, used float64) {
-	random := rand.New(rand.NewPCG(seed, 2))
-	all := instances(limitFleet)
-	entries := make([]*limitEntry, r.entries)
-	for n := range entries {
-		entries[n] = &limitEntry{board: balance.New(random.Uint64())}
-	}
-	var counted []time.Time
-	sent := 0
-	left := 0
-	nextRestart, nextLeave := r.restarts, r.leaves
-	for at := time.Duration(0); at < limitLength; at += time.Duration(random.ExpFloat64() / (r.rate * float64(r.entries)) * float64(time.Second)) {
-		clock := now.Add(at)
-		if r.restarts > 0 && at > nextRestart {
-			entries[random.IntN(len(entries))] = &limitEntry{board: balance.New(random.Uint64())}
-			nextRestart += r.restarts
-		}
-		if r.leaves > 0 && at > nextLeave && left < r.entries/2 {
-			left++
-			nextLeave += r.leaves
-		}
-		if r.pauses && at%(10*time.Second) < 8*time.Second {
-			continue
-		}
-		n := left + random.IntN(len(entries)-left)
-		e := entries[n]
-		in, ok := e.pick(all, r, n-left, r.entries-left, clock)
-		if !ok {
-			continue
-		}
-		e.board.Begin(in, clock)
-		e.board.Heard(in.Incarnation(), clock)
-		e.board.End(in.Incarnation(), balance.Result{Latency: 60 * time.Millisecond}, clock)
-		if in.ID != "i0" || at < limitAfter {
-			continue
-		}
-		if !e.told.IsZero() && clock.Sub(e.told) >= limitTold {
-			counted = append(counted, clock)
-		}
-		if at > limitAfter+limitWindow {
-			sent++
-		}
-		if random.Float64() < r.lost {
-			continue
-		}
-		if e.told.IsZero() {
-			e.told = clock
-		}
-		if r.sharing == byTurns {
-			e.board.NoteLimit(in.Incarnation(), limitRate, clock)
-		}
+	p := &limitPlay{
+		limitReplay: r, random: rand.New(rand.NewPCG(seed, 2)), all: instances(limitFleet), entries: make([]*limitEntry, r.entries),
+		nextRestart: r.restarts, nextLeave: r.leaves,
 	}
-	first := 0
-	for i, at := range counted {
-		for at.Sub(counted[first]) >= limitWindow {
-			first++
+	for n := range p.entries {
+		p.entries[n] = p.newEntry()
+	}
+	between := float64(time.Second) / (r.rate * float64(r.entries))
+	for at := time.Duration(0); at < limitLength; at += time.Duration(p.random.ExpFloat64() * between) {
+		p.disturb(at)
+		if !r.pauses || at%(10*time.Second) >= 8*time.Second {
+			p.request(at)
 		}
-		most = max(most, i-first+1)
 	}
-	return most, float64(sent) / limitRate / (limitLength - limitAfter - limitWindow).Seconds()
+	return mostWithin(p.counted, limitWindow), float64(p.sent) / limitRate / (limitLength - limitAfter - limitWindow).Seconds()
+}
+
+func (p *limitPlay) newEntry() *limitEntry { return &limitEntry{board: balance.New(p.random.Uint64())} }
+
+// disturb has entries start again and leave when that is due.
+func (p *limitPlay) disturb(at time.Duration) {
+	if p.restarts > 0 && at > p.nextRestart {
+		p.entries[p.random.IntN(len(p.entries))] = p.newEntry()
+		p.nextRestart += p.restarts
+	}
+	if p.leaves > 0 && at > p.nextLeave && p.left < len(p.entries)/2 {
+		p.left++
+		p.nextLeave += p.leaves
+	}
+}
+
+// request plays one request at an entry that is drawn.
+func (p *limitPlay) request(at time.Duration) {
+	clock := now.Add(at)
+	serving := len(p.entries) - p.left
+	rank := p.random.IntN(serving)
+	e := p.entries[p.left+rank]
+	in, ok := e.pick(p.all, p.limitReplay, rank, serving, clock)
+	if !ok {
+		return
+	}
+	e.board.Begin(in, clock)
+	e.board.Heard(in.Incarnation(), clock)
+	e.board.End(in.Incarnation(), balance.Result{Latency: 60 * time.Millisecond}, clock)
+	if in.ID == "i0" && at >= limitAfter {
+		p.arrive(e, in, at)
+	}
+}
+
+// arrive counts a request at the instance, which tells the entry its limit.
+func (p *limitPlay) arrive(e *limitEntry, in registry.Instance, at time.Duration) {
+	clock := now.Add(at)
+	if !e.told.IsZero() && clock.Sub(e.told) >= limitTold {
+		p.counted = append(p.counted, clock)
+	}
+	if at > limitAfter+limitWindow {
+		p.sent++
+	}
+	if p.random.Float64() < p.lost {
+		return
+	}
+	if e.told.IsZero() {
+		e.told = clock
+	}
+	if p.sharing == byTurns {
+		e.board.NoteLimit(in.Incarnation(), limitRate, clock)
+	}
 }
 
 // pick chooses an instance for a request of one of so many entries.
