--- a/internal/coordination/balance/limit.go
+++ b/internal/coordination/balance/limit.go
@@ -74,10 +74,11 @@
 		word.since = known.since
 	}
 	l.limit = word
-	if known.Named != word.Named || known.PerSecond != word.PerSecond {
+	changed = known.Named != word.Named || known.PerSecond != word.PerSecond
+	if changed {
 		l.limitNext = time.Time{}
 	}
-	return known.Named != word.Named || known.PerSecond != word.PerSecond
+	return changed
 }
 
 // rate is how many requests a second all entries together send an instance with a limit.
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -86,9 +86,9 @@
 	return *best.in, true
 }
 
-// open leaves out what was tried, what is evacuated, what leaves or asked for rest and what bears or takes no more, and also
-// what is busy, silent, cut off or failed lately unless nothing else is left. The list holds until
-// the next choice.
+// open leaves out what was tried, what is evacuated, what leaves or asked for rest and what takes no
+// more, and also what is busy, silent, cut off or failed lately unless nothing else is left. The list
+// holds until the next choice.
 func (b *Board) open(r *roster, w Wish, now time.Time) []*candidate {
 	sound, rest := b.scratch.sound[:0], b.scratch.rest[:0]
 	b.scratch.probe = nil
