--- a/internal/coordination/balance/limit_replay_test.go
+++ b/internal/coordination/balance/limit_replay_test.go
@@ -174,8 +174,7 @@
 
 // The failure: an instance that named a limit got its usual share from each entry. Before 4 to 300 entries,
 // some of which start again, leave, do not hear or do not know of each other, it gets no more in any window
-// than it may, and a good part of its limit where there is enough to do. SHEDROCK_BENCH=1 prints the table
-// with the other ways to share.
+// than it may. SHEDROCK_BENCH=1 prints the table with the other ways to share, and what each uses of the limit.
 func TestLimitHoldsForManyEntries(t *testing.T) {
 	bench := os.Getenv("SHEDROCK_BENCH") != ""
 	seeds := 2
