Platform: requests and their kept context stay in the regions that route and team allow

Cause: allowed_regions of routes and tenants was read by nothing. A request with a list could be sent to, and its kept context saved in or fetched from, any failure domain.

Change: state/residency answers where the data of a request may be (the common regions of both lists; a domain of unknown region only without a list). It is asked by the choice of an instance for first sends, retries and resumed streams, by the choice of the store to fetch from and to save in, and it is part of the salt, so that what was kept under another list is never used again. Without an instance in an allowed region a request is refused at once as no_allowed_region. An empty list, and at control instances a region that no failure domain belongs to, are refused with the field. Regions come from the settings.

Result: tests of each step, which fail without it.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -16,6 +16,7 @@
 
 	"github.com/shedrock/shedrock/internal/coordination/membership"
 	"github.com/shedrock/shedrock/internal/settings"
+	"github.com/shedrock/shedrock/internal/state/residency"
 	"github.com/shedrock/shedrock/internal/transport/callmetrics"
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
@@ -117,7 +118,10 @@
 			View: follower.View, Leading: replica.Leading, CommitRequired: replica.RequireWeights, OldWeightsGrace: s.OldWeights(), Log: logger,
 		},
 		calls: &http.Server{
-			Handler:           calls.Instrument(platform.Control{Control: client, Source: source, Domains: func() []string { return file.Current().FailureDomains }, OnReportRefused: calls.CountRefusedReport, Log: logger}.Handler()),
+			Handler: calls.Instrument(platform.Control{
+				Control: client, Source: source, Domains: func() []string { return file.Current().FailureDomains },
+				Regions: func() residency.Regions { return file.Current().Regions }, OnReportRefused: calls.CountRefusedReport, Log: logger,
+			}.Handler()),
 			ReadHeaderTimeout: headTimeout,
 		},
 		metrics: &http.Server{Handler: calls.Handler(), ReadHeaderTimeout: headTimeout},
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -81,7 +81,7 @@
 	upstreams := &platform.UpstreamClient{}
 	server := &serving.Server{
 		View: follower.View, Upstreams: upstreams, Ends: tracker, Metrics: serving.NewMetrics(), Log: logger,
-		OldWeightsGrace: s.OldWeights(), Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
 	follower.FailuresPending, follower.TakeFailures = server.FailuresPending(), server.TakeFailures
--- a/internal/coordination/balance/condition.go
+++ b/internal/coordination/balance/condition.go
@@ -74,7 +74,7 @@
 	set := b.candidateSet(instances, now)
 	for i := range set.candidates {
 		c := &set.candidates[i]
-		if c.domain.evacuated || c.load.leaving || info.tried(c.in) {
+		if c.domain.excluded || c.load.leaving || info.tried(c.in) {
 			continue
 		}
 		cause, remaining := c.backpressure(info, now)
--- a/internal/coordination/balance/domains.go
+++ b/internal/coordination/balance/domains.go
@@ -35,12 +35,12 @@
 	// lastProbe is when a request was last sent to it while it was cut off.
 	lastProbe time.Time
 	name      string
-	// evacuated says that its instances get no requests, and coldUntil until when they count as
-	// cold.
-	evacuated bool
+	// coldUntil is until when its instances count as cold.
 	coldUntil time.Time
-	// unresponsiveCount and partitioned belong to the choice in progress: how many instances
-	// indicate that the domain is cut off, and whether it is avoided for that.
+	// excluded, unresponsiveCount and partitioned belong to the choice in progress: whether the
+	// request must not be sent to the domain, how many instances indicate that the domain is cut
+	// off, and whether it is avoided for that.
+	excluded          bool
 	unresponsiveCount int
 	partitioned       bool
 }
@@ -59,12 +59,14 @@
 	clear(d.timedOut)
 }
 
-// markEvacuated marks the failure domains that are evacuated. Instances of those whose evacuation
-// has ended count as cold for a while: they may have become cold meanwhile, and look idle beside
-// all others.
-func (set *candidateSet) markEvacuated(info PickInfo) {
+// markExcluded marks the failure domains to which the request must not be sent: those that are
+// evacuated, and those outside the regions in which its data may be. Instances of domains whose
+// evacuation has ended count as cold for a while: they may have become cold meanwhile, and look idle
+// beside all others.
+func (set *candidateSet) markExcluded(info PickInfo) {
 	for _, d := range set.domains {
-		_, d.evacuated = info.Evacuated[d.name]
+		_, evacuated := info.Evacuated[d.name]
+		d.excluded = evacuated || !info.Residency.Allows(d.name, info.Regions)
 		d.coldUntil = time.Time{}
 		if since, ok := info.Returned[d.name]; ok {
 			d.coldUntil = since.Add(info.ColdFor)
@@ -85,13 +87,13 @@
 	}
 	for i := range set.candidates {
 		c := &set.candidates[i]
-		if !c.domain.evacuated && c.domain.quiet(now) && (c.domain.timedOut[c.in.Incarnation()] || c.load.quiet(now)) {
+		if !c.domain.excluded && c.domain.quiet(now) && (c.domain.timedOut[c.in.Incarnation()] || c.load.quiet(now)) {
 			c.domain.unresponsiveCount++
 		}
 	}
 	excluded := 0
 	for _, d := range set.domains {
-		if d.evacuated {
+		if d.excluded {
 			excluded++
 			continue
 		}
--- a/internal/coordination/balance/evacuation_test.go
+++ b/internal/coordination/balance/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 // A failure domain is evacuated under requests of all kinds. None may be sent there, by key or by
@@ -93,3 +94,38 @@
 		t.Errorf("in a second: %s", diff)
 	}
 }
+
+// A request whose data is restricted to a region is sent nowhere else, by key or by wait, as a first
+// attempt or as a retry, even if the instances of its region do not answer. Without an instance in
+// its regions it gets none.
+func TestRestrictedRequestStaysInItsRegion(t *testing.T) {
+	regions := residency.Regions{"d0": "north", "d1": "south", "d2": "south"}
+	tried := []registry.Incarnation{incarnation("i1")}
+	for name, info := range map[string]balance.PickInfo{
+		"by wait":       {},
+		"by key":        {Key: 1},
+		"retry":         {Retryable: true, Tried: tried},
+		"a long prompt": {Key: 1, Tokens: 10_000, Memory: 50_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := balance.New(1)
+			info.Regions, info.Residency = regions, residency.NewPolicy([]string{"south"})
+			for n := range 200 {
+				at := now.Add(time.Duration(n) * time.Second)
+				if info.Key != 0 {
+					info.Key = uint64(n + 1)
+				}
+				in, ok := b.Pick(threeDomains(), info, at)
+				if !ok || in.FailureDomain == "d0" {
+					t.Fatalf("request %d goes to %q of %q", n, in.ID, in.FailureDomain)
+				}
+				b.Begin(in, at)
+				b.End(in.Incarnation(), balance.Result{Failed: true, Unreachable: true, TimedOut: true}, at)
+			}
+		})
+	}
+	info := balance.PickInfo{Regions: regions, Residency: residency.NewPolicy([]string{"east"})}
+	if in, ok := balance.New(1).Pick(threeDomains(), info, now); ok {
+		t.Errorf("a request for a region without instances goes to %s", in.ID)
+	}
+}
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 const (
@@ -54,6 +55,10 @@
 	// Evacuated holds the failure domains whose instances get no requests, and Returned when the
 	// evacuation of others ended; both by name, and nil for none.
 	Evacuated, Returned map[string]time.Time
+	// Residency is in which regions the request's data may be, and Regions the region of each
+	// failure domain.
+	Residency residency.Policy
+	Regions   residency.Regions
 	// Model and Weights, if set, name the version of the weights that is preferred.
 	Model   string
 	Weights uint64
@@ -89,18 +94,18 @@
 }
 
 // eligible returns the candidates for a request. It leaves out instances that were tried, are
-// evacuated, leaving or resting, or have no capacity left for this entry. Those that are failing,
+// excluded by their failure domain, leaving or resting, or have no capacity left for this entry. Those that are failing,
 // busy, unresponsive, backed off or in a failure domain that is cut off are returned only when
 // there are no others. The slice is valid until the next choice.
 func (b *Balancer) eligible(set *candidateSet, info PickInfo, now time.Time) []*candidate {
 	healthy, fallback := b.scratch.healthy[:0], b.scratch.fallback[:0]
 	b.scratch.probe = nil
-	set.markEvacuated(info)
+	set.markExcluded(info)
 	set.markPartitioned(info, now)
 	for i := range set.candidates {
 		c := &set.candidates[i]
 		switch {
-		case c.domain.evacuated:
+		case c.domain.excluded:
 		case info.tried(c.in), c.load.leaving, c.load.resting(now):
 		case !c.acceptsCold(info, now), !c.withinLimit(info, now):
 		case len(info.Failing) > 0 && info.Failing[c.in.Incarnation()]:
--- a/internal/coordination/keeping/choose.go
+++ b/internal/coordination/keeping/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 const (
@@ -36,12 +37,20 @@
 	Contents map[string]StoreContents
 	Declared map[string]deployment.Store
 	Now      time.Time
+	// Residency is in which regions the parts may be, and Regions the region of each failure domain.
+	Residency residency.Policy
+	Regions   residency.Regions
+}
+
+// allowed reports whether the parts may be in a store.
+func (s Stores) allowed(name string) bool {
+	return s.Residency.Allows(s.Declared[name].FailureDomain, s.Regions)
 }
 
 // Holder returns a store from which a part may be fetched, the one with the longest lease.
 func (s Stores) Holder(part Part) (address string, kept StoreContents, ok bool) {
 	for name, k := range s.Contents {
-		if k.Parts[part] > 0 && s.Now.Sub(k.ReceivedAt) < maxFetchAge && k.Until > kept.Until {
+		if k.Parts[part] > 0 && s.Now.Sub(k.ReceivedAt) < maxFetchAge && k.Until > kept.Until && s.allowed(name) {
 			address, kept, ok = name, k, true
 		}
 	}
@@ -58,7 +67,7 @@
 	best := 0.0
 	for _, name := range slices.Sorted(maps.Keys(s.Contents)) {
 		k := s.Contents[name]
-		if k.FreeTokens < spaceFactor*tokens || s.Now.Sub(k.ReceivedAt) >= maxSaveAge {
+		if k.FreeTokens < spaceFactor*tokens || s.Now.Sub(k.ReceivedAt) >= maxSaveAge || !s.allowed(name) {
 			continue
 		}
 		draw := float64(xxhash.Sum64String(name+"/"+part.ID)>>11) / (1 << 53)
--- a/internal/coordination/keeping/choose_test.go
+++ b/internal/coordination/keeping/choose_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 // twoStores are a fast small store and a slow large one, in two failure domains.
@@ -64,3 +65,44 @@
 		}
 	}
 }
+
+// Parts whose data is restricted to a region are neither saved in a store of another region nor
+// fetched from one, where they may lie from before the restriction. Without a restriction both
+// stores are used.
+func TestRestrictedPartsStayInTheirRegion(t *testing.T) {
+	part := keeping.Part{Salt: "s", ID: "p"}
+	s := twoStores(60_000)
+	s.Regions = residency.Regions{"a": "north", "b": "south"}
+	quick := s.Contents["quick"]
+	quick.Parts, quick.Until = map[keeping.Part]int{part: 100}, time.Minute
+	s.Contents["quick"] = quick
+	if address, _, ok := s.Holder(part); !ok || address != "quick" {
+		t.Errorf("an unrestricted part is fetched from %q", address)
+	}
+	s.Residency = residency.NewPolicy([]string{"south"})
+	if address, _, ok := s.Holder(part); ok {
+		t.Errorf("a part that is restricted to the south is fetched from %q", address)
+	}
+	if n := countInQuick(s, "a"); n != 0 {
+		t.Errorf("%d of 1000 parts that are restricted to the south are saved in the north", n)
+	}
+	s.Residency = residency.NewPolicy([]string{"north"})
+	if n := countInQuick(s, "b"); n != 1000 {
+		t.Errorf("%d of 1000 parts that are restricted to the north are saved there", n)
+	}
+	if address, _, ok := s.Holder(part); !ok || address != "quick" {
+		t.Errorf("a part that is restricted to the north is fetched from %q", address)
+	}
+}
+
+// KV cache that was kept under one residency policy is not found under another one.
+func TestSaltSeparatesResidency(t *testing.T) {
+	salt := keeping.Salt{Model: "m", Version: 3, Residency: residency.NewPolicy([]string{"south", "north"})}
+	if diff := cmp.Diff(`v3/"m"/["north","south"]`, salt.String()); diff != "" {
+		t.Error(diff)
+	}
+	model, version, ok := keeping.VersionOf(salt.String())
+	if model != "m" || version != 3 || !ok {
+		t.Errorf("VersionOf gives %q, %d, %t", model, version, ok)
+	}
+}
--- a/internal/coordination/keeping/salt.go
+++ b/internal/coordination/keeping/salt.go
@@ -11,14 +11,20 @@
 import (
 	"strconv"
 	"strings"
+
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
-// Salt separates the KV cache of models, weight versions and teams that must not share any.
+// Salt separates the KV cache of models, weight versions, teams and residency policies that must not
+// share any.
 type Salt struct {
 	Model   string
 	Version uint64
 	// Team is empty for KV cache that teams share.
 	Team string
+	// Residency is the policy under which the KV cache may be kept: a change of it must not leave
+	// anything in use that lies outside.
+	Residency residency.Policy
 }
 
 // String returns the salt in the form that engines and stores use. Names are quoted, so that no
@@ -28,6 +34,9 @@
 	if s.Team != "" {
 		text += "/" + strconv.Quote(s.Team)
 	}
+	if policy := s.Residency.String(); policy != "" {
+		text += "/" + policy
+	}
 	return text
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,9 @@
 	FailureDomain string `json:"failure_domain"`
 	// FailureDomains lists all failure domains; if it is empty, any name may be evacuated.
 	FailureDomains []string `json:"failure_domains"`
+	// Regions maps each failure domain to its region. Requests that are restricted to regions are
+	// served only in failure domains listed here.
+	Regions map[string]string `json:"regions"`
 	// Callers, Ready and Control are the addresses on which the process serves, as IP:PORT.
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
@@ -167,6 +170,11 @@
 	if len(s.FailureDomains) > 0 && !slices.Contains(s.FailureDomains, s.FailureDomain) {
 		return "failure_domains", strconv.Quote(s.FailureDomain) + " is not among them"
 	}
+	for domain, region := range s.Regions {
+		if region == "" {
+			return "regions", strconv.Quote(domain) + " has no region"
+		}
+	}
 	for _, f := range []struct{ name, value string }{
 		{"callers", s.Callers}, {"ready", s.Ready}, {"control", s.Control}, {"peer_listen", s.PeerListen}, {"seeds", strings.Join(s.Seeds, ",")},
 	} {
--- a/internal/state/deployment/check.go
+++ b/internal/state/deployment/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 // FieldError is the error for an invalid field of a configuration.
@@ -76,6 +78,10 @@
 	case len(r.Targets) == 0:
 		return newFieldError(field+".targets", "names no service")
 	}
+	err := checkRegionList(field, r.AllowedRegions)
+	if err != nil {
+		return err
+	}
 	sum := 0.0
 	for _, t := range r.Targets {
 		service, ok := c.Services[t.Service]
@@ -100,6 +106,10 @@
 		if t.Name == "" {
 			return newFieldError(field+".name", "is missing")
 		}
+		err := checkRegionList(field, t.AllowedRegions)
+		if err != nil {
+			return err
+		}
 		for _, key := range t.Keys {
 			if other, ok := c.teamIndexes[key]; ok && other != i {
 				return newFieldError(field+".keys", "a key belongs to team %q as well", c.Teams[other].Name)
@@ -110,6 +120,52 @@
 	return nil
 }
 
+// checkRegionList checks the list of allowed regions of the route or team at field. An empty list
+// would allow no region at all, which is taken for a mistake.
+func checkRegionList(field string, list []string) error {
+	if list != nil && len(list) == 0 {
+		return newFieldError(field+".allowed_regions", "is empty; leave it out to allow all regions")
+	}
+	if slices.Contains(list, "") {
+		return newFieldError(field+".allowed_regions", "contains an empty name")
+	}
+	return nil
+}
+
+// CheckRegions checks that every allowed region is the region of some failure domain. It is not a
+// part of Check, because a process may know of a failure domain later than another. It does not
+// check anything if no regions are known.
+func (c *Config) CheckRegions(known residency.Regions) error {
+	if len(known) == 0 {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, region := range known {
+		names[region] = true
+	}
+	check := func(field string, list []string) error {
+		for _, region := range list {
+			if !names[region] {
+				return newFieldError(field+".allowed_regions", "there is no region %q", region)
+			}
+		}
+		return nil
+	}
+	for i, r := range c.Routes {
+		err := check(fmt.Sprintf("routes[%d]", i), r.AllowedRegions)
+		if err != nil {
+			return err
+		}
+	}
+	for i, t := range c.Teams {
+		err := check(fmt.Sprintf("teams[%d]", i), t.AllowedRegions)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Route returns the route of a host and path, which is the one with the longest matching prefix.
 func (c *Config) Route(host, path string) (Route, bool) {
 	for _, r := range c.routes[host] {
--- a/internal/state/deployment/deployment.go
+++ b/internal/state/deployment/deployment.go
@@ -5,7 +5,11 @@
 // sees a mix of two versions.
 package deployment
 
-import "time"
+import (
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/residency"
+)
 
 // Kind determines how often a request on a route may run, and how it is answered.
 type Kind int
@@ -76,11 +80,20 @@
 	Public bool
 	// Resumable streams may continue at another instance after the last event.
 	Resumable bool
+	// AllowedRegions, if not nil, are the only regions in which requests may be served and their
+	// context kept.
+	AllowedRegions []string
 }
 
 // AllowsRetries reports whether a request on the route may run more than once.
 func (r Route) AllowsRetries() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
+// Residency returns in which regions the data of a team's requests on the route may be: the lists of
+// both apply.
+func (r Route) Residency(team Team) residency.Policy {
+	return residency.NewPolicy(r.AllowedRegions, team.AllowedRegions)
+}
+
 // Target is a service that receives a share of a route's requests, proportional to Weight.
 type Target struct {
 	Service string
@@ -129,6 +142,9 @@
 	Rank *int
 	// Isolated teams do not share cached context with other teams.
 	Isolated bool
+	// AllowedRegions, if not nil, are the only regions in which the team's requests may be served and
+	// their context kept.
+	AllowedRegions []string
 }
 
 // Limits are the limits on a caller's requests.
--- a/internal/state/deployment/deployment_test.go
+++ b/internal/state/deployment/deployment_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/residency"
 )
 
 func route(name, prefix string) deployment.Route {
@@ -37,6 +38,8 @@
 		{"same host and prefix", func(c *deployment.Config) { c.Routes[1].Prefix = "/" }, `routes[1].prefix: host "h" and prefix "/" stand in an earlier route as well`},
 		{"no weight", func(c *deployment.Config) { c.Routes[0].Targets[0].Weight = 0 }, "routes[0].targets: the weights sum to 0"},
 		{"no timeout", func(c *deployment.Config) { c.Routes[0].Timeout = 0 }, "routes[0].timeout: must be above 0"},
+		{"a route with an empty list of regions", func(c *deployment.Config) { c.Routes[1].AllowedRegions = []string{} }, "routes[1].allowed_regions: is empty; leave it out to allow all regions"},
+		{"a team with an empty region", func(c *deployment.Config) { c.Teams[1].AllowedRegions = []string{""} }, "teams[1].allowed_regions: contains an empty name"},
 		{"a key of two teams", func(c *deployment.Config) { c.Teams[1].Keys = []string{"ka"} }, `teams[1].keys: a key belongs to team "a" as well`},
 	}
 	for _, c := range cases {
@@ -156,3 +159,36 @@
 		t.Error(diff)
 	}
 }
+
+// A region that no failure domain belongs to is reported with the field that names it. Without known
+// regions nothing is checked.
+func TestCheckRegionsReportsUnknownRegion(t *testing.T) {
+	known := residency.Regions{"d1": "north", "d2": "south"}
+	cases := []struct {
+		name   string
+		change func(*deployment.Config)
+		want   string
+	}{
+		{"known", func(c *deployment.Config) { c.Teams[0].AllowedRegions = []string{"south", "north"} }, ""},
+		{"of a route", func(c *deployment.Config) { c.Routes[1].AllowedRegions = []string{"north", "west"} }, `routes[1].allowed_regions: there is no region "west"`},
+		{"of a team", func(c *deployment.Config) { c.Teams[1].AllowedRegions = []string{"d1"} }, `teams[1].allowed_regions: there is no region "d1"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			in := config(route("all", "/"), route("deep", "/a/"))
+			c.change(in)
+			got := ""
+			err := in.CheckRegions(known)
+			if err != nil {
+				got = err.Error()
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+			err = in.CheckRegions(nil)
+			if err != nil {
+				t.Errorf("without known regions: %v", err)
+			}
+		})
+	}
+}
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -65,7 +65,9 @@
 	ReasonNoRoom        Reason = "no_room"
 	ReasonOldWeights    Reason = "old_weights"
 	ReasonEvacuated     Reason = "evacuated"
-	ReasonCallerLeft    Reason = "caller_left"
+	// ReasonRegion means that no upstream is in a region in which the request's data may be.
+	ReasonRegion     Reason = "no_allowed_region"
+	ReasonCallerLeft Reason = "caller_left"
 	// ReasonEndsInstances means that instances ended while they ran the request, and ReasonUnderWay that
 	// an identical request, during which an instance ended, is still in flight.
 	ReasonEndsInstances Reason = "ends_instances"
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -16,6 +16,7 @@
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/residency"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 )
 
@@ -53,6 +54,7 @@
 	version        uint64
 	route          deployment.Route
 	team           deployment.Team
+	residency      residency.Policy
 	service        string
 	urgency        int
 	deadline       time.Time
@@ -112,6 +114,7 @@
 	if config.Limits.BodyBytes > 0 && len(r.Body) > config.Limits.BodyBytes {
 		return j.deny(BodyTooLarge)
 	}
+	j.residency = j.route.Residency(j.team)
 	j.setDigest()
 	j.urgency = config.Urgency(j.team, j.route)
 	j.service = j.route.Service(rand.Float64())
--- a/internal/transport/serving/keep.go
+++ b/internal/transport/serving/keep.go
@@ -16,7 +16,7 @@
 // parts. The engine fetches parts that are complete in a store unless it has them itself, and
 // saves the others to a store.
 func (j *job) planContext(a *exchange.Attempt, p *exchange.Prompt) {
-	salt := keeping.Salt{Model: p.Model, Version: j.instance.Weights[p.Model]}
+	salt := keeping.Salt{Model: p.Model, Version: j.instance.Weights[p.Model], Residency: j.residency}
 	if j.team.Isolated {
 		salt.Team = j.team.Name
 	}
@@ -52,7 +52,9 @@
 // stores returns the current state of the stores.
 func (j *job) stores() keeping.Stores {
 	view := j.server.View()
-	return keeping.Stores{Contents: view.Stores, Declared: view.Config.Stores(), Now: clock.Now()}
+	return keeping.Stores{
+		Contents: view.Stores, Declared: view.Config.Stores(), Now: clock.Now(), Residency: j.residency, Regions: j.server.Regions,
+	}
 }
 
 func totalTokens(parts []exchange.Part) int {
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -21,6 +21,9 @@
 	// evacuatedRetryAfter is the Retry-After when all instances of the service are in evacuated failure
 	// domains. The end of an evacuation cannot be predicted.
 	evacuatedRetryAfter = 2 * time.Second
+	// regionRetryAfter is the Retry-After when all instances of the service are outside the regions in
+	// which the request's data may be. Only a change of the configuration or of the fleet ends that.
+	regionRetryAfter = 2 * time.Second
 )
 
 // ColdAllowance sets how far all entries together may exceed the rate that a cold instance sustains,
@@ -84,6 +87,9 @@
 		}
 	}
 	in, ok := balancer.Pick(instances, pickInfo, now)
+	if !ok && len(instances) > 0 && !slices.ContainsFunc(instances, j.inAllowedRegion) {
+		return j.attempts.Reject(regionRetryAfter, outcome.ReasonRegion)
+	}
 	if !ok && allEvacuated(instances, view) {
 		return j.attempts.Reject(evacuatedRetryAfter, outcome.ReasonEvacuated)
 	}
@@ -119,6 +125,11 @@
 	return j.attempts.GiveUp()
 }
 
+// inAllowedRegion reports whether the request's data may be at an instance.
+func (j *job) inAllowedRegion(in registry.Instance) bool {
+	return j.residency.Allows(in.FailureDomain, j.server.Regions)
+}
+
 // allEvacuated reports whether there are instances and all of them are in evacuated failure domains.
 func allEvacuated(instances []registry.Instance, view *fleet.View) bool {
 	used := func(in registry.Instance) bool {
@@ -134,6 +145,7 @@
 	pickInfo := balance.PickInfo{
 		Tried: j.triedInstances, Busy: view.Busy, Failing: view.Failing, Retryable: j.route.AllowsRetries(), Entries: view.Entries, Rank: view.Rank,
 		Cold: j.server.Cold.capacity(service.ColdRate), ColdFor: service.ColdFor, Evacuated: view.Evacuated, Returned: view.Returned,
+		Residency: j.residency, Regions: j.server.Regions,
 	}
 	p := j.request.Prompt
 	if p == nil {
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -23,6 +23,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/residency"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
@@ -92,6 +93,9 @@
 	OldWeightsGrace time.Duration
 	// Cold limits the requests sent to cold instances.
 	Cold ColdAllowance
+	// Regions maps each failure domain to its region. A request whose data is restricted to regions is
+	// sent nowhere else.
+	Regions residency.Regions
 	// Ends tracks which instances ended while they served which requests. The server does not call
 	// its Run. When nil, the server uses a tracker of its own, which learns nothing from other entries.
 	Ends *ends.Tracker
