--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/pprof"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -38,6 +40,17 @@
 	})
 }
 
+// metricsServer serves metrics, and profiles if the settings ask for them.
+func metricsServer(metrics http.Handler, s *settings.Settings) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/", metrics)
+	if s.Profiling {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}
+}
+
 func metricsAddress(s *settings.Settings) string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(metricsPort))
 }
--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -94,7 +94,8 @@
 	addresses := func() []string { return union(file.Current().PeerSeeds(), source.Control()) }
 	client := controlclient.New(addresses)
 	follower := &fleet.Follower{
-		Name: s.Name, Seeds: addresses, Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
+		Name: s.Name, FailureDomain: s.FailureDomain, Seeds: addresses, Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
+		Relay: source, Address: s.PeerAddress(), FailuresPending: source.ForwardPending(), TakeFailures: source.TakeForward,
 	}
 	engines := platform.NewEngineClient()
 	replica := &control.Replica{
@@ -124,7 +125,7 @@
 			}.Handler()),
 			ReadHeaderTimeout: headTimeout,
 		},
-		metrics: &http.Server{Handler: calls.Handler(), ReadHeaderTimeout: headTimeout},
+		metrics: metricsServer(calls.Handler(), s),
 	}, nil
 }
 
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -69,12 +69,12 @@
 // again later.
 func newPlatformEntry(file *settings.File, s *settings.Settings, logger *log.Logger) *platformEntry {
 	follower := &fleet.Follower{
-		Name: s.Name, Entry: true, Seeds: func() []string { return file.Current().PeerSeeds() },
+		Name: s.Name, Entry: true, FailureDomain: s.FailureDomain, Seeds: func() []string { return file.Current().PeerSeeds() },
 		Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
 	}
 	tracker := &ends.Tracker{
 		Entries:         func() int { return follower.View().Entries },
-		SupersededCheck: func() func(registry.Instance) bool { return follower.View().Superseded() },
+		SupersededCheck: func() func(registry.Instance) bool { return follower.View().Superseded },
 		Metrics:         ends.NewMetrics(), Log: logger,
 	}
 	follower.Ends = tracker
@@ -94,7 +94,7 @@
 			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext,
 		},
 		ready:   &http.Server{Handler: platform.ReadinessHandler(server.Ready), ReadHeaderTimeout: headTimeout},
-		metrics: &http.Server{Handler: server.Metrics.Handler(), ReadHeaderTimeout: headTimeout},
+		metrics: metricsServer(server.Metrics.Handler(), s),
 	}
 }
 
--- a/internal/coordination/balance/candidates.go
+++ b/internal/coordination/balance/candidates.go
@@ -9,9 +9,13 @@
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// maxCandidateSets bounds the number of cached candidate sets: there is one for each service, and a
-// few that leave some instances out.
-const maxCandidateSets = 8
+// maxCandidateSets bounds the number of cached candidate sets, and maxServiceSets those of one service:
+// one holds all instances, and one leaves some out. A set takes more memory than all else that is known
+// of its instances.
+const (
+	maxCandidateSets = 8
+	maxServiceSets   = 2
+)
 
 // candidate is an instance with its state, so that a choice among thousands needs few map lookups.
 type candidate struct {
@@ -61,13 +65,33 @@
 		}
 		set.candidates[i] = candidate{in: in, load: l, domain: d, hash: xxhash.Sum64String(in.ID)}
 	}
-	if len(b.candidateSets) == maxCandidateSets {
-		b.candidateSets = slices.Delete(b.candidateSets, 0, 1)
-	}
 	b.candidateSets = append(b.candidateSets, set)
+	b.dropOldSets(set.service())
 	return set
 }
 
+// dropOldSets drops the oldest candidate sets that exceed the limits, after one of the given service
+// was added.
+func (b *Balancer) dropOldSets(service string) {
+	sameService := func(set *candidateSet) bool { return set.service() == service }
+	count := 0
+	for _, set := range b.candidateSets {
+		if sameService(set) {
+			count++
+		}
+	}
+	if count > maxServiceSets {
+		oldest := slices.IndexFunc(b.candidateSets, sameService)
+		b.candidateSets = slices.Delete(b.candidateSets, oldest, oldest+1)
+	}
+	if len(b.candidateSets) > maxCandidateSets {
+		b.candidateSets = slices.Delete(b.candidateSets, 0, 1)
+	}
+}
+
+// service returns the service that the instances belong to.
+func (set *candidateSet) service() string { return set.instances[0].Service }
+
 // scratch holds the slices of the choice in progress; their memory is used again by the next one.
 type scratch struct {
 	healthy, fallback, newWeights, fitting, shortQueued []*candidate
--- a/internal/coordination/keeping/choose.go
+++ b/internal/coordination/keeping/choose.go
@@ -15,10 +15,10 @@
 	// maxFetchAge is the age up to which a store's contents are used for fetches. With older
 	// contents, the fetch would be discarded before it ends more often than not.
 	maxFetchAge = FetchLease / 2
-	// maxSaveAge is the age of a store's contents up to which parts are saved there. It is shorter
-	// than the restart of a store (2 s and more): until a leader has read the store again, nothing
-	// may be written there under names that others may still fetch.
-	maxSaveAge = time.Second
+	// maxSaveAge is the age of a store's contents, since the leader read them, up to which parts are
+	// saved there. It is shorter than the restart of a store (2 s and more): until a leader has read
+	// the store again, nothing may be written there under names that others may still fetch.
+	maxSaveAge = 1400 * time.Millisecond
 	// crossDomainFactor is how much longer a transfer between failure domains takes, as the
 	// interface of engines specifies.
 	crossDomainFactor = 2
--- a/internal/coordination/keeping/kept.go
+++ b/internal/coordination/keeping/kept.go
@@ -12,6 +12,6 @@
 	OpenEpoch  uint64
 	// Parts holds the number of tokens of each complete part. The map is never modified.
 	Parts map[Part]int
-	// ReceivedAt is when this process received the contents.
+	// ReceivedAt is when the leader had read the contents.
 	ReceivedAt time.Time
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,8 @@
 	// the sustained rate is sent.
 	ColdOverage float64 `json:"cold_overage"`
 	ColdSlack   float64 `json:"cold_slack"`
+	// Profiling serves profiles of the process under /debug/pprof/ at its metrics address.
+	Profiling bool `json:"profiling"`
 }
 
 // FieldError reports the file, line and field of an invalid value.
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -7,30 +7,61 @@
 	"time"
 )
 
-// Merged merges the reports of several registries, its sources. It is not safe for concurrent use.
+// Merged merges the reports of several registries, its sources. It is not safe for concurrent use. The
+// work for a report does not depend on the number of instances.
 type Merged struct {
 	// Grace is how long an instance is kept after the last source stopped reporting it as alive, so
 	// that a source that comes back without state does not remove it.
 	Grace time.Duration
 	// Declared, if set, reports whether a service is declared. An instance of an undeclared service does
-	// not take over an address from an instance of a declared one.
+	// not take over an address from an instance of a declared one. If its results change, Redeclare must
+	// be called.
 	Declared func(service string) bool
 
-	// instances holds the incarnations of each id, the latest start last. The earlier ones
-	// have ended; they are retained for a while, as their heartbeats may arrive late.
-	instances map[string][]*merged
-	// epochs counts the restarts of each source.
-	epochs map[string]int
+	instances map[string]*known
+	// addresses holds the incarnations that reported each address.
+	addresses map[string][]*merged
+	// sourceNumbers numbers the sources in the order in which they were first seen, and epochs counts
+	// the restarts of each, by its number.
+	sourceNumbers map[string]uint32
+	epochs        []uint32
 	// incarnationCount is the number of incarnations seen so far.
 	incarnationCount int
+	// orphans holds the incarnations that no source reports as alive, and unsettled those with a version
+	// estimate that changes with time.
+	orphans, unsettled map[*merged]struct{}
+	// dirty holds the ids whose entry in live may have to change. live holds the instances in use of each
+	// service, in the order of their ids; its slices are never modified.
+	dirty  map[string]struct{}
+	live   map[string][]Instance
+	shared shared
 }
 
-// merged is the merged state of one incarnation.
+// known is what is known of one id.
+type known struct {
+	// incarnations are in the order of their starts. All but the last have ended; they are retained for a
+	// while, as their heartbeats may arrive late.
+	incarnations []*merged
+	// listed is the service whose list in Merged.live contains the id, or empty.
+	listed string
+}
+
+// sourceEpoch is a source, by its number, and one of its epochs.
+type sourceEpoch struct{ source, epoch uint32 }
+
+// modelEstimate is the estimate of the version of one model's weights.
+type modelEstimate struct {
+	model string
+	versionEstimate
+}
+
+// merged is the merged state of one incarnation. There is one for each instance in every process, so
+// it holds slices where they take less memory than maps.
 type merged struct {
 	newest Instance
 	// weights holds the estimate for each model; newest.Weights holds their results as of the last
-	// call of Live.
-	weights map[string]*versionEstimate
+	// call of resolveWeights.
+	weights []modelEstimate
 	// weightsStale is true while newest.Weights may differ from the estimates.
 	weightsStale bool
 	left         bool
@@ -40,79 +71,167 @@
 	order     int
 	// sources holds the sources that report the incarnation as alive, each with its epoch at the last
 	// such report. orphanedSince is when the last one stopped doing so.
-	sources       map[string]int
+	sources       []sourceEpoch
 	orphanedSince time.Time
 }
 
+func (m *Merged) init() {
+	if m.instances != nil {
+		return
+	}
+	m.instances = map[string]*known{}
+	m.addresses = map[string][]*merged{}
+	m.sourceNumbers = map[string]uint32{}
+	m.orphans = map[*merged]struct{}{}
+	m.unsettled = map[*merged]struct{}{}
+	m.dirty = map[string]struct{}{}
+	m.live = map[string][]Instance{}
+}
+
 // Merge merges reports of one source.
 func (m *Merged) Merge(source string, reports []Report, now time.Time) {
-	if m.instances == nil {
-		m.instances = map[string][]*merged{}
-	}
+	m.init()
+	from := m.currentEpoch(source)
 	for _, r := range reports {
+		r.Service, r.FailureDomain = m.shared.name(r.Service), m.shared.name(r.FailureDomain)
 		if r.Left && r.Start == 0 {
 			m.endEarlier(r, now)
 		}
 		k := m.incarnationOf(r, now)
-		for _, other := range m.instances[r.ID] {
+		for _, other := range m.instances[r.ID].incarnations {
 			if other != k {
 				// A source reports only one incarnation of an id as alive.
-				other.dropSource(source, now)
+				m.dropSource(other, from.source, now)
 			}
 		}
-		k.merge(source, m.epochs[source], r, now.Add(-m.Grace))
+		m.merge(k, from, r, now.Add(-m.Grace))
+	}
+}
+
+// currentEpoch returns the number of a source and its current epoch.
+func (m *Merged) currentEpoch(source string) sourceEpoch {
+	m.init()
+	number, ok := m.sourceNumbers[source]
+	if !ok {
+		number = uint32(len(m.epochs))
+		m.sourceNumbers[source] = number
+		m.epochs = append(m.epochs, 0)
 	}
+	return sourceEpoch{number, m.epochs[number]}
 }
 
 // incarnationOf returns the incarnation that a report describes, and adds it if it is new.
 func (m *Merged) incarnationOf(r Report, now time.Time) *merged {
-	known := m.instances[r.ID]
-	i, ok := slices.BinarySearchFunc(known, r.Start, func(k *merged, s Start) int { return cmp.Compare(k.newest.Start, s) })
+	id := m.instances[r.ID]
+	if id == nil {
+		id = &known{}
+		m.instances[r.ID] = id
+	}
+	i, ok := slices.BinarySearchFunc(id.incarnations, r.Start, func(k *merged, s Start) int { return cmp.Compare(k.newest.Start, s) })
 	if ok {
-		return known[i]
+		return id.incarnations[i]
 	}
 	m.incarnationCount++
-	k := &merged{newest: r.Instance, weights: map[string]*versionEstimate{}, firstSeen: now, order: m.incarnationCount, sources: map[string]int{}, orphanedSince: now}
-	m.instances[r.ID] = slices.Insert(known, i, k)
+	k := &merged{newest: r.Instance, weightsStale: true, firstSeen: now, order: m.incarnationCount, orphanedSince: now}
+	id.incarnations = slices.Insert(id.incarnations, i, k)
+	m.orphans[k] = struct{}{}
+	m.addAddress(k)
 	return k
 }
 
 // endEarlier ends the incarnations of an id that were seen before it left without reporting a
 // start.
 func (m *Merged) endEarlier(left Report, now time.Time) {
-	for _, k := range m.instances[left.ID] {
+	id := m.instances[left.ID]
+	if id == nil {
+		return
+	}
+	for _, k := range id.incarnations {
 		if left.FirstSeen.IsZero() || !k.firstSeen.After(left.FirstSeen) {
 			k.left = true
-			clear(k.sources)
+			k.sources = nil
 			k.orphanedSince = now.Add(-m.Grace)
+			m.orphans[k] = struct{}{}
 		}
 	}
+	m.dirty[left.ID] = struct{}{}
 }
 
-// merge merges a report of a source in one of its epochs. If the source reports the incarnation as
-// silent or left, the source counts as having dropped it at droppedAt.
-func (k *merged) merge(source string, epoch int, r Report, droppedAt time.Time) {
+// merge merges a report of a source in its current epoch into an incarnation. If the source reports the
+// incarnation as silent or left, the source counts as having dropped it at droppedAt.
+func (m *Merged) merge(k *merged, from sourceEpoch, r Report, droppedAt time.Time) {
 	if !r.FirstSeen.IsZero() && r.FirstSeen.Before(k.firstSeen) {
 		k.firstSeen = r.FirstSeen
+		m.touchAddress(k.newest.Address)
 	}
-	k.addClaims(r.Instance)
+	m.addClaims(k, r.Instance)
 	if r.Sequence > k.newest.Sequence {
-		k.newest = r.Instance
+		m.replaceNewest(k, r.Instance)
+	}
+	if r.Left && !k.left {
+		k.left = true
+		m.touch(k)
 	}
-	k.left = k.left || r.Left
 	if r.Silent || r.Left {
 		// The source has already waited for several heartbeats, so Grace is not added.
-		k.dropSource(source, droppedAt)
+		m.dropSource(k, from.source, droppedAt)
+		return
+	}
+	m.addSource(k, from)
+}
+
+// replaceNewest replaces the newest state of an incarnation, except for the weights, which follow from
+// the estimates.
+func (m *Merged) replaceNewest(k *merged, in Instance) {
+	in.Weights, in.WeightsProvenance = k.newest.Weights, k.newest.WeightsProvenance
+	if in.Address != k.newest.Address || in.Service != k.newest.Service {
+		m.removeAddress(k)
+		k.newest = in
+		m.addAddress(k)
+		return
+	}
+	if !sameStatus(k.newest, in) {
+		m.touch(k)
+	}
+	k.newest = in
+}
+
+// addSource records that a source reports an incarnation as alive.
+func (m *Merged) addSource(k *merged, from sourceEpoch) {
+	i := k.indexOf(from.source)
+	if i >= 0 {
+		k.sources[i] = from
 		return
 	}
-	k.sources[source] = epoch
+	k.sources = append(k.sources, from)
+	if len(k.sources) == 1 {
+		delete(m.orphans, k)
+		m.touch(k)
+	}
+}
+
+// indexOf returns the index of a source in sources, or -1.
+func (k *merged) indexOf(source uint32) int {
+	return slices.IndexFunc(k.sources, func(s sourceEpoch) bool { return s.source == source })
+}
+
+func (m *Merged) dropSource(k *merged, source uint32, now time.Time) {
+	i := k.indexOf(source)
+	if i < 0 {
+		return
+	}
+	k.sources = slices.Delete(k.sources, i, i+1)
+	if len(k.sources) == 0 {
+		k.orphanedSince = now
+		m.orphans[k] = struct{}{}
+	}
 }
 
 // all iterates over the incarnations in no particular order.
 func (m *Merged) all() iter.Seq[*merged] {
 	return func(yield func(*merged) bool) {
-		for _, incarnations := range m.instances {
-			for _, k := range incarnations {
+		for _, id := range m.instances {
+			for _, k := range id.incarnations {
 				if !yield(k) {
 					return
 				}
@@ -123,143 +242,105 @@
 
 // DropSource drops all reports of a source that came back without state or is gone.
 func (m *Merged) DropSource(source string, now time.Time) {
+	number := m.currentEpoch(source).source
 	for k := range m.all() {
-		k.dropSource(source, now)
+		m.dropSource(k, number, now)
 	}
 }
 
 // BeginResync notes that a source restarted. Its earlier reports hold until
 // EndResync, as it may take many calls to Merge until it has sent all of them again.
 func (m *Merged) BeginResync(source string) {
-	if m.epochs == nil {
-		m.epochs = map[string]int{}
-	}
-	m.epochs[source]++
+	m.epochs[m.currentEpoch(source).source]++
 }
 
 // EndResync notes that a source has sent all its reports since it restarted, and drops those that it
 // did not repeat.
 func (m *Merged) EndResync(source string, now time.Time) {
+	current := m.currentEpoch(source)
 	for k := range m.all() {
-		if k.sources[source] != m.epochs[source] {
-			k.dropSource(source, now)
+		i := k.indexOf(current.source)
+		if i >= 0 && k.sources[i] != current {
+			m.dropSource(k, current.source, now)
 		}
 	}
 }
 
-// addClaims merges the weights versions that a report contains.
-func (k *merged) addClaims(in Instance) {
-	k.weightsStale = true
+// addClaims merges the weights versions that a report contains into an incarnation.
+func (m *Merged) addClaims(k *merged, in Instance) {
 	for model := range in.Weights {
 		c := in.claim(model)
-		if known := k.weights[model]; known != nil {
-			known.add(c)
+		i := slices.IndexFunc(k.weights, func(e modelEstimate) bool { return e.model == model })
+		if i < 0 {
+			k.weights = append(k.weights, modelEstimate{m.shared.name(model), versionEstimate{current: c}})
+			m.unsettle(k)
 			continue
 		}
-		k.weights[model] = &versionEstimate{current: c}
+		e := &k.weights[i]
+		before := *e
+		e.add(c)
+		if e.current.version != before.current.version || e.downgrade != before.downgrade {
+			m.unsettle(k)
+		}
+		k.weightsStale = true
 	}
 }
 
-// resolveWeights updates the weights in newest from the estimates.
-func (k *merged) resolveWeights(now time.Time) {
+// unsettle notes that the weights of an incarnation may have changed.
+func (m *Merged) unsettle(k *merged) {
+	k.weightsStale = true
+	m.unsettled[k] = struct{}{}
+}
+
+// resolveWeights updates the weights in an incarnation's newest state from the estimates.
+func (m *Merged) resolveWeights(k *merged, now time.Time) {
 	if !k.weightsStale {
 		return
 	}
 	k.weightsStale = false
-	k.newest.Weights = make(map[string]uint64, len(k.weights))
 	k.newest.WeightsProvenance = Provenance{}
-	for model, b := range k.weights {
-		c := b.resolve(now)
-		k.newest.Weights[model] = c.version
+	for i := range k.weights {
+		e := &k.weights[i]
+		c := e.resolve(now)
 		if c.provenance.At.After(k.newest.WeightsProvenance.At) {
 			k.newest.WeightsProvenance = c.provenance
 		}
-		k.weightsStale = k.weightsStale || b.downgrade != nil
+		k.weightsStale = k.weightsStale || e.downgrade != nil
 	}
+	k.newest.Weights = m.shared.weights(k.weights)
 }
 
-func (k *merged) dropSource(source string, now time.Time) {
-	if _, ok := k.sources[source]; !ok {
-		return
-	}
-	delete(k.sources, source)
-	if len(k.sources) == 0 {
-		k.orphanedSince = now
-	}
+// silent reports whether no source has reported an incarnation as alive within Grace.
+func (m *Merged) silent(k *merged, now time.Time) bool {
+	return len(k.sources) == 0 && now.Sub(k.orphanedSince) >= m.Grace
 }
 
-// Live returns the instances that are neither leaving nor left and that a source has reported as alive
-// within Grace, in the order of their ids. It evicts the others after the retention time.
-//
-// Of an id only the latest start counts, even after it has gone, as a heartbeat of an earlier one may arrive late. An address
-// belongs to the incarnation that started last: a crashed incarnation does not sign off, and its successor
-// reports long before it counts as silent. The order in which this process learns of them is not used: a
-// process that starts late may learn of the successor first.
-func (m *Merged) Live(now time.Time) []Instance {
-	m.evict(now)
-	var out []Instance
-	owners := m.addressOwners()
-	for _, incarnations := range m.instances {
-		k := incarnations[len(incarnations)-1]
-		orphaned := len(k.sources) == 0
-		if k.left || k.newest.Leaving || k.newest.Address == "" || orphaned && now.Sub(k.orphanedSince) >= m.Grace {
-			continue
-		}
-		if owners[k.newest.Address] != k {
-			continue
-		}
-		k.resolveWeights(now)
-		out = append(out, k.newest)
+// Report returns the merged state of an id's latest incarnation, as one report of all sources
+// together. ok is false if the id is not known.
+func (m *Merged) Report(id string, now time.Time) (r Report, ok bool) {
+	of := m.instances[id]
+	if of == nil {
+		return Report{}, false
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	k := of.latest()
+	m.resolveWeights(k, now)
+	return Report{Instance: k.newest, Silent: m.silent(k, now), Left: k.left, FirstSeen: k.firstSeen}, true
 }
 
-// evict removes the incarnations that no source has reported as alive within the retention time.
-func (m *Merged) evict(now time.Time) {
-	for id, incarnations := range m.instances {
-		incarnations = slices.DeleteFunc(incarnations, func(k *merged) bool {
-			return len(k.sources) == 0 && now.Sub(k.orphanedSince) > max(m.Grace, endedRetention)
-		})
-		m.instances[id] = incarnations
-		if len(incarnations) == 0 {
-			delete(m.instances, id)
-		}
-	}
-}
+// latest returns the incarnation that started last.
+func (id *known) latest() *merged { return id.incarnations[len(id.incarnations)-1] }
 
-// addressOwners returns the incarnation that owns each address. Ended incarnations are included: if
-// one had the address after another, the other has ended too.
-func (m *Merged) addressOwners() map[string]*merged {
-	out := make(map[string]*merged, len(m.instances))
-	for k := range m.all() {
-		if other := out[k.newest.Address]; other == nil || m.ownsAddressOver(k, other) {
-			out[k.newest.Address] = k
-		}
-	}
-	return out
-}
+// Knows reports whether any incarnation of an id is known.
+func (m *Merged) Knows(id string) bool { return m.instances[id] != nil }
 
-// ownsAddressOver reports whether k, rather than other, owns the address that both reported.
-func (m *Merged) ownsAddressOver(k, other *merged) bool {
-	if m.Declared != nil {
-		declared := m.Declared(k.newest.Service)
-		if declared != m.Declared(other.newest.Service) {
-			return declared
+// Reports iterates over the reports of all known ids, ended instances included, in no particular order.
+func (m *Merged) Reports(now time.Time) iter.Seq[Report] {
+	return func(yield func(Report) bool) {
+		for id := range m.instances {
+			r, _ := m.Report(id, now)
+			if !yield(r) {
+				return
+			}
 		}
 	}
-	return k.startedAfter(other)
-}
-
-// startedAfter reports whether k, at the same address as other, started after it. If a start is
-// not reported or both are equal, the times at which they were first seen decide, which can be wrong after
-// a late heartbeat of the older one.
-func (k *merged) startedAfter(other *merged) bool {
-	if k.newest.Start != 0 && other.newest.Start != 0 && k.newest.Start != other.newest.Start {
-		return k.newest.Start > other.newest.Start
-	}
-	if k.firstSeen.Equal(other.firstSeen) {
-		return k.order > other.order
-	}
-	return k.firstSeen.After(other.firstSeen)
 }
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -116,12 +117,12 @@
 	if r.Source == nil {
 		return
 	}
-	var addresses []string
+	var instances []fleet.ControlInstance
 	for _, m := range r.machine.Members() {
-		addresses = append(addresses, m.Address)
+		instances = append(instances, fleet.ControlInstance{Address: m.Address, FailureDomain: m.FailureDomain})
 	}
-	slices.Sort(addresses)
-	r.Source.PublishControl(slices.Compact(addresses))
+	slices.SortFunc(instances, func(a, b fleet.ControlInstance) int { return cmp.Compare(a.Address, b.Address) })
+	r.Source.PublishControl(slices.CompactFunc(instances, func(a, b fleet.ControlInstance) bool { return a.Address == b.Address }))
 }
 
 // publishInstalled publishes the applied state of the log through the fleet source.
--- a/internal/transport/fleet/configuration.go
+++ b/internal/transport/fleet/configuration.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
+	"github.com/shedrock/shedrock/internal/state/deployment"
 )
 
 const (
@@ -315,9 +317,11 @@
 		c.f.Log.Error().Str("event", "configuration_unreadable").Uint64("version", version).Str("from", address).Str("error", err.Error()).Msg("")
 		return nil
 	}
+	if c.f.config == nil || !sameServices(c.f.config, config) {
+		c.f.merged.Redeclare()
+	}
 	c.f.text = text
 	c.f.config = config
-	// The declared services may have changed.
 	c.f.rebuildInstances()
 	c.f.publish()
 	c.f.Log.Info().Str("event", "configuration_in_force").Uint64("version", config.Version).Str("from", address).Int("routes", len(config.Routes)).
@@ -325,3 +329,8 @@
 	c.startedAt = clock.Now()
 	return nil
 }
+
+// sameServices reports whether two configurations have services of the same names.
+func sameServices(a, b *deployment.Config) bool {
+	return maps.EqualFunc(a.Services, b.Services, func(deployment.Service, deployment.Service) bool { return true })
+}
--- a/internal/transport/fleet/evacuation.go
+++ b/internal/transport/fleet/evacuation.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/clock"
@@ -16,13 +14,6 @@
 	since time.Time
 }
 
-// entryStatus is what an entry reported about itself in its last poll.
-type entryStatus struct {
-	polledAt time.Time
-	// evacuations is the newest revision of evacuations that the entry has in force.
-	evacuations uint64
-}
-
 // PublishEvacuations sets the evacuations of failure domains that this control instance has applied
 // from the log.
 func (s *Source) PublishEvacuations(domains []evacuation.Domain) {
@@ -67,15 +58,15 @@
 	return out
 }
 
-// EvacuationStatus returns the evacuations applied here, and the revision that each entry has in
-// force.
+// EvacuationStatus returns the evacuations applied here, and the revision that each entry that polls
+// this control instance has in force.
 func (s *Source) EvacuationStatus() ([]*wire.EvacuationState, []*wire.EntryReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.countEntries()
+	s.entries.expire(clock.Now())
 	var entries []*wire.EntryReport
-	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
-		entries = append(entries, &wire.EntryReport{Name: name, Evacuations: s.entries[name].evacuations})
+	for _, name := range s.entries.names {
+		entries = append(entries, &wire.EntryReport{Name: name, Evacuations: s.entries.polled[name].evacuations})
 	}
 	return s.evacuationStates(), entries
 }
--- a/internal/transport/fleet/failures.go
+++ b/internal/transport/fleet/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +16,10 @@
 // its last answer.
 const failingRetention = 2 * time.Second
 
+// maxForwarded limits the failures that a source keeps for the other control instances. They are
+// passed on within batchDelay, so that as many arrive only if most of the fleet fails.
+const maxForwarded = 4096
+
 // updateFailing updates the instances that are judged to fail, and reports whether they changed; mu
 // must be held.
 func (s *Source) updateFailing(now time.Time) bool {
@@ -36,8 +41,9 @@
 	return true
 }
 
-// reportFailures reports failed requests to the sources until ctx ends. A report that does not
-// arrive is not sent again, as it is outdated by then, and a source that has not answered the last
+// reportFailures reports failed requests until ctx ends: an entry to one source that forwards them to
+// all others, or to all sources if none does, and a control instance to all others. A report that does
+// not arrive is not sent again, as it is outdated by then, and a source that has not answered the last
 // report is left out for the same reason.
 func (f *Follower) reportFailures(ctx context.Context) {
 	for {
@@ -51,11 +57,13 @@
 		case <-ctx.Done():
 			return
 		}
-		in := &wire.TellRequest{Failures: fromFailures(f.TakeFailures())}
+		in := &wire.TellRequest{Failures: fromFailures(f.TakeFailures()), Forwarded: f.Relay != nil}
 		if len(in.Failures) == 0 {
 			continue
 		}
-		for address, s := range f.claimSources() {
+		var receivers map[string]*sourceState
+		receivers, in.Forward = f.claimReceivers()
+		for address, s := range receivers {
 			go func() {
 				defer f.releaseSource(s)
 				ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -67,19 +75,29 @@
 	}
 }
 
-// claimSources returns the reachable sources to which no report of failures is being sent, and
-// marks them as being sent one.
-func (f *Follower) claimSources() map[string]*sourceState {
+// claimReceivers returns the sources to send the next report of failures to, and whether they are to
+// forward it. It leaves out those that are unreachable or to which a report is still being sent, and
+// marks the others as being sent one.
+func (f *Follower) claimReceivers() (receivers map[string]*sourceState, forward bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]*sourceState{}
-	for address, s := range f.sources {
-		if s.reachable && !s.sendingFailures {
+	for _, address := range f.preferred(slices.Collect(maps.Keys(f.sources))) {
+		s := f.sources[address]
+		if !s.reachable || s.sendingFailures || f.Relay != nil && address == f.Address {
+			continue
+		}
+		if f.Relay == nil && s.relayed {
+			for _, other := range out {
+				other.sendingFailures = false
+			}
 			s.sendingFailures = true
-			out[address] = s
+			return map[string]*sourceState{address: s}, true
 		}
+		s.sendingFailures = true
+		out[address] = s
 	}
-	return out
+	return out, false
 }
 
 // releaseSource allows the next report of failures to a source.
@@ -138,9 +156,35 @@
 	return out
 }
 
-// recordFailures records the failures that an entry reports; mu must be held.
-func (s *Source) recordFailures(in []*wire.InstanceFailures) {
-	if len(in) > 0 {
-		s.suspects.AddReports(toFailures(in), clock.Now())
+// recordFailures records the failures that an entry reports, and keeps them for the other control
+// instances if the entry asks for that; mu must be held.
+func (s *Source) recordFailures(in *wire.TellRequest) {
+	if len(in.Failures) == 0 {
+		return
+	}
+	reported := toFailures(in.Failures)
+	s.suspects.AddReports(reported, clock.Now())
+	if !in.Forward || in.Forwarded {
+		return
 	}
+	room := max(0, maxForwarded-len(s.forward))
+	s.forward = append(s.forward, reported[:min(room, len(reported))]...)
+	select {
+	case s.forwardPending <- struct{}{}:
+	default:
+	}
+}
+
+// ForwardPending returns a channel that receives when there are failures to be passed on to the other
+// control instances.
+func (s *Source) ForwardPending() <-chan struct{} { return s.forwardPending }
+
+// TakeForward returns the failures to be passed on to the other control instances since the last
+// call.
+func (s *Source) TakeForward() []suspects.Failures {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.forward
+	s.forward = nil
+	return out
 }
--- a/internal/transport/fleet/fixture_test.go
+++ b/internal/transport/fleet/fixture_test.go
@@ -102,16 +102,27 @@
 			}
 			return out
 		},
-		Decode: func(text []byte) (*deployment.Config, error) {
-			version, err := strconv.ParseUint(string(text), 10, 64)
-			return &deployment.Config{Version: version}, errors.Wrap(err, "decode")
-		},
+		Decode: decodeVersion,
 	}
+	runFollower(t, f)
+	return f
+}
+
+// decodeVersion decodes a configuration that is a plain version number.
+func decodeVersion(text []byte) (*deployment.Config, error) {
+	version, err := strconv.ParseUint(string(text), 10, 64)
+	return &deployment.Config{Version: version}, errors.Wrap(err, "decode")
+}
+
+// runFollower runs a follower until the test ends, or until the returned function is called.
+func runFollower(t *testing.T, f *fleet.Follower) (stop context.CancelFunc) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return f
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
 }
 
 func waitFor(t *testing.T, what string, done func() bool) {
--- a/internal/transport/fleet/fleet_test.go
+++ b/internal/transport/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
 func TestLeavingReachesTheFollowerFromAnySource(t *testing.T) {
@@ -63,7 +65,7 @@
 func TestAnnouncedSourcesArePolledImmediately(t *testing.T) {
 	const within = slowdown * 300 * time.Millisecond
 	seed, other := newControl(t), newControl(t)
-	seed.source.Load().PublishControl([]string{seed.address(), other.address()})
+	seed.source.Load().PublishControl([]fleet.ControlInstance{{Address: seed.address()}, {Address: other.address()}})
 	seed.source.Load().RecordHeartbeat(instance("x", 1))
 	other.source.Load().RecordHeartbeat(instance("y", 1))
 	began := time.Now()
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -41,6 +40,12 @@
 	// Name identifies this process to the sources. Entry is true if it serves requests.
 	Name  string
 	Entry bool
+	// FailureDomain is the failure domain of this process. Sources in it are preferred.
+	FailureDomain string
+	// Relay, when set, is the source of this process, a control instance, and Address its own address.
+	// What the other sources report is relayed to the pollers of Relay.
+	Relay   *Source
+	Address string
 	// Seeds returns the addresses of the sources to start with. The result may change over time.
 	Seeds func() []string
 	// Decode decodes a configuration's text and validates the result.
@@ -50,8 +55,8 @@
 	// Ends, when set, is this entry's tracker of instance ends. Its facts are sent to the sources,
 	// and facts received from them are merged into it.
 	Ends *ends.Tracker
-	// FailuresPending, when set, is signalled when requests have failed at instances that answered.
-	// TakeFailures returns the failures since its last call.
+	// FailuresPending, when set, is signalled when there are failures to report: requests have failed
+	// at instances that answered. TakeFailures returns the failures since its last call.
 	FailuresPending <-chan struct{}
 	TakeFailures    func() []suspects.Failures
 	// Log receives one line per event.
@@ -83,11 +88,14 @@
 	// loggedUnreachable is whether contact was unreachable when that was last logged.
 	loggedUnreachable bool
 	sources           map[string]*sourceState
+	// domains holds the failure domain of each control instance, by address, as far as it is known.
+	domains map[string]string
+	// relayedLoads identifies the loads that were last relayed.
+	relayedLoads loadsVersion
 	// instances holds the live instances of the last view. The list was completed at rebuiltAt,
 	// which took rebuildDuration. It is rebuilt only after reports, and every viewInterval to
-	// account for expiry. ownership belongs to the same list.
+	// account for expiry.
 	instances       map[string][]registry.Instance
-	ownership       *ownership
 	rebuiltAt       time.Time
 	rebuildDuration time.Duration
 	// rebuildScheduled is true while a rebuild of instances is scheduled.
@@ -104,7 +112,11 @@
 		f.merged = registry.Merged{Grace: silentHeartbeats * f.Heartbeat, Declared: f.declared}
 		f.weightHistories = map[string]weights.History{}
 		f.sources = map[string]*sourceState{}
+		f.domains = map[string]string{}
 		f.refreshRequested = make(chan struct{}, 1)
+		if f.Relay != nil {
+			f.Relay.startRelaying()
+		}
 		f.view.Store(&View{Entries: 1})
 	})
 }
@@ -153,7 +165,7 @@
 func (f *Follower) refresh(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wanted := f.wanted()
+	wanted := f.targetSources()
 	for _, address := range wanted {
 		if f.sources[address] != nil {
 			continue
@@ -172,32 +184,10 @@
 	f.dropLostSources()
 	f.logReachability(clock.Now())
 	f.rebuildInstances()
+	f.relayAll(clock.Now())
 	f.publish()
 }
 
-// wanted returns the seeds and all control instances listed by reachable sources; mu must be held.
-func (f *Follower) wanted() []string {
-	set := map[string]bool{}
-	for _, address := range f.Seeds() {
-		set[address] = true
-	}
-	for _, s := range f.sources {
-		if !s.reachable {
-			continue
-		}
-		for _, address := range s.control {
-			set[address] = true
-		}
-	}
-	// A source that still answers is kept, even if no other lists it.
-	for address, s := range f.sources {
-		if s.reachable || clock.Since(s.answeredAt) < sourceLostAfter {
-			set[address] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(set))
-}
-
 // dropLostSources drops the reports of sources that have been unreachable for long; such a source
 // must send them again when it is back. mu must be held.
 func (f *Follower) dropLostSources() {
--- a/internal/transport/fleet/follower_stores.go
+++ b/internal/transport/fleet/follower_stores.go
@@ -54,13 +54,22 @@
 		contents := k.stores[address]
 		until := k.until - time.Duration(out.StoreAges[i])*time.Millisecond
 		if until > contents.Until {
-			contents.ReceivedAt = now
+			contents.ReceivedAt = now.Add(-receivedAge(out, i))
 		}
 		contents.Until = until
 		k.stores[address] = contents
 	}
 }
 
+// receivedAge returns how long before an answer the leader had read the store at an index of
+// StoreNumbers. Control instances of the version before do not send it.
+func receivedAge(out *wire.FleetResponse, i int) time.Duration {
+	if i >= len(out.StoreReceivedAges) {
+		return 0
+	}
+	return time.Duration(out.StoreReceivedAges[i]) * time.Millisecond
+}
+
 // applyState merges the changes of one store.
 func (k *storesState) applyState(state *wire.StoreState) {
 	if state.Gone {
--- a/internal/transport/fleet/loads.go
+++ b/internal/transport/fleet/loads.go
@@ -3,98 +3,181 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/changes"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// blockTokens is the unit in which engines' memory use is sent to entries: engines report it in
-// such blocks, and each entry receives that of each engine several times a second.
-const blockTokens = 16
+const (
+	// blockTokens is the unit in which engines' memory use is sent to entries: engines report it in
+	// such blocks, and each entry receives that of each engine several times a second.
+	blockTokens = 16
+	// loadBytes is the approximate size of one engine's load in an answer.
+	loadBytes = 6
+)
 
-// loadsFeed is what a Source publishes about engines' loads. The zero value is an empty feed.
+// loadsFeed is what a Source publishes about engines' loads. Pollers are sent those that changed, so
+// that idle engines cost nothing. The zero value is an empty feed.
 type loadsFeed struct {
-	loads map[registry.Incarnation]balance.EngineLoad
-	// engines holds the keys of loads in the order in which they are sent.
-	engines []registry.Incarnation
-	// change numbers the changes of loads, and enginesChange those of engines.
-	change, enginesChange uint64
-	// interval is the interval at which engines are polled.
+	engines map[registry.Incarnation]*engineLoad
+	// log numbers the changes of loads.
+	log changes.Log[*engineLoad]
+	// lastNumber is the number of the engine added last.
+	lastNumber uint32
+	// forgottenChange is the newest change whose tombstone has expired. Pollers that have not
+	// received it must receive everything anew.
+	forgottenChange uint64
+	// at is when the leader had polled all engines, and interval the interval at which it does so.
+	at       time.Time
 	interval time.Duration
 }
 
+// engineLoad is the load of one engine.
+type engineLoad struct {
+	engine registry.Incarnation
+	// number stands for the engine in answers.
+	number uint32
+	load   balance.EngineLoad
+	// firstChange is the change with which the engine was added, and change its newest one, or 0 once it
+	// is forgotten.
+	firstChange, change uint64
+	// goneAt is set once the load is not known any more.
+	goneAt time.Time
+}
+
 // publish sets the loads and reports whether they changed.
-func (f *loadsFeed) publish(loads map[registry.Incarnation]balance.EngineLoad, interval time.Duration) bool {
-	f.interval = interval
-	if maps.Equal(f.loads, loads) {
-		return false
+func (f *loadsFeed) publish(loads map[registry.Incarnation]balance.EngineLoad, at time.Time, interval time.Duration) bool {
+	f.at, f.interval = at, interval
+	before := f.log.Last()
+	for engine, load := range loads {
+		e := f.engines[engine]
+		switch {
+		case e == nil || !e.goneAt.IsZero():
+			f.add(engine, load)
+		case e.load != load:
+			e.load = load
+			e.change = f.log.Add(e)
+		}
+	}
+	now := clock.Now()
+	for engine, e := range f.engines {
+		_, isKnown := loads[engine]
+		switch {
+		case isKnown:
+		case e.goneAt.IsZero():
+			e.goneAt = now
+			e.change = f.log.Add(e)
+		case now.Sub(e.goneAt) > tombstoneRetention:
+			f.forgottenChange = max(f.forgottenChange, e.change)
+			e.change = 0
+			delete(f.engines, engine)
+		}
+	}
+	return f.log.Last() > before
+}
+
+// add adds an engine. One whose load was not known for a while gets a new number.
+func (f *loadsFeed) add(engine registry.Incarnation, load balance.EngineLoad) {
+	if f.engines == nil {
+		f.engines = map[registry.Incarnation]*engineLoad{}
+		f.log.Newest = func(e *engineLoad) uint64 { return e.change }
 	}
-	engines := slices.SortedFunc(maps.Keys(loads), func(a, b registry.Incarnation) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Start, b.Start))
-	})
-	if !slices.Equal(f.engines, engines) {
-		f.engines = engines
-		f.enginesChange++
+	if former := f.engines[engine]; former != nil {
+		// Pollers replace the load of an engine whichever number it comes with.
+		former.change = 0
 	}
-	f.loads = loads
-	f.change++
-	return true
+	f.lastNumber++
+	e := &engineLoad{engine: engine, number: f.lastNumber, load: load}
+	e.change = f.log.Add(e)
+	e.firstChange = e.change
+	f.engines[engine] = e
 }
 
-// addTo adds all loads, and the list of engines for a poller that does not have it.
-func (f *loadsFeed) addTo(since cursors, p *page, out *wire.FleetResponse) {
-	out.LoadsChange = f.change
-	out.EnginesChange = f.enginesChange
+// addTo adds the loads that changed since the poller's cursor, as far as they fit.
+func (f *loadsFeed) addTo(since uint64, p *page, out *wire.FleetResponse) {
 	out.LoadsIntervalMilliseconds = uint32(f.interval.Milliseconds())
-	if since.engines != f.enginesChange {
-		out.Engines = fromIncarnations(f.engines)
+	out.LoadsAgeMilliseconds = uint32(max(0, clock.Since(f.at).Milliseconds()))
+	out.LoadsWhole = since == 0 || since < f.forgottenChange
+	if out.LoadsWhole {
+		since = 0
 	}
-	for _, in := range f.engines {
-		load := f.loads[in]
-		out.Waiting = append(out.Waiting, uint32(load.Waiting))
-		out.UsedBlocks = append(out.UsedBlocks, uint32((load.Used+blockTokens-1)/blockTokens))
+	out.LoadsChange = addChanges(p, f.log.After(since), since, f.log.Last(), func(e *engineLoad) int { return e.addTo(since, out) })
+}
+
+// addTo adds one engine's load and returns its size in bytes.
+func (e *engineLoad) addTo(since uint64, out *wire.FleetResponse) int {
+	if !e.goneAt.IsZero() {
+		out.GoneEngines = append(out.GoneEngines, e.number)
+		return loadBytes
+	}
+	out.EngineNumbers = append(out.EngineNumbers, e.number)
+	out.Waiting = append(out.Waiting, uint32(e.load.Waiting))
+	out.UsedBlocks = append(out.UsedBlocks, uint32((e.load.Used+blockTokens-1)/blockTokens))
+	if e.firstChange <= since {
+		return loadBytes
 	}
-	p.left -= proto.Size(&wire.FleetResponse{Engines: out.Engines, Waiting: out.Waiting, UsedBlocks: out.UsedBlocks})
+	numbered := &wire.NumberedEngine{Number: e.number, Id: e.engine.ID, Start: int64(e.engine.Start)}
+	out.NewEngines = append(out.NewEngines, numbered)
+	return loadBytes + proto.Size(numbered)
+}
+
+func compareIncarnations(a, b registry.Incarnation) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Start, b.Start))
 }
 
 // loadsState is what one source has sent about engines' loads. The zero value is empty.
 type loadsState struct {
+	// loads is never modified once it is set.
 	loads map[registry.Incarnation]balance.EngineLoad
-	// engines is in the order in which the source sends the loads.
-	engines []registry.Incarnation
-	// change and enginesChange are the cursors of the last answer, and at is when loads were
-	// received.
-	change, enginesChange uint64
-	at                    time.Time
-	interval              time.Duration
+	// engines holds the engine of each number.
+	engines map[uint32]registry.Incarnation
+	// change is the cursor of the last answer, and at is when the leader had polled all engines.
+	change   uint64
+	at       time.Time
+	interval time.Duration
 }
 
 // apply merges a source's answer; restarted is true if the source has restarted since its last one.
 func (k *loadsState) apply(out *wire.FleetResponse, restarted bool, now time.Time) {
-	if out.EnginesChange != k.enginesChange || restarted {
-		k.engines = toIncarnations(out.Engines)
+	if restarted || out.LoadsWhole {
+		k.loads, k.engines = nil, nil
 	}
-	k.enginesChange = out.EnginesChange
 	if out.LoadsChange != k.change || restarted {
-		k.loads = toLoads(k.engines, out)
-		k.at = now
+		k.at = now.Add(-time.Duration(out.LoadsAgeMilliseconds) * time.Millisecond)
 	}
 	k.change = out.LoadsChange
 	k.interval = time.Duration(out.LoadsIntervalMilliseconds) * time.Millisecond
+	if len(out.EngineNumbers) == 0 && len(out.GoneEngines) == 0 {
+		return
+	}
+	if k.engines == nil {
+		k.engines = map[uint32]registry.Incarnation{}
+	}
+	for _, e := range out.NewEngines {
+		k.engines[e.Number] = registry.Incarnation{ID: e.Id, Start: registry.Start(e.Start)}
+	}
+	k.merge(out)
 }
 
-// toLoads converts the loads of the given engines; surplus values are ignored.
-func toLoads(engines []registry.Incarnation, out *wire.FleetResponse) map[registry.Incarnation]balance.EngineLoad {
-	loads := make(map[registry.Incarnation]balance.EngineLoad, len(engines))
-	for i, in := range engines {
-		if i < len(out.Waiting) && i < len(out.UsedBlocks) {
-			loads[in] = balance.EngineLoad{Waiting: int(out.Waiting[i]), Used: int(out.UsedBlocks[i]) * blockTokens}
+// merge replaces loads by a copy with the changes of an answer. Surplus values are ignored.
+func (k *loadsState) merge(out *wire.FleetResponse) {
+	loads := make(map[registry.Incarnation]balance.EngineLoad, len(k.loads)+len(out.NewEngines))
+	maps.Copy(loads, k.loads)
+	for _, number := range out.GoneEngines {
+		delete(loads, k.engines[number])
+		delete(k.engines, number)
+	}
+	for i, number := range out.EngineNumbers {
+		engine, ok := k.engines[number]
+		if ok && i < len(out.Waiting) && i < len(out.UsedBlocks) {
+			loads[engine] = balance.EngineLoad{Waiting: int(out.Waiting[i]), Used: int(out.UsedBlocks[i]) * blockTokens}
 		}
 	}
-	return loads
+	k.loads = loads
 }
--- a/internal/transport/fleet/memory.go
+++ b/internal/transport/fleet/memory.go
@@ -55,13 +55,13 @@
 func (s *Source) encodeState(written uint64) (change uint64, text []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change = s.registry.Change() + s.facts.Change()
+	change = s.registry.Change() + s.own.facts.Change()
 	if change == written {
 		return change, nil
 	}
 	out := &wire.FleetResponse{Entries: uint32(s.countEntries())}
 	now := clock.Now()
-	facts, _ := s.facts.Since(0, s.facts.Len())
+	facts, _ := s.own.facts.Since(0, s.own.facts.Len())
 	out.Facts = wire.FromFacts(facts, now)
 	for _, r := range s.registry.Since(0) {
 		out.Instances = append(out.Instances, fromReport(r, now))
@@ -108,7 +108,7 @@
 		s.registry.Restore(toReport(r, "", now), now, restoredHeartbeats*s.heartbeat)
 	}
 	for _, f := range wire.ToFacts(in.Facts, now) {
-		s.facts.Merge(f)
+		s.own.facts.Merge(f)
 	}
 	s.notifyNow()
 	s.log.Info().Str("event", "instances_recalled").Int("instances", len(in.Instances)).Msg("")
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -2,14 +2,14 @@
 // configuration and the weight versions in force, and the addresses of the control instances.
 //
 // Each control instance has a Source, which publishes the heartbeats that it received from
-// instances and the log entries that it has applied. Each entry has a Follower, which polls all
-// sources and merges their answers into one View. An instance's announcement that it leaves thus
-// reaches the entries without passing through a leader or a second hop.
+// instances and the log entries that it has applied. Each control instance also has a Follower, which
+// polls all sources, merges their answers into one View, and relays them through the own Source. The
+// Follower of an entry therefore polls only a few sources (see targetSources). An instance's
+// announcement that it leaves reaches the entries without passing through a leader, by one relay.
 package fleet
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +18,6 @@
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
-	"github.com/shedrock/shedrock/internal/coordination/quarantine"
 	"github.com/shedrock/shedrock/internal/coordination/suspects"
 	"github.com/shedrock/shedrock/internal/state/ledger"
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -44,7 +43,6 @@
 // Source is the state that one control instance publishes. Use NewSource to make one. It is safe
 // for concurrent use.
 type Source struct {
-	epoch     uint64
 	heartbeat time.Duration
 	log       *log.Logger
 	// configText holds the configuration's text in pieces, as it is sent to entries.
@@ -54,35 +52,27 @@
 	// The fields below are guarded by mu.
 	registry  registry.Registry
 	installed ledger.Installed
-	// weightHistories holds when the weight versions of each model were announced, for the time
-	// since this control instance started.
-	weightHistories map[string]weights.History
-	// control holds the addresses of the control instances, and controlChange numbers its changes.
-	control       []string
+	// own holds what this control instance learned since it started, and relayed what all control
+	// instances learned; relayed is nil unless a Follower relays through this Source. table holds the
+	// instances of relayed, and storeOrigins the source from which each of its stores was taken.
+	own, relayed *publication
+	table        registry.Table
+	storeOrigins map[string]string
+	// control holds the control instances, and controlChange numbers its changes.
+	control       []ControlInstance
 	controlChange uint64
-	// stores holds the contents of the stores while this control instance leads.
-	stores storesFeed
 	// leaderless is true while this control instance knows no leader.
 	leaderless bool
-	// busy holds the instances that are loading weights, or are next to do so.
-	busy []registry.Incarnation
-	// loads holds the loads that engines reported, while this control instance leads.
-	loads loadsFeed
-	// facts holds the facts about instance ends that entries reported. They are relayed to all
-	// other entries.
-	facts *quarantine.FactSet
 	// suspects holds the failed requests that entries reported, and failing the instances that are
 	// judged to fail on that basis.
 	suspects *suspects.Detector
 	failing  []registry.Incarnation
-	// pending is true if there are changes since the last notification, which was sent at
-	// notifiedAt. notified holds the cursors of that notification: a poll that is not behind them
-	// waits for the next one.
-	pending    bool
-	notifiedAt time.Time
-	notified   cursors
-	// entries holds the last status of each entry, by name.
-	entries map[string]entryStatus
+	// forward holds the failures to be passed on to the other control instances, and forwardPending
+	// a token while there are any.
+	forward        []suspects.Failures
+	forwardPending chan struct{}
+	// entries holds the entries that polled lately.
+	entries entryTable
 	// restoredEntries is the number of entries before this process restarted, as restored at
 	// restoredAt. It keeps the shares of the fleet-wide limits correct until the entries have
 	// polled again.
@@ -98,18 +88,19 @@
 	// sweptAt is the time of the last sweep. pausedAt is the time of the last sweep that was late
 	// because this process had been suspended or frozen.
 	sweptAt, pausedAt time.Time
-	// changed is closed and replaced at each notification.
-	changed chan struct{}
 }
 
+// ControlInstance is the address of a control instance and the failure domain that it is in.
+type ControlInstance struct{ Address, FailureDomain string }
+
 // NewSource also starts the periodic sweeps and notifications, which end with ctx. heartbeat is the
 // interval at which instances report.
 func NewSource(ctx context.Context, heartbeat time.Duration, logger *log.Logger) *Source {
 	s := &Source{
-		epoch: rand.Uint64() | 1, heartbeat: heartbeat, log: logger, weightHistories: map[string]weights.History{},
-		registry: registry.Registry{SilentAfter: silentHeartbeats * heartbeat},
-		entries:  map[string]entryStatus{}, changed: make(chan struct{}), facts: quarantine.New(0), sweptAt: clock.Now(), suspects: suspects.New(),
+		heartbeat: heartbeat, log: logger, registry: registry.Registry{SilentAfter: silentHeartbeats * heartbeat},
+		sweptAt: clock.Now(), suspects: suspects.New(), forwardPending: make(chan struct{}, 1),
 	}
+	s.own = newPublication(&s.registry)
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
@@ -136,7 +127,7 @@
 	if !s.registry.RecordHeartbeat(in, clock.Now()) {
 		return
 	}
-	s.notify()
+	s.own.notify()
 	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
 }
 
@@ -158,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registry.Leave(in, clock.Now())
-	s.notify()
+	s.own.notify()
 	s.log.Info().Str("event", event).Str("instance", in.ID).Int64("start", int64(in.Start)).Msg("")
 }
 
@@ -170,8 +161,8 @@
 	s.installed = installed
 	now := clock.Now()
 	for model, version := range newest {
-		if version > s.weightHistories[model].Newest() {
-			s.weightHistories[model] = s.weightHistories[model].Announce(weights.Announcement{Version: version, At: now})
+		if version > s.own.weightHistories[model].Newest() {
+			s.own.weightHistories[model] = s.own.weightHistories[model].Announce(weights.Announcement{Version: version, At: now})
 		}
 	}
 	s.notifyNow()
@@ -184,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for model, version := range due {
-		s.weightHistories[model] = s.weightHistories[model].Enforce(version)
+		s.own.weightHistories[model] = s.own.weightHistories[model].Enforce(version)
 	}
 }
 
@@ -195,14 +186,14 @@
 	s.leaderless = !known
 }
 
-// PublishControl sets the addresses of the control instances.
-func (s *Source) PublishControl(addresses []string) {
+// PublishControl sets the control instances.
+func (s *Source) PublishControl(instances []ControlInstance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.Equal(s.control, addresses) {
+	if slices.Equal(s.control, instances) {
 		return
 	}
-	s.control = addresses
+	s.control = instances
 	s.controlChange++
 	s.notifyNow()
 }
@@ -215,7 +206,7 @@
 	if !s.registry.RecordQueriedWeights(in, model, version, clock.Now()) {
 		return
 	}
-	s.notify()
+	s.own.notify()
 	s.log.Info().Str("event", "weights_loaded").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("model", model).Uint64("version", version).Msg("")
 }
 
@@ -224,11 +215,11 @@
 func (s *Source) PublishBusy(instances []registry.Incarnation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.Equal(s.busy, instances) {
+	if slices.Equal(s.own.busy, instances) {
 		return
 	}
-	s.busy = instances
-	s.notifyNow()
+	s.own.busy = instances
+	s.own.notifyNow()
 }
 
 // PublishLoads sets the load of each engine that answered, and the interval at which engines are
@@ -236,33 +227,39 @@
 func (s *Source) PublishLoads(loads map[registry.Incarnation]balance.EngineLoad, interval time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending = s.loads.publish(loads, interval) || s.pending
-}
-
-// notify answers polls at once, or, if the last notification is less than notifyInterval ago, with
-// the next batch of changes; mu must be held.
-func (s *Source) notify() {
-	if clock.Since(s.notifiedAt) >= notifyInterval {
-		s.notifyNow()
-		return
-	}
-	s.pending = true
+	s.own.pending = s.own.loads.publish(loads, clock.Now(), interval) || s.own.pending
 }
 
 // notifyPending answers polls if there are changes since the last notification.
 func (s *Source) notifyPending() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.updateFailing(clock.Now()) || s.pending {
+	if s.updateFailing(clock.Now()) {
 		s.notifyNow()
+		return
 	}
+	for _, p := range s.publications() {
+		p.notifyPending()
+	}
+}
+
+// publications returns the publications in use; mu must be held.
+func (s *Source) publications() []*publication {
+	if s.relayed == nil {
+		return []*publication{s.own}
+	}
+	return []*publication{s.own, s.relayed}
 }
 
 // Control returns the known addresses of the control instances.
 func (s *Source) Control() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.control
+	var out []string
+	for _, c := range s.control {
+		out = append(out, c.Address)
+	}
+	return out
 }
 
 func (s *Source) sweep(now time.Time) {
@@ -271,9 +268,12 @@
 	s.discountPause(now)
 	s.logConfigRequests()
 	silent := s.registry.Sweep(now)
-	s.facts.Sweep(s.countEntries(), now)
+	s.entries.expire(now)
+	for _, p := range s.publications() {
+		p.facts.Sweep(s.countEntries(), now)
+	}
 	if len(silent) > 0 {
-		s.notify()
+		s.own.notify()
 	}
 	for _, in := range silent {
 		s.log.Info().Str("event", "instance_silent").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Msg("")
@@ -288,10 +288,7 @@
 	if missed >= sweepInterval {
 		s.pausedAt = now
 		s.registry.DiscountPause(missed, now)
-		for name, w := range s.entries {
-			w.polledAt = w.polledAt.Add(min(missed, now.Sub(w.polledAt)))
-			s.entries[name] = w
-		}
+		s.entries.discountPause(missed, now)
 		s.log.Info().Str("event", "silence_excused").Dur("missed_ms", missed).Msg("")
 	}
 	s.sweptAt = now
@@ -307,12 +304,7 @@
 
 // notifyNow answers all polls; mu must be held.
 func (s *Source) notifyNow() {
-	s.pending = false
-	s.notifiedAt = clock.Now()
-	s.notified = cursors{
-		instances: cursor{change: s.registry.Change()}, stores: cursor{change: s.stores.log.Last()}, storesUntil: s.stores.newestUntil,
-		loads: s.loads.change, facts: s.facts.Change(),
+	for _, p := range s.publications() {
+		p.notifyNow()
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -26,14 +25,14 @@
 	wait := time.NewTimer(min(time.Duration(in.WaitMilliseconds)*time.Millisecond, maxWait))
 	defer wait.Stop()
 	for {
-		out, ready, changed := s.poll(in)
-		if ready {
+		out, changed := s.poll(in)
+		if out != nil {
 			return out, nil
 		}
 		select {
 		case <-changed:
 		case <-wait.C:
-			return out, nil
+			return s.answer(in), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -44,66 +43,95 @@
 type cursors struct {
 	instances, stores cursor
 	// storesUntil is the latest Until of any store.
-	storesUntil    time.Duration
-	control        uint64
-	loads, engines uint64
-	facts          uint64
+	storesUntil  time.Duration
+	control      uint64
+	loads, facts uint64
 }
 
-// cursorsOf returns the poller's cursors. Those of an earlier run of this source (another epoch)
-// are ignored.
-func (s *Source) cursorsOf(in *wire.FleetRequest) cursors {
-	if in.Epoch != s.epoch {
+// cursorsOf returns the poller's cursors. Those of another epoch are ignored.
+func (p *publication) cursorsOf(in *wire.FleetRequest) cursors {
+	if in.Epoch != p.epoch {
 		return cursors{}
 	}
 	return cursors{
 		instances: cursor{in.Change, in.Backlog}, stores: cursor{in.StoreChange, in.StoreBacklog},
 		storesUntil: time.Duration(in.StoresUntil) * time.Millisecond,
-		control:     in.ControlChange, loads: in.LoadsChange, engines: in.EnginesChange, facts: in.FactsChange,
+		control:     in.ControlChange, loads: in.LoadsChange, facts: in.FactsChange,
 	}
 }
 
-// poll returns the answer to a poller, whether it must be sent now, and a channel that is closed at
-// the next notification.
-func (s *Source) poll(in *wire.FleetRequest) (*wire.FleetResponse, bool, <-chan struct{}) {
+// poll returns the answer to a poller if there is anything new for it, or else a channel that is
+// closed at the next notification.
+func (s *Source) poll(in *wire.FleetRequest) (*wire.FleetResponse, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := clock.Now()
+	s.discountPause(now)
 	if in.Entry {
-		s.entries[in.Name] = entryStatus{polledAt: clock.Now(), evacuations: in.Evacuations}
+		s.entries.recordPoll(in, now)
+	}
+	p := s.publicationFor(in)
+	since := p.cursorsOf(in)
+	if !s.ready(p, in, since) {
+		return nil, p.changed
+	}
+	return s.delta(p, in, since), nil
+}
+
+// answer returns the answer to a poller even if there is nothing new for it.
+func (s *Source) answer(in *wire.FleetRequest) *wire.FleetResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.publicationFor(in)
+	return s.delta(p, in, p.cursorsOf(in))
+}
+
+// publicationFor returns what is sent to a poller; mu must be held.
+func (s *Source) publicationFor(in *wire.FleetRequest) *publication {
+	if in.Relayed && s.relayed != nil {
+		return s.relayed
 	}
-	since := s.cursorsOf(in)
-	out := s.delta(in, since)
-	behind := out.More || since.instances.backlog > 0 || since.stores.backlog > 0
-	ready := in.Epoch != s.epoch || behind || since.instances.change < s.notified.instances.change || s.installed.Version > in.ConfigVersion ||
-		anyNewer(newestVersions(s.weightHistories), toWeights(in.Weights)) || s.evacuationRevision > in.Evacuations || in.Entry && s.readyForEntry(in, since)
-	return out, ready, s.changed
+	return s.own
+}
+
+// ready reports whether there is anything new for a poller; mu must be held.
+func (s *Source) ready(p *publication, in *wire.FleetRequest, since cursors) bool {
+	return in.Epoch != p.epoch || since.instances.backlog > 0 || since.stores.backlog > 0 || since.instances.change < p.notified.instances.change ||
+		s.installed.Version > in.ConfigVersion || anyNewer(newestVersions(p.weightHistories), toWeights(in.Weights)) ||
+		s.evacuationRevision > in.Evacuations || (in.Entry || in.Relays) && p.readyForEntry(in, since) || in.Entry && !slices.Equal(s.failing, toIncarnations(in.Failing))
 }
 
 // delta returns what has changed since the poller's cursors, as far as it fits into one answer.
 // Instances come first, as nothing can be served without them, and then the facts about requests
 // that must not be sent. mu must be held.
-func (s *Source) delta(in *wire.FleetRequest, since cursors) *wire.FleetResponse {
+func (s *Source) delta(p *publication, in *wire.FleetRequest, since cursors) *wire.FleetResponse {
+	histories := p.weightHistories
 	out := &wire.FleetResponse{
-		Epoch: s.epoch, ConfigVersion: s.installed.Version,
-		Entries: uint32(s.countEntries()), Weights: fromWeights(newestVersions(s.weightHistories)), Named: fromHistories(s.weightHistories, clock.Now()), Due: fromWeights(enforcedVersions(s.weightHistories)), Busy: fromIncarnations(s.busy), Failing: fromIncarnations(s.failing), ControlChange: s.controlChange,
-		Rank: s.rankOf(in.Name), LoadsChange: since.loads, EnginesChange: since.engines, Leaderless: s.leaderless,
+		Epoch: p.epoch, ConfigVersion: s.installed.Version, Relayed: p == s.relayed,
+		Entries: uint32(s.countEntries()), Rank: s.entries.rank(in.Name), Leaderless: s.leaderless, Failing: fromIncarnations(s.failing),
+		Weights: fromWeights(newestVersions(histories)), Named: fromHistories(histories, clock.Now()), Due: fromWeights(enforcedVersions(histories)),
+		Busy: fromIncarnations(p.busy), ControlChange: s.controlChange, LoadsChange: since.loads,
 	}
 	if since.control != s.controlChange {
-		out.Control = s.control
+		for _, c := range s.control {
+			out.Control = append(out.Control, c.Address)
+			out.ControlDomains = append(out.ControlDomains, c.FailureDomain)
+		}
 	}
 	s.addEvacuations(in.Evacuations, out)
-	p := newPage(in.Paged)
-	s.addInstances(since.instances, p, out)
-	s.addFacts(since.facts, p, out)
-	s.addLoads(since, p, out)
-	s.stores.addTo(since.stores, since.storesUntil, p, out)
-	out.More = p.more
+	s.addEntries(in, out)
+	page := newPage(in.Paged)
+	p.addInstances(since.instances, page, out)
+	p.addFacts(since.facts, page, out)
+	p.addLoads(since.loads, page, out)
+	p.stores.addTo(since.stores, since.storesUntil, page, out)
+	out.More = page.more
 	return out
 }
 
-// addInstances adds the reports that the poller lacks; mu must be held.
-func (s *Source) addInstances(since cursor, p *page, out *wire.FleetResponse) {
-	last := s.registry.Change()
+// addInstances adds the reports that the poller lacks.
+func (p *publication) addInstances(since cursor, page *page, out *wire.FleetResponse) {
+	last := p.instances.Change()
 	if since.change == 0 {
 		since = resyncFrom(last)
 	}
@@ -113,45 +141,21 @@
 		out.Instances = append(out.Instances, report)
 		return proto.Size(report)
 	}
-	out.Change = addChanges(p, s.registry.After(since.change), since.change, last, add)
-	out.Backlog = addBacklog(p, s.registry.UpTo(since.backlog), add)
+	out.Change = addChanges(page, p.instances.After(since.change), since.change, last, add)
+	out.Backlog = addBacklog(page, p.instances.UpTo(since.backlog), add)
 }
 
-// addLoads adds all loads, unless the poller does not know all engines yet; mu must be held.
-func (s *Source) addLoads(since cursors, p *page, out *wire.FleetResponse) {
-	if since.loads == s.loads.change || out.Backlog > 0 {
+// addLoads adds the loads that the poller lacks, unless it does not know all engines yet.
+func (p *publication) addLoads(since uint64, page *page, out *wire.FleetResponse) {
+	if since == p.loads.log.Last() || out.Backlog > 0 {
 		return
 	}
-	s.loads.addTo(since, p, out)
-}
-
-// readyForEntry reports whether there are changes for which only the polls of entries are answered;
-// mu must be held.
-func (s *Source) readyForEntry(in *wire.FleetRequest, since cursors) bool {
-	return since.stores.change < s.notified.stores.change || s.notified.storesUntil >= since.storesUntil+untilStep ||
-		since.facts < s.notified.facts || since.loads < s.notified.loads || !slices.Equal(s.busy, toIncarnations(in.Busy)) ||
-		!slices.Equal(s.failing, toIncarnations(in.Failing))
+	p.loads.addTo(since, page, out)
 }
 
-// rankOf returns an entry's rank by name among the entries that polled lately; mu must be held.
-func (s *Source) rankOf(name string) uint32 {
-	rank := uint32(0)
-	for other := range s.entries {
-		if other < name {
-			rank++
-		}
-	}
-	return rank
-}
-
-// countEntries returns the number of entries that polled lately, including those restored after a
-// restart of this control instance; mu must be held.
-func (s *Source) countEntries() int {
-	now := clock.Now()
-	s.discountPause(now)
-	maps.DeleteFunc(s.entries, func(_ string, w entryStatus) bool { return now.Sub(w.polledAt) > entryLifetime })
-	if now.Sub(s.restoredAt) > entryLifetime {
-		return len(s.entries)
-	}
-	return max(len(s.entries), s.restoredEntries)
+// readyForEntry reports whether there are changes for which only the polls of entries, and of control
+// instances that relay to entries, are answered.
+func (p *publication) readyForEntry(in *wire.FleetRequest, since cursors) bool {
+	return since.stores.change < p.notified.stores.change || p.notified.storesUntil >= since.storesUntil+untilStep ||
+		since.facts < p.notified.facts || since.loads < p.notified.loads || !slices.Equal(p.busy, toIncarnations(in.Busy))
 }
--- a/internal/transport/fleet/source_configuration.go
+++ b/internal/transport/fleet/source_configuration.go
@@ -65,7 +65,7 @@
 	for {
 		s.mu.Lock()
 		installed := s.installed
-		changed := s.changed
+		changed := s.own.changed
 		s.mu.Unlock()
 		if installed.Version >= version {
 			return installed
--- a/internal/transport/fleet/source_stores.go
+++ b/internal/transport/fleet/source_stores.go
@@ -64,16 +64,18 @@
 func (s *Source) PublishStore(address string, contents keeping.StoreContents) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stores.publish(address, contents, clock.Now())
-	s.pending = true
+	now := clock.Now()
+	contents.ReceivedAt = now
+	s.own.stores.publish(address, contents, now)
+	s.own.pending = true
 }
 
 // ForgetStore removes a store that is no longer in the configuration.
 func (s *Source) ForgetStore(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stores.remove(address, clock.Now())
-	s.pending = true
+	s.own.stores.remove(address, clock.Now())
+	s.own.pending = true
 }
 
 func (f *storesFeed) publish(address string, contents keeping.StoreContents, now time.Time) {
@@ -172,14 +174,23 @@
 	f.addUntil(out)
 }
 
-// addUntil adds the Until of each store.
+// setUntil sets until when a store's parts may be fetched, and when that was received; nothing else
+// has changed.
+func (f *storesFeed) setUntil(store *storeFeed, until time.Duration, receivedAt time.Time) {
+	store.contents.Until, store.contents.ReceivedAt = until, receivedAt
+	f.newestUntil = max(f.newestUntil, until)
+}
+
+// addUntil adds the Until of each store, and how long ago it was received.
 func (f *storesFeed) addUntil(out *wire.FleetResponse) {
+	now := clock.Now()
 	out.StoresUntil = f.newestUntil.Milliseconds()
 	for _, address := range slices.Sorted(maps.Keys(f.stores)) {
 		store := f.stores[address]
 		if store.removedAt.IsZero() {
 			out.StoreNumbers = append(out.StoreNumbers, store.number)
 			out.StoreAges = append(out.StoreAges, uint32((f.newestUntil - store.contents.Until).Milliseconds()))
+			out.StoreReceivedAges = append(out.StoreReceivedAges, uint32(now.Sub(store.contents.ReceivedAt).Milliseconds()))
 		}
 	}
 }
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 	"slices"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/shedrock/shedrock/internal/clock"
@@ -55,47 +55,34 @@
 	// Entries is the highest number of entries that any source counted lately, at least 1, and Rank
 	// this entry's rank among them.
 	Entries, Rank int
-
-	// ownership is computed from Instances. It is nil in a view that was not published.
-	ownership *ownership
-}
-
-// ownership holds which incarnations have the ids and the addresses. It is computed on first use:
-// it is needed only while attempts are in progress, and there are many views.
-type ownership struct {
-	once   sync.Once
-	starts map[string]registry.Start
-	owners map[string]string
 }
 
 // IsLive reports whether an incarnation is among the live instances.
 func (v *View) IsLive(in registry.Instance) bool {
-	return slices.ContainsFunc(v.Instances[in.Service], func(other registry.Instance) bool { return other.Incarnation() == in.Incarnation() })
+	i, found := findInstance(v.Instances[in.Service], in.ID)
+	return found && v.Instances[in.Service][i].Start == in.Start
 }
 
-// Superseded returns a function that reports whether another incarnation now has an instance's id
-// or address.
-func (v *View) Superseded() func(registry.Instance) bool {
-	s := v.ownership
-	if s == nil {
-		s = &ownership{}
+// Superseded reports whether another incarnation now has an instance's id or address.
+func (v *View) Superseded(in registry.Instance) bool {
+	for _, instances := range v.Instances {
+		i, found := findInstance(instances, in.ID)
+		if found && instances[i].Start > in.Start {
+			return true
+		}
 	}
-	s.once.Do(func() { s.fill(v.Instances) })
-	return func(in registry.Instance) bool {
-		owner, taken := s.owners[in.Address]
-		return s.starts[in.ID] > in.Start || taken && owner != in.ID
+	for _, instances := range v.Instances {
+		i := slices.IndexFunc(instances, func(other registry.Instance) bool { return other.Address == in.Address })
+		if i >= 0 {
+			return instances[i].ID != in.ID
+		}
 	}
+	return false
 }
 
-func (s *ownership) fill(services map[string][]registry.Instance) {
-	s.starts = map[string]registry.Start{}
-	s.owners = map[string]string{}
-	for _, instances := range services {
-		for _, in := range instances {
-			s.starts[in.ID] = in.Start
-			s.owners[in.Address] = in.ID
-		}
-	}
+// findInstance returns the index of an id in a list that is in the order of ids.
+func findInstance(instances []registry.Instance, id string) (i int, found bool) {
+	return slices.BinarySearchFunc(instances, id, func(in registry.Instance, id string) int { return strings.Compare(in.ID, id) })
 }
 
 // scheduleRebuild rebuilds the list of instances now, or, if it was rebuilt recently, as soon as
@@ -122,11 +109,7 @@
 func (f *Follower) rebuildInstances() {
 	f.rebuildScheduled = false
 	startedAt := clock.Now()
-	f.instances = map[string][]registry.Instance{}
-	for _, in := range f.merged.Live(startedAt) {
-		f.instances[in.Service] = append(f.instances[in.Service], in)
-	}
-	f.ownership = &ownership{}
+	f.instances = f.merged.LiveByService(startedAt)
 	f.rebuiltAt = clock.Now()
 	f.rebuildDuration = f.rebuiltAt.Sub(startedAt)
 }
@@ -136,14 +119,14 @@
 	v := &View{
 		Config: f.config, NewestConfigVersion: f.newestVersion(), Instances: f.instances, Entries: 1,
 		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)),
-		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, ownership: f.ownership, Failing: f.failing(clock.Now()),
+		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
 	}
+	for _, in := range f.busy(clock.Now()) {
+		v.Busy[in] = true
+	}
 	for _, s := range f.sources {
 		if clock.Since(s.answeredAt) < busyRetention {
-			for _, in := range s.busy {
-				v.Busy[in] = true
-			}
 			v.Loads = mergeLoads(v.Loads, s.loads.loads)
 			if len(s.loads.loads) > 0 && s.loads.at.After(v.LoadsAt) {
 				v.LoadsAt = s.loads.at
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -46,6 +46,10 @@
 	// answeredAt is when the source last answered, and reachable whether it answered the last poll.
 	answeredAt time.Time
 	reachable  bool
+	// polled is true once a poll was answered or has failed, and relayed if the last answer held what
+	// all sources learned. leaderlessSince is since when the source has known no leader, or zero.
+	polled, relayed bool
+	leaderlessSince time.Time
 	// polledAt is when the last poll was sent, and lastFailedPoll when the last poll was sent that
 	// failed or was answered without a known leader.
 	polledAt, lastFailedPoll time.Time
@@ -53,8 +57,12 @@
 	// the cursor for them.
 	control       []string
 	controlChange uint64
-	// entries is the number of entries that poll the source, and rank this entry's rank among them.
+	// entries is the number of entries that poll any source, and rank this entry's rank among them.
 	entries, rank int
+	// entryNames holds the names of the entries that poll the source, and entriesChange the cursor
+	// for them.
+	entryNames    []string
+	entriesChange uint64
 	stores        storesState
 	// configVersion is the newest configuration version that the source announced.
 	configVersion uint64
@@ -101,7 +109,7 @@
 	defer f.mu.Unlock()
 	in := &wire.FleetRequest{
 		Name: f.Name, Entry: f.Entry, Weights: fromWeights(newestVersions(f.weightHistories)), WaitMilliseconds: uint32(pollWait.Milliseconds()),
-		ConfigVersion: f.newestVersion(), Paged: true, Evacuations: f.evacuations.Revision(),
+		ConfigVersion: f.newestVersion(), Paged: true, Evacuations: f.evacuations.Revision(), Relayed: f.Relay == nil, Relays: f.Relay != nil,
 	}
 	if s := f.sources[address]; s != nil {
 		s.polledAt = clock.Now()
@@ -116,8 +124,8 @@
 		in.Busy = fromIncarnations(s.busy)
 		in.Failing = fromIncarnations(s.failing)
 		in.LoadsChange = s.loads.change
-		in.EnginesChange = s.loads.enginesChange
 		in.FactsChange = s.factsChange
+		in.EntriesChange = s.entriesChange
 	}
 	return in
 }
@@ -130,6 +138,10 @@
 		return
 	}
 	s.lastFailedPoll = s.polledAt
+	if s.usable(clock.Now()) {
+		f.requestRefresh()
+	}
+	s.polled = true
 	if !s.reachable {
 		return
 	}
@@ -156,7 +168,12 @@
 		s.receiver.Reset()
 	}
 	caughtUp := s.backlog > 0 && out.Backlog == 0
-	if s.apply(out, now) {
+	wasUsable, wasPolled := s.usable(now), s.polled
+	controlChanged := s.apply(out, now)
+	if controlChanged {
+		f.recordDomains(out)
+	}
+	if controlChanged || !wasPolled || wasUsable != s.usable(now) {
 		f.requestRefresh()
 	}
 	if out.Leaderless {
@@ -183,6 +200,7 @@
 	f.applyAnnouncements(address, out, now)
 	f.applyEvacuations(address, out, now)
 	f.applyFacts(address, s, out, now)
+	f.relayAnswer(address, s, out, reports, now)
 	f.startFetch()
 	f.publish()
 }
@@ -201,6 +219,14 @@
 func (s *sourceState) apply(out *wire.FleetResponse, now time.Time) (controlChanged bool) {
 	restarted := s.epoch != out.Epoch
 	s.reachable = true
+	s.polled = true
+	s.relayed = out.Relayed
+	switch {
+	case !out.Leaderless:
+		s.leaderlessSince = time.Time{}
+	case s.leaderlessSince.IsZero():
+		s.leaderlessSince = now
+	}
 	s.answeredAt = now
 	s.epoch = out.Epoch
 	s.change = out.Change
@@ -212,6 +238,10 @@
 	s.controlChange = out.ControlChange
 	s.loads.apply(out, restarted, now)
 	s.factsChange = out.FactsChange
+	if s.entriesChange != out.EntriesChange || restarted {
+		s.entryNames = out.EntryNames
+	}
+	s.entriesChange = out.EntriesChange
 	s.entries = int(out.Entries)
 	s.rank = int(out.Rank)
 	s.busy = toIncarnations(out.Busy)
@@ -221,6 +251,16 @@
 	return controlChanged
 }
 
+// recordDomains records the failure domains of the control instances that an answer lists; mu must be
+// held.
+func (f *Follower) recordDomains(out *wire.FleetResponse) {
+	for i, address := range out.Control {
+		if i < len(out.ControlDomains) {
+			f.domains[address] = out.ControlDomains[i]
+		}
+	}
+}
+
 // requestAllInstances resets the cursor for instances, so that the source sends all of them again.
 func (s *sourceState) requestAllInstances() {
 	if s.change > 0 {
--- a/internal/transport/loads/loads_test.go
+++ b/internal/transport/loads/loads_test.go
@@ -88,7 +88,7 @@
 				t.Fatal(err)
 			}
 			got := map[string]balance.EngineLoad{}
-			for i, in := range out.Engines {
+			for i, in := range out.NewEngines {
 				got[in.Id] = balance.EngineLoad{Waiting: int(out.Waiting[i]), Used: int(out.UsedBlocks[i]) * 16}
 			}
 			return got
@@ -140,7 +140,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			return len(out.Engines)
+			return len(out.NewEngines)
 		}
 		time.Sleep(time.Second)
 		if diff := cmp.Diff(engineCount, known()); diff != "" {
--- a/internal/transport/serving/ends.go
+++ b/internal/transport/serving/ends.go
@@ -64,7 +64,7 @@
 			tracker.RecordSuperseded(a)
 		case view.IsLive(a.To):
 			tracker.RecordBroken(ctx, a, j.refusalProbe(err))
-		case view.Superseded()(a.To):
+		case view.Superseded(a.To):
 			tracker.RecordSuperseded(a)
 		default:
 			// The instance shut down as planned, or had stopped sending heartbeats before.
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -60,11 +60,11 @@
 	if len(s.inFlight) == 0 {
 		return
 	}
-	replaced := s.View().Superseded()
+	view := s.View()
 	now := clock.Now()
 	for j, a := range s.inFlight {
 		switch {
-		case replaced(a.target):
+		case view.Superseded(a.target):
 			a.cancel(errSuperseded)
 		case now.Sub(j.deadline) > overdueAfter:
 			a.cancel(errOverdue)
