--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -33,6 +33,9 @@
 	// in separate answers. minRebuildPause is the minimum time between two rebuilds.
 	rebuildShare    = 10
 	minRebuildPause = 50 * time.Millisecond
+	// catchUpRebuildPause is that minimum while a source is still sending what it knew before: each
+	// rebuild copies all instances that are known by then.
+	catchUpRebuildPause = 250 * time.Millisecond
 )
 
 // Follower polls all sources and merges their answers. Set the exported fields, then call Run.
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -86,12 +86,12 @@
 }
 
 // scheduleRebuild rebuilds the list of instances now, or, if it was rebuilt recently, as soon as
-// rebuildShare and minRebuildPause allow; mu must be held.
+// rebuildShare and the minimum pause allow; mu must be held.
 func (f *Follower) scheduleRebuild(now time.Time) {
 	if f.rebuildScheduled {
 		return
 	}
-	pause := max(minRebuildPause, rebuildShare*f.rebuildDuration) - now.Sub(f.rebuiltAt)
+	pause := max(f.minRebuildPause(), rebuildShare*f.rebuildDuration) - now.Sub(f.rebuiltAt)
 	if pause <= 0 {
 		f.rebuildInstances()
 		return
@@ -105,6 +105,16 @@
 	})
 }
 
+// minRebuildPause returns the minimum time between two rebuilds; mu must be held.
+func (f *Follower) minRebuildPause() time.Duration {
+	for _, s := range f.sources {
+		if s.backlog > 0 {
+			return catchUpRebuildPause
+		}
+	}
+	return minRebuildPause
+}
+
 // rebuildInstances rebuilds the list of live instances of each service; mu must be held.
 func (f *Follower) rebuildInstances() {
 	f.rebuildScheduled = false
