fleet: one full source and a standby for each entry, batches by the number of pollers, no idle timers

Cause: in the start of the whole fleet 350 instances register a second and each of two relays told each entry of all of them five times a second; each control instance rebuilt and compared all instances for it. An idle entry was woken 31 times a second by timers that found nothing to do.

Change: an entry is told everything by its primary; a standby tells at once what may not be used any more, configurations, weights, evacuations, facts and failing instances, and sends everything once it becomes the primary. What is not urgent is told at most 100 times a second over all pollers of a source. Relays pass on what has changed instead of comparing all. Timers for log lines, attempts in flight, undecided ends and facts run only while there are any. Control instances copy the list of instances four times a second at most.

--- a/internal/cli/logqueue.go
+++ b/internal/cli/logqueue.go
@@ -23,6 +23,8 @@
 	done chan struct{}
 	// ended is closed when the last line is written.
 	ended chan struct{}
+	// pending holds a token while lines are waiting.
+	pending chan struct{}
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -32,28 +34,41 @@
 
 // newLogQueue starts the goroutine that writes; Close ends it.
 func newLogQueue(w io.Writer) *logQueue {
-	q := &logQueue{w: w, done: make(chan struct{}), ended: make(chan struct{})}
+	q := &logQueue{w: w, pending: make(chan struct{}, 1), done: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer close(q.ended)
-		ticker := time.NewTicker(flushInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				q.flush()
-			case <-q.done:
-				q.flush()
-				return
-			}
+		for q.awaitLines() {
+			q.flush()
 		}
+		q.flush()
 	}()
 	return q
 }
 
+// awaitLines returns flushInterval after there are lines, or false once the queue is closed. A process
+// that logs nothing is not woken.
+func (q *logQueue) awaitLines() bool {
+	select {
+	case <-q.pending:
+	case <-q.done:
+		return false
+	}
+	select {
+	case <-time.After(flushInterval):
+		return true
+	case <-q.done:
+		return false
+	}
+}
+
 // Write queues one line.
 func (q *logQueue) Write(line []byte) (int, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	select {
+	case q.pending <- struct{}{}:
+	default:
+	}
 	if q.waiting.Len()+len(line) > queuedBytes {
 		q.dropped++
 		return len(line), nil
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -18,9 +18,6 @@
 const (
 	// memoryShare is the part of the instance's memory up to which the collector is lazy.
 	memoryShare = 0.6
-	// gcPercent is by how much the heap may grow between two collections. It is below the default, as
-	// memory is scarcer than processor time on small instances.
-	gcPercent = 50
 	// metricsPort serves the metrics; deploy/system.toml names it as well.
 	metricsPort = 9464
 	// headTimeout bounds a caller that sends half a head.
@@ -33,7 +30,6 @@
 }
 
 func limitMemory(s *settings.Settings) {
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * s.MemoryMB * (1 << 20)))
 }
 
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -44,6 +44,7 @@
 	}
 	s := file.Current()
 	limitMemory(s)
+	limitHeapGrowth()
 	listeners, err := listenAll([]namedAddress{{"callers", s.Callers}, {"ready", s.Ready}, {"metrics", metricsAddress(s)}})
 	if err != nil {
 		return err
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -121,16 +121,21 @@
 	return nil
 }
 
-// entryGCPercent trades processor time for memory in an entry.
+// entryGCPercent is by how much the heap of an entry may grow between two collections. It is below the
+// default, as there are many entries on small instances.
 const entryGCPercent = 40
 
-// runEntry runs an entry, its part among the entries, and what keeps its declared
-// state up to date.
-func runEntry(ctx context.Context, e *entry.Entry, control []string, data string) error {
+// limitHeapGrowth sets entryGCPercent, unless the environment sets another value.
+func limitHeapGrowth() {
 	if os.Getenv("GOGC") == "" {
-		// Small instances: a thousand open streams are to fit into 64 MB.
 		debug.SetGCPercent(entryGCPercent)
 	}
+}
+
+// runEntry runs an entry, its part among the entries, and what keeps its declared
+// state up to date.
+func runEntry(ctx context.Context, e *entry.Entry, control []string, data string) error {
+	limitHeapGrowth()
 	f := feed.New()
 	e.ControlReachable = func() bool { return !f.Unconfirmed() }
 	err := e.Init()
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -20,7 +20,7 @@
 const (
 	// watchInterval is how often Watch checks for a suspension. minSuspension is the shortest one
 	// that it reports: shorter ones cannot be told from scheduling delay on a busy machine.
-	watchInterval = 250 * time.Millisecond
+	watchInterval = time.Second
 	minSuspension = 250 * time.Millisecond
 )
 
--- a/internal/state/registry/live.go
+++ b/internal/state/registry/live.go
@@ -99,10 +99,18 @@
 // touch notes that the entry of an incarnation's id in the live instances may have to change, and those of
 // the ids that reported the same address.
 func (m *Merged) touch(k *merged) {
-	m.dirty[k.newest.ID] = struct{}{}
+	m.touchID(k.newest.ID)
 	m.touchAddress(k.newest.Address)
 }
 
+// touchID notes that an id's report and its entry in the live instances may have to change.
+func (m *Merged) touchID(id string) {
+	m.dirty[id] = struct{}{}
+	if m.TrackChanges {
+		m.changed[id] = struct{}{}
+	}
+}
+
 // touchAddress does the same for all ids that reported an address.
 func (m *Merged) touchAddress(address string) {
 	for _, k := range m.addresses[address] {
@@ -114,8 +122,9 @@
 // time.
 func (m *Merged) touchExpired(now time.Time) {
 	for k := range m.orphans {
-		if m.instances[k.newest.ID].listed != "" && m.silent(k, now) {
-			m.dirty[k.newest.ID] = struct{}{}
+		if !k.expired && m.silent(k, now) {
+			k.expired = true
+			m.touchID(k.newest.ID)
 		}
 	}
 	for k := range m.unsettled {
@@ -124,7 +133,7 @@
 		if !k.weightsStale {
 			delete(m.unsettled, k)
 		}
-		m.dirty[k.newest.ID] = struct{}{}
+		m.touchID(k.newest.ID)
 	}
 }
 
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,6 +18,8 @@
 	// not take over an address from an instance of a declared one. If its results change, Redeclare must
 	// be called.
 	Declared func(service string) bool
+	// TrackChanges says that Changed is called.
+	TrackChanges bool
 
 	instances map[string]*known
 	// addresses holds the incarnations that reported each address.
@@ -30,6 +33,8 @@
 	// orphans holds the incarnations that no source reports as alive, and unsettled those with a version
 	// estimate that changes with time.
 	orphans, unsettled map[*merged]struct{}
+	// changed holds the ids whose report may have changed since the last call of Changed.
+	changed map[string]struct{}
 	// dirty holds the ids whose entry in live may have to change. live holds the instances in use of each
 	// service, in the order of their ids; its slices are never modified.
 	dirty  map[string]struct{}
@@ -73,6 +78,8 @@
 	// such report. orphanedSince is when the last one stopped doing so.
 	sources       []sourceEpoch
 	orphanedSince time.Time
+	// expired is true once the incarnation has been noted as silent.
+	expired bool
 }
 
 func (m *Merged) init() {
@@ -84,6 +91,7 @@
 	m.sourceNumbers = map[string]uint32{}
 	m.orphans = map[*merged]struct{}{}
 	m.unsettled = map[*merged]struct{}{}
+	m.changed = map[string]struct{}{}
 	m.dirty = map[string]struct{}{}
 	m.live = map[string][]Instance{}
 }
@@ -154,7 +162,7 @@
 			m.orphans[k] = struct{}{}
 		}
 	}
-	m.dirty[left.ID] = struct{}{}
+	m.touchID(left.ID)
 }
 
 // merge merges a report of a source in its current epoch into an incarnation. If the source reports the
@@ -206,6 +214,7 @@
 	k.sources = append(k.sources, from)
 	if len(k.sources) == 1 {
 		delete(m.orphans, k)
+		k.expired = false
 		m.touch(k)
 	}
 }
@@ -290,6 +299,7 @@
 func (m *Merged) unsettle(k *merged) {
 	k.weightsStale = true
 	m.unsettled[k] = struct{}{}
+	m.touchID(k.newest.ID)
 }
 
 // resolveWeights updates the weights in an incarnation's newest state from the estimates.
@@ -330,17 +340,11 @@
 // latest returns the incarnation that started last.
 func (id *known) latest() *merged { return id.incarnations[len(id.incarnations)-1] }
 
-// Knows reports whether any incarnation of an id is known.
-func (m *Merged) Knows(id string) bool { return m.instances[id] != nil }
-
-// Reports iterates over the reports of all known ids, ended instances included, in no particular order.
-func (m *Merged) Reports(now time.Time) iter.Seq[Report] {
-	return func(yield func(Report) bool) {
-		for id := range m.instances {
-			r, _ := m.Report(id, now)
-			if !yield(r) {
-				return
-			}
-		}
-	}
+// Changed returns the ids whose Report may have changed since the last call, including those that are not
+// known any more, and by the passage of time up to the last call of LiveByService.
+func (m *Merged) Changed() []string {
+	m.init()
+	ids := slices.Collect(maps.Keys(m.changed))
+	clear(m.changed)
+	return ids
 }
--- a/internal/state/registry/relay_world_test.go
+++ b/internal/state/registry/relay_world_test.go
@@ -65,7 +65,7 @@
 
 func newRelay(name string) *relay {
 	return &relay{
-		name: name, merged: registry.Merged{Grace: 4 * heartbeatInterval},
+		name: name, merged: registry.Merged{Grace: 4 * heartbeatInterval, TrackChanges: true},
 		cursors: make([]uint64, simulationSources), epochs: make([]uint64, simulationSources),
 	}
 }
@@ -130,10 +130,14 @@
 		}
 	}
 	r.merged.LiveByService(w.now)
-	for report := range r.merged.Reports(w.now) {
-		r.table.Put(report)
+	for _, id := range r.merged.Changed() {
+		report, known := r.merged.Report(id, w.now)
+		if known {
+			r.table.Put(report)
+		} else {
+			r.table.Remove(id)
+		}
 	}
-	r.table.Retain(r.merged.Knows)
 }
 
 // read lets the entry merge what a relay has changed since it last read it.
--- a/internal/state/registry/table.go
+++ b/internal/state/registry/table.go
@@ -44,11 +44,9 @@
 	return a.Start == b.Start && a.Left == b.Left && a.Silent == b.Silent && sameStatus(a.Instance, b.Instance) && maps.Equal(a.Weights, b.Weights)
 }
 
-// Retain removes the reports of the instances for which known returns false. Readers are not told of
-// that, as they forget an instance by themselves some time after it has ended.
-func (t *Table) Retain(known func(id string) bool) {
-	maps.DeleteFunc(t.reports, func(id string, _ *Report) bool { return !known(id) })
-}
+// Remove removes an instance. Readers are not told of that, as they forget it by themselves some time
+// after it has ended.
+func (t *Table) Remove(id string) { delete(t.reports, id) }
 
 // After iterates over the reports that changed after the given change, the oldest change first.
 func (t *Table) After(change uint64) iter.Seq2[uint64, Report] {
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -80,6 +80,8 @@
 	broken []undecidedAttempt
 	// abandoned holds the attempts whose caller disconnected recently, oldest first.
 	abandoned []undecidedAttempt
+	// undecided holds a token if an attempt was added to either list.
+	undecided chan struct{}
 	// succeededAt holds when requests succeeded at this entry, and succeededRing their digests in a
 	// ring buffer whose oldest element is at ringNext.
 	succeededAt   map[quarantine.Digest]time.Time
@@ -104,20 +106,28 @@
 		t.succeededAt = map[quarantine.Digest]time.Time{}
 		t.origins = map[quarantine.Key]origin{}
 		t.changed = make(chan struct{})
+		t.undecided = make(chan struct{}, 1)
 	})
 }
 
 // Run reviews undecided attempts and removes old facts until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	t.init()
-	review := time.NewTicker(reviewInterval)
-	defer review.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	// review fires when a review is due; it is nil while there is nothing to review.
+	var review <-chan time.Time
 	for {
+		changed := t.Changed()
+		if review == nil && t.needsReview() {
+			review = time.After(reviewInterval)
+		}
 		select {
-		case <-review.C:
+		case <-review:
+			review = nil
 			t.review(clock.Now())
+		case <-changed:
+		case <-t.undecided:
 		case <-sweep.C:
 			t.sweep(clock.Now())
 		case <-ctx.Done():
@@ -161,7 +171,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.broken = appendUndecided(t.broken, a)
+	t.broken = t.appendUndecided(t.broken, a)
 }
 
 func probe(ctx context.Context, in registry.Instance, refuses RefusalProbe) bool {
@@ -176,11 +186,15 @@
 	t.init()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.abandoned = appendUndecided(t.abandoned, a)
+	t.abandoned = t.appendUndecided(t.abandoned, a)
 }
 
 // appendUndecided appends an attempt to a list of undecided ones, and drops the oldest when it is full.
-func appendUndecided(list []undecidedAttempt, a Attempt) []undecidedAttempt {
+func (t *Tracker) appendUndecided(list []undecidedAttempt, a Attempt) []undecidedAttempt {
+	select {
+	case t.undecided <- struct{}{}:
+	default:
+	}
 	if len(list) >= maxUndecided {
 		list = list[1:]
 	}
--- a/internal/transport/ends/facts.go
+++ b/internal/transport/ends/facts.go
@@ -115,6 +115,14 @@
 	return t.localFacts
 }
 
+// HasFacts reports whether any facts are known.
+func (t *Tracker) HasFacts() bool {
+	t.init()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.factSet.Len() > 0
+}
+
 // Snapshot returns all facts, and a digest that is equal for trackers with the same facts.
 func (t *Tracker) Snapshot() (facts []quarantine.Fact, digest uint64) {
 	t.init()
--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -14,6 +14,8 @@
 	polledAt time.Time
 	// evacuations is the newest revision of evacuations that the entry has in force.
 	evacuations uint64
+	// standby is true if another control instance tells it everything.
+	standby bool
 }
 
 // entryTable holds the entries that polled lately. The zero value is empty.
@@ -34,7 +36,7 @@
 	if t.polled == nil {
 		t.polled = map[string]entryStatus{}
 	}
-	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations}
+	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations, standby: in.Standby}
 	if known {
 		return
 	}
@@ -43,6 +45,17 @@
 	t.all = insertSorted(t.all, in.Name)
 }
 
+// fullPollers returns the number of entries that this control instance tells everything.
+func (t *entryTable) fullPollers() int {
+	n := 0
+	for _, s := range t.polled {
+		if !s.standby {
+			n++
+		}
+	}
+	return n
+}
+
 // insertSorted returns a sorted list with a name added unless it contains it. The list is copied, as
 // it may have been published.
 func insertSorted(list []string, name string) []string {
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -33,9 +33,9 @@
 	// in separate answers. minRebuildPause is the minimum time between two rebuilds.
 	rebuildShare    = 10
 	minRebuildPause = 50 * time.Millisecond
-	// catchUpRebuildPause is that minimum while a source is still sending what it knew before: each
-	// rebuild copies all instances that are known by then.
-	catchUpRebuildPause = 250 * time.Millisecond
+	// longRebuildPause is that minimum while a source is still sending what it knew before, and in a
+	// process that serves no requests: each rebuild copies all instances that are known by then.
+	longRebuildPause = 250 * time.Millisecond
 )
 
 // Follower polls all sources and merges their answers. Set the exported fields, then call Run.
@@ -91,6 +91,10 @@
 	// loggedUnreachable is whether contact was unreachable when that was last logged.
 	loggedUnreachable bool
 	sources           map[string]*sourceState
+	// primary is the source that tells this process everything, or empty while none does. It was chosen
+	// among the sources in known.
+	primary string
+	known   []string
 	// domains holds the failure domain of each control instance, by address, as far as it is known.
 	domains map[string]string
 	// relayedLoads identifies the loads that were last relayed.
@@ -112,7 +116,7 @@
 		f.client = &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
 			DialContext: netdial.NewAdaptiveDialer(dialTimeout).DialContext,
 		}}
-		f.merged = registry.Merged{Grace: silentHeartbeats * f.Heartbeat, Declared: f.declared}
+		f.merged = registry.Merged{Grace: silentHeartbeats * f.Heartbeat, Declared: f.declared, TrackChanges: f.Relay != nil}
 		f.weightHistories = map[string]weights.History{}
 		f.sources = map[string]*sourceState{}
 		f.domains = map[string]string{}
@@ -184,10 +188,11 @@
 			f.merged.DropSource(address, clock.Now())
 		}
 	}
+	f.assignRoles()
 	f.dropLostSources()
 	f.logReachability(clock.Now())
 	f.rebuildInstances()
-	f.relayAll(clock.Now())
+	f.relayExpiry(clock.Now())
 	f.publish()
 }
 
--- a/internal/transport/fleet/follower_facts.go
+++ b/internal/transport/fleet/follower_facts.go
@@ -37,9 +37,14 @@
 		for address, facts := range f.claimUnsentFacts() {
 			go f.sendFacts(ctx, address, facts)
 		}
+		// Without facts there is nothing that a source could lack.
+		var recheck <-chan time.Time
+		if f.Ends.HasFacts() {
+			recheck = time.After(factsInterval)
+		}
 		select {
 		case <-changed:
-		case <-time.After(factsInterval):
+		case <-recheck:
 			continue
 		case <-ctx.Done():
 			return
--- a/internal/transport/fleet/publication.go
+++ b/internal/transport/fleet/publication.go
@@ -23,7 +23,9 @@
 type publication struct {
 	// epoch is new at each start, and differs between publications: the cursors of a poller are valid
 	// in one epoch only.
-	epoch     uint64
+	epoch uint64
+	// relaying is true for what all control instances learned.
+	relaying  bool
 	instances instanceLog
 	// weightHistories holds when the weight versions of each model were announced.
 	weightHistories map[string]weights.History
@@ -37,11 +39,16 @@
 	facts *quarantine.FactSet
 
 	// pending is true if there are changes since the last notification, which was sent at
-	// notifiedAt. notified holds the cursors of that notification: a poll that is not behind them
-	// waits for the next one.
-	pending    bool
-	notifiedAt time.Time
-	notified   cursors
+	// notifiedAt, and urgentPending if one of them is urgent. notified holds the cursors of that
+	// notification: a poll that is not behind them waits for the next one.
+	pending, urgentPending bool
+	notifiedAt             time.Time
+	notified               cursors
+	// urgentChange is the newest change of an instance that may not be used any more. The polls of
+	// followers for which this source is a standby are answered for these only.
+	urgentChange uint64
+	// routineInterval is the minimum time between two notifications without an urgent change.
+	routineInterval time.Duration
 	// changed is closed and replaced at each notification.
 	changed chan struct{}
 }
@@ -52,30 +59,39 @@
 	}
 }
 
-// notify answers polls at once, or, if the last notification is less than notifyInterval ago, with
-// the next batch of changes.
-func (p *publication) notify() {
-	if clock.Since(p.notifiedAt) >= notifyInterval {
+// notify answers polls at once, or, if the last notification is too recent, with the next batch of
+// changes.
+func (p *publication) notify(urgent bool) {
+	p.pending = true
+	p.urgentPending = p.urgentPending || urgent
+	if clock.Since(p.notifiedAt) >= p.interval() {
 		p.notifyNow()
-		return
 	}
-	p.pending = true
 }
 
-// notifyPending answers polls if there are changes since the last notification.
-func (p *publication) notifyPending() {
-	if p.pending {
+// interval returns the minimum time between the last notification and the next.
+func (p *publication) interval() time.Duration {
+	if p.urgentPending {
+		return notifyInterval
+	}
+	return max(notifyInterval, p.routineInterval)
+}
+
+// notifyPending answers polls if there are changes since the last notification and it is not too
+// recent. tick is the time until the next call.
+func (p *publication) notifyPending(tick time.Duration) {
+	if p.pending && clock.Since(p.notifiedAt) > p.interval()-tick {
 		p.notifyNow()
 	}
 }
 
 // notifyNow answers all polls.
 func (p *publication) notifyNow() {
-	p.pending = false
+	p.pending, p.urgentPending = false, false
 	p.notifiedAt = clock.Now()
 	p.notified = cursors{
 		instances: cursor{change: p.instances.Change()}, stores: cursor{change: p.stores.log.Last()}, storesUntil: p.stores.newestUntil,
-		loads: p.loads.log.Last(), facts: p.facts.Change(),
+		loads: p.loads.log.Last(), facts: p.facts.Change(), urgent: p.urgentChange,
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -20,18 +19,13 @@
 // work for a control instance with the number of all entries.
 
 // relayAnswer relays the changes in an answer of the source at an address; mu must be held.
-func (f *Follower) relayAnswer(address string, s *sourceState, out *wire.FleetResponse, reports []registry.Report, now time.Time) {
+func (f *Follower) relayAnswer(address string, s *sourceState, out *wire.FleetResponse, now time.Time) {
 	if f.Relay == nil {
 		return
 	}
-	changed := make([]registry.Report, 0, len(reports))
-	for _, r := range reports {
-		if merged, ok := f.merged.Report(r.ID, now); ok {
-			changed = append(changed, merged)
-		}
-	}
+	f.relayInstances(now)
 	f.Relay.relay(relayedChanges{
-		at: now, instances: changed, facts: wire.ToFacts(out.Facts, now), weightHistories: maps.Clone(f.weightHistories),
+		at: now, facts: wire.ToFacts(out.Facts, now), weightHistories: maps.Clone(f.weightHistories),
 		origin: address, stores: s.stores.stores, changedStores: storeChanges(out), busy: f.busy(now),
 	})
 	f.relayLoads()
@@ -40,16 +34,34 @@
 	}
 }
 
-// relayAll relays the state of all instances, as some change by the passage of time, and removes those
-// that are forgotten; mu must be held.
-func (f *Follower) relayAll(now time.Time) {
+// relayExpiry relays what has changed by the passage of time; mu must be held.
+func (f *Follower) relayExpiry(now time.Time) {
 	if f.Relay == nil {
 		return
 	}
-	f.Relay.relayInstances(f.merged.Reports(now), f.merged.Knows)
+	f.relayInstances(now)
 	f.relayEntries()
 }
 
+// relayInstances relays the reports of the instances that have changed; mu must be held.
+func (f *Follower) relayInstances(now time.Time) {
+	ids := f.merged.Changed()
+	if len(ids) == 0 {
+		return
+	}
+	var reports []registry.Report
+	var forgotten []string
+	for _, id := range ids {
+		r, known := f.merged.Report(id, now)
+		if known {
+			reports = append(reports, r)
+		} else {
+			forgotten = append(forgotten, id)
+		}
+	}
+	f.Relay.relayInstances(reports, forgotten)
+}
+
 // relayEntries relays the names of the entries that poll any source; mu must be held.
 func (f *Follower) relayEntries() {
 	var names []string
@@ -108,7 +120,6 @@
 // relayedChanges is what one answer of a source has changed.
 type relayedChanges struct {
 	at              time.Time
-	instances       []registry.Report
 	facts           []quarantine.Fact
 	weightHistories map[string]weights.History
 	busy            []registry.Incarnation
@@ -125,6 +136,7 @@
 	defer s.mu.Unlock()
 	if s.relayed == nil {
 		s.relayed = newPublication(&s.table)
+		s.relayed.relaying = true
 		s.storeOrigins = map[string]string{}
 	}
 }
@@ -134,13 +146,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.relayed
-	changed := false
-	for _, r := range c.instances {
-		changed = s.table.Put(r) || changed
-	}
-	if changed {
-		p.notify()
-	}
 	for _, fact := range c.facts {
 		p.pending = p.facts.Merge(fact) || p.pending
 	}
@@ -185,17 +190,27 @@
 	}
 }
 
-// relayInstances publishes the state of all instances, and removes those that are not known any more.
-func (s *Source) relayInstances(reports iter.Seq[registry.Report], known func(id string) bool) {
+// relayInstances publishes reports, and removes the instances that are forgotten.
+func (s *Source) relayInstances(reports []registry.Report, forgotten []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
-	for r := range reports {
-		changed = s.table.Put(r) || changed
+	for _, id := range forgotten {
+		s.table.Remove(id)
+	}
+	p := s.relayed
+	changed, urgent := false, false
+	for _, r := range reports {
+		if !s.table.Put(r) {
+			continue
+		}
+		changed = true
+		if isUrgent(r) {
+			urgent = true
+			p.urgentChange = s.table.Change()
+		}
 	}
-	s.table.Retain(known)
 	if changed {
-		s.relayed.notify()
+		p.notify(urgent)
 	}
 }
 
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -38,6 +38,9 @@
 	// and each notification is an answer to each entry. Entries learn of a stored part later by as
 	// much, of the 2 s for which it is announced.
 	notifyInterval = 200 * time.Millisecond
+	// intervalPerPoller bounds the answers of a source that tell of nothing urgent, such as a new
+	// instance, to 100 a second: when a large fleet starts, hundreds of instances report each second.
+	intervalPerPoller = 10 * time.Millisecond
 )
 
 // Source is the state that one control instance publishes. Use NewSource to make one. It is safe
@@ -127,7 +130,7 @@
 	if !s.registry.RecordHeartbeat(in, clock.Now()) {
 		return
 	}
-	s.own.notify()
+	s.own.notify(true)
 	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
 }
 
@@ -149,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registry.Leave(in, clock.Now())
-	s.own.notify()
+	s.own.notify(true)
 	s.log.Info().Str("event", event).Str("instance", in.ID).Int64("start", int64(in.Start)).Msg("")
 }
 
@@ -206,7 +209,7 @@
 	if !s.registry.RecordQueriedWeights(in, model, version, clock.Now()) {
 		return
 	}
-	s.own.notify()
+	s.own.notify(true)
 	s.log.Info().Str("event", "weights_loaded").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("model", model).Uint64("version", version).Msg("")
 }
 
@@ -239,7 +242,7 @@
 		return
 	}
 	for _, p := range s.publications() {
-		p.notifyPending()
+		p.notifyPending(notifyInterval)
 	}
 }
 
@@ -269,11 +272,14 @@
 	s.logConfigRequests()
 	silent := s.registry.Sweep(now)
 	s.entries.expire(now)
+	if s.relayed != nil {
+		s.relayed.routineInterval = time.Duration(s.entries.fullPollers()) * intervalPerPoller
+	}
 	for _, p := range s.publications() {
 		p.facts.Sweep(s.countEntries(), now)
 	}
 	if len(silent) > 0 {
-		s.own.notify()
+		s.own.notify(true)
 	}
 	for _, in := range silent {
 		s.log.Info().Str("event", "instance_silent").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Msg("")
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -46,6 +46,8 @@
 	storesUntil  time.Duration
 	control      uint64
 	loads, facts uint64
+	// urgent is the newest urgent change of an instance.
+	urgent uint64
 }
 
 // cursorsOf returns the poller's cursors. Those of another epoch are ignored.
@@ -96,11 +98,24 @@
 
 // ready reports whether there is anything new for a poller; mu must be held.
 func (s *Source) ready(p *publication, in *wire.FleetRequest, since cursors) bool {
+	if p.isStandby(in) {
+		return in.Epoch != p.epoch || since.instances.change < p.notified.urgent || since.facts < p.notified.facts || s.newerState(p, in)
+	}
 	return in.Epoch != p.epoch || since.instances.backlog > 0 || since.stores.backlog > 0 || since.instances.change < p.notified.instances.change ||
-		s.installed.Version > in.ConfigVersion || anyNewer(newestVersions(p.weightHistories), toWeights(in.Weights)) ||
-		s.evacuationRevision > in.Evacuations || (in.Entry || in.Relays) && p.readyForEntry(in, since) || in.Entry && !slices.Equal(s.failing, toIncarnations(in.Failing))
+		s.newerState(p, in) || (in.Entry || in.Relays) && p.readyForEntry(since)
+}
+
+// newerState reports whether the poller lacks anything of which there is one version at a time; mu must
+// be held.
+func (s *Source) newerState(p *publication, in *wire.FleetRequest) bool {
+	return s.installed.Version > in.ConfigVersion || anyNewer(newestVersions(p.weightHistories), toWeights(in.Weights)) ||
+		s.evacuationRevision > in.Evacuations || in.Entry && !slices.Equal(s.failing, toIncarnations(in.Failing)) ||
+		(in.Entry || in.Relays) && !slices.Equal(p.busy, toIncarnations(in.Busy))
 }
 
+// isStandby reports whether the poller is told the rest by another source.
+func (p *publication) isStandby(in *wire.FleetRequest) bool { return in.Standby && p.relaying }
+
 // delta returns what has changed since the poller's cursors, as far as it fits into one answer.
 // Instances come first, as nothing can be served without them, and then the facts about requests
 // that must not be sent. mu must be held.
@@ -121,6 +136,12 @@
 	s.addEvacuations(in.Evacuations, out)
 	s.addEntries(in, out)
 	page := newPage(in.Paged)
+	if p.isStandby(in) {
+		p.addUrgent(since.instances, page, out)
+		p.addFacts(since.facts, page, out)
+		out.More = page.more
+		return out
+	}
 	p.addInstances(since.instances, page, out)
 	p.addFacts(since.facts, page, out)
 	p.addLoads(since.loads, page, out)
@@ -145,6 +166,28 @@
 	out.Backlog = addBacklog(page, p.instances.UpTo(since.backlog), add)
 }
 
+// addUrgent adds the reports of instances that may not be used any more, of those that the poller
+// lacks. What was reported before the poller's first poll is told by another source.
+func (p *publication) addUrgent(since cursor, page *page, out *wire.FleetResponse) {
+	last := p.instances.Change()
+	if since.change == 0 {
+		out.Change = last
+		return
+	}
+	now := clock.Now()
+	out.Change = addChanges(page, p.instances.After(since.change), since.change, last, func(r registry.Report) int {
+		if !isUrgent(r) {
+			return 0
+		}
+		report := fromReport(r, now)
+		out.Instances = append(out.Instances, report)
+		return proto.Size(report)
+	})
+}
+
+// isUrgent reports whether an instance may not be used any more.
+func isUrgent(r registry.Report) bool { return r.Left || r.Silent || r.Leaving }
+
 // addLoads adds the loads that the poller lacks, unless it does not know all engines yet.
 func (p *publication) addLoads(since uint64, page *page, out *wire.FleetResponse) {
 	if since == p.loads.log.Last() || out.Backlog > 0 {
@@ -155,7 +198,7 @@
 
 // readyForEntry reports whether there are changes for which only the polls of entries, and of control
 // instances that relay to entries, are answered.
-func (p *publication) readyForEntry(in *wire.FleetRequest, since cursors) bool {
+func (p *publication) readyForEntry(since cursors) bool {
 	return since.stores.change < p.notified.stores.change || p.notified.storesUntil >= since.storesUntil+untilStep ||
-		since.facts < p.notified.facts || since.loads < p.notified.loads || !slices.Equal(p.busy, toIncarnations(in.Busy))
+		since.facts < p.notified.facts || since.loads < p.notified.loads
 }
--- a/internal/transport/fleet/targets.go
+++ b/internal/transport/fleet/targets.go
@@ -9,10 +9,6 @@
 	"github.com/shedrock/shedrock/internal/clock"
 )
 
-// relaysPerFollower is the number of relaying sources that a follower polls: while one of them is
-// lost, the other one still tells it of every change.
-const relaysPerFollower = 2
-
 // leaderlessLimit is how long a source may be without a leader before another one is polled in its
 // place. An election takes 0.5 s to 1.5 s; it is below unreachableAfter, so that a process with a
 // cut-off source does not count as cut off itself.
@@ -26,40 +22,82 @@
 	return !s.polled || s.reachable && s.relayed && !leaderless
 }
 
-// targetSources returns the sources to poll, in the order of preference; mu must be held.
+// targetSources returns the sources to poll, and chooses the primary; mu must be held.
 //
-// A control instance polls all of them, as it relays what they learned. Any other process polls the
-// first relaysPerFollower usable ones, and those before them, so as to notice when they become usable
-// again. A source that is no longer needed is kept until all others have answered. As sources of an
-// earlier version do not relay, all are polled as long as too few others are known.
+// A control instance polls all of them, as it relays what they learned. Any other process is told
+// everything by one, its primary, and polls a second one as a standby, which tells it only what must
+// not wait while the primary is lost. It also polls the unusable sources that it would prefer, so as to
+// notice when they are usable again. As sources of an earlier version do not relay, all are polled as
+// long as no others are known.
 func (f *Follower) targetSources() []string {
 	order := f.preferred(f.knownSources())
 	if f.Relay != nil {
 		return order
 	}
 	now := clock.Now()
-	count, answered := 0, true
-	end := len(order)
-	for i, address := range order {
+	f.choosePrimary(order, now)
+	var targets []string
+	hasStandby := false
+	for _, address := range order {
 		s := f.sources[address]
-		if s != nil && !s.usable(now) {
+		usable := s == nil || s.usable(now)
+		switch {
+		case address == f.primary:
+		case hasStandby && !f.mustKeep(s):
 			continue
+		case usable:
+			hasStandby = true
 		}
-		count++
-		answered = answered && s != nil && s.polled
-		if count == relaysPerFollower {
-			end = i + 1
-			break
-		}
+		targets = append(targets, address)
+	}
+	return targets
+}
+
+// choosePrimary chooses the primary: it stays the same while it is usable and the known sources stay the
+// same; else it is the first usable one. mu must be held.
+func (f *Follower) choosePrimary(order []string, now time.Time) {
+	known := slices.Sorted(slices.Values(order))
+	current := f.sources[f.primary]
+	if current != nil && current.usable(now) && slices.Equal(known, f.known) {
+		return
 	}
-	targets := order[:end:end]
-	for _, address := range order[end:] {
+	f.known = known
+	i := slices.IndexFunc(order, func(address string) bool {
 		s := f.sources[address]
-		if s != nil && !answered && s.reachable {
-			targets = append(targets, address)
+		return s == nil || s.usable(now)
+	})
+	if i < 0 {
+		f.primary = ""
+		return
+	}
+	f.primary = order[i]
+}
+
+// mustKeep reports whether a source is still needed until the primary has told everything; mu must be
+// held.
+func (f *Follower) mustKeep(s *sourceState) bool {
+	primary := f.sources[f.primary]
+	caughtUp := primary != nil && primary.change > 0 && primary.backlog == 0
+	return s != nil && s.reachable && !caughtUp
+}
+
+// assignRoles tells each source whether it is a standby. One that becomes the primary sends everything
+// anew, and what a former primary sent of stores and loads is dropped. mu must be held.
+func (f *Follower) assignRoles() {
+	for address, s := range f.sources {
+		standby := f.Relay == nil && f.primary != "" && address != f.primary
+		if standby == s.standby {
+			continue
 		}
+		if standby {
+			s.stores, s.loads = storesState{}, loadsState{}
+		} else {
+			s.change, s.backlog = 0, 0
+		}
+		s.standby = standby
+		// The answer to a poll in the former role is ignored.
+		s.cursorReset = true
 	}
-	return targets
 }
 
 // knownSources returns the seeds, all control instances listed by reachable sources, and all sources
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -107,9 +107,12 @@
 
 // minRebuildPause returns the minimum time between two rebuilds; mu must be held.
 func (f *Follower) minRebuildPause() time.Duration {
+	if !f.Entry {
+		return longRebuildPause
+	}
 	for _, s := range f.sources {
 		if s.backlog > 0 {
-			return catchUpRebuildPause
+			return longRebuildPause
 		}
 	}
 	return minRebuildPause
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -36,8 +36,8 @@
 	change, backlog uint64
 	// resyncing is true from a restart of the source until it has sent all instances again.
 	resyncing bool
-	// cursorReset is true from a reset of the cursor for instances until the next poll is sent with
-	// it. An answer to an earlier poll leaves out what had not changed, and is ignored.
+	// cursorReset is true from a reset of the cursor for instances, or a change of the role, until the
+	// next poll is sent. An answer to an earlier poll leaves out what had not changed, and is ignored.
 	cursorReset bool
 	// partialAnswers is the number of successive incomplete answers, and behindSince when the first
 	// of them came.
@@ -46,6 +46,8 @@
 	// answeredAt is when the source last answered, and reachable whether it answered the last poll.
 	answeredAt time.Time
 	reachable  bool
+	// standby is true while another source tells this process everything.
+	standby bool
 	// polled is true once a poll was answered or has failed, and relayed if the last answer held what
 	// all sources learned. leaderlessSince is since when the source has known no leader, or zero.
 	polled, relayed bool
@@ -126,6 +128,7 @@
 		in.LoadsChange = s.loads.change
 		in.FactsChange = s.factsChange
 		in.EntriesChange = s.entriesChange
+		in.Standby = s.standby
 	}
 	return in
 }
@@ -200,7 +203,7 @@
 	f.applyAnnouncements(address, out, now)
 	f.applyEvacuations(address, out, now)
 	f.applyFacts(address, s, out, now)
-	f.relayAnswer(address, s, out, reports, now)
+	f.relayAnswer(address, s, out, now)
 	f.startFetch()
 	f.publish()
 }
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -120,6 +120,8 @@
 	// there are any.
 	failures       *suspects.Collector
 	failurePending chan struct{}
+	// attemptBegan holds a token if an attempt has begun since Run last received it.
+	attemptBegan chan struct{}
 }
 
 func (s *Server) init() {
@@ -127,6 +129,7 @@
 		s.startedAt = clock.Now()
 		s.failures = suspects.NewCollector()
 		s.failurePending = make(chan struct{}, 1)
+		s.attemptBegan = make(chan struct{}, 1)
 		s.balancer = balance.New(rand.Uint64())
 		s.windows = map[string]*retry.Window{}
 		s.inFlight = inFlight{}
@@ -142,14 +145,19 @@
 	s.init()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	starts := time.NewTicker(supersededInterval)
-	defer starts.Stop()
+	// stale fires when attempts in flight are to be checked; it is nil while there are none.
+	var stale <-chan time.Time
 	for {
 		select {
-		case <-starts.C:
-			s.mu.Lock()
-			s.cancelStale()
-			s.mu.Unlock()
+		case <-s.attemptBegan:
+			if stale == nil {
+				stale = time.After(supersededInterval)
+			}
+		case <-stale:
+			stale = nil
+			if s.cancelStale() > 0 {
+				stale = time.After(supersededInterval)
+			}
 		case <-ticker.C:
 			now := clock.Now()
 			s.mu.Lock()
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -43,6 +43,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight[j] = inFlightAttempt{target: j.instance, cancel: cancel}
+	select {
+	case s.attemptBegan <- struct{}{}:
+	default:
+	}
 	return tracked, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -55,11 +59,11 @@
 func superseded(tracked context.Context) bool { return context.Cause(tracked) == errSuperseded }
 
 // cancelStale cancels the attempts at instances that were superseded, and those whose deadline passed
-// while the machine was suspended, when the timers that enforce it do not advance. mu must be held.
-func (s *Server) cancelStale() {
-	if len(s.inFlight) == 0 {
-		return
-	}
+// while the machine was suspended, when the timers that enforce it do not advance. It returns the number
+// of attempts in flight.
+func (s *Server) cancelStale() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	view := s.View()
 	now := clock.Now()
 	for j, a := range s.inFlight {
@@ -70,4 +74,5 @@
 			a.cancel(errOverdue)
 		}
 	}
+	return len(s.inFlight)
 }
