--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -41,6 +41,8 @@
 	// intervalPerPoller bounds the answers of a source that tell of nothing urgent, such as a new
 	// instance, to 100 a second: when a large fleet starts, hundreds of instances report each second.
 	intervalPerPoller = 10 * time.Millisecond
+	// maxRoutineInterval keeps the contents of stores usable, which expire within seconds.
+	maxRoutineInterval = 500 * time.Millisecond
 )
 
 // Source is the state that one control instance publishes. Use NewSource to make one. It is safe
@@ -273,7 +275,7 @@
 	silent := s.registry.Sweep(now)
 	s.entries.expire(now)
 	if s.relayed != nil {
-		s.relayed.routineInterval = time.Duration(s.entries.fullPollers()) * intervalPerPoller
+		s.relayed.routineInterval = min(time.Duration(s.entries.fullPollers())*intervalPerPoller, maxRoutineInterval)
 	}
 	for _, p := range s.publications() {
 		p.facts.Sweep(s.countEntries(), now)
