--- a/internal/coordination/balance/evacuation_test.go
+++ b/internal/coordination/balance/evacuation_test.go
@@ -16,29 +16,10 @@
 // instance a request gets none.
 func TestEvacuatedDomainGetsNothing(t *testing.T) {
 	evacuated := map[string]time.Time{"d1": now}
-	tried := []registry.Incarnation{incarnation("i0"), incarnation("i3")}
-	for name, w := range map[string]balance.PickInfo{
-		"by wait":       {},
-		"by key":        {Key: 1},
-		"retry":         {Retryable: true, Tried: tried},
-		"a long prompt": {Key: 1, Tokens: 10_000, Memory: 50_000},
-	} {
+	for name, info := range everyKindOfRequest(incarnation("i0"), incarnation("i3")) {
 		t.Run(name, func(t *testing.T) {
-			b := balance.New(1)
-			w.Evacuated = evacuated
-			for n := range 200 {
-				at := now.Add(time.Duration(n) * time.Second)
-				if w.Key != 0 {
-					w.Key = uint64(n + 1)
-				}
-				in, ok := b.Pick(threeDomains(), w, at)
-				if !ok || in.FailureDomain == "d1" {
-					t.Fatalf("request %d goes to %q of %q", n, in.ID, in.FailureDomain)
-				}
-				// The other domains never respond.
-				b.Begin(in, at)
-				b.End(in.Incarnation(), balance.Result{Failed: true, Unreachable: true, TimedOut: true}, at)
-			}
+			info.Evacuated = evacuated
+			expectNothingIn(t, "d1", info)
 		})
 	}
 	w := balance.PickInfo{Evacuated: map[string]time.Time{"d0": now, "d1": now, "d2": now}}
@@ -100,28 +81,10 @@
 // its regions it gets none.
 func TestRestrictedRequestStaysInItsRegion(t *testing.T) {
 	regions := residency.Regions{"d0": "north", "d1": "south", "d2": "south"}
-	tried := []registry.Incarnation{incarnation("i1")}
-	for name, info := range map[string]balance.PickInfo{
-		"by wait":       {},
-		"by key":        {Key: 1},
-		"retry":         {Retryable: true, Tried: tried},
-		"a long prompt": {Key: 1, Tokens: 10_000, Memory: 50_000},
-	} {
+	for name, info := range everyKindOfRequest(incarnation("i1")) {
 		t.Run(name, func(t *testing.T) {
-			b := balance.New(1)
 			info.Regions, info.Residency = regions, residency.NewPolicy([]string{"south"})
-			for n := range 200 {
-				at := now.Add(time.Duration(n) * time.Second)
-				if info.Key != 0 {
-					info.Key = uint64(n + 1)
-				}
-				in, ok := b.Pick(threeDomains(), info, at)
-				if !ok || in.FailureDomain == "d0" {
-					t.Fatalf("request %d goes to %q of %q", n, in.ID, in.FailureDomain)
-				}
-				b.Begin(in, at)
-				b.End(in.Incarnation(), balance.Result{Failed: true, Unreachable: true, TimedOut: true}, at)
-			}
+			expectNothingIn(t, "d0", info)
 		})
 	}
 	info := balance.PickInfo{Regions: regions, Residency: residency.NewPolicy([]string{"east"})}
@@ -129,3 +92,33 @@
 		t.Errorf("a request for a region without instances goes to %s", in.ID)
 	}
 }
+
+// everyKindOfRequest returns requests that are placed in different ways, one of them a retry after the
+// given instances.
+func everyKindOfRequest(tried ...registry.Incarnation) map[string]balance.PickInfo {
+	return map[string]balance.PickInfo{
+		"by wait":       {},
+		"by key":        {Key: 1},
+		"retry":         {Retryable: true, Tried: tried},
+		"a long prompt": {Key: 1, Tokens: 10_000, Memory: 50_000},
+	}
+}
+
+// expectNothingIn fails the test if any of many requests is sent to a failure domain, though no instance
+// of the other domains ever responds.
+func expectNothingIn(t *testing.T, domain string, info balance.PickInfo) {
+	t.Helper()
+	b := balance.New(1)
+	for n := range 200 {
+		at := now.Add(time.Duration(n) * time.Second)
+		if info.Key != 0 {
+			info.Key = uint64(n + 1)
+		}
+		in, ok := b.Pick(threeDomains(), info, at)
+		if !ok || in.FailureDomain == domain {
+			t.Fatalf("request %d goes to %q of %q", n, in.ID, in.FailureDomain)
+		}
+		b.Begin(in, at)
+		b.End(in.Incarnation(), balance.Result{Failed: true, Unreachable: true, TimedOut: true}, at)
+	}
+}
