fleet: plain comments, and tests of relays that wait on conditions

Cause: read as a newcomer, the comments of the relays used figures of speech ("told", "travels in circles"), and three tests slept for a time.

No logic, wire name or number changes.

--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -14,7 +14,7 @@
 	polledAt time.Time
 	// evacuations is the newest revision of evacuations that the entry has in force.
 	evacuations uint64
-	// standby is true if another control instance tells it everything.
+	// standby is true if another control instance is its primary.
 	standby bool
 }
 
@@ -45,7 +45,7 @@
 	t.all = insertSorted(t.all, in.Name)
 }
 
-// fullPollers returns the number of entries that this control instance tells everything.
+// fullPollers returns the number of entries whose primary this control instance is.
 func (t *entryTable) fullPollers() int {
 	n := 0
 	for _, s := range t.polled {
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -91,7 +91,7 @@
 	// loggedUnreachable is whether contact was unreachable when that was last logged.
 	loggedUnreachable bool
 	sources           map[string]*sourceState
-	// primary is the source that tells this process everything, or empty while none does. It was chosen
+	// primary is the source that sends this process all state, or empty if there is none. It was chosen
 	// among the sources in known.
 	primary string
 	known   []string
--- a/internal/transport/fleet/follower_facts.go
+++ b/internal/transport/fleet/follower_facts.go
@@ -37,7 +37,7 @@
 		for address, facts := range f.claimUnsentFacts() {
 			go f.sendFacts(ctx, address, facts)
 		}
-		// Without facts there is nothing that a source could lack.
+		// Without facts there is nothing to send.
 		var recheck <-chan time.Time
 		if f.Ends.HasFacts() {
 			recheck = time.After(factsInterval)
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -10,8 +10,8 @@
 )
 
 // A Follower with a Relay passes on what it learns from the sources to the pollers of its own Source.
-// Among control instances, each polls each other and is told only what the other learned itself, so
-// nothing travels in circles. An entry is told by any source what all of them learned, one relay
+// Among control instances, each polls each other and receives only what the other learned itself, so
+// no report is relayed twice. An entry receives from any source what all of them learned, one relay
 // later; the work for an entry therefore does not grow with the number of control instances, nor the
 // work for a control instance with the number of all entries.
 
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/coordination/quarantine"
@@ -124,20 +125,28 @@
 	return f
 }
 
-// sourcesOf returns the control instances that an entry polled within the duration of two polls.
-func sourcesOf(entry string, controls []*relayingControl) []*relayingControl {
-	before := map[*relayingControl]int{}
+// sourcesOf returns the control instances that receive the next polls of an entry.
+func sourcesOf(t *testing.T, entry string, controls []*relayingControl) []*relayingControl {
+	t.Helper()
+	const polls = 8
+	total := func() (n int) {
+		for _, c := range controls {
+			n += c.polledBy(entry)
+		}
+		return n
+	}
+	before, totalBefore := map[*relayingControl]int{}, total()
 	for _, c := range controls {
 		before[c] = c.polledBy(entry)
 	}
-	time.Sleep(2 * time.Second)
+	await.Until(t, 20*time.Second, "the entry polls", func() bool { return total() >= totalBefore+polls })
 	return slices.DeleteFunc(slices.Clone(controls), func(c *relayingControl) bool { return c.polledBy(entry) == before[c] })
 }
 
 // The work of a control instance must not grow with the number of all entries, nor that of an entry with
 // the number of control instances: with 24 control instances and 985 entries that all polled each other,
 // a start took two thirds of every entry's processor time. So each entry polls two sources, one of them in
-// its own failure domain and one elsewhere, and still learns what any control instance was told.
+// its own failure domain and one elsewhere, and still receives what any control instance learned.
 func TestEntriesPollTwoSourcesHoweverManyThereAre(t *testing.T) {
 	for _, n := range []int{4, 8, 16} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -158,7 +167,7 @@
 			var wg sync.WaitGroup
 			for i := range entries {
 				wg.Go(func() {
-					sources := sourcesOf(fmt.Sprint("e", i), controls)
+					sources := sourcesOf(t, fmt.Sprint("e", i), controls)
 					mu.Lock()
 					defer mu.Unlock()
 					polled[fmt.Sprint("d", i%4)] = sources
@@ -192,16 +201,18 @@
 	var reportsTo atomic.Pointer[[]*relayingControl]
 	reportsTo.Store(&controls)
 	go func() {
+		ticker := time.NewTicker(heartbeat / 2)
+		defer ticker.Stop()
 		for sequence := uint64(1); t.Context().Err() == nil; sequence++ {
 			to := *reportsTo.Load()
 			for i := range 20 {
 				to[i%len(to)].source.RecordHeartbeat(instance(fmt.Sprintf("i%02d", i), sequence))
 			}
-			time.Sleep(heartbeat / 2)
+			<-ticker.C
 		}
 	}()
 	waitFor(t, "all instances are known", func() bool { return len(liveIDs(f)) == 20 })
-	sources := sourcesOf("e", controls)
+	sources := sourcesOf(t, "e", controls)
 	lost := sources[slices.IndexFunc(sources, func(c *relayingControl) bool { return c != controls[0] })]
 	rest := slices.DeleteFunc(slices.Clone(controls), func(c *relayingControl) bool { return c == lost })
 	lost.stop()
@@ -314,8 +325,9 @@
 		return n
 	}
 	waitFor(t, "the failure is forwarded to all others", func() bool { return total() == len(controls)-1 })
-	time.Sleep(3 * heartbeat)
-	if diff := cmp.Diff(len(controls)-1, total()); diff != "" {
+	failed <- struct{}{}
+	waitFor(t, "a second failure is forwarded", func() bool { return total() >= 2*(len(controls)-1) })
+	if diff := cmp.Diff(2*(len(controls)-1), total()); diff != "" {
 		t.Error("forwarded again: ", diff)
 	}
 }
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -38,7 +38,7 @@
 	// and each notification is an answer to each entry. Entries learn of a stored part later by as
 	// much, of the 2 s for which it is announced.
 	notifyInterval = 200 * time.Millisecond
-	// intervalPerPoller bounds the answers of a source that tell of nothing urgent, such as a new
+	// intervalPerPoller bounds the answers of a source that contain no urgent change, such as a new
 	// instance, to 100 a second: when a large fleet starts, hundreds of instances report each second.
 	intervalPerPoller = 10 * time.Millisecond
 	// maxRoutineInterval keeps the contents of stores usable, which expire within seconds.
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -105,15 +105,14 @@
 		s.newerState(p, in) || (in.Entry || in.Relays) && p.readyForEntry(since)
 }
 
-// newerState reports whether the poller lacks anything of which there is one version at a time; mu must
-// be held.
+// newerState reports whether the poller has an older version of any versioned state; mu must be held.
 func (s *Source) newerState(p *publication, in *wire.FleetRequest) bool {
 	return s.installed.Version > in.ConfigVersion || anyNewer(newestVersions(p.weightHistories), toWeights(in.Weights)) ||
 		s.evacuationRevision > in.Evacuations || in.Entry && !slices.Equal(s.failing, toIncarnations(in.Failing)) ||
 		(in.Entry || in.Relays) && !slices.Equal(p.busy, toIncarnations(in.Busy))
 }
 
-// isStandby reports whether the poller is told the rest by another source.
+// isStandby reports whether another source is the poller's primary.
 func (p *publication) isStandby(in *wire.FleetRequest) bool { return in.Standby && p.relaying }
 
 // delta returns what has changed since the poller's cursors, as far as it fits into one answer.
@@ -167,7 +166,7 @@
 }
 
 // addUrgent adds the reports of instances that may not be used any more, of those that the poller
-// lacks. What was reported before the poller's first poll is told by another source.
+// lacks. Reports from before the poller's first poll come from its primary.
 func (p *publication) addUrgent(since cursor, page *page, out *wire.FleetResponse) {
 	last := p.instances.Change()
 	if since.change == 0 {
--- a/internal/transport/fleet/targets.go
+++ b/internal/transport/fleet/targets.go
@@ -14,7 +14,7 @@
 // cut-off source does not count as cut off itself.
 const leaderlessLimit = 2 * time.Second
 
-// usable reports whether a source tells a follower everything that it needs: it answered the last
+// usable reports whether a source can be a follower's primary or standby: it answered the last
 // poll, relays what the other sources learned, and knows a leader. A source that has not answered yet
 // counts as usable, so that a follower does not poll all of them at once.
 func (s *sourceState) usable(now time.Time) bool {
@@ -24,9 +24,9 @@
 
 // targetSources returns the sources to poll, and chooses the primary; mu must be held.
 //
-// A control instance polls all of them, as it relays what they learned. Any other process is told
-// everything by one, its primary, and polls a second one as a standby, which tells it only what must
-// not wait while the primary is lost. It also polls the unusable sources that it would prefer, so as to
+// A control instance polls all of them, as it relays what they learned. Any other process receives
+// all state from one, its primary, and polls a second one as a standby, which sends only urgent changes,
+// so that these arrive even if the primary is lost. It also polls the unusable sources that it would prefer, so as to
 // notice when they are usable again. As sources of an earlier version do not relay, all are polled as
 // long as no others are known.
 func (f *Follower) targetSources() []string {
@@ -73,7 +73,7 @@
 	f.primary = order[i]
 }
 
-// mustKeep reports whether a source is still needed until the primary has told everything; mu must be
+// mustKeep reports whether a source is still needed because the primary has not sent all state yet; mu must be
 // held.
 func (f *Follower) mustKeep(s *sourceState) bool {
 	primary := f.sources[f.primary]
@@ -81,7 +81,7 @@
 	return s != nil && s.reachable && !caughtUp
 }
 
-// assignRoles tells each source whether it is a standby. One that becomes the primary sends everything
+// assignRoles sets which sources are standbys. One that becomes the primary sends everything
 // anew, and what a former primary sent of stores and loads is dropped. mu must be held.
 func (f *Follower) assignRoles() {
 	for address, s := range f.sources {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -46,7 +46,7 @@
 	// answeredAt is when the source last answered, and reachable whether it answered the last poll.
 	answeredAt time.Time
 	reachable  bool
-	// standby is true while another source tells this process everything.
+	// standby is true while another source is the primary.
 	standby bool
 	// polled is true once a poll was answered or has failed, and relayed if the last answer held what
 	// all sources learned. leaderlessSince is since when the source has known no leader, or zero.
