loads: poll engines in batches that are spread over the interval

Cause: the leader polled all engines in one burst, 64 at a time, and kept each connection for 3 s.

Change: a round polls at most 100 engines at a time, in batches over the interval, and publishes after each batch. A new leader publishes nothing until it has polled all, as entries prefer engines whose load is known.

Result: TestPollsAreSpreadOverTheInterval bounds the polls within 0.2 s for 600, 9,315 and 18,630 engines; it needs the new behaviour, as does TestLoadsAreNotPublishedInPart.

--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -29,10 +29,12 @@
 	// 163 engines were polled every 1.1 s, and 74% of the long prompts of a replayed burst met their
 	// deadline; with 500, every 0.33 s, and 88% (TestLargeFleetNeedsFreshLoads in package balance).
 	maxPollsPerSecond = 500
+	// maxBatch is how many engines are polled in a burst.
+	maxBatch = maxPollsPerSecond * int(pollInterval/time.Millisecond) / 1000
 	// maxConcurrentPolls limits the polls in flight. If a quarter of 163 engines stop responding at
 	// the same time, a single round waits for all of them at once.
 	maxConcurrentPolls = 64
-	// pollTimeout is how long a round waits for an engine that responded before. TCP retransmits a
+	// pollTimeout bounds the poll of an engine that responded before. TCP retransmits a
 	// lost packet after 0.2 s, and all entries keep sending to an engine that stopped responding
 	// until a round has completed without it.
 	pollTimeout = 400 * time.Millisecond
@@ -47,8 +49,9 @@
 // Engines is the client for engines.
 type Engines interface {
 	// Usage returns the number of requests that wait at an engine and how much of its memory is
-	// in use. The error is a registry.RestartedError when the engine has restarted since.
-	Usage(ctx context.Context, in registry.Instance) (balance.EngineLoad, error)
+	// in use. interval is the time until the next call for this engine. The error is a
+	// registry.RestartedError when the engine has restarted since.
+	Usage(ctx context.Context, in registry.Instance, interval time.Duration) (balance.EngineLoad, error)
 }
 
 // Poller polls the engines. Set the exported fields, then call Run.
@@ -63,81 +66,141 @@
 	// Log receives one line per event.
 	Log *log.Logger
 
-	// probes are the polls of unresponsive engines, for which no round waits.
-	probes sync.WaitGroup
+	// polls are the polls in flight. No round waits for those of unresponsive engines.
+	polls sync.WaitGroup
 
 	mu sync.Mutex
-	// unresponsive holds when each unresponsive engine was last polled. It is guarded by mu.
+	// The fields below are guarded by mu.
+
+	// loads holds the load of each engine that responded to its last poll.
+	loads map[registry.Incarnation]balance.EngineLoad
+	// unresponsive holds when each unresponsive engine was last polled.
 	unresponsive map[registry.Incarnation]time.Time
 }
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	defer p.probes.Wait()
+	defer p.polls.Wait()
+	// Entries prefer engines whose load is known. They must not learn of a few engines first, as all
+	// would send to these.
+	complete := false
 	for ctx.Err() == nil {
-		began := clock.Now()
-		interval := followerInterval
-		if _, leads := p.Leading(); leads {
-			engines := enginesOf(p.View())
-			interval = max(pollInterval, time.Duration(len(engines))*time.Second/maxPollsPerSecond)
-			p.Source.PublishLoads(p.poll(ctx, engines), interval)
-		} else {
+		if !p.leads() {
+			complete = false
 			p.Source.PublishLoads(nil, 0)
+			pause(ctx, followerInterval)
+			continue
 		}
-		select {
-		case <-time.After(clock.Until(began.Add(interval))):
-		case <-ctx.Done():
-		}
+		p.pollRound(ctx, complete)
+		complete = true
 	}
 }
 
-func enginesOf(view *fleet.View) []registry.Instance {
-	var out []registry.Instance
-	if view.Config == nil {
-		return nil
-	}
-	for name, service := range view.Config.Services {
-		if service.Engine != nil {
-			out = append(out, view.Instances[name]...)
-		}
-	}
-	return out
+func (p *Poller) leads() bool {
+	_, ok := p.Leading()
+	return ok
 }
 
-// poll polls all engines and returns the loads of those that respond in time. Engines that did not
-// respond before are polled less often and without waiting for them.
-func (p *Poller) poll(ctx context.Context, engines []registry.Instance) map[registry.Incarnation]balance.EngineLoad {
-	responsive, due := p.partition(engines, clock.Now())
+// pollRound polls all engines once, in batches that are spread over the polling interval, so that the
+// number of connections in use does not grow with the number of engines. It publishes the loads at the
+// end and, if publishBatches is set, after each batch.
+func (p *Poller) pollRound(ctx context.Context, publishBatches bool) {
+	responsive, due := p.partition(enginesOf(p.View()), clock.Now())
 	for _, in := range due {
 		// If it responds, it is recorded as responsive, and the next round polls it with the others.
-		p.probes.Go(func() { _, _ = p.usage(ctx, in) })
+		p.polls.Go(func() { _, _ = p.usage(ctx, in, unresponsiveInterval) })
 	}
-	var wg sync.WaitGroup
-	var mu sync.Mutex
+	interval := max(pollInterval, time.Duration(len(responsive))*time.Second/maxPollsPerSecond)
+	batches := max(1, (len(responsive)+maxBatch-1)/maxBatch)
 	slots := make(chan struct{}, maxConcurrentPolls)
-	out := make(map[registry.Incarnation]balance.EngineLoad, len(engines))
-	for _, in := range responsive {
+	for n := range batches {
+		began := clock.Now()
+		batch := responsive[n*len(responsive)/batches : (n+1)*len(responsive)/batches]
+		next := began.Add(interval / time.Duration(batches))
+		p.pollBatch(ctx, batch, slots, interval, next)
+		if !p.leads() {
+			return
+		}
+		if publishBatches || n == batches-1 {
+			p.publish(interval)
+		}
+		pause(ctx, clock.Until(next))
+	}
+}
+
+// pollBatch polls some engines and waits for them, but not beyond the given time.
+func (p *Poller) pollBatch(ctx context.Context, batch []registry.Instance, slots chan struct{}, interval time.Duration, until time.Time) {
+	var wg sync.WaitGroup
+	for _, in := range batch {
 		slots <- struct{}{}
-		wg.Go(func() {
+		wg.Add(1)
+		p.polls.Go(func() {
 			defer func() { <-slots }()
+			defer wg.Done()
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 			defer cancel()
-			load, err := p.usage(ctx, in)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			out[in.Incarnation()] = load
+			load, err := p.usage(ctx, in, interval)
+			p.recordLoad(in, load, err)
 		})
 	}
-	wg.Wait()
+	responded := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(responded)
+	}()
+	select {
+	case <-responded:
+	case <-time.After(clock.Until(until)):
+	case <-ctx.Done():
+	}
+}
+
+// publish publishes the loads that are known.
+func (p *Poller) publish(interval time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Source.PublishLoads(p.loads, interval)
+}
+
+// recordLoad records the result of one poll.
+func (p *Poller) recordLoad(in registry.Instance, load balance.EngineLoad, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		delete(p.loads, in.Incarnation())
+		return
+	}
+	if p.loads == nil {
+		p.loads = map[registry.Incarnation]balance.EngineLoad{}
+	}
+	p.loads[in.Incarnation()] = load
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// enginesOf returns all engines in a view.
+func enginesOf(view *fleet.View) []registry.Instance {
+	var out []registry.Instance
+	if view.Config == nil {
+		return nil
+	}
+	for name, service := range view.Config.Services {
+		if service.Engine != nil {
+			out = append(out, view.Instances[name]...)
+		}
+	}
 	return out
 }
 
 // usage polls one engine and records whether it responds.
-func (p *Poller) usage(ctx context.Context, in registry.Instance) (balance.EngineLoad, error) {
-	load, err := p.Engines.Usage(ctx, in)
+func (p *Poller) usage(ctx context.Context, in registry.Instance, interval time.Duration) (balance.EngineLoad, error) {
+	load, err := p.Engines.Usage(ctx, in, interval)
 	var again *registry.RestartedError
 	if errors.As(err, &again) {
 		p.Source.RecordRestart(again)
@@ -149,15 +212,19 @@
 }
 
 // partition returns the responsive engines and those unresponsive ones that are due to be polled
-// again. It drops the state of engines that are gone.
+// again. It drops the state of engines that are gone, and the loads of the unresponsive.
 func (p *Poller) partition(engines []registry.Instance, now time.Time) (responsive, due []registry.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	unresponsive := make(map[registry.Incarnation]time.Time, len(p.unresponsive))
+	loads := make(map[registry.Incarnation]balance.EngineLoad, len(engines))
 	for _, in := range engines {
 		at, isUnresponsive := p.unresponsive[in.Incarnation()]
 		if !isUnresponsive {
 			responsive = append(responsive, in)
+			if load, ok := p.loads[in.Incarnation()]; ok {
+				loads[in.Incarnation()] = load
+			}
 			continue
 		}
 		if now.Sub(at) >= unresponsiveInterval && len(due) < maxUnresponsivePolls {
@@ -167,6 +234,7 @@
 		unresponsive[in.Incarnation()] = at
 	}
 	p.unresponsive = unresponsive
+	p.loads = loads
 	return responsive, due
 }
 
--- a/internal/transport/loads/loads_test.go
+++ b/internal/transport/loads/loads_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,13 +32,42 @@
 	// counts the polls of the others.
 	unresponsive    func(id string) bool
 	responsivePolls atomic.Int64
+
+	mu sync.Mutex
+	// perWindow counts the polls in each span of pollWindow. It is guarded by mu.
+	perWindow map[int64]int
+}
+
+// pollWindow is the interval at which few engines are polled.
+const pollWindow = 200 * time.Millisecond
+
+// mostPerWindow returns the largest number of polls in a span of pollWindow.
+func (e *engines) mostPerWindow() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for _, n := range e.perWindow {
+		most = max(most, n)
+	}
+	return most
+}
+
+// countWindow counts a poll that is sent now.
+func (e *engines) countWindow() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.perWindow == nil {
+		e.perWindow = map[int64]int{}
+	}
+	e.perWindow[time.Now().UnixNano()/int64(pollWindow)]++
 }
 
 // callTimeout is how long a poll of an unresponsive engine takes.
 const callTimeout = time.Second
 
-func (e *engines) Usage(ctx context.Context, in registry.Instance) (balance.EngineLoad, error) {
+func (e *engines) Usage(ctx context.Context, in registry.Instance, _ time.Duration) (balance.EngineLoad, error) {
 	e.polls.Add(1)
+	e.countWindow()
 	if e.unresponsive != nil && e.unresponsive(in.ID) {
 		select {
 		case <-time.After(callTimeout):
@@ -45,7 +76,7 @@
 		return balance.EngineLoad{}, errors.New("timed out")
 	}
 	e.responsivePolls.Add(1)
-	load, ok := e.loads[in.ID]
+	load, ok := e.load(in.ID)
 	if !ok {
 		return balance.EngineLoad{}, errors.New("no answer")
 	}
@@ -187,3 +218,109 @@
 		}
 	})
 }
+
+// However many engines there are, the polls of any short time are bounded, and so are the connections
+// that they need.
+func TestPollsAreSpreadOverTheInterval(t *testing.T) {
+	for _, engineCount := range []int{600, 9_315, 18_630} {
+		t.Run(fmt.Sprint(engineCount), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// Makes package clock follow the fake time of the synctest bubble.
+				clocktest.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				e := &engines{loads: map[string]balance.EngineLoad{}}
+				w := &loads.Poller{
+					View: viewOfMany(e, engineCount), Leading: func() (uint64, bool) { return 1, true },
+					Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Log: quiet,
+				}
+				go w.Run(ctx)
+				time.Sleep(time.Duration(engineCount) * time.Second / 500)
+				synctest.Wait()
+				polls := e.polls.Load()
+				if polls < int64(engineCount) || polls > int64(engineCount)+100 {
+					t.Errorf("%d polls of %d engines in an interval", polls, engineCount)
+				}
+				if most := e.mostPerWindow(); most > 200 {
+					t.Errorf("%d polls within %v", most, pollWindow)
+				}
+			})
+		})
+	}
+}
+
+// Entries prefer engines whose load is known, so a new leader publishes no loads until it has polled all
+// engines; from then on it publishes changes with each batch.
+func TestLoadsAreNotPublishedInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Makes package clock follow the fake time of the synctest bubble.
+		clocktest.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		const engineCount = 2000
+		const interval = engineCount * time.Second / 500
+		e := &engines{loads: map[string]balance.EngineLoad{}}
+		w := &loads.Poller{
+			View: viewOfMany(e, engineCount), Leading: func() (uint64, bool) { return 1, true },
+			Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Log: quiet,
+		}
+		go w.Run(ctx)
+		known := func() int {
+			out, err := w.Source.Watch(ctx, &wire.FleetRequest{Entry: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return len(out.NewEngines)
+		}
+		time.Sleep(interval / 2)
+		if n := known(); n != 0 {
+			t.Errorf("%d loads are known when half of the engines were polled", n)
+		}
+		time.Sleep(interval/2 + pollWindow)
+		if n := known(); n != engineCount {
+			t.Errorf("%d loads are known once all engines were polled", n)
+		}
+		first := w.View().Instances["llm"][0].ID
+		e.setLoad(first, balance.EngineLoad{Waiting: 5})
+		time.Sleep(interval + pollWindow)
+		out, err := w.Source.Watch(ctx, &wire.FleetRequest{Entry: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		waiting := uint32(0)
+		for _, n := range out.Waiting {
+			waiting += n
+		}
+		if waiting != 5 {
+			t.Errorf("%d requests wait at all engines, not 5", waiting)
+		}
+	})
+}
+
+// viewOfMany returns a function that returns a view with some engines, each of which responds.
+func viewOfMany(e *engines, n int) func() *fleet.View {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = fmt.Sprint("engine-", i)
+		e.loads[ids[i]] = balance.EngineLoad{}
+	}
+	view := viewOf(ids...)
+	return func() *fleet.View { return view }
+}
+
+// setLoad sets the load of an engine.
+func (e *engines) setLoad(id string, load balance.EngineLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads[id] = load
+}
+
+// load returns the load of an engine, if it responds.
+func (e *engines) load(id string) (balance.EngineLoad, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load, ok := e.loads[id]
+	return load, ok
+}
