controlclient: do not wait for a leader that does not answer

Cause: a call waited 1.5 s for the leader that it knew, but an operator's call ends after 0.9 s. A leader whose machine was lost does not refuse connections, so each control instance in turn failed the operator's call, and then began with the same leader again.

Change: an attempt that takes longer than 0.2 s goes on while other replicas are tried; the first success counts. Calls with a long text are still sent to one replica at a time, after a read has found the leader.

--- a/internal/transport/controlclient/client.go
+++ b/internal/transport/controlclient/client.go
@@ -15,13 +15,17 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
-	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
 
 const (
 	// attemptTimeout limits one call to one replica.
 	attemptTimeout = 1500 * time.Millisecond
+	// patience is how long a call waits for one replica before it tries others as well. Operators give a
+	// call one second, and a leader that has lost its power never answers. textPatience is that of
+	// calls that carry a long text, which is sent to one replica at a time.
+	patience     = 200 * time.Millisecond
+	textPatience = attemptTimeout
 	// minBackoff and maxBackoff are the limits of the wait, before jitter, after all replicas failed.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
@@ -53,40 +57,29 @@
 
 // Apply submits a document of the declared state.
 func (c *Client) Apply(ctx context.Context, file string, text []byte) (*wire.ApplyResponse, error) {
-	var out *wire.ApplyResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Apply(ctx, &wire.ApplyRequest{File: file, Text: text})
-		return err
+	return call(ctx, c, textPatience, func(ctx context.Context, r wire.Control) (*wire.ApplyResponse, error) {
+		return r.Apply(ctx, &wire.ApplyRequest{File: file, Text: text})
 	})
-	return out, err
 }
 
 // Reserve commits the record of one call.
 func (c *Client) Reserve(ctx context.Context, in *wire.ReserveRequest) (*wire.ReserveResponse, error) {
-	var out *wire.ReserveResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Reserve(ctx, in)
-		return err
+	return call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.ReserveResponse, error) {
+		return r.Reserve(ctx, in)
 	})
-	return out, err
 }
 
 // Finish commits the end of a reserved call.
 func (c *Client) Finish(ctx context.Context, in *wire.FinishRequest) (*wire.FinishResponse, error) {
-	var out *wire.FinishResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Finish(ctx, in)
-		return err
+	return call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.FinishResponse, error) {
+		return r.Finish(ctx, in)
 	})
-	return out, err
 }
 
 // Lookup reads the record of one call, as a linearizable read.
 func (c *Client) Lookup(ctx context.Context, team, key string) (*wire.Record, error) {
-	var out *wire.LookupResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Lookup(ctx, &wire.LookupRequest{Team: team, Key: key})
-		return err
+	out, err := call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.LookupResponse, error) {
+		return r.Lookup(ctx, &wire.LookupRequest{Team: team, Key: key})
 	})
 	return out.GetRecord(), err
 }
@@ -100,10 +93,10 @@
 	if err != nil || current.Version >= version {
 		return err
 	}
-	return c.call(ctx, func(ctx context.Context, r wire.Control) error {
-		_, err := r.Install(ctx, &wire.InstallRequest{Version: version, Text: text})
-		return err
+	_, err = call(ctx, c, textPatience, func(ctx context.Context, r wire.Control) (*wire.InstallResponse, error) {
+		return r.Install(ctx, &wire.InstallRequest{Version: version, Text: text})
 	})
+	return err
 }
 
 // Installed reads the whole configuration, as a linearizable read.
@@ -112,30 +105,24 @@
 }
 
 func (c *Client) installed(ctx context.Context, in *wire.InstalledRequest) (*wire.InstalledResponse, error) {
-	var out *wire.InstalledResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Installed(ctx, in)
-		return err
+	return call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.InstalledResponse, error) {
+		return r.Installed(ctx, in)
 	})
-	return out, err
 }
 
 // NameWeights commits the newest weight version of a model.
 func (c *Client) NameWeights(ctx context.Context, model string, version uint64) error {
-	return c.call(ctx, func(ctx context.Context, r wire.Control) error {
-		_, err := r.NameWeights(ctx, &wire.NameWeightsRequest{Model: model, Version: version})
-		return err
+	_, err := call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.NameWeightsResponse, error) {
+		return r.NameWeights(ctx, &wire.NameWeightsRequest{Model: model, Version: version})
 	})
+	return err
 }
 
 // Evacuate starts the evacuation of a failure domain, or ends it.
 func (c *Client) Evacuate(ctx context.Context, domain string, end bool) (*wire.EvacuateResponse, error) {
-	var out *wire.EvacuateResponse
-	err := c.call(ctx, func(ctx context.Context, r wire.Control) (err error) {
-		out, err = r.Evacuate(ctx, &wire.EvacuateRequest{Domain: domain, End: end})
-		return err
+	return call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.EvacuateResponse, error) {
+		return r.Evacuate(ctx, &wire.EvacuateRequest{Domain: domain, End: end})
 	})
-	return out, err
 }
 
 // Status returns the status of every replica that answers.
@@ -156,45 +143,6 @@
 	return wire.NewControlProtobufClient("http://"+address, c.http)
 }
 
-// call tries the leader and then every replica until one succeeds, f fails with an error that is
-// not retryable, or ctx ends.
-func (c *Client) call(ctx context.Context, f func(context.Context, wire.Control) error) error {
-	backoff := minBackoff
-	for {
-		for _, address := range c.attemptOrder() {
-			err := c.attempt(ctx, address, f)
-			if err == nil {
-				return nil
-			}
-			if !retryable(err) {
-				return err
-			}
-			if ctx.Err() != nil {
-				return ErrNoMajority
-			}
-			if c.followRedirect(err) {
-				break
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return ErrNoMajority
-		case <-time.After(backoff/2 + rand.N(backoff)):
-		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-func (c *Client) attempt(ctx context.Context, address string, f func(context.Context, wire.Control) error) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	err := f(ctx, c.client(address))
-	if err == nil {
-		c.setLeader(address)
-	}
-	return err
-}
-
 // attemptOrder returns the addresses in random order, with the last known leader first.
 func (c *Client) attemptOrder() []string {
 	c.mu.Lock()
@@ -210,14 +158,9 @@
 	return addresses
 }
 
-// followRedirect records the leader that an error names. It reports whether the error names a
-// leader other than the last known one; if not, it clears the last known leader.
-func (c *Client) followRedirect(err error) bool {
-	var twirpErr twirp.Error
-	if !errors.As(err, &twirpErr) {
-		return false
-	}
-	leader := twirpErr.Meta(control.MetaLeader)
+// followRedirect records the leader that a replica named. It reports whether that is not the last known
+// one; if it is, it clears the last known leader.
+func (c *Client) followRedirect(leader string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if leader == "" || leader == c.leader {
--- a/internal/transport/controlclient/join.go
+++ b/internal/transport/controlclient/join.go
@@ -62,8 +62,8 @@
 func (c *Client) join(ctx context.Context, s *wire.StatusResponse) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return c.call(ctx, func(ctx context.Context, r wire.Control) error {
-		_, err := r.Join(ctx, &wire.JoinRequest{Id: s.Id, Incarnation: s.Incarnation, Address: s.Address, FailureDomain: s.FailureDomain})
-		return err
+	_, err := call(ctx, c, patience, func(ctx context.Context, r wire.Control) (*wire.JoinResponse, error) {
+		return r.Join(ctx, &wire.JoinRequest{Id: s.Id, Incarnation: s.Incarnation, Address: s.Address, FailureDomain: s.FailureDomain})
 	})
+	return err
 }
