orders: one time for all decisions about a report; tests hang up programs that have begun

Two looks at the clock, one on each side of the end of that second, took it for an engine that had not loaded; it got its order again and refused it.

Change: one time for each report. A process of a platform ignores SIGHUP from the initialisation of its first packages; tests send it once the process ignores it or has logged.

Result: TestDelayThatEndsMeanwhileCausesNoSecondOrder fails before and passes after.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,6 +17,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/hangup"
 )
 
 // Version is the release, set at link time for releases.
@@ -27,9 +29,6 @@
 An operator declares teams, models, weight versions, upstreams and stores in
 files; shedrock decides where each request runs. Try it with "shedrock local".`
 
-// platformName begins the commands of processes that a platform runs.
-const platformName = "platform"
-
 const (
 	exitFailed = 1
 	exitUsage  = 2
@@ -67,12 +66,6 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	if len(args) > 0 && args[0] == platformName {
-		// A platform sends SIGHUP whenever the settings file changes, also to a process that
-		// has just begun: until the file is watched, it would end the process. Nothing is
-		// missed, as the file is read after this.
-		signal.Ignore(syscall.SIGHUP)
-	}
 	var c commands
 	parser, err := newParser(&c, out, errOut)
 	if err != nil {
@@ -86,7 +79,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	p := &process{ctx: ctx, out: out, errOut: errOut, log: newLogger(errOut, c.LogLevel)}
-	if strings.HasPrefix(parsed.Command(), platformName) {
+	if strings.HasPrefix(parsed.Command(), hangup.PlatformCommand) {
 		queue := newLogQueue(out)
 		defer queue.Close()
 		p.log = newLogger(queue, c.LogLevel)
--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -118,14 +118,15 @@
 const signalTime = 20 * time.Second
 
 // Signal sends a signal, unless the process has ended. One that stops the process has done so when
-// this returns; a hangup waits until the program has begun.
+// this returns. A hangup is sent once the program ignores hangups or has logged a line: the runtime of
+// the language, which catches hangups before the program begins, would end the process.
 func (p *Process) Signal(s syscall.Signal) {
 	if p.cmd == nil || p.cmd.Process == nil {
 		return
 	}
 	pid := p.cmd.Process.Pid
 	if s == syscall.SIGHUP {
-		await.Until(p.t, signalTime, fmt.Sprint("process ", pid, " has begun"), func() bool { return takes(pid, s) })
+		await.Until(p.t, signalTime, fmt.Sprint("process ", pid, " has begun"), func() bool { return ignores(pid, s) || p.hasLogged() })
 	}
 	err := p.cmd.Process.Signal(s)
 	if err == nil && s == syscall.SIGSTOP {
@@ -133,6 +134,13 @@
 	}
 }
 
+// hasLogged reports whether the process has logged a line in its present life.
+func (p *Process) hasLogged() bool {
+	text := p.Text()
+	_, lines, _ := strings.Cut(text[strings.LastIndex(text, Began):], "\n")
+	return lines != ""
+}
+
 // Kill ends the process at once, also when it is stopped.
 func (p *Process) Kill() {
 	if p.cmd == nil {
--- a/internal/system/processes/signals.go
+++ b/internal/system/processes/signals.go
@@ -31,22 +31,19 @@
 	return true
 }
 
-// takes reports whether a process has said what a signal is to do, or has ended. Until a program
-// has begun, the system ends it at most signals, whatever it will say.
-func takes(pid int, s syscall.Signal) bool {
+// ignores reports whether a process ignores a signal, or has ended.
+func ignores(pid int, s syscall.Signal) bool {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return true
 	}
 	for line := range strings.Lines(string(text)) {
-		name, mask, _ := strings.Cut(line, ":")
-		if name != "SigCgt" && name != "SigIgn" {
+		mask, ok := strings.CutPrefix(line, "SigIgn:")
+		if !ok {
 			continue
 		}
 		bits, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
-		if err == nil && bits&(1<<(uint(s)-1)) != 0 {
-			return true
-		}
+		return err == nil && bits&(1<<(uint(s)-1)) != 0
 	}
 	return false
 }
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -217,10 +217,13 @@
 // order: such an engine is left out, or an unreachable failure domain would block the rollout to the others.
 func (e *RegisteredEngines) readEngine(ctx context.Context, in registry.Instance, model string, wanted uint64) (rollout.Instance, bool) {
 	out := rollout.Instance{Name: in.ID, Model: model}
+	// The decisions about one report use one time: an order whose delay ended in between would be taken
+	// for one that was carried out, and be given again.
+	now := clock.Now()
 	e.mu.Lock()
 	known := e.state(in)
-	due := known.needsRead(clock.Now())
-	pending := clock.Since(known.orderedAt) < orderPendingFor
+	due := known.needsRead(now)
+	pending := now.Sub(known.orderedAt) < orderPendingFor
 	e.mu.Unlock()
 	if due {
 		report, err := e.report(ctx, in)
@@ -231,16 +234,16 @@
 		if err != nil {
 			return out, pending
 		}
+		now = clock.Now()
 		e.mu.Lock()
-		if known.update(report, clock.Now()) {
-			e.Log.Info().Str("event", "load_overdue").Str("instance", in.ID).Str("model", model).Uint64("version", wanted).Dur("busy_ms", clock.Since(known.busySince)).Msg("")
+		if known.update(report, now) {
+			e.Log.Info().Str("event", "load_overdue").Str("instance", in.ID).Str("model", model).Uint64("version", wanted).Dur("busy_ms", now.Sub(known.busySince)).Msg("")
 		}
 		e.mu.Unlock()
 		e.Source.RecordWeights(in, model, report.Weights[model])
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := clock.Now()
 	out.Reachable = true
 	out.AwaitingDrain = known.avoidedSince.IsZero() || now.Sub(known.avoidedSince) < drainTime
 	out.Version = formatVersion(min(known.report.Weights[model], wanted))
--- a/internal/transport/orders/registered_test.go
+++ b/internal/transport/orders/registered_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/coordination/rollout"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/state/weights"
@@ -169,6 +171,29 @@
 	}
 }
 
+// An engine whose delay after an order ends while its state is looked at still counts as loading. It was
+// taken for one that had not loaded, and got its order again.
+func TestDelayThatEndsMeanwhileCausesNoSecondOrder(t *testing.T) {
+	var now, step atomic.Int64
+	t.Cleanup(clock.Replace(func() time.Duration { return time.Duration(now.Add(step.Load())) }))
+	e := newEngines(1)
+	o, _ := newController(t, e, 2)
+	o.Fleet.Read(t.Context())
+	err := o.Fleet.Issue(t.Context(), rollout.Order{Name: "e00", Model: "m", Version: "2"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The engine is not read within a second after an order. From now on, that second ends between two
+	// looks at the clock.
+	now.Add(int64(time.Second - 2*time.Millisecond))
+	step.Store(int64(time.Millisecond + time.Microsecond))
+	for _, read := range o.Fleet.Read(t.Context()) {
+		if read.Loading != "2" {
+			t.Errorf("not loading: %+v", read)
+		}
+	}
+}
+
 // Guards against a second load when an order goes unanswered, is issued again, and the first one arrives
 // after it: the engine refuses the late order because its count of accepted orders has changed.
 func TestUnansweredOrdersAreIssuedAgain(t *testing.T) {
