--- a/internal/transport/controlclient/attempts.go
+++ b/internal/transport/controlclient/attempts.go
@@ -56,12 +56,12 @@
 			continue
 		}
 		a.start(ctx, address)
-		result, done, redirected := a.await(ctx, wait)
+		ended, done, redirected := a.await(ctx, wait)
 		if done || redirected {
-			return result, done
+			return ended, done
 		}
 	}
-	return result, false
+	return attemptResult[T]{}, false
 }
 
 // start begins an attempt at a replica.
