--- a/internal/coordination/balance/admit.go
+++ b/internal/coordination/balance/admit.go
@@ -44,8 +44,8 @@
 	return room, room > 0 && b.random.Float64()*demand <= float64(room)
 }
 
-// findRoom looks for healthy candidates that have room for the demand, and stops once it has found them:
-// among thousands, few have to be looked at. ok is false if there is not enough room.
+// findRoom adds up the room of healthy candidates until it covers the demand; among thousands of candidates,
+// few must be evaluated. ok is false if there is not enough room.
 func (b *Balancer) findRoom(set *candidateSet, demand float64, info PickInfo, now time.Time) (room int, ok bool) {
 	n := len(set.candidates)
 	if n == 0 || len(info.Loads) == 0 {
--- a/internal/coordination/balance/candidates.go
+++ b/internal/coordination/balance/candidates.go
@@ -34,7 +34,7 @@
 	instances  []registry.Instance
 	sorted     bool
 	candidates []candidate
-	// hashes holds the hash of each candidate once more, as scores are computed of thousands at a time.
+	// hashes holds the hash of each candidate in a dense array, for the computation of thousands of scores.
 	hashes []uint64
 	// domains holds the distinct failure domains of the instances.
 	domains []*domain
--- a/internal/coordination/balance/domains.go
+++ b/internal/coordination/balance/domains.go
@@ -123,7 +123,7 @@
 }
 
 // unreachable reports whether a failure domain is known to be cut off from this one, and has sent no
-// response since. It needs no probes: whoever reports it also notices the end.
+// response since. No probes are needed: the control instances that report it also report its end.
 func (d *domain) unreachable(domains map[string]time.Time) bool {
 	since, ok := domains[d.name]
 	return ok && d.lastResponse.Before(since)
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -99,7 +99,7 @@
 	b.markPartitioned(set, info, now)
 }
 
-// pickFromAll chooses a candidate by a look at all of them, or returns nil if none is eligible.
+// pickFromAll evaluates all candidates and returns the chosen one, or nil if none is eligible.
 func (b *Balancer) pickFromAll(set *candidateSet, info PickInfo, now time.Time) *candidate {
 	eligible := b.eligible(set, info, now)
 	switch {
--- a/internal/coordination/balance/shortlist.go
+++ b/internal/coordination/balance/shortlist.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// shortlistSize is how many candidates are looked at before all are. Nearly always the first one is
-// chosen; in a fleet where a quarter of the instances can't be used, eight suffice in all but one of
-// 65,000 choices.
+// shortlistSize is how many candidates are evaluated before all of them are. If a quarter of the instances
+// is ineligible, all eight are in one of 65,000 choices.
 const shortlistSize = 8
 
 // shortlist holds the candidates with the highest scores for a key, by their index, the highest first.
@@ -39,8 +38,8 @@
 	s.indexes[at], s.scores[at] = index, score
 }
 
-// pickFromShortlist makes the choice that pickFromAll makes for a key, but looks at a few candidates only.
-// ok is false if only a look at all of them can tell. The domains must have been marked.
+// pickFromShortlist makes the same choice for a key as pickFromAll, but evaluates a few candidates only.
+// ok is false if all of them must be evaluated. The domains must have been marked.
 func (b *Balancer) pickFromShortlist(set *candidateSet, info PickInfo, now time.Time) (chosen *candidate, ok bool) {
 	if info.Key == 0 || len(info.Failing) > 0 || !set.allHave(info.Model, info.Weights) {
 		return nil, false
--- a/internal/coordination/balance/shortlist_test.go
+++ b/internal/coordination/balance/shortlist_test.go
@@ -11,7 +11,7 @@
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// A choice for a key looks at a few candidates, and is the same as that by a look at all of them.
+// The choice for a key evaluates a few candidates, and is the same as if all were evaluated.
 func TestShortlistMakesTheSameChoice(t *testing.T) {
 	const steps = 400
 	for seed := range uint64(40) {
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -1,4 +1,4 @@
-// Package hangup makes a process of a platform ignore SIGHUP from its first moments on. A platform sends
+// Package hangup makes a process of a platform ignore SIGHUP during its initialisation. A platform sends
 // that signal whenever the settings file changes, also to a process that has just been started, and
 // the Go runtime ends a process at a SIGHUP that nothing handles. Nothing is missed, as the settings are
 // read later.
--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -118,8 +118,8 @@
 const signalTime = 20 * time.Second
 
 // Signal sends a signal, unless the process has ended. One that stops the process has done so when
-// this returns. A hangup is sent once the program ignores hangups or has logged a line: the runtime of
-// the language, which catches hangups before the program begins, would end the process.
+// this returns. A SIGHUP is sent once the program ignores it or has logged a line: before the program
+// runs, the Go runtime has a handler for SIGHUP that ends the process.
 func (p *Process) Signal(s syscall.Signal) {
 	if p.cmd == nil || p.cmd.Process == nil {
 		return
--- a/internal/transport/controlclient/attempts.go
+++ b/internal/transport/controlclient/attempts.go
@@ -99,7 +99,7 @@
 		return attemptResult[T]{err: ErrNoMajority}, true, false
 	}
 	leader := namedLeader(result.err)
-	// A follower goes on naming a leader that was lost until another one is elected.
+	// A follower names the former leader until another one is elected.
 	return result, false, !a.running[leader] && a.client.followRedirect(leader)
 }
 
--- a/internal/transport/controlclient/client.go
+++ b/internal/transport/controlclient/client.go
@@ -22,7 +22,7 @@
 	// attemptTimeout limits one call to one replica.
 	attemptTimeout = 1500 * time.Millisecond
 	// patience is how long a call waits for one replica before it tries others as well. Operators give a
-	// call one second, and a leader that has lost its power never answers. textPatience is that of
+	// call one second, and a leader whose machine failed never answers. textPatience is that of
 	// calls that carry a long text, which is sent to one replica at a time.
 	patience     = 200 * time.Millisecond
 	textPatience = attemptTimeout
--- a/internal/transport/controlclient/client_test.go
+++ b/internal/transport/controlclient/client_test.go
@@ -42,8 +42,8 @@
 	return twirp.NewError(twirp.Unavailable, "not leading").WithMeta(control.MetaLeader, leader)
 }
 
-// A leader that lost its power does not answer, and its followers go on naming it until they have
-// elected another one. A call finds that one while the attempt at the former leader goes on.
+// A leader whose machine failed does not answer, and its followers name it until they have elected another
+// one. A call reaches the new leader while the attempt at the former one is still in progress.
 func TestSilentLeaderDoesNotHoldCalls(t *testing.T) {
 	var silent atomic.Bool
 	var answered, timedOut atomic.Bool
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -98,7 +98,7 @@
 	// domains holds the failure domain of each control instance, by address, as far as it is known.
 	domains map[string]string
 	// ownDomainSince is since when control instances of the own failure domain have answered without a
-	// pause, or zero.
+	// gap, or zero.
 	ownDomainSince time.Time
 	// relayedLoads identifies the loads that were last relayed.
 	relayedLoads loadsVersion
--- a/internal/transport/fleet/reachability.go
+++ b/internal/transport/fleet/reachability.go
@@ -8,32 +8,32 @@
 const (
 	// witnessPollWait is how long a source in another failure domain may hold the poll of a control instance
 	// where the answers tell whether the domain is within reach, and ownDomainPollWait a source in the own
-	// one. The former is longer, as bytes between domains are dear.
+	// one. The former is longer, to limit the traffic between domains.
 	witnessPollWait   = 500 * time.Millisecond
 	ownDomainPollWait = 250 * time.Millisecond
 	// domainUnreachableAfter is how long no control instance of a failure domain must have answered for the
-	// domain to count as unreachable: one poll, and some for processes that are slow.
+	// domain to count as unreachable: one poll, plus a margin for slow processes.
 	domainUnreachableAfter = 800 * time.Millisecond
 	// minDomainWitnesses is how many control instances a failure domain must have for that: a single one
-	// may have been lost itself.
+	// may have failed itself.
 	minDomainWitnesses = 2
 	// unreachableRetention is how long the unreachable domains reported by a source remain in effect after
 	// its last answer.
 	unreachableRetention = 2 * time.Second
 )
 
-// domainWitness is what the polls of a control instance say of the control instances of one failure domain.
+// domainWitness summarises the polls of the other control instances in one failure domain.
 type domainWitness struct {
-	// instances counts those of other processes, and answeredAt is when any of them last answered.
+	// instances is their number, and answeredAt is when any of them last answered.
 	instances  int
 	answeredAt time.Time
 }
 
 // relayReachability publishes the failure domains that this control instance can't reach, so that entries
-// of its own failure domain need not find out one by one, by requests that time out. mu must be held.
+// of its own failure domain need not detect that by requests that time out. mu must be held.
 //
-// A process that is cut off or frozen itself reaches nobody. Therefore the domains count as silent only
-// for as long as control instances of the own domain have answered without a pause.
+// A process that is cut off or frozen itself gets no answers either. Therefore only the time during which
+// control instances of the own domain have answered without a gap counts.
 func (f *Follower) relayReachability(now time.Time) {
 	witnesses := f.domainWitnesses()
 	own := witnesses[f.FailureDomain]
--- a/internal/transport/fleet/reachability_test.go
+++ b/internal/transport/fleet/reachability_test.go
@@ -13,7 +13,7 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
-// cutOff cuts the control instances of some failure domains off from the processes of all other
+// cutOff partitions the control instances of some failure domains off from the processes of all other
 // domains, until heal is called: polls get no answer. domainOf gives the domain of each poller.
 func cutOff(controls []*relayingControl, domainOf map[string]string, domains ...string) (heal func()) {
 	for _, c := range controls {
@@ -56,8 +56,8 @@
 	return strings.Join(slices.Sorted(maps.Keys(f.View().Unreachable)), " ")
 }
 
-// An entry that sends a request a second to thousands of instances finds a failure domain that is cut off
-// only after some seconds. Its control instances tell it, on both sides of the cut, and when it heals.
+// An entry that sends one request per second to thousands of instances needs some seconds to detect a
+// partitioned failure domain. Its control instances report the partition on both sides, and its end.
 func TestEntriesLearnOfUnreachableDomains(t *testing.T) {
 	controls, entries, domainOf := startDomains(t, 6)
 	heal := cutOff(controls, domainOf, "d1")
@@ -70,7 +70,7 @@
 	}
 }
 
-// A control instance that is lost or cut off by itself says nothing of its failure domain.
+// The failure or partition of a single control instance does not make its failure domain unreachable.
 func TestLostControlInstancesDoNotMakeDomainsUnreachable(t *testing.T) {
 	const observed = 3 * time.Second
 	for name, test := range map[string]struct {
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -35,7 +35,7 @@
 	server *httptest.Server
 	source *fleet.Source
 	follow context.CancelFunc
-	// holds, if set, says from which pollers, by their names, nothing arrives.
+	// holds, if set, reports whether polls from a poller, by its name, are left unanswered.
 	holds atomic.Pointer[func(poller string) bool]
 
 	mu sync.Mutex
--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -81,8 +81,8 @@
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
 	defer p.polls.Wait()
-	// Entries prefer engines whose load is known. They must not learn of a few engines first, as all
-	// would send to these.
+	// Entries prefer engines whose load is known. If the loads of a few engines were published first, all
+	// entries would send to these.
 	complete := false
 	for ctx.Err() == nil {
 		if !p.leads() {
--- a/internal/transport/orders/registered.go
+++ b/internal/transport/orders/registered.go
@@ -217,8 +217,8 @@
 // order: such an engine is left out, or an unreachable failure domain would block the rollout to the others.
 func (e *RegisteredEngines) readEngine(ctx context.Context, in registry.Instance, model string, wanted uint64) (rollout.Instance, bool) {
 	out := rollout.Instance{Name: in.ID, Model: model}
-	// The decisions about one report use one time: an order whose delay ended in between would be taken
-	// for one that was carried out, and be given again.
+	// All decisions about one report use the same time: if the delay after an order ended in between, the
+	// order would count as completed and be issued again.
 	now := clock.Now()
 	e.mu.Lock()
 	known := e.state(in)
--- a/internal/transport/orders/registered_test.go
+++ b/internal/transport/orders/registered_test.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// An engine whose delay after an order ends while its state is looked at still counts as loading. It was
-// taken for one that had not loaded, and got its order again.
+// An engine whose delay after an order ends while its state is evaluated still counts as loading. Without
+// that, its order was issued again.
 func TestDelayThatEndsMeanwhileCausesNoSecondOrder(t *testing.T) {
 	var now, step atomic.Int64
 	t.Cleanup(clock.Replace(func() time.Duration { return time.Duration(now.Add(step.Load())) }))
@@ -183,8 +183,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// The engine is not read within a second after an order. From now on, that second ends between two
-	// looks at the clock.
+	// The engine is not read within a second after an order. That second now ends between two readings of
+	// the clock.
 	now.Add(int64(time.Second - 2*time.Millisecond))
 	step.Store(int64(time.Millisecond + time.Microsecond))
 	for _, read := range o.Fleet.Read(t.Context()) {
