control: the state of the log is published once for all committed entries

Change: committed entries are applied as a whole, then published, then their proposers are answered; the required versions are set before polls are answered.

--- a/internal/transport/control/effects.go
+++ b/internal/transport/control/effects.go
@@ -143,36 +143,51 @@
 	r.Log.Info().Str("event", "disk_takes_writes").Msg("")
 }
 
+// apply executes committed entries, publishes the resulting state and answers the callers who wait for
+// them. The state is published once for all entries: after a restart, they hold the configuration as well
+// as the required weight versions, and an entry that got the former alone would use old weights.
 func (r *Replica) apply(entries []replication.Entry) {
-	for _, e := range entries {
+	before := r.Ledger.Declared().Revision()
+	results := make([]ledger.Result, len(entries))
+	installed := false
+	for i, e := range entries {
 		r.appliedIndex = e.Index
-		var result ledger.Result = ledger.Malformed{}
-		if e.Kind == replication.EntryCommand {
-			before := r.Ledger.Declared().Revision()
-			result = r.Ledger.Execute(e.Data)
-			r.publishIfChanged(before)
-			switch result := result.(type) {
-			case ledger.CurrentVersion:
-				r.publishInstalled()
-				r.Log.Info().Str("event", "held").Uint64("index", e.Index).Uint64("version", result.Version).Msg("")
-			case ledger.Evacuated:
-				r.publishInstalled()
-				r.Log.Info().Str("event", "evacuation").Uint64("index", e.Index).Str("failure_domain", result.Domain.Name).
-					Bool("evacuated", result.Domain.Evacuated).Uint64("revision", result.Domain.Revision).Msg("")
-			}
-		}
-		w, ok := r.waiters[e.Index]
-		if !ok {
+		results[i] = ledger.Malformed{}
+		if e.Kind != replication.EntryCommand {
 			continue
 		}
-		delete(r.waiters, e.Index)
-		if w.ch == nil {
-			continue
-		}
-		if w.term != e.Term {
-			w.ch <- lost{}
-			continue
+		results[i] = r.Ledger.Execute(e.Data)
+		switch result := results[i].(type) {
+		case ledger.CurrentVersion:
+			installed = true
+			r.Log.Info().Str("event", "held").Uint64("index", e.Index).Uint64("version", result.Version).Msg("")
+		case ledger.Evacuated:
+			installed = true
+			r.Log.Info().Str("event", "evacuation").Uint64("index", e.Index).Str("failure_domain", result.Domain.Name).
+				Bool("evacuated", result.Domain.Evacuated).Uint64("revision", result.Domain.Revision).Msg("")
 		}
+	}
+	r.publishIfChanged(before)
+	if installed {
+		r.publishInstalled()
+	}
+	for i, e := range entries {
+		r.answerWaiter(e, results[i])
+	}
+}
+
+// answerWaiter answers the caller who proposed an entry, if one waits here.
+func (r *Replica) answerWaiter(e replication.Entry, result ledger.Result) {
+	w, ok := r.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiters, e.Index)
+	switch {
+	case w.ch == nil:
+	case w.term != e.Term:
+		w.ch <- lost{}
+	default:
 		w.ch <- done{result}
 	}
 }
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -128,8 +128,9 @@
 // publishInstalled publishes the applied state of the log through the fleet source.
 func (r *Replica) publishInstalled() {
 	if r.Source != nil {
-		r.Source.Publish(r.Ledger.Installed(), r.Ledger.Weights())
+		// Publish answers polls, so the required versions must be set before.
 		r.Source.RequireWeights(r.Ledger.RequiredWeights())
+		r.Source.Publish(r.Ledger.Installed(), r.Ledger.Weights())
 		r.Source.PublishEvacuations(r.Ledger.Evacuations().All())
 	}
 }
