arbiter: refused requests come back within three quarters of the objective

Change: New plugs in the returns package. The replay uses it, and now requires at all three rates, with one urgency and with three, as many in time as if one entry decides, and at most 0.08 late.

--- a/internal/coordination/arbiter/arbiter.go
+++ b/internal/coordination/arbiter/arbiter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/coordination/returns"
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
@@ -22,13 +23,18 @@
 	// callerPatience is the divisor for the longest time that a caller waits before it comes back, as a
 	// part of the time that it has left.
 	callerPatience = 3
+	// A caller comes back within returnNumerator/returnDenominator of the objective, so that its answer can
+	// still be in time. Later returns take the room of requests that would be: in the replay at 100 prompts
+	// a second of one urgency 0.659 were in time and 0.145 refused twice with waits of up to a third of the
+	// time left, and 0.821 and 0.175 with this bound. Half of the objective instead gives 0.819 and 0.180.
+	returnNumerator, returnDenominator = 3, 4
 )
 
 // Arbiter decides for all engines of some services. Use New to make one. It is not safe for concurrent
 // use.
 type Arbiter struct {
-	// NewReturns makes the Returns of a service. If it is nil, refused requests come back after a fixed
-	// time. It must be set before the first call of SetEngines.
+	// NewReturns makes the Returns of a service. New sets it; if it is nil, refused requests come back after
+	// a fixed time. It must not change after the first call of SetEngines.
 	NewReturns func() Returns
 
 	random   *rand.Rand
@@ -54,7 +60,9 @@
 
 // New returns an Arbiter without engines.
 func New(seed uint64) *Arbiter {
-	return &Arbiter{random: rand.New(rand.NewPCG(seed, 0xa4b1)), services: map[string]*service{}, open: map[string]*grant{}}
+	return &Arbiter{
+		NewReturns: func() Returns { return returns.New() }, random: rand.New(rand.NewPCG(seed, 0xa4b1)), services: map[string]*service{}, open: map[string]*grant{},
+	}
 }
 
 // SetEngines sets the engines of a service and the memory of each of them in tokens. The state of engines
--- a/internal/coordination/arbiter/arbiter_test.go
+++ b/internal/coordination/arbiter/arbiter_test.go
@@ -37,6 +37,8 @@
 
 func newFixture(engines int, load balance.EngineLoad) *fixture {
 	f := &fixture{Arbiter: arbiter.New(1)}
+	// Refused requests come back after a fixed time, except where returns are tested.
+	f.NewReturns = nil
 	f.set(engines)
 	f.report(load, start)
 	return f
@@ -541,14 +543,17 @@
 	return f
 }
 
-// Room must be left to more urgent requests that are about to come back. If it were left to equally urgent
-// ones too, each request would be refused once for an earlier one that comes back too late.
+// Room must be left to requests that are about to come back and at least as urgent, except by those that come
+// back themselves, which leave it to more urgent ones: otherwise requests would be refused twice while
+// later ones are served.
 func TestLeavesRoomForReturns(t *testing.T) {
-	f := newReturnsFixture(&fakeReturns{reserved: map[int]int{0: 2 * tokens, 1: 9 * tokens}})
-	if diff := cmp.Diff(3, len(f.fill(start, urgency(1)))); diff != "" {
+	line := &fakeReturns{reserved: map[int]int{0: tokens, 1: 3 * tokens}}
+	f := newReturnsFixture(line)
+	if diff := cmp.Diff(2, len(f.fill(start, urgency(1)))); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff(2, len(f.fill(start, urgency(0)))); diff != "" {
+	back := f.fill(start, func(r *arbiter.Request) { r.Urgency, line.due = 1, r.Digest })
+	if diff := cmp.Diff(2, len(back)); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -566,6 +571,8 @@
 	f.Release(ids[0], start)
 	decide(team("a"))
 	decide(func(r *arbiter.Request) { line.due = r.Digest })
+	f.decide(start, func(r *arbiter.Request) { r.Team, r.Remaining, r.Objective = "a", 4500*time.Millisecond, 4*time.Second })
+	f.decide(start, func(r *arbiter.Request) { r.Team, r.Objective = "a", 0 })
 	wait := 700 * time.Millisecond
 	want := []arbiter.Decision{
 		arbiter.Refusal{RetryAfter: wait, Reason: arbiter.NoRoom},
@@ -574,10 +581,7 @@
 	if diff := cmp.Diff(want, decisions); diff != "" {
 		t.Error(diff)
 	}
-	patience := 10 * time.Second / 3
-	calls := []string{
-		fmt.Sprint("refuse 10000 0 ", patience), "release 10000", fmt.Sprint("refuse 10000 0 ", patience), "served true",
-	}
+	calls := []string{"refuse 10000 0 750ms", "release 10000", "refuse 10000 0 750ms", "served true", "refuse 10000 0 1.5s", "refuse 10000 0 3.333333333s"}
 	if diff := cmp.Diff(calls, line.calls); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/coordination/arbiter/decide.go
+++ b/internal/coordination/arbiter/decide.go
@@ -10,7 +10,7 @@
 
 // spacing is for how long after a grant an engine gets no other long prompt while others have room. The
 // first piece after three other long prompts within 0.4 s took 0.6 s, and 0.14 s after none. In the replay
-// at 80 prompts a second 0.044 of the prompts met two others within 0.4 s, and 0.105 without spacing.
+// at 80 prompts a second 0.024 of the prompts met two others within 0.4 s, and 0.070 without spacing.
 const spacing = 250 * time.Millisecond
 
 // outcome is what is to be done with a request. It is one of placement, refused and undecided.
@@ -45,7 +45,7 @@
 		return refused{s.withoutRoom(r, now)}
 	}
 	due := s.returns != nil && s.returns.Due(r.Digest, now)
-	left := s.room(r) - s.withheld(r, now) - balance.RequiredRoom(r.Tokens, s.memory)
+	left := s.room(r) - s.withheld(r, due, now) - balance.RequiredRoom(r.Tokens, s.memory)
 	switch {
 	case left < 0:
 		return refused{NoRoom}
@@ -112,16 +112,19 @@
 	return tokens
 }
 
-// withheld returns the room that is kept for more urgent requests: those that were refused lately, and those
-// that are about to come back. The two overlap, so the larger counts. No room is kept for returns of the same
-// urgency: in the replay at 80 prompts a second of one urgency 0.503 were in time with that and 0.886 without
-// it, as each prompt was refused once for an earlier one that came back too late.
-func (s *service) withheld(r Request, now time.Time) int {
+// withheld returns the room that is kept for requests that go before this one: the more urgent ones that
+// were refused lately, and those that are about to come back and at least as urgent. A request that comes
+// back itself leaves room to more urgent ones only. The two overlap, so the larger counts.
+func (s *service) withheld(r Request, due bool, now time.Time) int {
 	tokens := s.refusals.before(r.Urgency)
-	if s.returns == nil || r.Urgency == 0 {
+	if s.returns == nil {
 		return tokens
 	}
-	return max(tokens, s.returns.Reserved(r.Urgency-1, now))
+	urgency := r.Urgency
+	if due {
+		urgency--
+	}
+	return max(tokens, s.returns.Reserved(urgency, now))
 }
 
 // choose returns the engine for a request among those with room. One that reads the same prefix is first:
--- a/internal/coordination/arbiter/service.go
+++ b/internal/coordination/arbiter/service.go
@@ -112,7 +112,7 @@
 	if s.returns == nil || reason == NoTime {
 		return Refusal{RetryAfter: fixedRetryAfter, Reason: reason}
 	}
-	after := s.returns.Refuse(r.Digest, r.Tokens, r.Urgency, r.Remaining/callerPatience, now)
+	after := s.returns.Refuse(r.Digest, r.Tokens, r.Urgency, r.longestWait(), now)
 	return Refusal{RetryAfter: after, Reason: reason}
 }
 
--- a/internal/coordination/arbiter/types.go
+++ b/internal/coordination/arbiter/types.go
@@ -38,6 +38,15 @@
 	Objective, Remaining time.Duration
 }
 
+// longestWait returns the longest time until the caller is to send the request again after a refusal.
+func (r Request) longestWait() time.Duration {
+	wait := r.Remaining / callerPatience
+	if r.Objective > 0 {
+		wait = min(wait, r.Objective*returnNumerator/returnDenominator)
+	}
+	return wait
+}
+
 // Decision is the answer to a Request. It is one of Grant, Refusal and Unknown.
 type Decision interface{ decision() }
 
--- a/internal/coordination/balance/arbiter_replay_test.go
+++ b/internal/coordination/balance/arbiter_replay_test.go
@@ -125,10 +125,6 @@
 // arbiter for 60 engines and 79 entries must serve at least as many prompts in time as if a single entry
 // decided for all; more urgent prompts must come first, and a team that sends a burst must not displace
 // others. SHEDROCK_BENCH=1 prints the table.
-//
-// All refused callers come back after 2 s here, too late for the objective. If there is one urgency at 100
-// prompts a second, their retries take more room than the retries that a single entry would refuse, so that
-// more prompts are served but fewer in time.
 func TestArbiterInBurst(t *testing.T) {
 	calm := runBurst(arbiterPolicy, 79, 8, 3, 40, 1)
 	if calm.refused > 0 || calm.inTime < calm.total*95/100 {
@@ -138,12 +134,11 @@
 		runBurst(policies[3], 79, 1, 1, rate, 2.2)
 		single := runBurst(policies[3], 1, 1, 1, rate, 2.2)
 		alike := runBurst(arbiterPolicy, 79, 1, 1, rate, 2.2)
-		if rate < 100 && alike.inTime < single.inTime || alike.inTime+alike.late < single.inTime+single.late {
-			t.Errorf("rate %.0f: %v, and if one entry decides %v", rate, alike, single)
-		}
 		mixed := runBurst(arbiterPolicy, 79, 8, 3, rate, 2.2)
-		if mixed.inTime < single.inTime || mixed.late > mixed.total*8/100 {
-			t.Errorf("rate %.0f: %v, and if one entry decides %v", rate, mixed, single)
+		for _, f := range []*fleetReplay{alike, mixed} {
+			if f.inTime < single.inTime || f.late > f.total*8/100 {
+				t.Errorf("rate %.0f: %v, and if one entry decides %v", rate, f, single)
+			}
 		}
 		mixed.checkOrder(t)
 	}
