--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -94,11 +94,22 @@
 	}
 	r.view.set(s)
 	if r.Source != nil {
-		r.Source.PublishLeader(s.Leader != "")
+		r.Source.PublishLeader(s.Leader != "", r.leaderAddress())
 	}
 	r.publishAddresses()
 }
 
+// leaderAddress returns the leader's address, or nothing if it is not known.
+func (r *Replica) leaderAddress() string {
+	switch {
+	case r.machine.Leading():
+		return r.Address
+	case r.machine.Leader() == "":
+		return ""
+	}
+	return r.addressOf(r.machine.Leader())
+}
+
 // Status returns this replica's own view of the group. It may be called once Run has started.
 func (r *Replica) Status() *wire.StatusResponse {
 	r.init()
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -115,7 +115,7 @@
 	}
 	for _, c := range controls {
 		c.source.PublishControl(list)
-		c.source.PublishLeader(true)
+		c.source.PublishLeader(true, "")
 		f := &fleet.Follower{
 			Name: controlName(c.address()), FailureDomain: c.domain, Heartbeat: interval, Log: discardLogger, Decode: decodeVersion,
 			Seeds: c.source.Control, Relay: c.source, Address: c.address(), FailuresPending: c.source.ForwardPending(), TakeFailures: c.source.TakeForward,
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -66,8 +66,11 @@
 	// control holds the control instances, and controlChange numbers its changes.
 	control       []ControlInstance
 	controlChange uint64
-	// leaderless is true while this control instance knows no leader.
+	// leaderless is true while this control instance knows no leader, and leader is the leader's peer
+	// address, or empty. Both are this control instance's own knowledge, in all answers: they are never
+	// relayed.
 	leaderless bool
+	leader     string
 	// suspects holds the failed requests that entries reported, and failing the instances that are
 	// judged to fail on that basis.
 	suspects *suspects.Detector
@@ -186,11 +189,14 @@
 	}
 }
 
-// PublishLeader sets whether this control instance knows a leader of the control log.
-func (s *Source) PublishLeader(known bool) {
+// PublishLeader sets whether this control instance knows a leader of the control log, and the leader's
+// peer address, which is empty if it is not known. A change does not answer polls: while there are engines,
+// the leader's loads do so several times a second.
+func (s *Source) PublishLeader(known bool, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaderless = !known
+	s.leader = address
 }
 
 // PublishControl sets the control instances.
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -33,8 +33,10 @@
 	WeightHistories map[string]weights.History
 	// Contact tells whether the control log is reachable.
 	Contact Contact
-	// Control holds the addresses of the control instances.
+	// Control holds the addresses of the control instances, and Leader the address of the one that leads
+	// the control log; it is empty while no source that answers knows it.
 	Control []string
+	Leader  string
 	// Busy holds the instances that are loading weights, or are next to do so.
 	Busy map[registry.Incarnation]bool
 	// Failing holds the instances that answer but fail, judged by the failures seen by all entries.
@@ -133,7 +135,7 @@
 func (f *Follower) publish() {
 	v := &View{
 		Config: f.config, NewestConfigVersion: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)),
+		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
 		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
 		Unreachable: f.unreachable(clock.Now()),
@@ -156,6 +158,18 @@
 	f.view.Store(v)
 }
 
+// leaderOf returns the leader that was named last by any source that answers. A source that is cut off from
+// the others may name a former leader, but has done so for longer.
+func leaderOf(sources map[string]*sourceState) string {
+	leader, since := "", time.Time{}
+	for _, s := range sources {
+		if s.reachable && s.leader != "" && s.leaderSince.After(since) {
+			leader, since = s.leader, s.leaderSince
+		}
+	}
+	return leader
+}
+
 // mergeLoads merges the loads from two sources. Only while two control instances lead do both have
 // any. If one has none, the other's map is returned without a copy, as there is a view for each
 // answer.
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -52,6 +52,10 @@
 	// all sources learned. leaderlessSince is since when the source has known no leader, or zero.
 	polled, relayed bool
 	leaderlessSince time.Time
+	// leader is the address of the leader that the source knows, or empty, and leaderSince when the source
+	// first named it.
+	leader      string
+	leaderSince time.Time
 	// polledAt is when the last poll was sent, and lastFailedPoll when the last poll was sent that
 	// failed or was answered without a known leader.
 	polledAt, lastFailedPoll time.Time
@@ -235,6 +239,9 @@
 	case s.leaderlessSince.IsZero():
 		s.leaderlessSince = now
 	}
+	if out.Leader != s.leader {
+		s.leader, s.leaderSince = out.Leader, now
+	}
 	s.answeredAt = now
 	s.epoch = out.Epoch
 	s.change = out.Change
