--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -118,7 +118,7 @@
 		keeper: &keeping.StoreWatcher{
 			View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Source: source, Stores: platform.NewStoreClient(), Log: logger,
 		},
-		loads: &loads.Poller{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, RecordLoad: decisions.RecordLoad, Log: logger},
+		loads: &loads.Poller{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Decider: decisions, Log: logger},
 		requirer: &orders.Requirer{
 			View: follower.View, Leading: replica.Leading, CommitRequired: replica.RequireWeights, OldWeightsGrace: s.OldWeights(), Log: logger,
 		},
--- a/internal/coordination/arbiter/decide.go
+++ b/internal/coordination/arbiter/decide.go
@@ -127,7 +127,7 @@
 // choose returns the engine for a request among those with room. One that reads the same prefix is first:
 // the others would compute the prefix again.
 func (s *service) choose(r Request, now time.Time) placement {
-	if last, ok := s.readers[r.Key]; ok && now.Sub(last.at) <= readerTime && slices.Contains(s.fitting, last.engine) {
+	if last, ok := s.readers[r.Key]; ok && r.Key != 0 && now.Sub(last.at) <= readerTime && slices.Contains(s.fitting, last.engine) {
 		return placement{engine: last.engine, reader: true}
 	}
 	key := r.Key
--- a/internal/coordination/arbiter/service.go
+++ b/internal/coordination/arbiter/service.go
@@ -24,7 +24,7 @@
 	// memory is the memory of each engine in tokens.
 	memory  int
 	engines []*engine
-	// readers holds the engine that was last granted a prompt with a key. There is none for key 0.
+	// readers holds the engine that was last granted a prompt with a key.
 	readers  map[uint64]reader
 	refusals refusals
 	shares   shares
--- a/internal/transport/arbiter/service.go
+++ b/internal/transport/arbiter/service.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	// engines of.
 	view     *fleet.View
 	services map[string]bool
+	// unresponsive holds the engines of the view that did not respond to the last poll.
+	unresponsive map[registry.Incarnation]bool
 	// loadsAt is when the newest load arrived, or zero.
 	loadsAt time.Time
 	// lines limits the lines about refusals, and skippedLines counts those left out since the last one.
@@ -104,10 +107,25 @@
 	if !s.lead() {
 		return
 	}
+	if s.unresponsive[of] {
+		delete(s.unresponsive, of)
+		s.setEngines()
+	}
 	s.arbiter.RecordLoads(map[registry.Incarnation]balance.EngineLoad{of: load}, at)
 	s.loadsAt = at
 }
 
+// RecordUnresponsive records that an engine did not respond. The arbiter would use its last load for longer.
+func (s *Service) RecordUnresponsive(of registry.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.lead() || s.unresponsive[of] {
+		return
+	}
+	s.unresponsive[of] = true
+	s.setEngines()
+}
+
 func notLeading() error {
 	return twirp.NewError(twirp.Unavailable, "this replica does not lead")
 }
@@ -123,25 +141,26 @@
 	if s.arbiter == nil || s.term != term {
 		s.arbiter, s.term = arbiter.New(rand.Uint64()), term
 		s.arbiter.NewReturns = s.NewReturns
-		s.view, s.services, s.loadsAt = nil, map[string]bool{}, time.Time{}
+		s.view, s.services, s.unresponsive, s.loadsAt = nil, map[string]bool{}, map[registry.Incarnation]bool{}, time.Time{}
 		s.lines = rate.NewLimiter(maxRefusalLines, maxRefusalLines)
 	}
 	if view := s.View(); view != s.view {
 		s.view = view
-		s.setEngines(view)
+		s.setEngines()
 	}
 	return true
 }
 
-// setEngines sets the engines of all tiered services; mu must be held.
-func (s *Service) setEngines(view *fleet.View) {
+// setEngines sets the engines of all tiered services by the view; mu must be held.
+func (s *Service) setEngines() {
+	view := s.view
 	if view.Config == nil {
 		return
 	}
 	for name, service := range view.Config.Services {
 		if view.Config.Tiered(name) {
 			s.services[name] = true
-			s.arbiter.SetEngines(name, enginesOf(view, name), service.Engine.MemoryTokens)
+			s.arbiter.SetEngines(name, s.enginesOf(name), service.Engine.MemoryTokens)
 		}
 	}
 	for name := range s.services {
@@ -150,22 +169,51 @@
 			s.arbiter.SetEngines(name, nil, 0)
 		}
 	}
+	s.forgetUnresponsive()
+}
+
+// forgetUnresponsive forgets the unresponsive engines that are not in the view any more; mu must be held.
+func (s *Service) forgetUnresponsive() {
+	if len(s.unresponsive) == 0 {
+		return
+	}
+	gone := maps.Clone(s.unresponsive)
+	for name := range s.view.Config.Services {
+		for _, in := range s.view.Instances[name] {
+			delete(gone, in.Incarnation())
+		}
+	}
+	maps.DeleteFunc(s.unresponsive, func(of registry.Incarnation, _ bool) bool { return gone[of] })
 }
 
 // enginesOf returns the engines of a service that may get requests. If it returns none, entries decide by
-// themselves which of the others to use.
-func enginesOf(view *fleet.View, service string) []arbiter.Engine {
-	var out []arbiter.Engine
-	for _, in := range view.Instances[service] {
-		_, evacuated := view.Evacuated[in.FailureDomain]
-		_, unreachable := view.Unreachable[in.FailureDomain]
-		of := in.Incarnation()
-		if evacuated || unreachable || in.Leaving || view.Busy[of] || view.Failing[of] {
+// themselves which of the others to use. Unresponsive engines are left out unless they are more than half:
+// then they count as engines without a load, as entries may reach them although this control instance
+// cannot. mu must be held.
+func (s *Service) enginesOf(service string) []arbiter.Engine {
+	var responsive, all []arbiter.Engine
+	for _, in := range s.view.Instances[service] {
+		if !mayGetRequests(s.view, in) {
 			continue
 		}
-		out = append(out, arbiter.Engine{Incarnation: of, FailureDomain: in.FailureDomain})
+		engine := arbiter.Engine{Incarnation: in.Incarnation(), FailureDomain: in.FailureDomain}
+		all = append(all, engine)
+		if !s.unresponsive[engine.Incarnation] {
+			responsive = append(responsive, engine)
+		}
+	}
+	if 2*len(responsive) < len(all) {
+		return all
 	}
-	return out
+	return responsive
+}
+
+// mayGetRequests reports whether requests may be placed at an instance, by what all entries know.
+func mayGetRequests(view *fleet.View, in registry.Instance) bool {
+	_, evacuated := view.Evacuated[in.FailureDomain]
+	_, unreachable := view.Unreachable[in.FailureDomain]
+	of := in.Incarnation()
+	return !evacuated && !unreachable && !in.Leaving && !view.Busy[of] && !view.Failing[of]
 }
 
 // logRefusal logs a refusal, unless there were too many in the last second; mu must be held.
--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -54,6 +54,14 @@
 	Usage(ctx context.Context, in registry.Instance, interval time.Duration) (balance.EngineLoad, error)
 }
 
+// Decider decides by the loads while this replica leads.
+type Decider interface {
+	// RecordLoad records the load that an engine reported, and when the report arrived.
+	RecordLoad(of registry.Incarnation, load balance.EngineLoad, at time.Time)
+	// RecordUnresponsive records that an engine did not respond.
+	RecordUnresponsive(of registry.Incarnation)
+}
+
 // Poller polls the engines. Set the exported fields, then call Run.
 type Poller struct {
 	// View returns the current state of the fleet.
@@ -63,8 +71,8 @@
 	Engines Engines
 	// Source publishes the loads to entries.
 	Source *fleet.Source
-	// RecordLoad, if set, receives each load as it arrives, before it is published.
-	RecordLoad func(of registry.Incarnation, load balance.EngineLoad, at time.Time)
+	// Decider, if set, receives each load as it arrives, before it is published.
+	Decider Decider
 	// Log receives one line per event.
 	Log *log.Logger
 
@@ -142,9 +150,7 @@
 			ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 			defer cancel()
 			load, err := p.usage(ctx, in, interval)
-			if err == nil && p.RecordLoad != nil {
-				p.RecordLoad(in.Incarnation(), load, clock.Now())
-			}
+			p.informDecider(in, load, err)
 			p.recordLoad(in, load, err)
 		})
 	}
@@ -167,6 +173,17 @@
 	p.Source.PublishLoads(p.loads, interval)
 }
 
+// informDecider passes the result of one poll on.
+func (p *Poller) informDecider(in registry.Instance, load balance.EngineLoad, err error) {
+	switch {
+	case p.Decider == nil:
+	case err != nil:
+		p.Decider.RecordUnresponsive(in.Incarnation())
+	default:
+		p.Decider.RecordLoad(in.Incarnation(), load, clock.Now())
+	}
+}
+
 // recordLoad records the result of one poll.
 func (p *Poller) recordLoad(in registry.Instance, load balance.EngineLoad, err error) {
 	p.mu.Lock()
--- a/internal/transport/loads/loads_test.go
+++ b/internal/transport/loads/loads_test.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
@@ -138,6 +139,59 @@
 	})
 }
 
+// recorder records the last result of each engine's polls, and when the last load arrived.
+type recorder struct {
+	mu    sync.Mutex
+	loads map[string]balance.EngineLoad
+	lost  map[string]bool
+	at    time.Time
+}
+
+func (r *recorder) RecordLoad(of registry.Incarnation, load balance.EngineLoad, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loads[of.ID] = load
+	delete(r.lost, of.ID)
+	r.at = at
+}
+
+func (r *recorder) RecordUnresponsive(of registry.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost[of.ID] = true
+}
+
+// Guards against decisions by loads that are older than need be: each load arrives at the decider although
+// another engine of the round does not respond, and that one is reported as well.
+func TestDeciderGetsLoadsAsTheyArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		began := clock.Now()
+		e := &engines{loads: map[string]balance.EngineLoad{"a": {Waiting: 3, Used: 60_000}}, unresponsive: func(id string) bool { return id == "lost" }}
+		r := &recorder{loads: map[string]balance.EngineLoad{}, lost: map[string]bool{}}
+		w := &loads.Poller{
+			View: func() *fleet.View { return viewOf("a", "lost") }, Leading: func() (uint64, bool) { return 1, true },
+			Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Decider: r, Log: quiet,
+		}
+		go w.Run(ctx)
+		synctest.Wait()
+		r.mu.Lock()
+		if diff := cmp.Diff(e.loads, r.loads); diff != "" || !r.at.Equal(began) {
+			t.Errorf("at %s: %s", r.at.Sub(began), diff)
+		}
+		r.mu.Unlock()
+		time.Sleep(time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if diff := cmp.Diff(map[string]bool{"lost": true}, r.lost); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // Guards against slow polls of all engines when a quarter of them stop responding at the same time: apart
 // from a short delay, the others must be polled as often as before and the unresponsive ones every one to
 // three seconds, and entries must lose the loads of the latter within 0.8 s.
