Commit the epochs of open stores, so that a loss of all control instances does not close them

Cause: a leader that finds a store in an epoch of which it knows nothing keeps it closed for 7 s, as parts of an earlier epoch may still be fetched. What leaders publish about open epochs is lost with all control instances, so each loss of power closed all stores for 7 s.

Change: while some service is tiered, the leader commits an OpenStore command for each change of the epoch in which a store is published as open (EpochRecorder), and a new leader reads the committed epochs by a linearizable read before it watches a store. A store is opened at once only if its epoch is the committed one. An epoch is committed only after the store was open in it, so no part is written while one of the same name may be fetched. The committed weight versions are counted in as well: just after the start, the view may lack the newest ones, and parts that an earlier leader frees would be published as fetchable while the store takes saves.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -75,6 +75,7 @@
 	client   *controlclient.Client
 	follower *fleet.Follower
 	keeper   *keeping.StoreWatcher
+	epochs   *keeping.EpochRecorder
 	loads    *loads.Poller
 	requirer *orders.Requirer
 	// calls and metrics serve a listener each; replicas reach one another by the replica's.
@@ -112,7 +113,10 @@
 	return &platformControl{
 		replica: replica, client: client, follower: follower, log: logger,
 		keeper: &keeping.StoreWatcher{
-			View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Source: source, Stores: platform.NewStoreClient(), Log: logger,
+			View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Committed: replica.CommittedStores, Source: source, Stores: platform.NewStoreClient(), Log: logger,
+		},
+		epochs: &keeping.EpochRecorder{
+			View: follower.View, Leading: replica.Leading, Committed: replica.CommittedStores, CommitOpen: replica.CommitOpenStore, Log: logger,
 		},
 		loads: &loads.Poller{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Log: logger},
 		requirer: &orders.Requirer{
@@ -150,6 +154,7 @@
 	group.Go(func() error { r.client.KeepJoined(ctx, r.replica.Status, r.log); return nil })
 	group.Go(func() error { r.follower.Run(ctx); return nil })
 	group.Go(func() error { r.keeper.Run(ctx); return nil })
+	group.Go(func() error { r.epochs.Run(ctx); return nil })
 	group.Go(func() error { r.loads.Run(ctx); return nil })
 	group.Go(func() error { r.requirer.Run(ctx); return nil })
 	group.Go(func() error { noteSuspensions(ctx, r.log); return nil })
--- a/internal/coordination/keeping/book.go
+++ b/internal/coordination/keeping/book.go
@@ -51,6 +51,9 @@
 	// OpenEpoch is an epoch of the store in which it was open for saves, as published by an earlier
 	// leader; 0 if none is known. A store stays open until its epoch changes.
 	OpenEpoch uint64
+	// CommittedEpoch is one that the control log holds, which also remains known when all control
+	// instances have been lost; 0 if none is known.
+	CommittedEpoch uint64
 
 	epoch, next uint64
 	listed      bool
@@ -101,10 +104,10 @@
 // mayHaveActiveLeases reports whether parts that were published in an earlier epoch of the store
 // may still be fetched. Nothing may be saved under the same names until those leases have ended,
 // because a fetch would find a part that is half written. A new leader does not know what was
-// published before, unless an earlier leader has published that this epoch is open.
+// published before, unless an earlier leader has published or committed that this epoch is open.
 func (s *StoreState) mayHaveActiveLeases(epoch uint64) bool {
 	if !s.listed {
-		return epoch != s.OpenEpoch
+		return epoch != s.OpenEpoch && epoch != s.CommittedEpoch
 	}
 	return epoch != s.epoch
 }
--- a/internal/coordination/keeping/keeping_test.go
+++ b/internal/coordination/keeping/keeping_test.go
@@ -95,6 +95,79 @@
 	}
 }
 
+// After a loss of all control instances, a store is opened at once if the control log says that it was
+// open in its epoch, and not if the log holds another epoch, as that of a store that has restarted since
+// or one from a log that is behind.
+func TestCommittedEpochOpensAtOnce(t *testing.T) {
+	b := keeping.StoreState{Capacity: 1000, NewestVersion: func(string) uint64 { return 1 }, CommittedEpoch: 2}
+	b.ApplyList(2, 0, nil, time.Second)
+	if diff := cmp.Diff([]any{1000, uint64(2)}, []any{b.FreeTokens(time.Second), b.CurrentOpenEpoch(time.Second)}); diff != "" {
+		t.Error(diff)
+	}
+	b.ApplyList(3, 0, nil, 10*time.Second)
+	checkOpensAfterLease(t, &b, 10*time.Second)
+	b = keeping.StoreState{Capacity: 1000, NewestVersion: func(string) uint64 { return 1 }, CommittedEpoch: 1}
+	b.ApplyList(2, 0, nil, time.Second)
+	checkOpensAfterLease(t, &b, time.Second)
+}
+
+// For any sequence of saves, restarts of a store, new leaders, losses of all control instances and commits,
+// which may be delayed, lost or in another order, a part is written only after every lease on it has ended.
+func TestNoPartIsWrittenDuringAFetchAfterALoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock, until := time.Duration(0), time.Duration(-1)
+		stored, epoch := false, uint64(1)
+		// open is the epoch that the last leader published, opened all that any leader published, and
+		// committed the one that the control log holds.
+		open, opened, committed := uint64(0), []uint64{1}, uint64(1)
+		newState := func() *keeping.StoreState {
+			return &keeping.StoreState{Capacity: 1000, NewestVersion: func(string) uint64 { return 1 }, OpenEpoch: open, CommittedEpoch: committed}
+		}
+		state := newState()
+		part := storedPart(1, "a", 100)
+		read := func() {
+			var list []keeping.StoredPart
+			if stored {
+				list = append(list, part)
+			}
+			state.ApplyList(epoch, 0, list, clock)
+			if len(state.Fetchable(clock)) > 0 {
+				until = clock + keeping.FetchLease
+			}
+			open = state.CurrentOpenEpoch(clock)
+			if open != 0 && open != opened[len(opened)-1] {
+				opened = append(opened, open)
+			}
+		}
+		for range 60 {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				stored = false
+				epoch++
+			case 1:
+				open = 0
+				state = newState()
+			case 2:
+				state = newState()
+			case 3:
+				committed = opened[rapid.IntRange(max(0, len(opened)-2), len(opened)-1).Draw(t, "commit")]
+			case 4, 5, 6:
+				read()
+				if state.FreeTokens(clock) == 0 {
+					continue
+				}
+				if !stored && clock <= until {
+					t.Fatalf("the part is written at %s, but its lease ends at %s", clock, until)
+				}
+				stored = true
+			default:
+				clock += time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond
+				read()
+			}
+		}
+	})
+}
+
 // For any sequence of saves, new versions, restarts and new leaders, a part is freed or overwritten
 // only after every lease on it has ended.
 func TestNoPartChangesDuringAFetch(t *testing.T) {
--- a/internal/coordination/keeping/kept.go
+++ b/internal/coordination/keeping/kept.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// Committed is what the control log holds that concerns stores.
+type Committed struct {
+	// OpenEpochs holds, by the stores' addresses, an epoch of each in which it was open for saves.
+	OpenEpochs map[string]uint64
+	// Weights holds the newest weight version of each model.
+	Weights map[string]uint64
+}
+
 // StoreContents is what one store holds, as published by the leader of the control log.
 type StoreContents struct {
 	// Until is the time, on the clock of stores and engines, until which Parts may be fetched.
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -42,6 +42,9 @@
 	// one on which a request may still begin, which is never above it.
 	weights, required map[string]uint64
 	evacuations       *evacuation.Table
+	// openEpochs holds, by the stores' addresses, the epoch in which each was last known to be open for
+	// saves. It is never 0.
+	openEpochs map[string]uint64
 }
 
 // Installed is a complete configuration as the operator sent it; version 0 means that
@@ -62,10 +65,12 @@
 		required:   map[string]uint64{},
 
 		evacuations: &evacuation.Table{},
+		openEpochs:  map[string]uint64{},
 	}
 }
 
-// Result is one of Applied, Reservation, RecordResult, Token, CurrentVersion, Evacuated or Malformed.
+// Result is one of Applied, Reservation, RecordResult, Token, CurrentVersion, Evacuated, OpenedStore or
+// Malformed.
 type Result interface{ result() }
 
 // Applied is the result of an apply command.
@@ -88,6 +93,12 @@
 // Evacuated is the result of starting or ending an evacuation: the state of the failure domain afterwards.
 type Evacuated struct{ Domain evacuation.Domain }
 
+// OpenedStore is the result of a command that says that a store was open for saves in an epoch.
+type OpenedStore struct {
+	Address string
+	Epoch   uint64
+}
+
 // Malformed is the result of a command that this version cannot decode. The command has no
 // effect except on the time.
 type Malformed struct{}
@@ -98,6 +109,7 @@
 func (Token) result()          {}
 func (CurrentVersion) result() {}
 func (Evacuated) result()      {}
+func (OpenedStore) result()    {}
 func (Malformed) result()      {}
 
 // Execute executes one encoded command.
@@ -137,6 +149,8 @@
 		return CurrentVersion{l.required[model]}
 	case *command.Command_Evacuate:
 		return Evacuated{l.evacuate(body.Evacuate)}
+	case *command.Command_OpenStore:
+		return l.openStore(body.OpenStore)
 	}
 	return Malformed{}
 }
@@ -151,6 +165,21 @@
 // begin.
 func (l *Ledger) RequiredWeights() map[string]uint64 { return maps.Clone(l.required) }
 
+// OpenEpochs returns a copy of the epochs in which stores were last known to be open for saves, by the
+// stores' addresses.
+func (l *Ledger) OpenEpochs() map[string]uint64 { return maps.Clone(l.openEpochs) }
+
+// openStore records the epoch in which a store was open. A late command may replace a newer epoch by an
+// older one: what it says remains true, and a store is not taken for open by an epoch that is not its own.
+func (l *Ledger) openStore(c *command.OpenStore) OpenedStore {
+	if c.Epoch == 0 {
+		delete(l.openEpochs, c.Address)
+	} else {
+		l.openEpochs[c.Address] = c.Epoch
+	}
+	return OpenedStore{c.Address, c.Epoch}
+}
+
 // evacuate changes the evacuation of a failure domain and copies the result to the declared state.
 func (l *Ledger) evacuate(c *command.Evacuate) evacuation.Domain {
 	before := l.evacuations.Domain(c.Domain)
@@ -208,6 +237,9 @@
 	for _, d := range l.evacuations.All() {
 		out.Evacuations = append(out.Evacuations, &command.Evacuation{Domain: d.Name, Evacuated: d.Evacuated, Revision: d.Revision})
 	}
+	for _, address := range slices.Sorted(maps.Keys(l.openEpochs)) {
+		out.OpenStores = append(out.OpenStores, &command.OpenStore{Address: address, Epoch: l.openEpochs[address]})
+	}
 	written := map[callID]bool{}
 	for _, id := range l.order {
 		r, ok := l.records[id]
@@ -248,6 +280,9 @@
 	for _, w := range in.Required {
 		l.required[w.Model] = w.Version
 	}
+	for _, s := range in.OpenStores {
+		l.openEpochs[s.Address] = s.Epoch
+	}
 	var domains []evacuation.Domain
 	for _, d := range in.Evacuations {
 		domains = append(domains, evacuation.Domain{Name: d.Domain, Evacuated: d.Evacuated, Revision: d.Revision})
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -1,6 +1,8 @@
 package ledger_test
 
 import (
+	"bytes"
+	"encoding/base64"
 	"fmt"
 	"runtime"
 	"testing"
@@ -147,6 +149,53 @@
 	}
 }
 
+// What is known of open stores survives a snapshot, and a store that is no longer declared is removed.
+// Each command replaces the epoch before.
+func TestOpenStoresSurviveASnapshot(t *testing.T) {
+	g := &restartingLedger{t, ledger.New()}
+	open := func(address string, epoch uint64) map[string]uint64 {
+		result := g.execute(0, &command.Command{Body: &command.Command_OpenStore{OpenStore: &command.OpenStore{Address: address, Epoch: epoch}}})
+		if diff := cmp.Diff(ledger.OpenedStore{Address: address, Epoch: epoch}, result); diff != "" {
+			t.Error(diff)
+		}
+		return g.l.OpenEpochs()
+	}
+	got := []map[string]uint64{open("a", 7), open("b", 9), open("a", 8), open("b", 0), open("c", 0)}
+	want := []map[string]uint64{{"a": 7}, {"a": 7, "b": 9}, {"a": 8, "b": 9}, {"a": 8}, {"a": 8}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The log and the snapshot of the build before, which knew nothing of open stores, are read, and lead to
+// the same state. As long as no store was recorded, the snapshot is the same as that build's.
+func TestLogOfTheBuildBeforeIsRead(t *testing.T) {
+	decode := func(text string) []byte {
+		b, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	replayed := ledger.New()
+	for _, c := range []string{"COgHQgUKAW0QBA==", "COkHOgYIAxICe30=", "COoHMgMKAWg=", "COsHGgwKAXQSAWsaAWQiAWE="} {
+		if _, malformed := replayed.Execute(decode(c)).(ledger.Malformed); malformed {
+			t.Errorf("%s is not read", c)
+		}
+	}
+	snapshot := decode("COsHEix7InJldmlzaW9uIjowLCJkb2N1bWVudHMiOnt9LCJoaXN0b3J5IjpudWxsfRoRCgF0EgFrGgFkIgFhKOsHMAEgASoBaDoGCAMSAnt9QgUKAW0QBA==")
+	restored, err := ledger.Unmarshal(snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, l := range map[string]*ledger.Ledger{"replayed": replayed, "restored": restored} {
+		got, err := l.Marshal()
+		if err != nil || !bytes.Equal(snapshot, got) || len(l.OpenEpochs()) != 0 {
+			t.Errorf("%s: %q, open stores %v, %v", name, got, l.OpenEpochs(), err)
+		}
+	}
+}
+
 func TestUnknownCommandsAreRejected(t *testing.T) {
 	l := ledger.New()
 	for _, data := range [][]byte{nil, []byte("garbage"), {0x08, 0x01}} {
--- a/internal/transport/control/effects.go
+++ b/internal/transport/control/effects.go
@@ -159,6 +159,8 @@
 				r.publishInstalled()
 				r.Log.Info().Str("event", "evacuation").Uint64("index", e.Index).Str("failure_domain", result.Domain.Name).
 					Bool("evacuated", result.Domain.Evacuated).Uint64("revision", result.Domain.Revision).Msg("")
+			case ledger.OpenedStore:
+				r.Log.Info().Str("event", "store_open").Uint64("index", e.Index).Str("address", result.Address).Uint64("epoch", result.Epoch).Msg("")
 			}
 		}
 		w, ok := r.waiters[e.Index]
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/coordination/membership"
 	"github.com/shedrock/shedrock/internal/coordination/replication"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
@@ -234,6 +235,27 @@
 	return err
 }
 
+// CommittedStores reads what the control log holds that concerns stores. The read is linearizable: it
+// includes everything that earlier leaders have committed.
+func (r *Replica) CommittedStores(ctx context.Context) (keeping.Committed, error) {
+	found := make(chan keeping.Committed, 1)
+	err := controlService{r}.linearizableRead(ctx, func(l *ledger.Ledger) {
+		found <- keeping.Committed{OpenEpochs: l.OpenEpochs(), Weights: l.Weights()}
+	})
+	if err != nil {
+		return keeping.Committed{}, err
+	}
+	return <-found, nil
+}
+
+// CommitOpenStore commits that a store is open for saves in an epoch, or, with epoch 0, that the store is
+// no longer in the configuration. It fails unless this replica leads.
+func (r *Replica) CommitOpenStore(ctx context.Context, address string, epoch uint64) error {
+	c := &command.Command{Body: &command.Command_OpenStore{OpenStore: &command.OpenStore{Address: address, Epoch: epoch}}}
+	_, err := controlService{r}.commit(ctx, c)
+	return err
+}
+
 // newFencingToken commits and returns a new fencing token for this replica's orders.
 func (r *Replica) newFencingToken(ctx context.Context) (uint64, error) {
 	c := &command.Command{Body: &command.Command_TakeToken{TakeToken: &command.TakeToken{Holder: r.Folder.Incarnation()}}}
--- a/internal/transport/keeping/keeping.go
+++ b/internal/transport/keeping/keeping.go
@@ -46,6 +46,12 @@
 	Free(ctx context.Context, address string, epoch uint64, until time.Duration, parts []keeping.Part) error
 }
 
+// Publisher publishes the contents of stores to entries.
+type Publisher interface {
+	PublishStore(address string, contents keeping.StoreContents)
+	ForgetStore(address string)
+}
+
 // StoreWatcher watches the stores. Set the exported fields, then call Run.
 type StoreWatcher struct {
 	// View returns the current state of the fleet.
@@ -54,8 +60,11 @@
 	// returns nil once a majority has confirmed that it still leads.
 	Leading           func() (term uint64, ok bool)
 	ConfirmLeadership func(context.Context) error
+	// Committed reads what earlier leaders have committed to the control log. It is read at the beginning
+	// of each term while some service is tiered.
+	Committed func(context.Context) (keeping.Committed, error)
 	// Source publishes the contents of the stores to entries.
-	Source *fleet.Source
+	Source Publisher
 	Stores Stores
 	// Log receives one line per event.
 	Log *log.Logger
@@ -110,17 +119,44 @@
 	for ctx.Err() == nil {
 		term, ok := k.Leading()
 		if ok {
-			w := &termWatch{watcher: k, store: store, term: term, state: k.newState(store)}
-			w.run(ctx)
+			k.watchTerm(ctx, store, term)
 		}
 		pause(ctx, retryWait)
 	}
 }
 
-func (k *StoreWatcher) newState(store deployment.Store) *keeping.StoreState {
+// watchTerm watches one store while this replica leads in a term.
+func (k *StoreWatcher) watchTerm(ctx context.Context, store deployment.Store, term uint64) {
+	committed, err := k.readCommitted(ctx)
+	if err != nil {
+		k.Log.Info().Str("event", "store_epochs_unread").Str("address", store.Address).Str("error", err.Error()).Msg("")
+		return
+	}
+	w := &termWatch{watcher: k, store: store, term: term, state: k.newState(store, committed)}
+	w.run(ctx)
+}
+
+// readCommitted reads what earlier leaders have committed, if some service is tiered. Where no service is,
+// nothing is committed, and what was committed before is not used.
+func (k *StoreWatcher) readCommitted(ctx context.Context) (keeping.Committed, error) {
+	if config := k.View().Config; config == nil || !config.AnyTiered() {
+		return keeping.Committed{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Committed(ctx)
+}
+
+// newState returns the state of a store at the beginning of a term. The committed weight versions are
+// counted in because the view may not include them yet just after all control instances have started. An
+// earlier leader may have begun to free parts of older ones, and a store that is open at once could
+// receive them again while they are fetched by names that this leader published.
+func (k *StoreWatcher) newState(store deployment.Store, committed keeping.Committed) *keeping.StoreState {
 	return &keeping.StoreState{
-		Capacity: store.MemoryTokens, NewestVersion: func(model string) uint64 { return k.View().Weights[model] },
-		OpenEpoch: k.View().Stores[store.Address].OpenEpoch,
+		Capacity:       store.MemoryTokens,
+		NewestVersion:  func(model string) uint64 { return max(k.View().Weights[model], committed.Weights[model]) },
+		OpenEpoch:      k.View().Stores[store.Address].OpenEpoch,
+		CommittedEpoch: committed.OpenEpochs[store.Address],
 	}
 }
 
