--- a/internal/coordination/arbiter/types.go
+++ b/internal/coordination/arbiter/types.go
@@ -23,9 +23,8 @@
 	Service string
 	// Key is the hash of the shared prefix, or 0 for none.
 	Key uint64
-	// Tokens is the maximum memory that the request takes, and Unread how many of its tokens no store
-	// holds, so that they must be computed.
-	Tokens, Unread int
+	// Tokens is the maximum memory that the request takes.
+	Tokens int
 	// Urgency is 0 for the most urgent requests.
 	Urgency int
 	Team    string
--- a/internal/coordination/balance/arbiter_replay_test.go
+++ b/internal/coordination/balance/arbiter_replay_test.go
@@ -73,7 +73,7 @@
 // ask has the arbiter decide a prompt.
 func (f *fleetReplay) ask(r *promptRun, clock time.Time) {
 	request := arbiter.Request{
-		ID: r.attempt(), Service: arbitrated, Key: r.key, Tokens: promptTokens, Unread: uncachedTokens, Urgency: r.urgency, Team: fmt.Sprint(r.team),
+		ID: r.attempt(), Service: arbitrated, Key: r.key, Tokens: promptTokens, Urgency: r.urgency, Team: fmt.Sprint(r.team),
 		Objective: latencyTarget, Remaining: callerDeadline - clock.Sub(r.arrived),
 	}
 	binary.BigEndian.PutUint64(request.Digest[:], r.id*0x9e3779b97f4a7c15)
--- a/internal/protocol/wire/arbiter.go
+++ b/internal/protocol/wire/arbiter.go
@@ -14,7 +14,7 @@
 // FromArbiterRequest gives the wire form of a request for a decision.
 func FromArbiterRequest(r arbiter.Request) *DecideRequest {
 	return &DecideRequest{
-		Id: r.ID, Digest: r.Digest[:], Service: r.Service, Key: r.Key, Tokens: int64(r.Tokens), Unread: int64(r.Unread), Urgency: uint32(max(r.Urgency, 0)),
+		Id: r.ID, Digest: r.Digest[:], Service: r.Service, Key: r.Key, Tokens: int64(r.Tokens), Urgency: uint32(max(r.Urgency, 0)),
 		Team: r.Team, Resumes: r.Resumes, Excluded: slices.Sorted(maps.Keys(r.Excluded)),
 		ObjectiveMilliseconds: toMilliseconds(r.Objective), RemainingMilliseconds: toMilliseconds(r.Remaining),
 	}
@@ -31,7 +31,7 @@
 		excluded[id] = true
 	}
 	return arbiter.Request{
-		ID: m.Id, Digest: quarantine.Digest(m.Digest), Service: m.Service, Key: m.Key, Tokens: int(max(m.Tokens, 0)), Unread: int(max(m.Unread, 0)), Urgency: int(m.Urgency),
+		ID: m.Id, Digest: quarantine.Digest(m.Digest), Service: m.Service, Key: m.Key, Tokens: int(max(m.Tokens, 0)), Urgency: int(m.Urgency),
 		Team: m.Team, Resumes: m.Resumes, Excluded: excluded,
 		Objective: time.Duration(m.ObjectiveMilliseconds) * time.Millisecond, Remaining: time.Duration(m.RemainingMilliseconds) * time.Millisecond,
 	}, true
--- a/internal/transport/arbiter/client_test.go
+++ b/internal/transport/arbiter/client_test.go
@@ -217,7 +217,7 @@
 // Guards against fields that are lost between the entry and the leader.
 func TestMessagesHoldEverything(t *testing.T) {
 	r := coordination.Request{
-		ID: "id", Digest: quarantine.DigestOf("t", nil, nil), Service: "svc", Key: 1 << 63, Tokens: 3, Unread: 2, Urgency: 4, Team: "t", Resumes: true,
+		ID: "id", Digest: quarantine.DigestOf("t", nil, nil), Service: "svc", Key: 1 << 63, Tokens: 3, Urgency: 4, Team: "t", Resumes: true,
 		Excluded: map[string]bool{"a": true, "b": true}, Objective: 300 * time.Millisecond, Remaining: 9 * time.Second,
 	}
 	got, ok := wire.ToArbiterRequest(wire.FromArbiterRequest(r))
--- a/internal/transport/arbiter/service.go
+++ b/internal/transport/arbiter/service.go
@@ -220,7 +220,7 @@
 		return
 	}
 	s.Log.Info().Str("event", "arbiter_refused").Str("id", r.ID).Str("digest", r.Digest.String()).Str("service", r.Service).Str("team", r.Team).
-		Int("urgency", r.Urgency).Int("tokens", r.Tokens).Int("unread", r.Unread).Int("excluded", len(r.Excluded)).Str("reason", refusal.Reason.String()).
+		Int("urgency", r.Urgency).Int("tokens", r.Tokens).Int("excluded", len(r.Excluded)).Str("reason", refusal.Reason.String()).
 		Dur("retry_after_ms", refusal.RetryAfter).Dur("left_ms", r.Remaining).Dur("loads_age_ms", now.Sub(s.loadsAt)).Int("skipped", s.skippedLines).Msg("")
 	s.skippedLines = 0
 }
--- a/internal/transport/serving/arbitrate.go
+++ b/internal/transport/serving/arbitrate.go
@@ -83,7 +83,7 @@
 		return
 	}
 	began := clock.Now()
-	c.answer, c.err = j.server.Arbiter.Decide(ctx, c.leader, j.arbiterRequest(view, pickInfo, excluded))
+	c.answer, c.err = j.server.Arbiter.Decide(ctx, c.leader, j.arbiterRequest(pickInfo, excluded))
 	if errors.Is(c.err, transport.ErrPaused) {
 		c.result = consultPaused
 		return
@@ -113,10 +113,9 @@
 	return j.server.balancer.Excluded(view.Instances[j.service], j.weightsTooOld(view, now), pickInfo, now)
 }
 
-func (j *job) arbiterRequest(view *fleet.View, pickInfo balance.PickInfo, excluded map[string]bool) arbiter.Request {
-	p := j.request.Prompt
+func (j *job) arbiterRequest(pickInfo balance.PickInfo, excluded map[string]bool) arbiter.Request {
 	return arbiter.Request{
-		Digest: j.digest, Service: j.service, Key: pickInfo.Key, Tokens: pickInfo.Tokens, Unread: j.unreadTokens(p, view.Weights[p.Model]),
+		Digest: j.digest, Service: j.service, Key: pickInfo.Key, Tokens: pickInfo.Tokens,
 		Urgency: j.urgency, Team: j.team.Name, Resumes: !j.refusable(), Excluded: excluded, Objective: j.route.Objective, Remaining: clock.Until(j.deadline),
 	}
 }
