serving: answers of tiered services are read ahead of slow callers

Cause: an answer was read at its caller's pace. An engine that cuts off what stays unread for some seconds ended answers whose callers read slowly.

Change: for tiered services, and with Server.BufferBytes set, the request's goroutine reads the engine's stream, and a goroutine of a delivery writes it. The delivery lasts for the whole request. An attempt ends with the engine's stream; one that breaks off is resumed at once after the last event read, while what was read before goes out first. The request ends when its caller has taken the answer, left or taken nothing for 10 s. When there is no room in the budget, the engine is read at its caller's pace, as before. The entry's budget is an eighth of memory_mb. Other services take the same path as before.

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -28,6 +28,8 @@
 	notice = 2500 * time.Millisecond
 	// graceMargin is kept of the time that a process may take to end.
 	graceMargin = time.Second
+	// bufferShare is the part of the process's memory for answers that callers have not taken yet.
+	bufferShare = 1.0 / 8
 	// poolSweep is how often idle connections are looked through.
 	poolSweep = time.Second
 )
@@ -82,7 +84,7 @@
 	upstreams := &platform.UpstreamClient{}
 	server := &serving.Server{
 		View: follower.View, Upstreams: upstreams, Ends: tracker, Metrics: serving.NewMetrics(), Log: logger,
-		OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		BufferBytes: int(bufferShare * s.MemoryMB * (1 << 20)), OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
 	follower.FailuresPending, follower.TakeFailures = server.FailuresPending(), server.TakeFailures
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -69,6 +69,13 @@
 	lastEvent uint64
 	// firstByteAt is when the first byte was sent to the caller.
 	firstByteAt time.Time
+	// buffered is true if answers are read from engines ahead of the caller. Then delivery is set once the
+	// first event was read, and the three fields above are set when the delivery has ended.
+	buffered bool
+	delivery *delivery
+	// callerCtx ends when the caller leaves, and stop ends the attempt in progress.
+	callerCtx context.Context
+	stop      func()
 	// fetchParts and saveParts count the prompt parts for which the last attempt named a store.
 	fetchParts, saveParts int
 	// memory is the free memory of the last attempt's engine if it was known, or, if the request was
@@ -121,6 +128,7 @@
 	j.setDigest()
 	j.urgency = config.Urgency(j.team, j.route)
 	j.service = j.route.Service(rand.Float64())
+	j.buffered = j.server.buffers != nil && config.Tiered(j.service)
 	j.deadline = r.Arrived.Add(min(j.route.Timeout, r.MaxWait()))
 	j.attempts = retry.RequestAttempts{MaxAttempts: max(1, j.route.Attempts), Idempotent: j.route.AllowsRetries(), Streamed: j.route.Kind == deployment.Stream}
 	j.lastEvent = r.After
@@ -204,7 +212,7 @@
 	respondedAt := clock.Now()
 	tracked := j.trackedAttempt(sentAt)
 	j.recordResponse(reply, tracked, respondedAt)
-	end, err := j.forward(reply, watch)
+	end, err := j.forward(watchedCtx, reply, watch)
 	if canceledByWatch(end, watch) {
 		err = errWeightsExpired
 	}
@@ -293,7 +301,7 @@
 func (j *job) newAttempt() *exchange.Attempt {
 	a := &exchange.Attempt{
 		Request: j.request, Instance: j.instance, Deadline: j.deadline, Team: j.team.Name, Urgency: j.urgency,
-		After: j.lastEvent, Resumes: j.request.Resumes || j.headSent,
+		After: j.lastAccepted(), Resumes: j.request.Resumes || j.begun(),
 	}
 	if p := j.request.Prompt; p != nil {
 		j.planContext(a, p)
@@ -302,9 +310,10 @@
 	return a
 }
 
-// conclude ends the request with an outcome. Unless the response has been forwarded completely, it
-// sends the fallback response, breaks the stream or refuses the request.
+// conclude ends the request with an outcome, after all events that were read have been written. Unless the
+// response has been forwarded completely, it sends the fallback response, breaks the stream or refuses the request.
 func (j *job) conclude(o outcome.Outcome) {
+	o = j.finishDelivery(o)
 	if _, answered := o.(outcome.Answered); answered && j.fallback == nil {
 		j.logOutcome(o)
 		return
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -28,6 +28,12 @@
 	unwanted, rests, leavings *prometheus.CounterVec
 	firstByte                 *prometheus.HistogramVec
 	duration                  *prometheus.HistogramVec
+	// bufferedBytes and bufferedAnswers are what is held of answers that callers have not taken yet. pauses
+	// counts how often an engine was read at its caller's pace because of that, and breakOffs the answers whose callers took
+	// nothing. delivery is the time from the end of an answer at its engine to its end at the caller.
+	bufferedBytes, bufferedAnswers prometheus.Gauge
+	pauses, breakOffs              *prometheus.CounterVec
+	delivery                       *prometheus.HistogramVec
 	// newest and required are weight versions, and olderEngines is the number of engines below newest.
 	newest, required, olderEngines *prometheus.GaugeVec
 }
@@ -47,11 +53,17 @@
 		firstByte:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_first_byte_seconds", Help: "From the arrival to the first byte of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 		duration:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_request_seconds", Help: "From the arrival to the end of the answer.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"team", "class"}),
 
+		bufferedBytes:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "shedrock_buffered_bytes", Help: "Bytes held of answers that callers have not taken yet."}),
+		bufferedAnswers: prometheus.NewGauge(prometheus.GaugeOpts{Name: "shedrock_buffered_answers", Help: "Answers of which bytes are held."}),
+		pauses:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answer_pauses_total", Help: "How often an engine was read at its caller's pace because there was no room for its answer."}, []string{"service"}),
+		breakOffs:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_off_total", Help: "Answers that were broken off because their callers took nothing."}, []string{"service"}),
+		delivery:        prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "shedrock_answer_delivery_seconds", Help: "From the end of an answer at its engine to its end at the caller.", Buckets: prometheus.ExponentialBuckets(0.001, 4, 9)}, []string{"service"}),
+
 		newest:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_newest_version", Help: "The newest version of a model's weights that was named."}, []string{"model"}),
 		required:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_required_version", Help: "The oldest version on which requests may begin, 0 for any."}, []string{"model"}),
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.firstByte, m.duration, m.newest, m.required, m.olderEngines)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines)
 	return m
 }
 
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"io"
 
 	"github.com/pkg/errors"
@@ -14,8 +15,8 @@
 var errOutOfOrder = errors.New("event number does not follow the previous one")
 
 // forward converts a reply into the result of an attempt, and forwards the response to the caller if
-// it is one that the caller may see. The first event of a stream stops the weights watch.
-func (j *job) forward(reply exchange.Reply, watch *weightsWatch) (retry.Result, error) {
+// it is one that the caller may see. The first event of a stream stops the weights watch. ctx is the attempt's.
+func (j *job) forward(ctx context.Context, reply exchange.Reply, watch *weightsWatch) (retry.Result, error) {
 	switch reply := reply.(type) {
 	case exchange.Unreached:
 		return retry.Unreached{}, reply.Err
@@ -30,23 +31,37 @@
 		return j.forwardWhole(reply)
 	case exchange.Stream:
 		defer reply.Events.Close()
+		if j.buffered {
+			return j.forwardBuffered(ctx, reply, watch)
+		}
 		return j.forwardStream(reply, watch)
 	}
 	panic("serving: reply outside the sealed set")
 }
 
-// lastSent returns the number of the last event that this process sent to the caller, or 0.
+// begun reports whether a stream has begun for the caller.
+func (j *job) begun() bool { return j.headSent || j.delivery != nil }
+
+// lastAccepted returns the number of the last event that the caller has or will be sent.
+func (j *job) lastAccepted() uint64 {
+	if j.delivery != nil {
+		return j.delivery.lastRead
+	}
+	return j.lastEvent
+}
+
+// lastSent returns the number of the last event that this process sent to the caller, or will send, or 0.
 func (j *job) lastSent() uint64 {
-	if !j.headSent {
+	if !j.begun() {
 		return 0
 	}
-	return j.lastEvent
+	return j.lastAccepted()
 }
 
 func (j *job) forwardWhole(a exchange.Whole) (retry.Result, error) {
-	if j.headSent {
+	if j.begun() {
 		// The response that was to continue the stream is not a stream.
-		return retry.Broken{Sent: j.lastEvent}, errors.Errorf("expected the rest of the stream, got a response with status %d", a.Head.Status)
+		return retry.Broken{Sent: j.lastSent()}, errors.Errorf("expected the rest of the stream, got a response with status %d", a.Head.Status)
 	}
 	if a.Head.Status >= 500 && j.attempts.Idempotent {
 		j.fallback = &a
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -39,7 +39,9 @@
 )
 
 // Sink writes the response to the caller of one request. Either exactly one of Refuse, Deny and
-// Answer is called, or Begin, then Event any number of times, and finally End or Break.
+// Answer is called, or Begin, then Event any number of times, and finally End or Break. Begin and Event may
+// be called from another goroutine than the others, but no two calls overlap. After an error of one of these
+// two, only Break is called.
 type Sink interface {
 	// Refuse sends the outcome of a request for which there is no response of an instance.
 	Refuse(o outcome.Outcome)
@@ -99,6 +101,9 @@
 	// Ends tracks which instances ended while they served which requests. The server does not call
 	// its Run. When nil, the server uses a tracker of its own, which learns nothing from other entries.
 	Ends *ends.Tracker
+	// BufferBytes limits what is held of the answers of tiered services that callers have not taken yet.
+	// When 0, no answer is read ahead of its caller.
+	BufferBytes int
 	// Metrics receives the counts.
 	Metrics *Metrics
 	// Log receives one line per event.
@@ -108,6 +113,8 @@
 	stopping atomic.Bool
 	// startedAt is when the server was first used.
 	startedAt time.Time
+	// buffers is nil when BufferBytes is 0.
+	buffers *buffers
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -134,6 +141,9 @@
 		s.windows = map[string]*retry.Window{}
 		s.inFlight = inFlight{}
 		s.requiredLogged = map[string]uint64{}
+		if s.BufferBytes > 0 {
+			s.buffers = newBuffers(s.BufferBytes, s.Metrics, s.Log)
+		}
 		if s.Ends == nil {
 			s.Ends = &ends.Tracker{Entries: func() int { return s.View().Entries }, Metrics: ends.NewMetrics(), Log: s.Log}
 		}
@@ -207,12 +217,13 @@
 // Serve serves one request and returns when the response has been sent.
 func (s *Server) Serve(ctx context.Context, r *exchange.Request, sink Sink) {
 	s.init()
-	j := &job{server: s, request: r, sink: sink}
+	j := &job{server: s, request: r, sink: sink, callerCtx: ctx}
 	if !j.admit(ctx) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(j.deadline.Add(deadlineGrace)))
 	defer cancel()
+	j.stop = cancel
 	j.run(ctx)
 }
 
--- /dev/null
+++ b/internal/transport/serving/slow_test.go
@@ -0,0 +1,366 @@
+package serving_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/state/weights"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/serving"
+)
+
+const (
+	// pieceInterval is the time between two events of impatientEngine, and cutOffAfter how long one of them
+	// may stay unread.
+	pieceInterval = 10 * time.Millisecond
+	cutOffAfter   = 2 * time.Second
+	// slowWrite is how long slowSink takes for each write.
+	slowWrite = 3 * time.Second
+)
+
+// impatientEngine sends events up to last, and cuts an answer off when an event stays unread too long.
+type impatientEngine struct {
+	last uint64
+	size int
+	// hangs keeps answers from ending after the last event.
+	hangs bool
+	// breakAfter, if set, is the number of the event after which the first answer breaks off.
+	breakAfter uint64
+	// after holds the event after which each attempt began. closedAt is when an answer was closed early, and
+	// endedAt when the last one was read to its end.
+	after             []uint64
+	closedAt, endedAt atomic.Int64
+}
+
+func (e *impatientEngine) Refuses(context.Context, registry.Instance) bool { return false }
+
+func (e *impatientEngine) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	e.after = append(e.after, a.After)
+	s := &impatientStream{engine: e, ctx: ctx, events: make(chan uint64, 4), closed: make(chan struct{}), raw: make([]byte, e.size)}
+	last, breaks := e.last, len(e.after) == 1 && e.breakAfter > 0
+	if breaks {
+		last = e.breakAfter
+	}
+	go func() {
+		defer close(s.events)
+		for i := a.After + 1; i <= last; i++ {
+			select {
+			case <-time.After(pieceInterval):
+			case <-s.closed:
+				return
+			}
+			select {
+			case s.events <- i:
+			case <-time.After(cutOffAfter):
+				s.cut.Store(true)
+				return
+			case <-s.closed:
+				return
+			}
+		}
+		s.cut.Store(breaks)
+		if e.hangs {
+			<-s.closed
+		}
+	}()
+	return exchange.Stream{Head: exchange.Head{Status: 200}, Events: s}
+}
+
+// impatientStream is one answer of impatientEngine.
+type impatientStream struct {
+	engine *impatientEngine
+	ctx    context.Context
+	events chan uint64
+	closed chan struct{}
+	cut    atomic.Bool
+	// raw is the last event: it is valid until the next one is read.
+	raw []byte
+}
+
+func (s *impatientStream) Next() (exchange.Event, bool, error) {
+	select {
+	case i, ok := <-s.events:
+		switch {
+		case ok:
+			s.raw[0] = byte(i)
+			return exchange.Event{Number: i, Raw: s.raw}, false, nil
+		case s.cut.Load():
+			return exchange.Event{}, false, io.ErrUnexpectedEOF
+		}
+		s.engine.endedAt.Store(int64(time.Now().UnixNano()))
+		return exchange.Event{}, false, io.EOF
+	case <-s.ctx.Done():
+		return exchange.Event{}, false, s.ctx.Err()
+	}
+}
+
+func (s *impatientStream) Close() {
+	s.engine.closedAt.Store(time.Now().UnixNano())
+	close(s.closed)
+}
+
+// slowSink is a caller that takes slowWrite, or what pace returns, for each write, until it has taken
+// stallAfter bytes, if that is set.
+type slowSink struct {
+	serving.Sink
+	stallAfter int
+	pace       func() time.Duration
+	text       []byte
+	begun      int
+	end        string
+}
+
+func (s *slowSink) Begin(exchange.Head) error {
+	s.begun++
+	return nil
+}
+
+func (s *slowSink) Event(raw []byte, _ bool) error {
+	if s.stallAfter > 0 && len(s.text) >= s.stallAfter {
+		<-time.After(10 * time.Second)
+		return os.ErrDeadlineExceeded
+	}
+	pace := slowWrite
+	if s.pace != nil {
+		pace = s.pace()
+	}
+	<-time.After(pace)
+	s.text = append(s.text, raw...)
+	return nil
+}
+
+func (s *slowSink) End()   { s.end = "whole" }
+func (s *slowSink) Break() { s.end = "broken" }
+
+// numbers returns the first byte of each event that the caller has taken.
+func (s *slowSink) numbers(size int) []byte {
+	var out []byte
+	for i := 0; i+size <= len(s.text); i += size {
+		out = append(out, s.text[i])
+	}
+	return out
+}
+
+func upTo(last uint64) []byte {
+	var out []byte
+	for i := range last {
+		out = append(out, byte(i+1))
+	}
+	return out
+}
+
+// metric returns the value of a metric as it is served.
+func metric(s *serving.Server, name string) string {
+	w := httptest.NewRecorder()
+	s.Metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for line := range strings.SplitSeq(w.Body.String(), "\n") {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+// tieredServer returns a server whose service is tiered and which holds at most the given number of bytes.
+func tieredServer(t *testing.T, upstreams exchange.Upstreams, bytes int) *serving.Server {
+	t.Helper()
+	config := &deployment.Config{Version: 1, Services: map[string]deployment.Service{"svc": {Name: "svc", Engine: &deployment.Engine{Slots: 9, MemoryTokens: 100_000, Models: []string{"m"}}}}}
+	for rank, prefix := range []string{"/", "/b/", "/c/"} {
+		config.Routes = append(config.Routes, deployment.Route{
+			Host: "h", Prefix: prefix, Rank: rank, Kind: deployment.Stream, Resumable: true, Timeout: time.Hour, Objective: time.Second, Attempts: 3,
+			Targets: []deployment.Target{{Service: "svc", Weight: 1}},
+		})
+	}
+	err := config.Check()
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &fleet.View{Entries: 1, Config: config, Instances: map[string][]registry.Instance{}}
+	for _, id := range []string{"a", "b"} {
+		view.Instances["svc"] = append(view.Instances["svc"], registry.Instance{ID: id, Service: "svc", Slots: 9, Weights: map[string]uint64{"m": 7}})
+	}
+	s := &serving.Server{View: func() *fleet.View { return view }, Upstreams: upstreams, BufferBytes: bytes, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel}}
+	s.Allowance.Slack, s.Allowance.Window = 100, time.Minute
+	return s
+}
+
+func serve(ctx context.Context, s *serving.Server, wait time.Duration, sink serving.Sink) {
+	s.Serve(ctx, &exchange.Request{Host: "h", Path: "/", Arrived: clock.Now(), Wait: wait}, sink)
+}
+
+// Guards against answers that engines cut off because their callers read slowly: the engine is read at once.
+// The caller gets the whole answer although its deadline passes meanwhile.
+func TestSlowCallerGetsItsWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engine := &impatientEngine{last: 16, size: 2000}
+		sink := &slowSink{}
+		began := time.Now()
+		serve(context.Background(), tieredServer(t, engine, 1<<20), 10*time.Second, sink)
+		if diff := cmp.Diff(upTo(16), sink.numbers(engine.size)); diff != "" || sink.end != "whole" || len(engine.after) != 1 {
+			t.Errorf("%s: end %q, %d attempts", diff, sink.end, len(engine.after))
+		}
+		if read := time.Duration(engine.endedAt.Load() - began.UnixNano()); read > 17*pieceInterval {
+			t.Errorf("the engine was read to its end after %s", read)
+		}
+	})
+}
+
+// Guards against events that are lost, repeated or reordered when an engine breaks off while events that it sent
+// wait for their caller. The request is resumed at once, after the last event read.
+func TestBrokenAnswerIsResumedBehindTheBuffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engine := &impatientEngine{last: 16, size: 2000, breakAfter: 8}
+		sink := &slowSink{}
+		began := time.Now()
+		serve(context.Background(), tieredServer(t, engine, 1<<20), time.Minute, sink)
+		if diff := cmp.Diff([]uint64{0, 8}, engine.after); diff != "" {
+			t.Error("attempts: ", diff)
+		}
+		if diff := cmp.Diff(upTo(16), sink.numbers(engine.size)); diff != "" || sink.end != "whole" {
+			t.Errorf("%s: end %q", diff, sink.end)
+		}
+		if read := time.Duration(engine.endedAt.Load() - began.UnixNano()); read > 17*pieceInterval {
+			t.Errorf("the engines were read to their end after %s", read)
+		}
+	})
+}
+
+// Guards against a Break that cuts off events which wait for their caller, and against an answer that is not
+// whole being ended as whole: without another attempt, the caller gets all that was read, and then the Break.
+func TestBrokenAnswerIsDeliveredAsFarAsItWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engine := &impatientEngine{last: 16, size: 2000, breakAfter: 8}
+		sink := &slowSink{}
+		server := tieredServer(t, engine, 1<<20)
+		server.Allowance.Slack = 0
+		serve(context.Background(), server, 10*time.Second, sink)
+		if diff := cmp.Diff(upTo(8), sink.numbers(engine.size)); diff != "" || sink.end != "broken" || len(engine.after) != 1 {
+			t.Errorf("%s: end %q, %d attempts", diff, sink.end, len(engine.after))
+		}
+	})
+}
+
+// Guards against memory that stays in use, and engines that keep running, after a caller left in the middle of an
+// answer while a write to it is blocked: while the engine is read, while it is not read for lack of room, and when
+// it has ended.
+func TestCallerThatLeavesReleasesItsBytes(t *testing.T) {
+	cases := []struct {
+		name   string
+		limit  int
+		last   uint64
+		pauses string
+	}{{"reading", 32 << 20, 1000, ""}, {"paused", 8 << 10, 1000, "1"}, {"ended", 32 << 20, 100, ""}}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			engine := &impatientEngine{last: c.last, size: 2000}
+			server := tieredServer(t, engine, c.limit)
+			ctx, leave := context.WithCancel(context.Background())
+			sink := &slowSink{stallAfter: 1}
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				serve(ctx, server, time.Minute, sink)
+			}()
+			// The first write succeeds, and the second is blocked when the caller leaves.
+			<-time.After(slowWrite + time.Second/2)
+			held := metric(server, "shedrock_buffered_bytes")
+			if closed, ended := engine.closedAt.Load() != 0, engine.endedAt.Load() != 0; held == "0" || closed != (c.last == 100) || ended != closed {
+				t.Errorf("%s: %s bytes are held before the caller leaves; closed: %t, ended: %t", c.name, held, closed, ended)
+			}
+			leave()
+			<-time.After(time.Second / 2)
+			if held = metric(server, "shedrock_buffered_bytes"); held != "0" || engine.closedAt.Load() == 0 {
+				t.Errorf("%s: %s bytes are held, the engine's stream was closed at %d", c.name, held, engine.closedAt.Load())
+			}
+			<-served
+			if diff := cmp.Diff([]string{"broken", c.pauses}, []string{sink.end, metric(server, `shedrock_answer_pauses_total{service="svc"}`)}); diff != "" {
+				t.Errorf("%s: %s", c.name, diff)
+			}
+		})
+	}
+}
+
+// Guards against an engine that runs on, or is waited for, after its caller has taken nothing for the write timeout:
+// its stream is closed and the answer is broken off.
+func TestCallerThatTakesNothingIsBrokenOff(t *testing.T) {
+	for _, engine := range []*impatientEngine{{last: 1 << 20, size: 2000}, {last: 10, size: 2000, hangs: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			server := tieredServer(t, engine, 32<<20)
+			sink := &slowSink{stallAfter: 1}
+			began := time.Now()
+			serve(context.Background(), server, time.Minute, sink)
+			if took := time.Since(began); sink.end != "broken" || took > slowWrite+10*time.Second+100*time.Millisecond || engine.closedAt.Load() == 0 {
+				t.Errorf("end %q after %s", sink.end, took)
+			}
+			got := []string{metric(server, "shedrock_buffered_bytes"), metric(server, `shedrock_answers_broken_off_total{service="svc"}`)}
+			if diff := cmp.Diff([]string{"0", "1"}, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Guards against events that are lost, repeated or reordered with any budget, sizes, pace of the caller and break
+// of the engine, and against bytes that stay counted.
+func TestEventsArriveOnceAndInOrder(t *testing.T) {
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			r := rand.New(rand.NewPCG(seed, 1))
+			engine := &impatientEngine{last: r.Uint64N(100), size: 1 + r.IntN(6000)}
+			if engine.last > 0 && r.IntN(2) == 0 {
+				engine.breakAfter = 1 + r.Uint64N(engine.last)
+			}
+			pace := 1 + r.IntN(int(cutOffAfter)/2)
+			sink := &slowSink{pace: func() time.Duration { return time.Duration(r.IntN(pace)) }}
+			server := tieredServer(t, engine, 1<<r.IntN(20))
+			serve(context.Background(), server, 10*time.Minute, sink)
+			if diff := cmp.Diff(upTo(engine.last), sink.numbers(engine.size)); diff != "" || sink.begun != 1 || sink.end != "whole" {
+				t.Errorf("seed %d, %d attempts: %s: begun %d times, end %q", seed, len(engine.after), diff, sink.begun, sink.end)
+			}
+			if held := metric(server, "shedrock_buffered_bytes"); held != "0" {
+				t.Errorf("seed %d: %s bytes are held after the end", seed, held)
+			}
+		})
+	}
+}
+
+// Guards against an answer that is canceled because its engine's weights expire after its first event was read, but
+// before its caller took anything.
+func TestWeightsExpireWhileTheFirstEventIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engine := &impatientEngine{last: 200, size: 2000}
+		server := tieredServer(t, engine, 32<<20)
+		server.OldWeightsGrace = 2 * time.Second
+		view, now := server.View(), clock.Now()
+		view.WeightHistories = map[string]weights.History{"m": weights.History{}.Announce(weights.Announcement{Version: 7, At: now.Add(-time.Hour)}).Announce(weights.Announcement{Version: 8, At: now})}
+		view.Contact = fleet.Contact{LastAnswer: now.Add(time.Hour)}
+		sink := &slowSink{}
+		server.Serve(context.Background(), &exchange.Request{Host: "h", Path: "/", Arrived: now, Prompt: &exchange.Prompt{Model: "m"}}, sink)
+		if diff := cmp.Diff(upTo(200), sink.numbers(engine.size)); diff != "" || sink.end != "whole" || len(engine.after) != 1 {
+			t.Errorf("%s: end %q, %d attempts", diff, sink.end, len(engine.after))
+		}
+	})
+}
