serving: a whole stream is not broken off because an attempt before it failed

Cause: the 5xx answer of a failed attempt was kept as the fallback when the next attempt answered with a stream, and conclude then took the request for one without a whole answer: it broke off the connection after the last event. This is a fault on the path of all services.

Change: the first event of a stream drops the fallback, as a whole answer does.

Measured: TestWholeAnswerAfterAFailedAttempt failed on the path without buffers (end "broken"), and passes with -race.

--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -113,6 +113,7 @@
 	if j.headSent {
 		return nil
 	}
+	j.fallback = nil
 	j.headSent = true
 	j.firstByteAt = clock.Now()
 	return j.sink.Begin(h)
--- a/internal/transport/serving/slow_test.go
+++ b/internal/transport/serving/slow_test.go
@@ -364,3 +364,31 @@
 		}
 	})
 }
+
+// failingFirst answers the first attempt with status 500 and passes the others on.
+type failingFirst struct {
+	exchange.Upstreams
+	attempts int
+}
+
+func (f *failingFirst) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	f.attempts++
+	if f.attempts == 1 {
+		return exchange.Whole{Head: exchange.Head{Status: 500}}
+	}
+	return f.Upstreams.Send(ctx, a)
+}
+
+// Guards against a whole answer being broken off because an attempt before it had failed.
+func TestWholeAnswerAfterAFailedAttempt(t *testing.T) {
+	for _, bytes := range []int{0, 1 << 20} {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			sink := &slowSink{pace: func() time.Duration { return 0 }}
+			serve(context.Background(), tieredServer(t, &failingFirst{Upstreams: &impatientEngine{last: 3, size: 10}}, bytes), time.Minute, sink)
+			if diff := cmp.Diff(upTo(3), sink.numbers(10)); diff != "" || sink.end != "whole" {
+				t.Errorf("with %d bytes: %s: end %q", bytes, diff, sink.end)
+			}
+		})
+	}
+}
