serving: a test that stalled answers are broken off to make room for others

Cause: no test saw a delivery carry out the budget's verdict to break off others.

Change: 40 callers that take nothing share 256 KB. After 9 s none is broken off, after 12 s some are, and no more than 256 KB are held.

Measured: passes 5 times with -race; fails without the call of breakOff (0 answers broken off).

--- a/internal/transport/serving/slow_test.go
+++ b/internal/transport/serving/slow_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -44,6 +46,7 @@
 	breakAfter uint64
 	// after holds the event after which each attempt began. closedAt is when an answer was closed early, and
 	// endedAt when the last one was read to its end.
+	mu                sync.Mutex
 	after             []uint64
 	closedAt, endedAt atomic.Int64
 }
@@ -51,6 +54,8 @@
 func (e *impatientEngine) Refuses(context.Context, registry.Instance) bool { return false }
 
 func (e *impatientEngine) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.after = append(e.after, a.After)
 	s := &impatientStream{engine: e, ctx: ctx, events: make(chan uint64, 4), closed: make(chan struct{}), raw: make([]byte, e.size)}
 	last, breaks := e.last, len(e.after) == 1 && e.breakAfter > 0
@@ -116,10 +121,11 @@
 }
 
 // slowSink is a caller that takes slowWrite, or what pace returns, for each write, until it has taken
-// stallAfter bytes, if that is set.
+// stallAfter bytes, if that is set. The next write then fails after stall, or 10 s.
 type slowSink struct {
 	serving.Sink
 	stallAfter int
+	stall      time.Duration
 	pace       func() time.Duration
 	text       []byte
 	begun      int
@@ -133,7 +139,11 @@
 
 func (s *slowSink) Event(raw []byte, _ bool) error {
 	if s.stallAfter > 0 && len(s.text) >= s.stallAfter {
-		<-time.After(10 * time.Second)
+		stall := 10 * time.Second
+		if s.stall > 0 {
+			stall = s.stall
+		}
+		<-time.After(stall)
 		return os.ErrDeadlineExceeded
 	}
 	pace := slowWrite
@@ -321,6 +331,38 @@
 	}
 }
 
+// Guards against stalled callers that keep the memory which others need: once they have taken nothing for 10 s,
+// some answers are broken off, and the others go on to be read.
+func TestStalledAnswersMakeRoom(t *testing.T) {
+	const callers, limit = 40, 256 << 10
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		server := tieredServer(t, &impatientEngine{last: 1 << 20, size: 2000}, limit)
+		var served sync.WaitGroup
+		for range callers {
+			served.Go(func() {
+				serve(context.Background(), server, time.Minute, &slowSink{stallAfter: 1, stall: 30 * time.Second})
+			})
+		}
+		state := func(after time.Duration) (held, brokenOff int) {
+			<-time.After(after)
+			held, _ = strconv.Atoi(metric(server, "shedrock_buffered_bytes"))
+			brokenOff, _ = strconv.Atoi(metric(server, `shedrock_answers_broken_off_total{service="svc"}`))
+			return held, brokenOff
+		}
+		if held, brokenOff := state(slowWrite + 9*time.Second); held < limit*3/4 || brokenOff != 0 {
+			t.Errorf("after 9 s: %d bytes are held, %d answers are broken off", held, brokenOff)
+		}
+		if held, brokenOff := state(3 * time.Second); held > limit || brokenOff == 0 || brokenOff == callers {
+			t.Errorf("after 12 s: %d bytes are held, %d answers are broken off", held, brokenOff)
+		}
+		served.Wait()
+		if held, _ := state(0); held != 0 {
+			t.Errorf("%d bytes are held after the end", held)
+		}
+	})
+}
+
 // Guards against events that are lost, repeated or reordered with any budget, sizes, pace of the caller and break
 // of the engine, and against bytes that stay counted.
 func TestEventsArriveOnceAndInOrder(t *testing.T) {
