--- a/internal/transport/serving/reading.go
+++ b/internal/transport/serving/reading.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/readspeed"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/deployment"
@@ -52,6 +53,13 @@
 	return n
 }
 
+// recordEvent records that an event of the current attempt was read.
+func (j *job) recordEvent() {
+	if j.firstEventAt.IsZero() {
+		j.firstEventAt = clock.Now()
+	}
+}
+
 // recordReading counts the current attempt for the reading speed of the service's engines, if it began
 // a stream. Only first attempts to engines that are not known to be loaded count:
 //   - An attempt before may have left the prompt in the memory of the same engine, and a resumed run
@@ -61,7 +69,7 @@
 //     delay each other.
 func (j *job) recordReading(sent time.Time) {
 	view := j.server.View()
-	if !j.headSent || j.attemptNumber != 1 || j.request.Resumes || j.request.Prompt == nil || !view.Config.Tiered(j.service) {
+	if j.firstEventAt.IsZero() || j.attemptNumber != 1 || j.request.Resumes || j.request.Prompt == nil || !view.Config.Tiered(j.service) {
 		return
 	}
 	if j.onLoadedEngine(view.Config.Services[j.service].Engine) {
@@ -75,7 +83,7 @@
 		e = &readspeed.Estimator{}
 		s.reading[j.service] = e
 	}
-	e.Record(j.computed, j.firstByteAt.Sub(sent))
+	e.Record(j.computed, j.firstEventAt.Sub(sent))
 }
 
 // onLoadedEngine reports whether the engine of the current attempt was known to be loaded when the
