Metric of the learned reading speed

Cause: whether the minimum length of kept prefixes was learned, and from which speed, was not visible from outside.

Change: entries show the reading speed of each tiered service's engines as shedrock_reading_speed_tokens_per_second once it is known.

Result: the test of the learned minimum checks the metric in each of its cases and passes with the race detector.

--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -41,6 +41,8 @@
 	delivery                       *prometheus.HistogramVec
 	// newest and required are weight versions, and olderEngines is the number of engines below newest.
 	newest, required, olderEngines *prometheus.GaugeVec
+	// readingSpeed is that of the engines of tiered services, where it is known.
+	readingSpeed *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -71,7 +73,8 @@
 		required:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_weights_required_version", Help: "The oldest version on which requests may begin, 0 for any."}, []string{"model"}),
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines)
+	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
--- a/internal/transport/serving/reading.go
+++ b/internal/transport/serving/reading.go
@@ -84,6 +84,9 @@
 		s.reading[j.service] = e
 	}
 	e.Record(j.computed, j.firstEventAt.Sub(sent))
+	if speed := e.Speed(); speed > 0 {
+		s.Metrics.readingSpeed.WithLabelValues(j.service).Set(speed)
+	}
 }
 
 // onLoadedEngine reports whether the engine of the current attempt was known to be loaded when the
--- a/internal/transport/serving/reading_test.go
+++ b/internal/transport/serving/reading_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,7 +135,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				clocktest.New(t)
 				view, engine := keepingView(t, c.ranks, c.load), &timedEngines{perMs: 40}
-				server := &serving.Server{View: func() *fleet.View { return view }, Upstreams: engine, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel}}
+				metrics := serving.NewMetrics()
+				server := &serving.Server{View: func() *fleet.View { return view }, Upstreams: engine, Metrics: metrics, Log: &log.Logger{Level: log.PanicLevel}}
 				server.Allowance.Slack, server.Allowance.Window = 100, time.Minute
 				serve := func(parts []exchange.Part, resumes bool) {
 					prompt := &exchange.Prompt{Model: "m", Parts: parts}
@@ -144,6 +147,11 @@
 					engine.refuses = c.refuses
 					serve(c.parts, c.resumes)
 				}
+				shown := httptest.NewRecorder()
+				metrics.Handler().ServeHTTP(shown, httptest.NewRequest("GET", "/metrics", nil))
+				if known := strings.Contains(shown.Body.String(), `shedrock_reading_speed_tokens_per_second{service="e"} 40000`); known != (len(c.want) > 1) {
+					t.Errorf("the metrics show the speed: %v", known)
+				}
 				var got []string
 				for _, part := range []exchange.Part{{ID: "f333", Tokens: 333}, {ID: "f334", Tokens: 334}, {ID: "333", Tokens: 333}, {ID: "334", Tokens: 334}, {ID: "1024", Tokens: 1024}} {
 					serve([]exchange.Part{part, {ID: "own", Tokens: 10}}, false)
