--- a/internal/transport/arbiter/client_test.go
+++ b/internal/transport/arbiter/client_test.go
@@ -207,6 +207,8 @@
 	if n := len(slices.Compact(want)); n != 40 {
 		t.Errorf("%d different ids", n)
 	}
+	c.Release(address, "later")
+	await.Until(t, 20*time.Second, "the next batch", func() bool { return slices.Contains(leader.releases(), "later") })
 	got := leader.releases()
 	slices.Sort(got)
 	if len(slices.Compact(slices.Clone(got))) != len(got) {
--- a/internal/transport/arbiter/service_test.go
+++ b/internal/transport/arbiter/service_test.go
@@ -120,6 +120,10 @@
 	if _, ok := l.ask(t).(coordination.Grant); !ok {
 		t.Error("no grant after the first round of loads")
 	}
+	l.term = 3
+	if d := l.ask(t); d != (coordination.Unknown{}) {
+		t.Errorf("in a third term: %v", d)
+	}
 }
 
 // Guards against a leader that was frozen, or that cannot reach most engines, and decides nevertheless.
--- a/internal/transport/serving/arbitrate_test.go
+++ b/internal/transport/serving/arbitrate_test.go
@@ -48,10 +48,15 @@
 type engines struct {
 	down string
 	sent []string
+	// during is called in each Send.
+	during func()
 }
 
 func (e *engines) Send(_ context.Context, a *exchange.Attempt) exchange.Reply {
 	e.sent = append(e.sent, a.Instance.ID)
+	if e.during != nil {
+		e.during()
+	}
 	if a.Instance.ID == e.down {
 		return exchange.Unreached{Err: errors.New("connection refused")}
 	}
@@ -112,7 +117,7 @@
 
 // Guards against entries that depend on the leader. Without a leader, without an answer, or with an answer
 // that cannot be followed, a request is served as by an entry that knows no arbiter, and requests that the
-// arbiter does not arbitrate never ask. What is granted is used, and released once when it ends.
+// arbiter does not arbitrate never ask. What is granted is released once: at the end if it is used, else at once.
 func TestEntriesFollowTheArbiterOrDecideThemselves(t *testing.T) {
 	const long, short = memory / 4, memory / 32
 	grant := func(id string) arbiter.Decision { return arbiter.Grant{Engine: registry.Incarnation{ID: id}} }
@@ -161,7 +166,13 @@
 			server := newServer(view, asked, upstreams)
 			// The server's mutex must not be held during the call.
 			asked.during = func() { server.TakeFailures() }
+			held := 0
+			upstreams.during = func() { held = c.released - asked.released }
 			server.Serve(t.Context(), request, sink)
+			followed := name == "granted"
+			if held > 0 != followed {
+				t.Errorf("%d grants are held during the attempt", held)
+			}
 			if diff := cmp.Diff([]any{c.asked, c.released, c.sent, c.refused}, []any{len(asked.asked), asked.released, upstreams.sent, sink.refused}); diff != "" {
 				t.Error(diff)
 			}
