Stores are read soon after a start, and long prompts of tiered services wait for that

Change: both each 0.05 s, the stores only when the configuration has changed; during the first 2 s of an entry, long prompts of tiered services wait until half of the stores are known, for at most 0.4 s, a tenth of the caller's time-out and a quarter of the objective. Both new tests fail without the change.

--- a/internal/transport/keeping/keeping.go
+++ b/internal/transport/keeping/keeping.go
@@ -23,11 +23,12 @@
 	pollWait = 400 * time.Millisecond
 	// callTimeout limits a round of calls to a store, in addition to pollWait.
 	callTimeout = time.Second
-	// retryWait is the pause after a failed round, and between checks for leadership while another
-	// replica leads.
+	// retryWait is the pause after a failed round.
 	retryWait = 250 * time.Millisecond
-	// storeListInterval is how often the configured stores are compared with the watched ones.
-	storeListInterval = 500 * time.Millisecond
+	// checkInterval is how often the configuration is looked at for other stores, and while another replica
+	// leads, the leadership. After a loss of all processes, entries place prompts without the stores until a
+	// leader has read them.
+	checkInterval = 50 * time.Millisecond
 	// relistInterval is how often the complete list of a store is read: about 1% of the changes
 	// are never reported.
 	relistInterval = 20 * time.Second
@@ -72,13 +73,17 @@
 
 // Run watches the stores until ctx ends.
 func (k *StoreWatcher) Run(ctx context.Context) {
-	ticker := time.NewTicker(storeListInterval)
+	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	watched := map[string]context.CancelFunc{}
 	var group sync.WaitGroup
 	defer group.Wait()
+	var current *deployment.Config
 	for {
-		k.updateWatches(ctx, watched, &group)
+		if config := k.View().Config; config != current {
+			current = config
+			k.updateWatches(ctx, config, watched, &group)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -87,10 +92,10 @@
 	}
 }
 
-// updateWatches starts and stops watches so that all configured stores are watched.
-func (k *StoreWatcher) updateWatches(ctx context.Context, watched map[string]context.CancelFunc, group *sync.WaitGroup) {
+// updateWatches starts and stops watches so that all stores of a configuration are watched.
+func (k *StoreWatcher) updateWatches(ctx context.Context, config *deployment.Config, watched map[string]context.CancelFunc, group *sync.WaitGroup) {
 	wanted := map[string]deployment.Service{}
-	if config := k.View().Config; config != nil {
+	if config != nil {
 		for _, s := range config.Services {
 			if s.Store != nil {
 				wanted[s.Store.Address] = s
@@ -118,9 +123,11 @@
 func (k *StoreWatcher) watch(ctx context.Context, store deployment.Store) {
 	for ctx.Err() == nil {
 		term, ok := k.Leading()
-		if ok {
-			k.watchTerm(ctx, store, term)
+		if !ok {
+			pause(ctx, checkInterval)
+			continue
 		}
+		k.watchTerm(ctx, store, term)
 		pause(ctx, retryWait)
 	}
 }
--- a/internal/transport/keeping/keeping_test.go
+++ b/internal/transport/keeping/keeping_test.go
@@ -74,6 +74,45 @@
 	}
 }
 
+// Guards against entries that place prompts without the stores for long after a loss of all processes: the
+// configuration is known 80 ms after the start, a leader 20 ms later, and the stores must be published soon.
+func TestStoresAreReadSoonAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		configured, published, began := viewOf(t, 3), &publications{}, time.Now()
+		watcher := &transport.StoreWatcher{
+			View: func() *fleet.View {
+				if time.Since(began) < 80*time.Millisecond {
+					return &fleet.View{}
+				}
+				return configured
+			},
+			Leading:           func() (uint64, bool) { return 3, time.Since(began) >= 100*time.Millisecond },
+			ConfirmLeadership: func(context.Context) error { return nil }, Stores: changingStore{idleStore{7}}, Source: published, Log: quiet,
+			Committed: func(context.Context) (keeping.Committed, error) { return keeping.Committed{}, nil },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watcher.Run(ctx)
+		}()
+		<-time.After(time.Second)
+		cancel()
+		<-done
+		if took := published.first.Sub(began); published.first.IsZero() || took > 200*time.Millisecond {
+			t.Errorf("published after %v", took)
+		}
+	})
+}
+
+// changingStore is a store whose changes do not have to be waited for.
+type changingStore struct{ idleStore }
+
+func (s changingStore) Changes(ctx context.Context, address string, since uint64, _ time.Duration) (keeping.Batch, error) {
+	return s.idleStore.Changes(ctx, address, since, time.Millisecond)
+}
+
 // All control instances have lost power, and a new leader knows only the control log. It opens a store at
 // once if the log holds its epoch, and not before a lease is over otherwise. Nothing is published before the
 // log could be read: a store would stay closed, or parts that an earlier leader frees would be published as
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -26,16 +26,6 @@
 	resendDivisor = 10
 	// notReadyRetryAfter is the Retry-After of a process that has no configuration yet.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// startupHold is how long a request is held that arrives before the configuration is known, and
-	// startupHoldDivisor limits the hold to a fraction of the caller's timeout. After a power loss all
-	// processes start at the same time, and a configuration is in force some tenths of a second after
-	// a process starts. A caller with a short timeout is better served by an immediate Retry-After.
-	startupHold        = 400 * time.Millisecond
-	startupHoldDivisor = 10
-	// startupWindow is the time after the process start in which requests are held.
-	startupWindow = 2 * time.Second
-	// startupPollInterval is how often a held request checks for a configuration.
-	startupPollInterval = 10 * time.Millisecond
 )
 
 // job is the state of one request while it is served.
@@ -142,30 +132,10 @@
 	j.server.mu.Lock()
 	j.server.window(j.service).CountRequest(clock.Now())
 	j.server.mu.Unlock()
+	j.awaitStores(ctx)
 	return true
 }
 
-// awaitConfig returns the configuration in force, or nil when there is none. During startup it waits
-// for one, but never so long that a retry would serve the caller better.
-func (j *job) awaitConfig(ctx context.Context) *deployment.Config {
-	s := j.server
-	config := s.View().Config
-	if config != nil || clock.Since(s.startedAt) > startupWindow {
-		return config
-	}
-	hold, cancel := context.WithTimeout(ctx, min(startupHold, j.request.MaxWait()/startupHoldDivisor))
-	defer cancel()
-	poll := time.NewTicker(startupPollInterval)
-	defer poll.Stop()
-	for s.View().Config == nil && hold.Err() == nil {
-		select {
-		case <-poll.C:
-		case <-hold.Done():
-		}
-	}
-	return s.View().Config
-}
-
 func (j *job) deny(d Denial) bool {
 	j.line(d.String()).Str("host", j.request.Host).Str("path", j.request.Path).Msg("")
 	j.sink.Deny(d)
--- a/internal/transport/serving/start_test.go
+++ b/internal/transport/serving/start_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
@@ -70,6 +71,58 @@
 	}
 }
 
+// Guards against prompts that are sent right after a power loss, before it is known which of their parts stores
+// hold: all callers send again at once, and the engines would compute everything anew. Only long prompts of
+// tiered services are held, for at most a quarter of the objective.
+func TestPromptsAreHeldUntilStoresAreKnown(t *testing.T) {
+	const known = 200 * time.Millisecond
+	cases := []struct {
+		name                     string
+		ranks, tokens            int
+		arrives, objective, took time.Duration
+	}{
+		{"stores in time", 3, 2000, 50 * time.Millisecond, 4 * time.Second, known - 50*time.Millisecond},
+		{"a short objective", 3, 2000, 50 * time.Millisecond, 400 * time.Millisecond, 100 * time.Millisecond},
+		{"a short prompt", 3, 500, 50 * time.Millisecond, 4 * time.Second, 0},
+		{"not tiered", 2, 2000, 50 * time.Millisecond, 4 * time.Second, 0},
+		{"stores known", 3, 2000, known + 10*time.Millisecond, 4 * time.Second, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clocktest.New(t)
+				config := &deployment.Config{Version: 1, Services: map[string]deployment.Service{
+					"e": {Name: "e", Engine: &deployment.Engine{}}, "k": {Name: "k", Store: &deployment.Store{Address: "k:1"}},
+				}}
+				for rank := range c.ranks {
+					config.Routes = append(config.Routes, deployment.Route{
+						Host: "h", Prefix: fmt.Sprint("/", rank), Kind: deployment.Stream, Timeout: time.Minute, Objective: c.objective, Rank: rank, Targets: []deployment.Target{{Service: "e", Weight: 1}},
+					})
+				}
+				if err := config.Check(); err != nil {
+					t.Fatal(err)
+				}
+				var view atomic.Pointer[fleet.View]
+				view.Store(&fleet.View{Entries: 1, Config: config})
+				server := &serving.Server{View: view.Load, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel}}
+				server.FailuresPending()
+				time.AfterFunc(known, func() {
+					view.Store(&fleet.View{Entries: 1, Config: config, Stores: map[string]keeping.StoreContents{"k:1": {}}})
+				})
+				<-time.After(c.arrives)
+				e := &refusalSink{}
+				began := time.Now()
+				prompt := &exchange.Prompt{Model: "m", Parts: []exchange.Part{{ID: "a", Tokens: c.tokens}, {ID: "b", Tokens: 10}}}
+				server.Serve(context.Background(), &exchange.Request{ID: "r", Host: "h", Path: "/0/x", Prompt: prompt, Arrived: clock.Now()}, e)
+				took := time.Since(began).Round(20 * time.Millisecond)
+				if diff := cmp.Diff([]any{"no_upstream", c.took.Round(20 * time.Millisecond)}, []any{e.reason, took}); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
 // A process that has long been without a configuration refuses requests at once.
 func TestCallersAreNotHeldLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
