An entry that is cut off learns from refusals which weights its engines have

Its log shows an entry that was cut off before it heard that its engines had loaded version 2: it named version 1 in each attempt, for 52 s, and every one was refused as misdirected. Change: while no control instance is reachable, an engine that refuses the version that it is believed to have is taken to have the newest one that was announced; each attempt stays pinned to one version.

--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -228,6 +228,7 @@
 	}
 	j.server.mu.Lock()
 	j.server.balancer.End(j.instance.Incarnation(), result, clock.Now())
+	j.server.learned.learn(j, end, j.server.View(), clock.Now())
 	if failedByInstance(end, err, gone) {
 		j.server.recordFailure(j.instance, j.team.Name)
 	}
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -112,7 +112,7 @@
 // begin records that the next attempt is sent to an instance. The server's mu must be held.
 func (j *job) begin(in registry.Instance, view *fleet.View, pickInfo balance.PickInfo, now time.Time) {
 	balancer := j.server.balancer
-	j.instance = in
+	j.instance = j.server.learned.apply(in)
 	j.triedInstances = append(j.triedInstances, in.Incarnation())
 	j.attemptNumber++
 	j.condition = j.currentCondition(now)
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -129,6 +129,7 @@
 	reading map[string]*readspeed.Estimator
 	// requiredLogged holds the required weight version of each model that was last logged.
 	requiredLogged map[string]uint64
+	learned        learnedWeights
 	// failures collects failed requests at instances that responded. failurePending holds a token while
 	// there are any.
 	failures       *suspects.Collector
@@ -148,6 +149,7 @@
 		s.inFlight = inFlight{}
 		s.reading = map[string]*readspeed.Estimator{}
 		s.requiredLogged = map[string]uint64{}
+		s.learned = learnedWeights{}
 		if s.BufferBytes > 0 {
 			s.buffers = newBuffers(s.BufferBytes, s.Metrics, s.Log)
 		}
@@ -180,6 +182,7 @@
 			s.mu.Lock()
 			s.balancer.Prune(now.Add(-idleLoadTTL))
 			s.reportRequired(now)
+			s.learned.prune(s.View(), now)
 			s.mu.Unlock()
 		case <-ctx.Done():
 			return
