--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -28,16 +28,12 @@
 		}
 		watch.begun()
 		j.recordEvent()
-		last := j.lastAccepted()
-		if event.Number > 0 && event.Number <= last {
-			if j.begun() {
-				// A resumed run may repeat events that were already accepted.
-				continue
-			}
-			return retry.Broken{Sent: j.lastSent()}, errOutOfOrder
+		repeated, err := j.checkOrder(event)
+		if err != nil {
+			return retry.Broken{Sent: j.lastSent()}, err
 		}
-		if event.Number > last+1 && (last > 0 || j.begun()) {
-			return retry.Broken{Sent: j.lastSent()}, errOutOfOrder
+		if repeated {
+			continue
 		}
 		d := j.startDelivery(a.Head)
 		err = d.push(ctx, event)
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -87,15 +87,12 @@
 		}
 		watch.begun()
 		j.recordEvent()
-		if event.Number > 0 && event.Number <= j.lastEvent {
-			if j.headSent {
-				// A resumed run may repeat events that the caller has already received.
-				continue
-			}
-			return retry.Broken{Sent: j.lastSent()}, errOutOfOrder
+		repeated, err := j.checkOrder(event)
+		if err != nil {
+			return retry.Broken{Sent: j.lastSent()}, err
 		}
-		if event.Number > j.lastEvent+1 && (j.lastEvent > 0 || j.headSent) {
-			return retry.Broken{Sent: j.lastSent()}, errOutOfOrder
+		if repeated {
+			continue
 		}
 		err = j.beginStream(a.Head)
 		if err == nil {
@@ -108,6 +105,22 @@
 	}
 }
 
+// checkOrder returns an error unless an event follows the last one that was accepted. repeated is true if it was
+// accepted before: a resumed run may repeat events.
+func (j *job) checkOrder(event exchange.Event) (repeated bool, err error) {
+	last := j.lastAccepted()
+	switch {
+	case event.Number > 0 && event.Number <= last:
+		if j.begun() {
+			return true, nil
+		}
+		return false, errOutOfOrder
+	case event.Number > last+1 && (last > 0 || j.begun()):
+		return false, errOutOfOrder
+	}
+	return false, nil
+}
+
 // beginStream forwards the head before the first event. A stream that another instance
 // continues keeps its first head.
 func (j *job) beginStream(h exchange.Head) error {
