--- a/internal/coordination/arbiter/arbiter.go
+++ b/internal/coordination/arbiter/arbiter.go
@@ -24,9 +24,7 @@
 	// part of the time that it has left.
 	callerPatience = 3
 	// A caller comes back within returnNumerator/returnDenominator of the objective, so that its answer can
-	// still be in time. Later returns take the room of requests that would be: in the replay at 100 prompts
-	// a second of one urgency 0.659 were in time and 0.145 refused twice with waits of up to a third of the
-	// time left, and 0.821 and 0.175 with this bound. Half of the objective instead gives 0.819 and 0.180.
+	// still be in time. Later returns would take the room of requests that still can be.
 	returnNumerator, returnDenominator = 3, 4
 )
 
--- a/internal/coordination/arbiter/decide.go
+++ b/internal/coordination/arbiter/decide.go
@@ -8,9 +8,8 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 )
 
-// spacing is for how long after a grant an engine gets no other long prompt while others have room. The
-// first piece after three other long prompts within 0.4 s took 0.6 s, and 0.14 s after none. In the replay
-// at 80 prompts a second 0.024 of the prompts met two others within 0.4 s, and 0.070 without spacing.
+// spacing is for how long after a grant an engine gets no other long prompt while others have room: an engine
+// computes the prompts that it gets one after the other, 0.2 s each if little of them is kept.
 const spacing = 250 * time.Millisecond
 
 // outcome is what is to be done with a request. It is one of placement, refused and undecided.
--- a/internal/coordination/arbiter/engine.go
+++ b/internal/coordination/arbiter/engine.go
@@ -12,10 +12,8 @@
 	// grantDelay is the longest time until the reports that arrive include a granted request.
 	grantDelay = balance.MaxLoadDelay
 	// releaseDelay is the time from a release until the reports that arrive do not include the run: engines
-	// report their loads 0.2 s late, and entries send releases about 0.05 s late. With 200 ms prompts were
-	// granted memory that was not free: the 99th percentile of the time to the first piece was 407 ms in
-	// the replay at 80 prompts a second, and 115 ms with 150 ms. With none of it 0.869 were in time instead
-	// of 0.889.
+	// report their loads 0.2 s late, and entries send releases 0.05 s late. A longer one grants memory that
+	// is not free, and prompts then wait for it at the engine.
 	releaseDelay = 150 * time.Millisecond
 	// maxLoadAge is the age from which a load is not used. Several polls of the engine have failed then.
 	maxLoadAge = 1500 * time.Millisecond
--- a/internal/coordination/buffering/buffering.go
+++ b/internal/coordination/buffering/buffering.go
@@ -24,7 +24,7 @@
 	// that hold most are paused first.
 	freeShare = 4
 	// reserveShare is the part of the limit that is left to answers that hold nothing yet, of which each may
-	// take reserveBytes. Without it, 1,000 slow answers left no room for those whose callers keep up.
+	// take reserveBytes, so that many slow answers leave room for those whose callers keep up.
 	reserveShare = 16
 	reserveBytes = 4 << 10
 )
--- a/internal/coordination/returns/returns.go
+++ b/internal/coordination/returns/returns.go
@@ -92,9 +92,8 @@
 }
 
 // Reserved returns the number of tokens that must be left to the returns that are expected about now
-// and are at least as urgent. Only requests that are not due must leave them: in the replay of a burst of
-// 6 s, 0.67 of the refused were served on their return, and 0.52 when those that were due left
-// what was reserved for more urgent ones.
+// and are at least as urgent. Requests that are due themselves need not leave them: otherwise room would stay
+// empty while returns are refused.
 func (l *Line) Reserved(urgency int, now time.Time) (tokens int) {
 	l.dropMissed(now)
 	for _, e := range l.queue {
--- a/internal/transport/serving/startup.go
+++ b/internal/transport/serving/startup.go
@@ -35,8 +35,7 @@
 
 // awaitStores waits during startup until the contents of half of the stores are known, if the prompt is one
 // of a tiered service and long enough to be kept. After a power loss all callers send again at once; without
-// the stores, engines computed 5.7 million tokens of kept parts in the first 0.8 s, which took all of them
-// over a second.
+// the stores, the engines would be busy for over a second with parts that are kept.
 func (j *job) awaitStores(ctx context.Context) {
 	p, view := j.request.Prompt, j.server.View()
 	if p == nil || !view.Config.Tiered(j.service) || totalTokens(p.Parts[:max(len(p.Parts)-1, 0)]) < readspeed.DefaultMinTokens {
