--- a/internal/coordination/arbiter/arbiter_test.go
+++ b/internal/coordination/arbiter/arbiter_test.go
@@ -319,6 +319,23 @@
 	})
 }
 
+// Guards against a larger, less urgent request that is admitted after a smaller, more urgent one was refused,
+// because room was counted in whole requests: here one request of 5,765 tokens fits each engine, and so does one of
+// 3,843, but the room that is left over by the latter is more.
+func TestLargerAndLessUrgentIsNotAdmitted(t *testing.T) {
+	f := newFixture(3, balance.EngineLoad{Used: 47_315})
+	var got []bool
+	for urgency, tokens := range []int{7_687, 3_843, 5_765} {
+		r := f.request()
+		r.Urgency, r.Tokens = urgency, tokens
+		got = append(got, granted(f.Decide(r, at(time.Duration(urgency)*10*time.Millisecond))))
+	}
+	// The first fits no engine, and must not keep out what it could not use.
+	if diff := cmp.Diff([]bool{false, true, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Room that appears must go to the more urgent requests that were refused, for a second, and no longer:
 // their callers may never come back.
 func TestWithholdsRoomForMoreUrgent(t *testing.T) {
--- a/internal/coordination/arbiter/decide.go
+++ b/internal/coordination/arbiter/decide.go
@@ -44,9 +44,9 @@
 		return refused{s.withoutRoom(r, now)}
 	}
 	due := s.returns != nil && s.returns.Due(r.Digest, now)
-	left := s.room(r) - s.withheld(r, due, now) - balance.RequiredRoom(r.Tokens, s.memory)
+	left := s.room() - s.withheld(r, due, now) - balance.RequiredRoom(r.Tokens, s.memory)
 	switch {
-	case left < 0:
+	case left < 0, !s.fitsAfterMoreUrgent(r, now):
 		return refused{NoRoom}
 	case !due && left < s.shares.owed(r):
 		return refused{OverShare}
@@ -101,16 +101,49 @@
 	return max(0, interval-now.Sub(last)), true
 }
 
-// room returns the tokens of as many requests of the same size as the engines have room for.
-func (s *service) room(r Request) (tokens int) {
-	each := max(balance.RequiredRoom(r.Tokens, s.memory), 1)
+// room returns the room in the engines that fit the request in progress. It must not grow with the size of the
+// request: then a large request could be admitted after a smaller, more urgent one was refused.
+func (s *service) room() (tokens int) {
 	for _, e := range s.fitting {
-		usable := balance.UsableRoom(s.memory, e.free(s.memory))
-		tokens += usable - usable%each
+		tokens += balance.UsableRoom(s.memory, e.free(s.memory))
 	}
 	return tokens
 }
 
+// fitsAfterMoreUrgent reports whether an engine still fits a request once the more urgent requests that were
+// refused lately have their room. They are placed by urgency, each where it leaves the least room, so that what
+// is too small for a request does not count as room for it.
+func (s *service) fitsAfterMoreUrgent(r Request, now time.Time) bool {
+	pending := s.refusals.moreUrgent(r.Urgency)
+	if len(pending) == 0 {
+		return true
+	}
+	s.rooms = s.rooms[:0]
+	for _, e := range s.engines {
+		if !r.Excluded[e.target.ID] && e.known(now) && e.load.Waiting == 0 {
+			s.rooms = append(s.rooms, balance.UsableRoom(s.memory, e.free(s.memory)))
+		}
+	}
+	for _, q := range pending {
+		takeRoom(s.rooms, q.room)
+	}
+	return takeRoom(s.rooms, balance.RequiredRoom(r.Tokens, s.memory))
+}
+
+// takeRoom takes room for one request where it leaves the least, and reports whether there is any.
+func takeRoom(rooms []int, required int) bool {
+	best := -1
+	for i, room := range rooms {
+		if room >= required && (best < 0 || room < rooms[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		rooms[best] -= required
+	}
+	return best >= 0
+}
+
 // withheld returns the room that is kept for requests that go before this one: the more urgent ones that
 // were refused lately, and those that are about to come back and at least as urgent. A request that comes
 // back itself leaves room to more urgent ones only. The two overlap, so the larger counts.
--- a/internal/coordination/arbiter/refusals.go
+++ b/internal/coordination/arbiter/refusals.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -37,6 +38,18 @@
 	}
 }
 
+// moreUrgent returns the more urgent refused requests, the most urgent first and of equal ones the oldest.
+func (l refusals) moreUrgent(urgency int) []refusedRequest {
+	var out []refusedRequest
+	for _, r := range l {
+		if r.urgency < urgency {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b refusedRequest) int { return cmp.Compare(a.urgency, b.urgency) })
+	return out
+}
+
 // before returns the room that was refused to more urgent requests.
 func (l refusals) before(urgency int) (tokens int) {
 	for _, r := range l {
--- a/internal/coordination/arbiter/service.go
+++ b/internal/coordination/arbiter/service.go
@@ -33,6 +33,8 @@
 	stats    ServiceStats
 	// fitting holds the engines with room for the request in progress; its memory is used again.
 	fitting []*engine
+	// rooms holds the room of engines while more urgent requests are placed; its memory is used again.
+	rooms []int
 }
 
 type reader struct {
