--- a/internal/coordination/arbiter/arbiter.go
+++ b/internal/coordination/arbiter/arbiter.go
@@ -18,12 +18,12 @@
 const (
 	// grantExpiry is after what time a grant without a release is forgotten. Most runs are shorter.
 	grantExpiry = 30 * time.Second
-	// fixedRetryAfter is when refused callers come back for whom no time of their own is chosen.
+	// fixedRetryAfter is the Retry-After of refused requests for which no return time is computed.
 	fixedRetryAfter = 2 * time.Second
-	// callerPatience is the divisor for the longest time that a caller waits before it comes back, as a
+	// callerPatience is the divisor for the longest time that a caller waits before it retries, as a
 	// part of the time that it has left.
 	callerPatience = 3
-	// A caller comes back within returnNumerator/returnDenominator of the objective, so that its answer can
+	// A caller retries within returnNumerator/returnDenominator of the objective, so that its answer can
 	// still be in time. Later returns would take the room of requests that still can be.
 	returnNumerator, returnDenominator = 3, 4
 )
@@ -31,7 +31,7 @@
 // Arbiter decides for all engines of some services. Use New to make one. It is not safe for concurrent
 // use.
 type Arbiter struct {
-	// NewReturns makes the Returns of a service. New sets it; if it is nil, refused requests come back after
+	// NewReturns makes the Returns of a service. New sets it; if it is nil, refused requests return after
 	// a fixed time. It must not change after the first call of SetEngines.
 	NewReturns func() Returns
 
--- a/internal/coordination/arbiter/arbiter_test.go
+++ b/internal/coordination/arbiter/arbiter_test.go
@@ -37,7 +37,7 @@
 
 func newFixture(engines int, load balance.EngineLoad) *fixture {
 	f := &fixture{Arbiter: arbiter.New(1)}
-	// Refused requests come back after a fixed time, except where returns are tested.
+	// Refused requests return after a fixed time, except where returns are tested.
 	f.NewReturns = nil
 	f.set(engines)
 	f.report(load, start)
@@ -159,7 +159,7 @@
 	}
 }
 
-// An attempt whose answer was lost and that asks again must not take room twice.
+// An attempt whose answer was lost and that is sent again must not take room twice.
 func TestSameAttemptGetsSameGrant(t *testing.T) {
 	f := newFixture(4, balance.EngineLoad{})
 	r := f.request()
@@ -337,7 +337,7 @@
 }
 
 // Room that appears must go to the more urgent requests that were refused, for a second, and no longer:
-// their callers may never come back.
+// their callers may never retry.
 func TestWithholdsRoomForMoreUrgent(t *testing.T) {
 	f := newFixture(1, balance.EngineLoad{})
 	ids := f.fill(start, urgency(1))
@@ -382,7 +382,7 @@
 	}
 }
 
-// Room that is too scattered for the requests that go first must not be given away as if they could use it.
+// Room that is too scattered for the requests that go first must not be granted as if they could use it.
 func TestCountsRoomForWholeRequests(t *testing.T) {
 	f := newFixture(2, balance.EngineLoad{Waiting: 1})
 	f.decide(start, urgency(0))
@@ -431,7 +431,7 @@
 	}
 }
 
-// Without a second team of the same urgency there is nobody to leave room to.
+// Without a second team of the same urgency no room needs to be reserved.
 func TestSingleTeamIsNotCharged(t *testing.T) {
 	f := newFixture(2, balance.EngineLoad{})
 	ids := f.fill(start, team("a"))
@@ -560,7 +560,7 @@
 	return f
 }
 
-// Room must be left to requests that are about to come back and at least as urgent, except by those that come
+// Room must be left to requests that are about to return and at least as urgent, except by those that return
 // back themselves, which leave it to more urgent ones: otherwise requests would be refused twice while
 // later ones are served.
 func TestLeavesRoomForReturns(t *testing.T) {
@@ -575,7 +575,7 @@
 	}
 }
 
-// A request that comes back must not be refused for the share of its team, and the line of returns must
+// A returning request must not be refused for the share of its team, and the line of returns must
 // learn of refusals, grants and releases.
 func TestReturns(t *testing.T) {
 	line := &fakeReturns{}
--- a/internal/coordination/arbiter/decide.go
+++ b/internal/coordination/arbiter/decide.go
@@ -145,7 +145,7 @@
 }
 
 // withheld returns the room that is kept for requests that go before this one: the more urgent ones that
-// were refused lately, and those that are about to come back and at least as urgent. A request that comes
+// were refused lately, and those that are about to return and at least as urgent. A request that comes
 // back itself leaves room to more urgent ones only. The two overlap, so the larger counts.
 func (s *service) withheld(r Request, due bool, now time.Time) int {
 	tokens := s.refusals.before(r.Urgency)
--- a/internal/coordination/arbiter/service.go
+++ b/internal/coordination/arbiter/service.go
@@ -19,7 +19,7 @@
 // service is the state of one service.
 type service struct {
 	random *rand.Rand
-	// returns is nil if refused requests come back after a fixed time.
+	// returns is nil if refused requests return after a fixed time.
 	returns Returns
 	// memory is the memory of each engine in tokens.
 	memory  int
--- a/internal/coordination/arbiter/types.go
+++ b/internal/coordination/arbiter/types.go
@@ -13,7 +13,7 @@
 	FailureDomain string
 }
 
-// Request is a long prompt that asks for an engine.
+// Request is a long prompt to be placed at an engine.
 type Request struct {
 	// ID is unique per attempt; releases refer to it.
 	ID string
@@ -96,11 +96,11 @@
 	return "unknown"
 }
 
-// Returns chooses when refused requests are to come back, and reserves room for them.
+// Returns chooses when refused requests are to return, and reserves room for them.
 type Returns interface {
-	// Refuse records a refusal and returns when the caller is to come back, at most maxWait later.
+	// Refuse records a refusal and returns when the caller is to retry, at most maxWait later.
 	Refuse(digest quarantine.Digest, tokens, urgency int, maxWait time.Duration, now time.Time) (after time.Duration)
-	// Due reports whether a request was refused and comes back at its time.
+	// Due reports whether a request was refused and returns at its time.
 	Due(digest quarantine.Digest, now time.Time) bool
 	// Served records that a request was granted an engine.
 	Served(digest quarantine.Digest)
--- a/internal/coordination/balance/arbiter_replay_test.go
+++ b/internal/coordination/balance/arbiter_replay_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// releaseDelay is how long after the end of a run the arbiter knows of it.
+	// releaseDelay is how long after the end of a run the arbiter is notified of it.
 	releaseDelay = 55 * time.Millisecond
 	// callerDeadline is the time that callers have, from their first attempt.
 	callerDeadline = 12 * time.Second
@@ -22,7 +22,7 @@
 
 var arbiterPolicy = policy{name: "arbiter", arbiter: true}
 
-// release is the end of a run, and when the arbiter knows of it.
+// release is the end of a run, and when the arbiter is notified of it.
 type release struct {
 	id string
 	at time.Time
@@ -57,7 +57,7 @@
 	}
 }
 
-// informArbiter tells the arbiter of the loads and of the ends of runs that have reached it.
+// informArbiter reports the loads and the ends of runs to the arbiter.
 func (f *fleetReplay) informArbiter(clock time.Time) {
 	if f.arbiter == nil {
 		return
@@ -70,7 +70,7 @@
 	f.arbiter.RecordLoads(loads, f.reports[0].at)
 }
 
-// ask has the arbiter decide a prompt.
+// ask lets the arbiter decide a prompt.
 func (f *fleetReplay) ask(r *promptRun, clock time.Time) {
 	request := arbiter.Request{
 		ID: r.attempt(), Service: arbitrated, Key: r.key, Tokens: promptTokens, Urgency: r.urgency, Team: fmt.Sprint(r.team),
--- a/internal/coordination/buffering/buffering.go
+++ b/internal/coordination/buffering/buffering.go
@@ -76,7 +76,7 @@
 // Answers returns the number of answers that hold bytes.
 func (b *Budget) Answers() int { return len(b.answers) }
 
-// Take asks to hold more bytes of an answer; urgency 0 is the most urgent.
+// Take requests to hold more bytes of an answer; urgency 0 is the most urgent.
 func (b *Budget) Take(id ID, urgency, bytes int, now time.Time) Verdict {
 	a := b.answers[id]
 	held := 0
--- a/internal/coordination/returns/returns.go
+++ b/internal/coordination/returns/returns.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// minWait and maxWait bound the time that a caller is told to wait.
+	// minWait and maxWait bound the Retry-After of a refusal.
 	minWait = 250 * time.Millisecond
 	maxWait = 4 * time.Second
 	// dropAfter is how long after its time a return that did not come is dropped.
@@ -78,7 +78,7 @@
 	return e.at.Sub(now)
 }
 
-// Due reports whether a request was refused and comes back at its time.
+// Due reports whether a request was refused and returns at its time.
 func (l *Line) Due(digest quarantine.Digest, now time.Time) bool {
 	e := l.waiting[digest]
 	return e != nil && !e.at.After(now.Add(reserveTime)) && !e.missed(now)
--- a/internal/state/deployment/tiers_test.go
+++ b/internal/state/deployment/tiers_test.go
@@ -8,7 +8,7 @@
 	"github.com/shedrock/shedrock/internal/state/deployment"
 )
 
-// Guards against decisions under contention taking effect for services that did not ask for them:
+// Guards against decisions under contention taking effect for services that are not configured for them:
 // other ranks, other kinds of route and targets without weight must not count.
 func TestTieredServices(t *testing.T) {
 	stream := func(rank int, service string, weight float64) deployment.Route {
--- a/internal/transport/arbiter/client.go
+++ b/internal/transport/arbiter/client.go
@@ -23,7 +23,7 @@
 	// objectiveDivisor bounds it by a part of the objective.
 	decideTimeout    = 60 * time.Millisecond
 	objectiveDivisor = 8
-	// failurePause is how long the leader is not asked after a failure: an election takes 0.5 s to 1.5 s.
+	// failurePause is how long no decisions are requested after a failure: an election takes 0.5 s to 1.5 s.
 	failurePause = 500 * time.Millisecond
 	// releaseDelay is how long releases are collected before they are sent. The leader's arbiter corrects a
 	// late release by the engine's next report, which is as late.
@@ -44,7 +44,7 @@
 	LoadsAge time.Duration
 }
 
-// Client asks the leader for decisions. Use NewClient to make one. It is safe for concurrent use.
+// Client requests decisions from the leader. Use NewClient to make one. It is safe for concurrent use.
 type Client struct {
 	client *http.Client
 	log    *log.Logger
@@ -65,7 +65,7 @@
 	return &Client{client: rpc.NewClient(), log: logger, prefix: strconv.FormatUint(rand.Uint64(), 36) + "-", releases: map[string][]string{}}
 }
 
-// Decide asks the leader at an address about an attempt. It sets the request's id. An error means that the
+// Decide requests a decision about an attempt from the leader at an address. It sets the request's id. An error means that the
 // caller decides by itself; a grant that the leader may have given nevertheless is released.
 func (c *Client) Decide(ctx context.Context, leader string, r arbiter.Request) (Answer, error) {
 	var paused bool
@@ -93,7 +93,7 @@
 	return Answer{ID: r.ID, Decision: wire.ToDecision(out), LoadsAge: time.Duration(out.LoadsAgeMilliseconds) * time.Millisecond}, nil
 }
 
-// begin returns the id of the next attempt, and whether the leader must not be asked now.
+// begin returns the id of the next attempt, and whether requests are suspended after a failure.
 func (c *Client) begin(now time.Time) (id string, paused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,8 +113,8 @@
 	c.log.Info().Str("event", "arbiter_failed").Str("leader", leader).Str("error", err.Error()).Msg("")
 }
 
-// Release tells the leader at an address, with the next batch, that an attempt has ended or never began. It
-// is told once: the leader's arbiter copes with a lost release.
+// Release reports to the leader at an address, with the next batch, that an attempt has ended or never began. It
+// is sent once: a lost release expires at the leader.
 func (c *Client) Release(leader, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/arbiter/client_test.go
+++ b/internal/transport/arbiter/client_test.go
@@ -24,7 +24,7 @@
 
 var discardLogger = &log.Logger{Level: log.PanicLevel}
 
-// stubLeader answers as decide says, and records what it was asked.
+// stubLeader answers as decide says, and records the requests.
 type stubLeader struct {
 	decide func(ctx context.Context) (*wire.DecideResponse, error)
 
@@ -85,7 +85,7 @@
 	return coordination.Request{Service: "svc", Tokens: 100, Objective: time.Minute}
 }
 
-// retry asks until the leader is asked and does not fail: the first call may find a slow machine, and a failure
+// retry requests a decision until the leader answers: the first call may find a slow machine, and a failure
 // pauses the client.
 func retry(t *testing.T, c *arbiter.Client, leader string) (out arbiter.Answer) {
 	t.Helper()
@@ -124,8 +124,8 @@
 	}
 }
 
-// Guards against a grant that is lost or a client that stays silent when the leader dies between the grant and
-// the release: the release is given up, and the next leader is asked.
+// Guards against a grant that is lost or a client that sends nothing when the leader fails between the grant and
+// the release: the release is discarded, and the next decision is requested from the new leader.
 func TestLeaderDiesAfterAGrant(t *testing.T) {
 	first, second := &stubLeader{decide: grant}, &stubLeader{decide: grant}
 	firstAddress, stop := serve(t, first)
--- a/internal/transport/arbiter/service.go
+++ b/internal/transport/arbiter/service.go
@@ -69,7 +69,7 @@
 		return nil, notLeading()
 	}
 	if ctx.Err() != nil {
-		// The entry has given up, and a grant would be held until it expires.
+		// The entry has canceled the call, and a grant would be held until it expires.
 		return nil, twirp.NewError(twirp.Canceled, "the entry does not wait any more")
 	}
 	now := clock.Now()
@@ -205,7 +205,7 @@
 	return responsive
 }
 
-// mayGetRequests reports whether requests may be placed at an instance, by what all entries know.
+// mayGetRequests reports whether requests may be placed at an instance, by the state that all entries receive.
 func mayGetRequests(view *fleet.View, in registry.Instance) bool {
 	_, evacuated := view.Evacuated[in.FailureDomain]
 	_, unreachable := view.Unreachable[in.FailureDomain]
--- a/internal/transport/arbiter/service_test.go
+++ b/internal/transport/arbiter/service_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// ask asks about a prompt of 100 tokens with an id of its own.
+// ask requests a decision about a prompt of 100 tokens with an id of its own.
 func (l *leader) ask(t *testing.T) coordination.Decision {
 	t.Helper()
 	l.lastID++
@@ -176,7 +176,7 @@
 	}
 }
 
-// Guards against grants that are held for an entry that has given up, and counts that are not shown.
+// Guards against grants that are held for an entry that has canceled its call, and counts that are not shown.
 func TestGivenUpRequestsHoldNothing(t *testing.T) {
 	l := newLeader(t, "a")
 	l.report(balance.EngineLoad{}, "a")
--- a/internal/transport/control/arbiter_test.go
+++ b/internal/transport/control/arbiter_test.go
@@ -17,7 +17,7 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
-// Guards against entries that ask a control instance which does not decide: all instances name the same leader,
+// Guards against decisions requested from a control instance that does not lead: all instances name the same leader,
 // only that one answers, and when it ends, the next one is named and answers.
 func TestEntriesReachTheDecidingLeader(t *testing.T) {
 	quiet := &log.Logger{Level: log.PanicLevel}
--- a/internal/transport/control/publish_test.go
+++ b/internal/transport/control/publish_test.go
@@ -14,7 +14,7 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
-// After a restart, entries are told nothing of the log before all of it that was committed is applied.
+// After a restart, nothing of the log is published to entries before all of it that was committed is applied.
 // Otherwise an entry that has started as well gets the configuration before the required weight version,
 // and begins prompts on weights whose grace period ended before the restart.
 func TestRestartedReplicaTellsNoIntermediateState(t *testing.T) {
--- a/internal/transport/fleet/leader_test.go
+++ b/internal/transport/fleet/leader_test.go
@@ -7,9 +7,9 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 )
 
-// Guards against entries that ask a former leader for decisions: an answer must name the leader that the
+// Guards against decisions requested from a former leader: an answer must contain the leader that the
 // answering control instance knows, not one that was relayed from another, and of two that differ the one
-// that was named last counts. A leader that only sources out of reach name must not be asked.
+// that was named last counts. A leader that only sources out of reach name must not be used.
 func TestEntriesKnowTheLeader(t *testing.T) {
 	controls := startRelayingControls(t, 2, 2, time.Hour)
 	var entries []*fleet.Follower
--- a/internal/transport/serving/arbitrate.go
+++ b/internal/transport/serving/arbitrate.go
@@ -18,10 +18,10 @@
 
 // Arbiter is the client for the arbiter of the leader.
 type Arbiter interface {
-	// Decide asks the leader at an address about an attempt, and sets its id. It returns within the time
+	// Decide requests a decision about an attempt from the leader at an address, and sets its id. It returns within the time
 	// that an entry may wait.
 	Decide(ctx context.Context, leader string, r arbiter.Request) (transport.Answer, error)
-	// Release tells the leader that a granted attempt has ended or never began. It does not wait.
+	// Release reports to the leader that a granted attempt has ended or never began. It does not wait.
 	Release(leader, id string)
 }
 
@@ -29,7 +29,7 @@
 type consultResult string
 
 const (
-	// notConcerned is the result for requests about which the arbiter is not asked.
+	// notConcerned is the result for requests that need no decision of the arbiter.
 	notConcerned consultResult = ""
 	// consultGranted and consultRefused mean that the entry followed the arbiter.
 	consultGranted consultResult = "granted"
@@ -52,14 +52,14 @@
 	result consultResult
 	leader string
 	answer transport.Answer
-	// took is how long the answer or the failure took, and 0 if the leader was not asked. err is the failure.
+	// took is how long the answer or the failure took, and 0 if no decision was requested. err is the failure.
 	took time.Duration
 	err  error
 	// open is true while the leader holds a grant for the attempt.
 	open bool
 }
 
-// consult asks the leader's arbiter about the next attempt, if it is one of a long prompt at a tiered service.
+// consult requests a decision about the next attempt from the leader's arbiter, if it is one of a long prompt at a tiered service.
 // The server's mu must not be held.
 func (j *job) consult(ctx context.Context) {
 	j.consultation = consultation{}
--- a/internal/transport/serving/arbitrate_test.go
+++ b/internal/transport/serving/arbitrate_test.go
@@ -116,7 +116,7 @@
 }
 
 // Guards against entries that depend on the leader. Without a leader, without an answer, or with an answer
-// that cannot be followed, a request is served as by an entry that knows no arbiter, and requests that the
+// that cannot be followed, a request is served as by an entry without an arbiter, and requests that the
 // arbiter does not arbitrate never ask. What is granted is released once: at the end if it is used, else at once.
 func TestEntriesFollowTheArbiterOrDecideThemselves(t *testing.T) {
 	const long, short = memory / 4, memory / 32
--- a/internal/transport/serving/buffers.go
+++ b/internal/transport/serving/buffers.go
@@ -74,7 +74,7 @@
 	b.metrics.bufferedAnswers.Set(float64(b.budget.Answers()))
 }
 
-// breakOff ends deliveries whose callers take nothing.
+// breakOff ends deliveries whose callers have stopped reading.
 func (b *buffers) breakOff(ids []buffering.ID) {
 	for _, id := range ids {
 		b.mu.Lock()
--- a/internal/transport/serving/delivery.go
+++ b/internal/transport/serving/delivery.go
@@ -19,7 +19,7 @@
 	maxWriteBytes = 4 << 10
 	// eventOverhead is what holding an event takes in addition to its bytes.
 	eventOverhead = 64
-	// pauseRetryInterval is how often a paused answer asks for room that other answers have left.
+	// pauseRetryInterval is how often a paused answer requests room that other answers have left.
 	pauseRetryInterval = 250 * time.Millisecond
 	// loggedPause is the shortest pause that is logged.
 	loggedPause = time.Second
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -102,7 +102,7 @@
 	// Ends tracks which instances ended while they served which requests. The server does not call
 	// its Run. When nil, the server uses a tracker of its own, which learns nothing from other entries.
 	Ends *ends.Tracker
-	// Arbiter asks the leader about long prompts of tiered services. When nil, the server decides all by
+	// Arbiter requests decisions from the leader about long prompts of tiered services. When nil, the server decides all by
 	// itself.
 	Arbiter Arbiter
 	// BufferBytes limits what is held of the answers of tiered services that callers have not taken yet.
--- a/internal/transport/serving/start_test.go
+++ b/internal/transport/serving/start_test.go
@@ -72,7 +72,7 @@
 }
 
 // Guards against prompts that are sent right after a power loss, before it is known which of their parts stores
-// hold: all callers send again at once, and the engines would compute everything anew. Only long prompts of
+// hold: all callers retry at once, and the engines would compute everything anew. Only long prompts of
 // tiered services are held, for at most a quarter of the objective.
 func TestPromptsAreHeldUntilStoresAreKnown(t *testing.T) {
 	const known = 200 * time.Millisecond
--- a/internal/transport/serving/startup.go
+++ b/internal/transport/serving/startup.go
@@ -34,7 +34,7 @@
 }
 
 // awaitStores waits during startup until the contents of half of the stores are known, if the prompt is one
-// of a tiered service and long enough to be kept. After a power loss all callers send again at once; without
+// of a tiered service and long enough to be kept. After a power loss all callers retry at once; without
 // the stores, the engines would be busy for over a second with parts that are kept.
 func (j *job) awaitStores(ctx context.Context) {
 	p, view := j.request.Prompt, j.server.View()
--- a/internal/transport/serving/weights_learned.go
+++ b/internal/transport/serving/weights_learned.go
@@ -10,8 +10,8 @@
 )
 
 // learnedWeights holds the engines that refused the weight version that they were believed to have, while no
-// control instance was reachable that could tell which one they have. Without it, a process that was cut off
-// before it heard that its engines had loaded newer weights named the older ones in each attempt, and all
+// control instance was reachable to report which one they have. Without it, a process that was cut off
+// before it learned that its engines had loaded newer weights requested the older ones in each attempt, and all
 // attempts were refused until it was connected again.
 type learnedWeights map[registry.Incarnation]learnedVersion
 
@@ -49,7 +49,7 @@
 	return in
 }
 
-// prune drops everything once control instances can tell the versions again.
+// prune drops everything once control instances report the versions again.
 func (l learnedWeights) prune(view *fleet.View, now time.Time) {
 	if !view.Contact.Unreachable(now) {
 		clear(l)
--- a/internal/transport/serving/weights_learned_test.go
+++ b/internal/transport/serving/weights_learned_test.go
@@ -42,8 +42,8 @@
 
 func (anySink) Refuse(outcome.Outcome) {}
 
-// Guards against an entry that is cut off from control before it hears that its engines have loaded newer weights,
-// and then serves nothing: it must learn from their refusals, and go back if it has learned something wrong.
+// Guards against an entry that is cut off from control before it learns that its engines have loaded newer weights,
+// and then serves nothing: it must infer the version from their refusals, and revert a wrong inference.
 func TestEntryCutOffLearnsWeights(t *testing.T) {
 	cases := []struct {
 		name      string
