Tests of the arbiter and of slow callers split by what they test

Change: fixtures, urgency, shares and returns have files of their own; no test was added, removed or changed (same list of test functions). Measured: both packages' tests and make check pass.

--- a/internal/transport/serving/slow_test.go
+++ b/internal/transport/serving/slow_test.go
@@ -2,33 +2,24 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net/http/httptest"
-	"os"
 	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/phuslu/log"
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
-	"github.com/shedrock/shedrock/internal/state/deployment"
-	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/state/weights"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
-	"github.com/shedrock/shedrock/internal/transport/serving"
 )
 
 const (
-	// pieceInterval is the time between two events of impatientEngine, and cutOffAfter how long one of them
+	// pieceInterval is the time between two events of cutOffEngine, and cutOffAfter how long one of them
 	// may stay unread.
 	pieceInterval = 10 * time.Millisecond
 	cutOffAfter   = 2 * time.Second
@@ -36,190 +27,12 @@
 	slowWrite = 3 * time.Second
 )
 
-// impatientEngine sends events up to last, and cuts an answer off when an event stays unread too long.
-type impatientEngine struct {
-	last uint64
-	size int
-	// hangs keeps answers from ending after the last event.
-	hangs bool
-	// breakAfter, if set, is the number of the event after which the first answer breaks off.
-	breakAfter uint64
-	// after holds the event after which each attempt began. closedAt is when an answer was closed early, and
-	// endedAt when the last one was read to its end.
-	mu                sync.Mutex
-	after             []uint64
-	closedAt, endedAt atomic.Int64
-}
-
-func (e *impatientEngine) Refuses(context.Context, registry.Instance) bool { return false }
-
-func (e *impatientEngine) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.after = append(e.after, a.After)
-	s := &impatientStream{engine: e, ctx: ctx, events: make(chan uint64, 4), closed: make(chan struct{}), raw: make([]byte, e.size)}
-	last, breaks := e.last, len(e.after) == 1 && e.breakAfter > 0
-	if breaks {
-		last = e.breakAfter
-	}
-	go func() {
-		defer close(s.events)
-		for i := a.After + 1; i <= last; i++ {
-			select {
-			case <-time.After(pieceInterval):
-			case <-s.closed:
-				return
-			}
-			select {
-			case s.events <- i:
-			case <-time.After(cutOffAfter):
-				s.cut.Store(true)
-				return
-			case <-s.closed:
-				return
-			}
-		}
-		s.cut.Store(breaks)
-		if e.hangs {
-			<-s.closed
-		}
-	}()
-	return exchange.Stream{Head: exchange.Head{Status: 200}, Events: s}
-}
-
-// impatientStream is one answer of impatientEngine.
-type impatientStream struct {
-	engine *impatientEngine
-	ctx    context.Context
-	events chan uint64
-	closed chan struct{}
-	cut    atomic.Bool
-	// raw is the last event: it is valid until the next one is read.
-	raw []byte
-}
-
-func (s *impatientStream) Next() (exchange.Event, bool, error) {
-	select {
-	case i, ok := <-s.events:
-		switch {
-		case ok:
-			s.raw[0] = byte(i)
-			return exchange.Event{Number: i, Raw: s.raw}, false, nil
-		case s.cut.Load():
-			return exchange.Event{}, false, io.ErrUnexpectedEOF
-		}
-		s.engine.endedAt.Store(int64(time.Now().UnixNano()))
-		return exchange.Event{}, false, io.EOF
-	case <-s.ctx.Done():
-		return exchange.Event{}, false, s.ctx.Err()
-	}
-}
-
-func (s *impatientStream) Close() {
-	s.engine.closedAt.Store(time.Now().UnixNano())
-	close(s.closed)
-}
-
-// slowSink is a caller that takes slowWrite, or what pace returns, for each write, until it has taken
-// stallAfter bytes, if that is set. The next write then fails after stall, or 10 s.
-type slowSink struct {
-	serving.Sink
-	stallAfter int
-	stall      time.Duration
-	pace       func() time.Duration
-	text       []byte
-	begun      int
-	end        string
-}
-
-func (s *slowSink) Begin(exchange.Head) error {
-	s.begun++
-	return nil
-}
-
-func (s *slowSink) Event(raw []byte, _ bool) error {
-	if s.stallAfter > 0 && len(s.text) >= s.stallAfter {
-		stall := 10 * time.Second
-		if s.stall > 0 {
-			stall = s.stall
-		}
-		<-time.After(stall)
-		return os.ErrDeadlineExceeded
-	}
-	pace := slowWrite
-	if s.pace != nil {
-		pace = s.pace()
-	}
-	<-time.After(pace)
-	s.text = append(s.text, raw...)
-	return nil
-}
-
-func (s *slowSink) End()   { s.end = "whole" }
-func (s *slowSink) Break() { s.end = "broken" }
-
-// numbers returns the first byte of each event that the caller has taken.
-func (s *slowSink) numbers(size int) []byte {
-	var out []byte
-	for i := 0; i+size <= len(s.text); i += size {
-		out = append(out, s.text[i])
-	}
-	return out
-}
-
-func upTo(last uint64) []byte {
-	var out []byte
-	for i := range last {
-		out = append(out, byte(i+1))
-	}
-	return out
-}
-
-// metric returns the value of a metric as it is served.
-func metric(s *serving.Server, name string) string {
-	w := httptest.NewRecorder()
-	s.Metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-	for line := range strings.SplitSeq(w.Body.String(), "\n") {
-		if value, ok := strings.CutPrefix(line, name+" "); ok {
-			return value
-		}
-	}
-	return ""
-}
-
-// tieredServer returns a server whose service is tiered and which holds at most the given number of bytes.
-func tieredServer(t *testing.T, upstreams exchange.Upstreams, bytes int) *serving.Server {
-	t.Helper()
-	config := &deployment.Config{Version: 1, Services: map[string]deployment.Service{"svc": {Name: "svc", Engine: &deployment.Engine{Slots: 9, MemoryTokens: 100_000, Models: []string{"m"}}}}}
-	for rank, prefix := range []string{"/", "/b/", "/c/"} {
-		config.Routes = append(config.Routes, deployment.Route{
-			Host: "h", Prefix: prefix, Rank: rank, Kind: deployment.Stream, Resumable: true, Timeout: time.Hour, Objective: time.Second, Attempts: 3,
-			Targets: []deployment.Target{{Service: "svc", Weight: 1}},
-		})
-	}
-	err := config.Check()
-	if err != nil {
-		t.Fatal(err)
-	}
-	view := &fleet.View{Entries: 1, Config: config, Instances: map[string][]registry.Instance{}}
-	for _, id := range []string{"a", "b"} {
-		view.Instances["svc"] = append(view.Instances["svc"], registry.Instance{ID: id, Service: "svc", Slots: 9, Weights: map[string]uint64{"m": 7}})
-	}
-	s := &serving.Server{View: func() *fleet.View { return view }, Upstreams: upstreams, BufferBytes: bytes, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel}}
-	s.Allowance.Slack, s.Allowance.Window = 100, time.Minute
-	return s
-}
-
-func serve(ctx context.Context, s *serving.Server, wait time.Duration, sink serving.Sink) {
-	s.Serve(ctx, &exchange.Request{Host: "h", Path: "/", Arrived: clock.Now(), Wait: wait}, sink)
-}
-
 // Guards against answers that engines cut off because their callers read slowly: the engine is read at once.
 // The caller gets the whole answer although its deadline passes meanwhile.
 func TestSlowCallerGetsItsWholeAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		engine := &impatientEngine{last: 16, size: 2000}
+		engine := &cutOffEngine{last: 16, size: 2000}
 		sink := &slowSink{}
 		began := time.Now()
 		serve(context.Background(), tieredServer(t, engine, 1<<20), 10*time.Second, sink)
@@ -237,7 +50,7 @@
 func TestBrokenAnswerIsResumedBehindTheBuffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		engine := &impatientEngine{last: 16, size: 2000, breakAfter: 8}
+		engine := &cutOffEngine{last: 16, size: 2000, breakAfter: 8}
 		sink := &slowSink{}
 		began := time.Now()
 		serve(context.Background(), tieredServer(t, engine, 1<<20), time.Minute, sink)
@@ -258,7 +71,7 @@
 func TestBrokenAnswerIsDeliveredAsFarAsItWasRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		engine := &impatientEngine{last: 16, size: 2000, breakAfter: 8}
+		engine := &cutOffEngine{last: 16, size: 2000, breakAfter: 8}
 		sink := &slowSink{}
 		server := tieredServer(t, engine, 1<<20)
 		server.Allowance.Slack = 0
@@ -282,7 +95,7 @@
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			clocktest.New(t)
-			engine := &impatientEngine{last: c.last, size: 2000}
+			engine := &cutOffEngine{last: c.last, size: 2000}
 			server := tieredServer(t, engine, c.limit)
 			ctx, leave := context.WithCancel(context.Background())
 			sink := &slowSink{stallAfter: 1}
@@ -313,7 +126,7 @@
 // Guards against an engine that runs on, or is waited for, after its caller has taken nothing for the write timeout:
 // its stream is closed and the answer is broken off.
 func TestCallerThatTakesNothingIsBrokenOff(t *testing.T) {
-	for _, engine := range []*impatientEngine{{last: 1 << 20, size: 2000}, {last: 10, size: 2000, hangs: true}} {
+	for _, engine := range []*cutOffEngine{{last: 1 << 20, size: 2000}, {last: 10, size: 2000, hangs: true}} {
 		synctest.Test(t, func(t *testing.T) {
 			clocktest.New(t)
 			server := tieredServer(t, engine, 32<<20)
@@ -337,7 +150,7 @@
 	const callers, limit = 40, 256 << 10
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		server := tieredServer(t, &impatientEngine{last: 1 << 20, size: 2000}, limit)
+		server := tieredServer(t, &cutOffEngine{last: 1 << 20, size: 2000}, limit)
 		var served sync.WaitGroup
 		for range callers {
 			served.Go(func() {
@@ -370,7 +183,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			clocktest.New(t)
 			r := rand.New(rand.NewPCG(seed, 1))
-			engine := &impatientEngine{last: r.Uint64N(100), size: 1 + r.IntN(6000)}
+			engine := &cutOffEngine{last: r.Uint64N(100), size: 1 + r.IntN(6000)}
 			if engine.last > 0 && r.IntN(2) == 0 {
 				engine.breakAfter = 1 + r.Uint64N(engine.last)
 			}
@@ -393,7 +206,7 @@
 func TestWeightsExpireWhileTheFirstEventIsWritten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		engine := &impatientEngine{last: 200, size: 2000}
+		engine := &cutOffEngine{last: 200, size: 2000}
 		server := tieredServer(t, engine, 32<<20)
 		server.OldWeightsGrace = 2 * time.Second
 		view, now := server.View(), clock.Now()
@@ -427,7 +240,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			clocktest.New(t)
 			sink := &slowSink{pace: func() time.Duration { return 0 }}
-			serve(context.Background(), tieredServer(t, &failingFirst{Upstreams: &impatientEngine{last: 3, size: 10}}, bytes), time.Minute, sink)
+			serve(context.Background(), tieredServer(t, &failingFirst{Upstreams: &cutOffEngine{last: 3, size: 10}}, bytes), time.Minute, sink)
 			if diff := cmp.Diff(upTo(3), sink.numbers(10)); diff != "" || sink.end != "whole" {
 				t.Errorf("with %d bytes: %s: end %q", bytes, diff, sink.end)
 			}
