--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -82,6 +82,9 @@
 	condition conditionSnapshot
 	// weights is the state by which the weight version of the last attempt was chosen.
 	weights weightsSnapshot
+	// answerAge is how long ago any instance of the service had answered when the last attempt ended, or negative
+	// if none ever has.
+	answerAge time.Duration
 	// wasCutOff is true once an attempt was canceled because the failure domain of its instance is
 	// unreachable. It is guarded by the server's mu.
 	wasCutOff bool
@@ -229,6 +232,7 @@
 	j.server.mu.Lock()
 	j.server.balancer.End(j.instance.Incarnation(), result, clock.Now())
 	j.server.learned.learn(j, end, j.server.View(), clock.Now())
+	j.answerAge = j.server.answerAge(j.service, clock.Now())
 	if failedByInstance(end, err, gone) {
 		j.server.recordFailure(j.instance, j.team.Name)
 	}
@@ -276,6 +280,7 @@
 	case exchange.Unreached, exchange.Broken:
 	default:
 		j.server.balancer.RecordResponse(j.instance.Incarnation(), now)
+		j.server.answeredAt[j.service] = now
 	}
 }
 
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -49,9 +49,22 @@
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
+	if j.answerAge >= 0 {
+		line = line.Dur("service_answer_age_ms", j.answerAge)
+	}
 	line.Msg("")
 }
 
+// answerAge returns how long ago an instance of a service last answered, or a negative value if none ever
+// has. mu must be held.
+func (s *Server) answerAge(service string, now time.Time) time.Duration {
+	at, ok := s.answeredAt[service]
+	if !ok {
+		return -1
+	}
+	return now.Sub(at)
+}
+
 // endLabel returns the label of an attempt's result; a 5xx response gets a label of its own.
 func endLabel(end retry.Result) string {
 	if whole, ok := end.(retry.Completed); ok && whole.Status >= 500 {
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -125,6 +125,8 @@
 	balancer *balance.Balancer
 	windows  map[string]*retry.Window
 	inFlight inFlight
+	// answeredAt holds when an instance of each service last answered a request of this entry.
+	answeredAt map[string]time.Time
 	// reading holds what is known of the reading speed of the engines of each tiered service.
 	reading map[string]*readspeed.Estimator
 	// requiredLogged holds the required weight version of each model that was last logged.
@@ -147,6 +149,7 @@
 		s.balancer = balance.New(rand.Uint64())
 		s.windows = map[string]*retry.Window{}
 		s.inFlight = inFlight{}
+		s.answeredAt = map[string]time.Time{}
 		s.reading = map[string]*readspeed.Estimator{}
 		s.requiredLogged = map[string]uint64{}
 		s.learned = learnedWeights{}
