Failing test: entries that alone are cut off from all upstreams serve nothing

What callers saw: an entry that could not reach any instance failed nearly all of their requests while other entries served all. The test cuts one or three of four entries off in four ways (nothing arrives, nothing comes back, connections are reset, only new ones are reset) and holds them to the users' bound from 3 s after the cut.

--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -23,6 +23,8 @@
 	processes map[string]*Process
 	// cuts holds pairs of names, from and to.
 	cuts map[[2]string]bool
+	// refused holds pairs of names, from and to, between which new connections are reset.
+	refused map[[2]string]bool
 	// delays holds how long each piece that a process sends or gets is held back.
 	delays map[string]time.Duration
 	// open holds the connections from and to each process.
@@ -44,7 +46,7 @@
 // NewLinks returns links that carry everything, until the test ends.
 func NewLinks(t *testing.T) *Links {
 	l := &Links{
-		t: t, processes: map[string]*Process{}, cuts: map[[2]string]bool{}, delays: map[string]time.Duration{},
+		t: t, processes: map[string]*Process{}, cuts: map[[2]string]bool{}, refused: map[[2]string]bool{}, delays: map[string]time.Duration{},
 		open: map[string]map[*net.TCPConn]bool{}, silent: map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
 	}
 	t.Cleanup(func() { close(l.closed) })
@@ -74,11 +76,29 @@
 	}
 }
 
-// Heal ends every cut.
+// Refuse resets each new connection from one of some processes to one of others. Those that are open live on.
+func (l *Links) Refuse(from, to []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			l.refused[[2]string{a, b}] = true
+		}
+	}
+}
+
+func (l *Links) refuses(from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused[[2]string{from, to}]
+}
+
+// Heal ends every cut, and new connections are no longer reset.
 func (l *Links) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.cuts)
+	clear(l.refused)
 	close(l.healed)
 	l.healed = make(chan struct{})
 }
@@ -91,12 +111,17 @@
 }
 
 // Reset resets the connections of a process, both those it opened and those it took.
-func (l *Links) Reset(name string) {
+func (l *Links) Reset(name string) { l.ResetBetween(name, "") }
+
+// ResetBetween resets the connections between two processes, or all of the first if the second is empty.
+func (l *Links) ResetBetween(name, other string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open[name] {
-		_ = c.SetLinger(0)
-		_ = c.Close()
+		if other == "" || l.open[other][c] {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
 	}
 }
 
@@ -180,6 +205,10 @@
 func (l *Links) join(name, target string, in net.Conn) {
 	defer in.Close()
 	from := l.opener(in)
+	if l.refuses(from, name) {
+		_ = in.(*net.TCPConn).SetLinger(0)
+		return
+	}
 	if !l.wait(from, name) {
 		return
 	}
