--- /dev/null
+++ b/internal/coordination/detour/path.go
@@ -0,0 +1,246 @@
+// Package detour decides when an entry sends requests to instances by way of another entry, its peer, and
+// by which one. It does no I/O.
+//
+// An entry may lose the way to instances that others still reach. A Path tracks that for one service, from
+// the failures of requests and from probes on new connections. Peers chooses among the other entries.
+package detour
+
+import (
+	"maps"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// minSuspectInstances is how many distinct instances must fail within evidenceWindow for a probe; a single
+	// one may be faulty itself.
+	minSuspectInstances = 2
+	evidenceWindow      = 2 * time.Second
+	// silentAfter is how long no instance may respond while requests wait, before a probe. Engines at normal
+	// load are silent for that long only while there are few requests.
+	silentAfter = 400 * time.Millisecond
+	// heardWindow is how long after a response open connections count as working.
+	heardWindow = 500 * time.Millisecond
+	// probeInterval is the time between two rounds of probes while the way is lost.
+	probeInterval = 300 * time.Millisecond
+	// minRecheck is the time after a round that found the way open until the next suspicion is probed. It
+	// doubles with each further one, up to maxRecheck, until none has come for recheckReset.
+	minRecheck   = 500 * time.Millisecond
+	maxRecheck   = 4 * time.Second
+	recheckReset = 10 * time.Second
+	// minGoodRounds is how many successive rounds must find the way open before it is used again. The number
+	// doubles, up to maxGoodRounds, if the way is lost again within flapWindow.
+	minGoodRounds = 2
+	maxGoodRounds = 16
+	flapWindow    = 10 * time.Second
+)
+
+// State is what an entry knows of its own way to the instances of a service.
+type State int
+
+const (
+	// Open means that requests are sent directly.
+	Open State = iota
+	// Suspected means that probes are under way.
+	Suspected
+	// OpenConnectionsOnly means that new connections fail, while responses still arrive on open ones.
+	OpenConnectionsOnly
+	// Lost means that nothing arrives.
+	Lost
+)
+
+// String returns the name of the state that is written to logs.
+func (s State) String() string {
+	switch s {
+	case Open:
+		return "open"
+	case Suspected:
+		return "suspected"
+	case OpenConnectionsOnly:
+		return "open_connections_only"
+	case Lost:
+		return "lost"
+	}
+	return "unknown"
+}
+
+// Cause is the evidence that led to a probe.
+type Cause string
+
+// The causes: requests failed at distinct instances, or no instance responded while requests waited.
+const (
+	CauseFailures Cause = "failures"
+	CauseSilence  Cause = "silence"
+)
+
+// Path is an entry's own way to the instances of one service. The zero value is an open one. It is not safe
+// for concurrent use.
+type Path struct {
+	// failures holds when requests last failed at each instance that has not responded since.
+	failures map[registry.Incarnation]time.Time
+	// waiting is the number of requests that wait for a response, and waitingSince when the oldest of them
+	// was sent, or when any instance last responded, if that was later.
+	waiting      int
+	waitingSince time.Time
+	lastHeard    time.Time
+	// probing is true while a round of probes is under way, and lost after one that failed.
+	probing, lost bool
+	cause         Cause
+	nextProbe     time.Time
+	recheck       time.Duration
+	lastSuspected time.Time
+	// since is when the way was lost or found last; zero if it was never lost.
+	since time.Time
+	// goodRounds counts the successive rounds that found a lost way open, and neededRounds is how many there
+	// must be.
+	goodRounds, neededRounds int
+}
+
+// State returns the state of the way.
+func (p *Path) State(now time.Time) State {
+	switch {
+	case p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) < heardWindow:
+		return OpenConnectionsOnly
+	case p.lost:
+		return Lost
+	case p.probing:
+		return Suspected
+	}
+	return Open
+}
+
+// Since returns when the way was lost or found last, or zero.
+func (p *Path) Since() time.Time { return p.since }
+
+// Cause returns the evidence that led to the last round of probes on an open way.
+func (p *Path) Cause() Cause { return p.cause }
+
+// Failures returns the number of instances at which requests failed lately.
+func (p *Path) Failures() int { return len(p.failures) }
+
+// LastHeard returns when any instance last responded to this entry, or zero.
+func (p *Path) LastHeard() time.Time { return p.lastHeard }
+
+// Failing reports whether a request failed lately at an instance that has not responded since.
+func (p *Path) Failing(target registry.Incarnation) bool {
+	_, ok := p.failures[target]
+	return ok
+}
+
+// Begin records that a request is sent directly. End must be called when it no longer waits for a response.
+func (p *Path) Begin(now time.Time) {
+	if p.waiting == 0 {
+		p.waitingSince = now
+	}
+	p.waiting++
+}
+
+// End records that a request no longer waits for a response.
+func (p *Path) End() { p.waiting-- }
+
+// Heard records that an instance responded to this entry directly.
+func (p *Path) Heard(target registry.Incarnation, now time.Time) {
+	p.lastHeard = now
+	p.waitingSince = now
+	delete(p.failures, target)
+}
+
+// Failed records that a request got no byte of a response from an instance, because no connection was made
+// or because it broke.
+func (p *Path) Failed(target registry.Incarnation, now time.Time) {
+	if p.failures == nil {
+		p.failures = map[registry.Incarnation]time.Time{}
+	}
+	p.failures[target] = now
+}
+
+// ProbeDue reports whether a round of probes is due, and if so, that it has begun: Probed must be called with
+// its result. live is the number of instances that are known to be live.
+func (p *Path) ProbeDue(live int, now time.Time) bool {
+	if p.probing || live == 0 || now.Before(p.nextProbe) {
+		return false
+	}
+	if !p.lost && !p.suspicious(live, now) {
+		return false
+	}
+	p.probing = true
+	return true
+}
+
+// suspicious reports whether there is evidence that the way is lost, and records its cause.
+func (p *Path) suspicious(live int, now time.Time) bool {
+	maps.DeleteFunc(p.failures, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > evidenceWindow })
+	switch {
+	case len(p.failures) >= min(minSuspectInstances, live):
+		p.cause = CauseFailures
+	case p.waiting > 0 && now.Sub(p.waitingSince) >= silentAfter:
+		p.cause = CauseSilence
+	default:
+		return false
+	}
+	return true
+}
+
+// Doubtful reports whether an instance that could not be connected to may be reached by way of a peer: the way
+// is lost, or is about to be probed because instances failed.
+func (p *Path) Doubtful(live int, now time.Time) bool {
+	return p.lost || p.probing || len(p.failures) >= min(minSuspectInstances, live) && !now.Before(p.nextProbe)
+}
+
+// Active reports whether ProbeDue can become true without further events: while it is false, it need not be
+// called.
+func (p *Path) Active() bool { return p.lost || p.waiting > 0 || len(p.failures) > 0 }
+
+// Probed records the result of a round of probes, each on a new connection to another instance. It reports
+// whether the way was lost or found by it.
+func (p *Path) Probed(succeeded int, now time.Time) (changed bool) {
+	p.probing = false
+	if !p.lost {
+		return p.probedOpen(succeeded, now)
+	}
+	p.nextProbe = now.Add(probeInterval)
+	if succeeded == 0 {
+		p.goodRounds = 0
+		return false
+	}
+	p.goodRounds++
+	if p.goodRounds < p.neededRounds {
+		return false
+	}
+	p.lost = false
+	p.since = now
+	p.resetEvidence(now)
+	return true
+}
+
+// probedOpen records the result of a round on a way that was not lost.
+func (p *Path) probedOpen(succeeded int, now time.Time) (changed bool) {
+	if now.Sub(p.lastSuspected) > recheckReset {
+		p.recheck = 0
+	}
+	p.lastSuspected = now
+	if succeeded > 0 {
+		p.recheck = min(max(2*p.recheck, minRecheck), maxRecheck)
+		p.nextProbe = now.Add(p.recheck)
+		p.resetEvidence(now)
+		return false
+	}
+	p.neededRounds = max(p.neededRounds, minGoodRounds)
+	if !p.since.IsZero() && now.Sub(p.since) < flapWindow {
+		p.neededRounds = min(2*p.neededRounds, maxGoodRounds)
+	} else {
+		p.neededRounds = minGoodRounds
+	}
+	p.lost = true
+	p.since = now
+	p.goodRounds = 0
+	p.nextProbe = now.Add(probeInterval)
+	return true
+}
+
+// resetEvidence drops the evidence of before, so that only what follows counts.
+func (p *Path) resetEvidence(now time.Time) {
+	clear(p.failures)
+	p.waitingSince = now
+}
