--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -10,10 +10,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	coordination "github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/settings"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/arbiter"
+	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/serving"
@@ -48,22 +51,23 @@
 	s := file.Current()
 	limitMemory(s)
 	limitHeapGrowth()
-	listeners, err := listenAll([]namedAddress{{"callers", s.Callers}, {"ready", s.Ready}, {"metrics", metricsAddress(s)}})
+	listeners, err := listenAll([]namedAddress{{"callers", s.Callers}, {"ready", s.Ready}, {"metrics", metricsAddress(s)}, {"peer", s.PeerListener()}})
 	if err != nil {
 		return err
 	}
 	e := newPlatformEntry(file, s, p.log)
 	p.log.Info().Str("event", "entry_starts").Str("name", s.Name).Str("failure_domain", s.FailureDomain).Str("callers", s.Callers).Msg("")
-	return e.run(p.ctx, listeners[0], listeners[1], listeners[2])
+	return e.run(p.ctx, listeners[0], listeners[1], listeners[2], listeners[3])
 }
 
 // platformEntry is the parts of an entry, wired together.
 type platformEntry struct {
 	follower  *fleet.Follower
 	upstreams *platform.UpstreamClient
+	detours   *detour.Upstreams
 	server    *serving.Server
-	// callers, ready and metrics serve a listener each.
-	callers, ready, metrics *http.Server
+	// callers, ready, metrics and peers serve a listener each.
+	callers, ready, metrics, peers *http.Server
 	// grace is how long the process may take to end.
 	grace time.Duration
 	log   *log.Logger
@@ -83,42 +87,66 @@
 	}
 	follower.Ends = tracker
 	upstreams := &platform.UpstreamClient{}
+	detours := &detour.Upstreams{
+		Name: s.Name, FailureDomain: s.FailureDomain, Direct: upstreams, Metrics: detour.NewMetrics(), Log: logger,
+		Instances: func(service string) []registry.Instance { return follower.View().Instances[service] },
+		Peers:     func() []coordination.Peer { return follower.View().Peers },
+	}
+	follower.PeerAddress, follower.WayLost = s.PeerAddress(), detours.AnyLost
 	server := &serving.Server{
-		View: follower.View, Upstreams: upstreams, Ends: tracker, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
+		View: follower.View, Upstreams: detours, WayLostSince: detours.LostSince, Ends: tracker, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
 		BufferBytes: int(bufferShare * s.MemoryMB * (1 << 20)), OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
 	follower.FailuresPending, follower.TakeFailures = server.FailuresPending(), server.TakeFailures
 	server.Metrics.RegisterView(follower.View)
 	server.Metrics.Register(tracker.Collectors())
+	server.Metrics.Register(detours.Metrics.Collectors())
+	forwarder := &detour.Forwarder{
+		Upstreams: detours, Stopping: server.Stopping, Metrics: detours.Metrics, Log: logger,
+		Send: func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+			return server.Forward(ctx, a, detours.SendDirect)
+		},
+		Knows: func(in registry.Instance) bool { return follower.View().IsLive(in) },
+	}
 	return &platformEntry{
-		follower: follower, upstreams: upstreams, server: server, grace: s.Grace(), log: logger,
+		follower: follower, upstreams: upstreams, detours: detours, server: server, grace: s.Grace(), log: logger,
 		callers: &http.Server{
 			Handler:           platform.IngressHandler{Server: server, Log: logger},
 			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext,
 		},
 		ready:   &http.Server{Handler: platform.ReadinessHandler(server.Ready), ReadHeaderTimeout: headTimeout},
 		metrics: metricsServer(server.Metrics.Handler(), s),
+		peers:   &http.Server{Handler: peerHandler(forwarder), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout},
 	}
 }
 
+// peerHandler serves other entries.
+func peerHandler(forwarder *detour.Forwarder) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+detour.Path, forwarder)
+	return mux
+}
+
 // run serves until ctx ends and nothing is in flight: what the requests in flight need goes
 // on until then.
-func (e *platformEntry) run(ctx context.Context, callers, ready, metrics net.Listener) error {
+func (e *platformEntry) run(ctx context.Context, callers, ready, metrics, peers net.Listener) error {
 	helpers, endHelpers := context.WithCancel(context.WithoutCancel(ctx))
 	defer endHelpers()
 	var group errgroup.Group
 	group.Go(func() error { e.follower.Run(helpers); return nil })
 	group.Go(func() error { e.server.Run(helpers); return nil })
 	group.Go(func() error { e.server.Ends.Run(helpers); return nil })
+	group.Go(func() error { e.detours.Run(helpers); return nil })
 	group.Go(func() error { sweepPool(helpers, e.upstreams); return nil })
 	group.Go(func() error { noteSuspensions(helpers, e.log); return nil })
 	group.Go(func() error { return served(e.callers.Serve(callers)) })
 	group.Go(func() error { return served(e.ready.Serve(ready)) })
 	group.Go(func() error { return served(e.metrics.Serve(metrics)) })
+	group.Go(func() error { return served(e.peers.Serve(peers)) })
 	group.Go(func() error {
 		<-ctx.Done()
-		drain(e.callers, e.server, e.grace, e.log)
+		drain(e.callers, e.peers, e.server, e.grace, e.log)
 		endHelpers()
 		_ = e.ready.Close()
 		return e.metrics.Close()
@@ -127,8 +155,8 @@
 }
 
 // drain ends the process in order: not ready, then no new connections, then the end of
-// every request in flight.
-func drain(callers *http.Server, server *serving.Server, grace time.Duration, logger *log.Logger) {
+// every request in flight, those of other entries included.
+func drain(callers, peers *http.Server, server *serving.Server, grace time.Duration, logger *log.Logger) {
 	began := clock.Now()
 	server.Stop()
 	logger.Info().Str("event", "entry_stops").Msg("")
@@ -136,12 +164,16 @@
 	ctx, cancel := context.WithDeadline(context.Background(), clock.Deadline(began.Add(grace-graceMargin)))
 	defer cancel()
 	err := callers.Shutdown(ctx)
+	if peersErr := peers.Shutdown(ctx); err == nil {
+		err = peersErr
+	}
 	line := logger.Info().Str("event", "entry_stopped").Dur("took_ms", clock.Since(began))
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
 	line.Msg("")
 	_ = callers.Close()
+	_ = peers.Close()
 }
 
 func sweepPool(ctx context.Context, upstreams *platform.UpstreamClient) {
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -35,7 +35,10 @@
 type Refused struct{}
 
 // Unreached means that no byte of the request reached the upstream.
-type Unreached struct{}
+type Unreached struct {
+	// NoWay means that no other upstream can be reached either.
+	NoWay bool
+}
 
 // Misdirected means that the upstream received the request but did not run it, because it is not
 // the intended instance or serves another weight version.
@@ -119,7 +122,12 @@
 		return Stop{outcome.CallerGone}
 	case Refused:
 		return r.redispatch(outcome.ReasonRefused, budget)
-	case Unreached, Misdirected:
+	case Unreached:
+		if result.NoWay {
+			return Stop{r.GiveUp(outcome.ReasonNoWay)}
+		}
+		return r.dispatchElsewhere()
+	case Misdirected:
 		return r.dispatchElsewhere()
 	case Broken:
 		r.mayHaveRun = true
--- a/internal/coordination/retry/tries.go
+++ b/internal/coordination/retry/tries.go
@@ -45,6 +45,9 @@
 	case CallerGone:
 		return Stop{outcome.CallerGone}
 	case Unreached:
+		if result.NoWay {
+			return Stop{t.giveUp(outcome.ReasonNoWay)}
+		}
 		t.unreached++
 		if t.unreached < maxUnreachedInstances {
 			return Dispatch{}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -115,6 +115,10 @@
 	// After is the number of the last event that the caller received.
 	After   uint64
 	Resumes bool
+	// AllowsDomain reports whether the request may pass through an entry in a failure domain; nil allows all.
+	AllowsDomain func(domain string) bool
+	// Via is set by Upstreams to the address of the entry by way of which the attempt was sent, if it was.
+	Via string
 }
 
 // Upstreams sends requests to instances.
@@ -130,7 +134,12 @@
 type Reply interface{ reply() }
 
 // Unreached means that no byte of the request was sent.
-type Unreached struct{ Err error }
+type Unreached struct {
+	Err error
+	// NoWay reports that the sender has no way to any instance of the service now, so that another attempt
+	// would fail as well.
+	NoWay bool
+}
 
 // NotRun means that the instance did not execute the request and never will.
 type NotRun struct {
--- a/internal/transport/connpool/connpool.go
+++ b/internal/transport/connpool/connpool.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -76,7 +77,7 @@
 	for {
 		c := p.takeIdle(peer)
 		if c == nil {
-			return p.open(ctx, peer)
+			return p.Open(ctx, peer)
 		}
 		if clock.Now().Before(c.expires) && isClean(c.Conn) {
 			return c, nil
@@ -85,7 +86,8 @@
 	}
 }
 
-func (p *Pool) open(ctx context.Context, peer Peer) (*Conn, error) {
+// Open opens a new connection.
+func (p *Pool) Open(ctx context.Context, peer Peer) (*Conn, error) {
 	c, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
@@ -99,7 +101,7 @@
 // Refuses reports whether a peer refuses a new connection (ECONNREFUSED). If the peer accepts it, the
 // connection goes into the pool.
 func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
-	c, err := p.open(ctx, peer)
+	c, err := p.Open(ctx, peer)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -107,6 +109,14 @@
 	return false
 }
 
+// HasIdle reports whether there is an idle connection to a peer that has not expired.
+func (p *Pool) HasIdle(peer Peer) bool {
+	now := clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[peer], func(c *Conn) bool { return now.Before(c.expires) })
+}
+
 // takeIdle removes and returns the most recently used idle connection, which is the least likely
 // to have been closed by the peer. It returns nil if there is none.
 func (p *Pool) takeIdle(peer Peer) *Conn {
--- /dev/null
+++ b/internal/transport/detour/upstreams.go
@@ -0,0 +1,338 @@
+// Package detour sends requests to instances by way of another entry while this one has lost its own way to
+// them, and does the same for other entries.
+//
+// What travels is one attempt: the entry that has the caller's request makes all decisions about it, and keeps
+// its deadline, its budgets and its records, as if it had sent the attempt itself. A peer sends an attempt to the
+// named instance directly or declines, and never passes it on to a third entry.
+package detour
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/connpool"
+)
+
+// maxPeersTried is how many peers may decline one attempt. Each takes a round trip.
+const maxPeersTried = 3
+
+// errNoWay reports that neither this entry nor a peer that it knows has a way to the instance.
+var errNoWay = errors.New("no way to the instance: the own one is lost, and no other entry has one")
+
+// Direct sends attempts to instances over connections of this process.
+type Direct interface {
+	exchange.Upstreams
+	// Probe opens a new connection to an instance and returns nil if any response arrives on it. The request
+	// must cost the instance next to nothing.
+	Probe(ctx context.Context, in registry.Instance) error
+	// HasIdle reports whether an open connection to an instance is free.
+	HasIdle(in registry.Instance) bool
+}
+
+// Upstreams sends attempts to instances directly, or by way of a peer. Set the exported fields before Run and
+// Send. It is safe for concurrent use.
+type Upstreams struct {
+	// Name and FailureDomain are those of this entry.
+	Name, FailureDomain string
+	Direct              Direct
+	// Instances returns the live instances of a service.
+	Instances func(service string) []registry.Instance
+	// Peers returns the entries that may be known to have a way. Without any, all is sent directly.
+	Peers   func() []detour.Peer
+	Metrics *Metrics
+	// Log receives one line per change of a way.
+	Log *log.Logger
+
+	once sync.Once
+	// pool holds connections to peers.
+	pool connpool.Pool
+	// active holds a token when a way needs to be watched.
+	active chan struct{}
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. paths holds the own way to each service.
+	paths  map[string]*detour.Path
+	peers  *detour.Peers
+	random *rand.Rand
+}
+
+func (u *Upstreams) init() {
+	u.once.Do(func() {
+		u.active = make(chan struct{}, 1)
+		u.paths = map[string]*detour.Path{}
+		u.peers = detour.NewPeers(rand.Uint64())
+		u.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	})
+}
+
+// path returns the own way to a service. mu must be held.
+func (u *Upstreams) path(service string) *detour.Path {
+	p, ok := u.paths[service]
+	if !ok {
+		p = &detour.Path{}
+		u.paths[service] = p
+	}
+	return p
+}
+
+// State returns the state of the own way to the instances of a service.
+func (u *Upstreams) State(service string) detour.State {
+	u.init()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p, ok := u.paths[service]
+	if !ok {
+		return detour.Open
+	}
+	return p.State(clock.Now())
+}
+
+// LostSince returns since when the own way to a service has been lost; ok is false if it is not.
+func (u *Upstreams) LostSince(service string) (since time.Time, ok bool) {
+	u.init()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.paths[service]
+	if p == nil || p.State(clock.Now()) != detour.Lost {
+		return time.Time{}, false
+	}
+	return p.Since(), true
+}
+
+// AnyLost reports whether the own way to any service is lost.
+func (u *Upstreams) AnyLost() bool {
+	u.init()
+	now := clock.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, p := range u.paths {
+		if s := p.State(now); s == detour.Lost || s == detour.OpenConnectionsOnly {
+			return true
+		}
+	}
+	return false
+}
+
+// Send sends one attempt directly, or by way of a peer if the own way is lost. It sets the attempt's Via.
+func (u *Upstreams) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	u.init()
+	state := u.State(a.Instance.Service)
+	usesPeers := len(u.Peers()) > 0
+	if usesPeers && (state == detour.Lost || state == detour.OpenConnectionsOnly && !u.Direct.HasIdle(a.Instance)) {
+		reply, ok := u.sendByPeer(ctx, a)
+		switch {
+		case ok:
+			return reply
+		case state == detour.Lost:
+			return exchange.Unreached{Err: errNoWay, NoWay: true}
+		}
+		return u.SendDirect(ctx, a)
+	}
+	direct := u.SendDirect(ctx, a)
+	if _, unreached := direct.(exchange.Unreached); !unreached || !usesPeers || ctx.Err() != nil || !u.doubtful(a.Instance.Service) {
+		return direct
+	}
+	reply, ok := u.sendByPeer(ctx, a)
+	if !ok {
+		return direct
+	}
+	return reply
+}
+
+// doubtful reports whether an instance that was not reached may be reached by way of a peer.
+func (u *Upstreams) doubtful(service string) bool {
+	live := len(u.Instances(service))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.path(service).Doubtful(live, clock.Now())
+}
+
+// SendDirect sends one attempt over a connection of this process.
+func (u *Upstreams) SendDirect(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	u.init()
+	service, target := a.Instance.Service, a.Instance.Incarnation()
+	u.mu.Lock()
+	path := u.path(service)
+	path.Begin(clock.Now())
+	u.mu.Unlock()
+	u.watch()
+	reply := u.Direct.Send(ctx, a)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	path.End()
+	switch {
+	case !gotNothing(reply):
+		path.Heard(target, clock.Now())
+	case ctx.Err() == nil:
+		path.Failed(target, clock.Now())
+		u.watch()
+	}
+	if stream, ok := reply.(exchange.Stream); ok {
+		stream.Events = &heardEvents{Events: stream.Events, heard: func() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			path.Heard(target, clock.Now())
+		}}
+		return stream
+	}
+	return reply
+}
+
+// gotNothing reports whether no byte of a response arrived for an attempt.
+func gotNothing(reply exchange.Reply) bool {
+	switch reply := reply.(type) {
+	case exchange.Unreached:
+		return true
+	case exchange.Broken:
+		var network net.Error
+		timedOut := errors.As(reply.Err, &network) && network.Timeout()
+		return reply.Condition == exchange.Condition{} && (timedOut || exchange.ConnectionClosed(reply.Err))
+	}
+	return false
+}
+
+// heardEvents records that the instance of a stream responds.
+type heardEvents struct {
+	exchange.Events
+	heard func()
+}
+
+// Next returns the next event.
+func (h *heardEvents) Next() (event exchange.Event, more bool, err error) {
+	event, more, err = h.Events.Next()
+	if err == nil && !more {
+		h.heard()
+	}
+	return event, more, err
+}
+
+// sendByPeer sends one attempt by way of a peer; ok is false if no peer takes it.
+func (u *Upstreams) sendByPeer(ctx context.Context, a *exchange.Attempt) (reply exchange.Reply, ok bool) {
+	service := a.Instance.Service
+	c, reply := u.begin(ctx, service, fromAttempt(u.Name, a), a.Deadline, a.AllowsDomain, &a.Via)
+	switch {
+	case reply != nil:
+		return reply, true
+	case c == nil:
+		u.Metrics.detours.WithLabelValues(service, "none").Inc()
+		return nil, false
+	}
+	return c.reply(), true
+}
+
+// begin sends an attempt to peers until one accepts it. It returns a reply if the connection broke after the
+// attempt was sent, and neither a call nor a reply if no peer takes the attempt. via is set to the peer's address.
+func (u *Upstreams) begin(ctx context.Context, service string, in *wire.ForwardRequest, deadline time.Time, allows func(string) bool, via *string) (*call, exchange.Reply) {
+	choice := detour.Choice{Candidates: u.Peers(), Domain: u.FailureDomain, Tried: map[string]bool{}, Allows: allows}
+	for len(choice.Tried) < maxPeersTried && ctx.Err() == nil {
+		peer, ok := u.pick(choice)
+		if !ok {
+			break
+		}
+		choice.Tried[peer.Address] = true
+		sent := clock.Now()
+		if !deadline.IsZero() {
+			in.RemainingNanoseconds = remaining(deadline)
+		}
+		c, why, linkErr := begin(ctx, &u.pool, peer.Address, in, deadline)
+		now := clock.Now()
+		if c == nil {
+			reason := detour.DeclineUnreachable
+			if why != nil {
+				reason = why.why
+			}
+			u.declined(service, peer, reason, ctx.Err() != nil, now)
+			if linkErr != nil {
+				*via = peer.Address
+				return nil, exchange.Broken{Err: linkErr}
+			}
+			continue
+		}
+		u.accepted(service, peer, now.Sub(sent), now)
+		*via = peer.Address
+		c.ended = sync.OnceFunc(func() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.peers.End(peer.Address, clock.Now())
+		})
+		return c, nil
+	}
+	return nil, nil
+}
+
+func (u *Upstreams) pick(c detour.Choice) (detour.Peer, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	peer, ok := u.peers.Pick(c, clock.Now())
+	if ok {
+		u.peers.Begin(peer.Address, clock.Now())
+	}
+	return peer, ok
+}
+
+func (u *Upstreams) accepted(service string, peer detour.Peer, delay time.Duration, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.peers.Accepted(peer.Address, delay, now)
+	u.Metrics.detours.WithLabelValues(service, "passed_on").Inc()
+	u.Metrics.acceptSeconds.Observe(delay.Seconds())
+}
+
+// declined records that a peer did not take an attempt. One that was canceled here says nothing about the peer.
+func (u *Upstreams) declined(service string, peer detour.Peer, why detour.Decline, canceled bool, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if canceled {
+		u.peers.Canceled(peer.Address, now)
+		return
+	}
+	u.peers.Declined(peer.Address, why, now)
+	u.Metrics.detours.WithLabelValues(service, why.String()).Inc()
+}
+
+// Refuses reports whether an instance's address refuses connections. While the own way is in doubt, a
+// refusal of this entry's own connection says nothing about the instance, and a peer is asked.
+func (u *Upstreams) Refuses(ctx context.Context, in registry.Instance) bool {
+	u.init()
+	if len(u.Peers()) == 0 {
+		return u.Direct.Refuses(ctx, in)
+	}
+	if u.State(in.Service) == detour.Open {
+		if !u.Direct.Refuses(ctx, in) {
+			return false
+		}
+		u.mu.Lock()
+		u.path(in.Service).Failed(in.Incarnation(), clock.Now())
+		u.mu.Unlock()
+		u.watch()
+		if !u.doubtful(in.Service) {
+			return true
+		}
+	}
+	request := &wire.ForwardRequest{
+		Entry: u.Name, Instance: in.ID, Start: int64(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, RefusalProbe: true,
+	}
+	deadline, _ := ctx.Deadline()
+	var via string
+	c, _ := u.begin(ctx, in.Service, request, deadline, nil, &via)
+	return c != nil && c.refuses()
+}
+
+// watch makes Run look at the ways.
+func (u *Upstreams) watch() {
+	select {
+	case u.active <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/transport/detour/watch.go
@@ -0,0 +1,111 @@
+package detour
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
+	"github.com/shedrock/shedrock/internal/state/registry"
+)
+
+const (
+	// watchInterval is how often the ways are checked while there are requests or failures.
+	watchInterval = 100 * time.Millisecond
+	// probeTimeout is many times the round trip within a region, and leaves room for one lost packet less.
+	probeTimeout = 300 * time.Millisecond
+	// sweepInterval is how often idle connections to peers and the state of unused peers are dropped.
+	sweepInterval = time.Second
+)
+
+// Run probes ways that are lost or suspected until ctx ends.
+func (u *Upstreams) Run(ctx context.Context) {
+	u.init()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	// due fires when the ways are to be checked; it is nil while there is nothing to check.
+	var due <-chan time.Time
+	for {
+		select {
+		case <-u.active:
+			if due == nil {
+				due = time.After(watchInterval)
+			}
+		case <-due:
+			due = nil
+			if u.check(ctx) {
+				due = time.After(watchInterval)
+			}
+		case <-sweep.C:
+			now := clock.Now()
+			u.pool.Sweep(now)
+			u.mu.Lock()
+			u.peers.Prune(now)
+			u.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// check starts the rounds of probes that are due. It reports whether any way needs to be checked again.
+func (u *Upstreams) check(ctx context.Context) (active bool) {
+	u.mu.Lock()
+	services := make([]string, 0, len(u.paths))
+	for service := range u.paths {
+		services = append(services, service)
+	}
+	u.mu.Unlock()
+	for _, service := range services {
+		instances := u.Instances(service)
+		u.mu.Lock()
+		path := u.path(service)
+		if path.ProbeDue(len(instances), clock.Now()) {
+			targets := detour.ProbeTargets(path, instances, u.random)
+			go u.probe(ctx, service, path, targets)
+		}
+		u.Metrics.setState(service, path.State(clock.Now()))
+		active = active || path.Active()
+		u.mu.Unlock()
+	}
+	return active
+}
+
+// probe makes one round of probes.
+func (u *Upstreams) probe(ctx context.Context, service string, path *detour.Path, targets []registry.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var succeeded atomic.Int64
+	var group sync.WaitGroup
+	for _, in := range targets {
+		group.Go(func() {
+			result := "failed"
+			if u.Direct.Probe(ctx, in) == nil {
+				result = "answered"
+				succeeded.Add(1)
+			}
+			u.Metrics.probes.WithLabelValues(service, result).Inc()
+		})
+	}
+	group.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := clock.Now()
+	before, failing, heard := path.Since(), path.Failures(), path.LastHeard()
+	if !path.Probed(int(succeeded.Load()), now) {
+		return
+	}
+	u.Metrics.setState(service, path.State(now))
+	if path.State(now) == detour.Open {
+		u.Log.Info().Str("event", "way_found").Str("service", service).Dur("lost_ms", now.Sub(before)).Msg("")
+		return
+	}
+	line := u.Log.Warn().Str("event", "way_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
+		Int("failing", failing).Int("probed", len(targets)).Int("peers", len(u.Peers()))
+	if !heard.IsZero() {
+		line = line.Dur("heard_age_ms", now.Sub(heard))
+	}
+	line.Msg("")
+}
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -130,3 +131,17 @@
 	}
 	return out
 }
+
+// toEntryPeers returns the entries of an answer by name. A source of an earlier version tells their names only.
+func toEntryPeers(in *wire.FleetResponse) map[string]entryPeer {
+	out := make(map[string]entryPeer, len(in.EntryNames))
+	for i, name := range in.EntryNames {
+		var p entryPeer
+		if i < len(in.EntryPeers) {
+			e := in.EntryPeers[i]
+			p = entryPeer{detour.Peer{Address: e.Address, FailureDomain: e.FailureDomain}, e.WayLost}
+		}
+		out[name] = p
+	}
+	return out
+}
--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 )
 
@@ -16,6 +17,14 @@
 	evacuations uint64
 	// standby is true if another control instance is its primary.
 	standby bool
+	peer    entryPeer
+}
+
+// entryPeer is an entry as other entries reach it. Address is empty if they do not.
+type entryPeer struct {
+	detour.Peer
+	// wayLost is true while the entry does not reach the instances of some service.
+	wayLost bool
 }
 
 // entryTable holds the entries that polled lately. The zero value is empty.
@@ -26,21 +35,29 @@
 	// are in ascending order. change numbers the changes of names.
 	names, all []string
 	change     uint64
-	// relayed holds the names that other control instances reported.
-	relayed []string
+	// relayed holds the names that other control instances reported, and relayedPeers how they are reached.
+	relayed      []string
+	relayedPeers map[string]entryPeer
+	// peersChange numbers the changes of how any entry is reached, from 1.
+	peersChange uint64
 }
 
 // recordPoll records a poll of an entry.
 func (t *entryTable) recordPoll(in *wire.FleetRequest, now time.Time) {
-	_, known := t.polled[in.Name]
+	before, known := t.polled[in.Name]
 	if t.polled == nil {
 		t.polled = map[string]entryStatus{}
 	}
-	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations, standby: in.Standby}
-	if known {
+	peer := entryPeer{detour.Peer{Address: in.PeerAddress, FailureDomain: in.FailureDomain}, in.WayLost}
+	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations, standby: in.Standby, peer: peer}
+	if known && before.peer == peer {
 		return
 	}
 	t.change++
+	t.peersChange++
+	if known {
+		return
+	}
 	t.names = insertSorted(t.names, in.Name)
 	t.all = insertSorted(t.all, in.Name)
 }
@@ -74,19 +91,46 @@
 		return
 	}
 	t.change++
+	t.peersChange++
 	t.names = slices.Sorted(maps.Keys(t.polled))
 	t.merge()
 }
 
-// setRelayed sets the names of the entries that other control instances reported, in ascending order.
-func (t *entryTable) setRelayed(names []string) {
-	if slices.Equal(t.relayed, names) {
+// setRelayed sets the entries that other control instances reported.
+func (t *entryTable) setRelayed(peers map[string]entryPeer) {
+	if maps.Equal(t.relayedPeers, peers) {
 		return
 	}
-	t.relayed = names
+	t.relayedPeers = peers
+	t.peersChange++
+	t.relayed = slices.Sorted(maps.Keys(peers))
 	t.merge()
 }
 
+// sample returns the entries that an entry is told of as its peers. Those without a way come last, as all may
+// lack the way to a service that is down.
+func (t *entryTable) sample(name, domain string) []detour.Peer {
+	var open, lost []detour.Peer
+	add := func(other string, p entryPeer) {
+		switch {
+		case other == name || p.Address == "":
+		case p.wayLost:
+			lost = append(lost, p.Peer)
+		default:
+			open = append(open, p.Peer)
+		}
+	}
+	for other, s := range t.polled {
+		add(other, s.peer)
+	}
+	for other, p := range t.relayedPeers {
+		if _, own := t.polled[other]; !own {
+			add(other, p)
+		}
+	}
+	return detour.Sample(name, domain, open, lost)
+}
+
 // merge updates the names of all entries.
 func (t *entryTable) merge() {
 	all := slices.Concat(t.names, t.relayed)
@@ -124,7 +168,26 @@
 		return
 	}
 	out.EntriesChange = s.entries.change
-	if in.Epoch != out.Epoch || in.EntriesChange != s.entries.change {
-		out.EntryNames = s.entries.names
+	if in.Epoch == out.Epoch && in.EntriesChange == s.entries.change {
+		return
+	}
+	out.EntryNames = s.entries.names
+	for _, name := range s.entries.names {
+		p := s.entries.polled[name].peer
+		out.EntryPeers = append(out.EntryPeers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain, WayLost: p.wayLost})
+	}
+}
+
+// addPeers adds the peers of an entry if they may have changed since its last poll; mu must be held.
+func (s *Source) addPeers(in *wire.FleetRequest, out *wire.FleetResponse) {
+	if !in.Entry || in.PeerAddress == "" {
+		return
+	}
+	out.PeersChange = s.entries.peersChange
+	if in.Epoch == out.Epoch && in.PeersChange == s.entries.peersChange {
+		return
+	}
+	for _, p := range s.entries.sample(in.Name, in.FailureDomain) {
+		out.Peers = append(out.Peers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain})
 	}
 }
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/coordination/suspects"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/deployment"
@@ -45,6 +46,10 @@
 	Entry bool
 	// FailureDomain is the failure domain of this process. Sources in it are preferred.
 	FailureDomain string
+	// PeerAddress is where other entries reach this entry, or empty if they do not. WayLost reports whether this
+	// entry does not reach the instances of some service; it must be set with PeerAddress.
+	PeerAddress string
+	WayLost     func() bool
 	// Relay, when set, is the source of this process, a control instance, and Address its own address.
 	// What the other sources report is relayed to the pollers of Relay.
 	Relay   *Source
@@ -100,6 +105,8 @@
 	// ownDomainSince is since when control instances of the own failure domain have answered without a
 	// gap, or zero.
 	ownDomainSince time.Time
+	// peers holds the entries by way of which this entry may send requests.
+	peers []detour.Peer
 	// relayedLoads identifies the loads that were last relayed.
 	relayedLoads loadsVersion
 	// instances holds the live instances of the last view. The list was completed at rebuiltAt,
--- /dev/null
+++ b/internal/transport/fleet/peers_test.go
@@ -0,0 +1,81 @@
+package fleet_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/coordination/detour"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+)
+
+// startPeer starts an entry that others may send requests by.
+func startPeer(t *testing.T, i int, seed *relayingControl, wayLost *atomic.Bool) *fleet.Follower {
+	t.Helper()
+	f := &fleet.Follower{
+		Name: fmt.Sprint("e", i), Entry: true, FailureDomain: fmt.Sprint("d", i%3), PeerAddress: peerAddress(i), WayLost: wayLost.Load,
+		Heartbeat: time.Hour, Log: discardLogger, Decode: decodeVersion, Seeds: func() []string { return []string{seed.address()} },
+	}
+	runFollower(t, f)
+	return f
+}
+
+func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+// Entries are told of a few others, whichever control instances each polls, and not of those that have lost their
+// way as long as there are others. They know them still when no control instance answers any more.
+func TestEntriesAreToldOfPeersWithAWay(t *testing.T) {
+	const n = 12
+	controls := startRelayingControls(t, 5, 3, time.Hour)
+	lost := make([]atomic.Bool, n)
+	var entries []*fleet.Follower
+	for i := range n {
+		entries = append(entries, startPeer(t, i, controls[i%5], &lost[i]))
+	}
+	for i, f := range entries {
+		waitFor(t, "the entry knows eight others", func() bool { return len(f.View().Peers) == 8 })
+		own := 0
+		for _, p := range f.View().Peers {
+			if p.Address == peerAddress(i) {
+				t.Errorf("entry %d is told of itself", i)
+			}
+			if p.FailureDomain == fmt.Sprint("d", i%3) {
+				own++
+			}
+		}
+		if diff := cmp.Diff(3, own); diff != "" {
+			t.Errorf("peers of entry %d in its own failure domain: %s", i, diff)
+		}
+	}
+	// The entries 3 to 11 lose their way: 0, 1 and 2 come first.
+	for i := 3; i < n; i++ {
+		lost[i].Store(true)
+	}
+	for i, f := range entries {
+		want := map[detour.Peer]bool{}
+		for j := range 3 {
+			if j != i {
+				want[detour.Peer{Address: peerAddress(j), FailureDomain: fmt.Sprint("d", j)}] = true
+			}
+		}
+		waitFor(t, "the peers with a way come first", func() bool {
+			peers := f.View().Peers
+			got := map[detour.Peer]bool{}
+			for _, p := range peers[:min(len(want), len(peers))] {
+				got[p] = true
+			}
+			return cmp.Equal(want, got)
+		})
+	}
+	before := entries[0].View().Peers
+	for _, c := range controls {
+		c.stop()
+	}
+	waitFor(t, "no control instance answers", func() bool { return entries[0].View().Leader == "" })
+	if diff := cmp.Diff(before, entries[0].View().Peers); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -61,14 +61,13 @@
 	f.Relay.publishRelayedInstances(reports, forgotten)
 }
 
-// relayEntries relays the names of the entries that poll any source; mu must be held.
+// relayEntries relays the entries that poll any source; mu must be held.
 func (f *Follower) relayEntries() {
-	var names []string
+	peers := map[string]entryPeer{}
 	for _, s := range f.sources {
-		names = append(names, s.entryNames...)
+		maps.Copy(peers, s.entryPeers)
 	}
-	slices.Sort(names)
-	f.Relay.setRelayedEntries(slices.Compact(names))
+	f.Relay.setRelayedEntries(peers)
 }
 
 // loadsVersion identifies the loads that a source sent with an answer.
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -135,6 +135,7 @@
 	}
 	s.addEvacuations(in.Evacuations, out)
 	s.addEntries(in, out)
+	s.addPeers(in, out)
 	page := newPage(in.Paged)
 	if p.isStandby(in) {
 		p.addUrgent(since.instances, page, out)
--- a/internal/transport/fleet/source_relay.go
+++ b/internal/transport/fleet/source_relay.go
@@ -107,11 +107,11 @@
 	}
 }
 
-// setRelayedEntries sets the entries that poll any control instance, in ascending order of their names.
-func (s *Source) setRelayedEntries(names []string) {
+// setRelayedEntries sets the entries that poll other control instances, by name.
+func (s *Source) setRelayedEntries(peers map[string]entryPeer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries.setRelayed(names)
+	s.entries.setRelayed(peers)
 }
 
 // publishRelayedLoads publishes the loads that another control instance sent; none are known if there are no
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -59,6 +60,8 @@
 	// Entries is the highest number of entries that any source counted lately, at least 1, and Rank
 	// this entry's rank among them.
 	Entries, Rank int
+	// Peers holds the entries by way of which this entry may send requests.
+	Peers []detour.Peer
 }
 
 // IsLive reports whether an incarnation is among the live instances.
@@ -138,7 +141,7 @@
 		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
 		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
-		Unreachable: f.unreachable(clock.Now()),
+		Unreachable: f.unreachable(clock.Now()), Peers: f.peers,
 	}
 	for _, in := range f.busy(clock.Now()) {
 		v.Busy[in] = true
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/ends"
@@ -65,11 +66,12 @@
 	controlChange uint64
 	// entries is the number of entries that poll any source, and rank this entry's rank among them.
 	entries, rank int
-	// entryNames holds the names of the entries that poll the source, and entriesChange the cursor
-	// for them.
-	entryNames    []string
+	// entryPeers holds the entries that poll the source, by name, and entriesChange the cursor for them.
+	entryPeers    map[string]entryPeer
 	entriesChange uint64
-	stores        storesState
+	// peersChange is the cursor for this entry's peers.
+	peersChange uint64
+	stores      storesState
 	// configVersion is the newest configuration version that the source announced.
 	configVersion uint64
 	// avoidUntil is the time until which the source is tried last for the configuration, because a
@@ -138,6 +140,10 @@
 		in.FactsChange = s.factsChange
 		in.EntriesChange = s.entriesChange
 		in.Standby = s.standby
+		in.PeersChange = s.peersChange
+	}
+	if f.Entry && f.PeerAddress != "" {
+		in.PeerAddress, in.FailureDomain, in.WayLost = f.PeerAddress, f.FailureDomain, f.WayLost()
 	}
 	return in
 }
@@ -209,6 +215,7 @@
 	case len(reports) > 0:
 		f.scheduleRebuild(now)
 	}
+	f.applyPeers(s, out)
 	f.applyAnnouncements(address, out, now)
 	f.applyEvacuations(address, out, now)
 	f.applyFacts(address, s, out, now)
@@ -217,6 +224,21 @@
 	f.publish()
 }
 
+// applyPeers records this entry's peers. They stay known while no source answers. mu must be held.
+func (f *Follower) applyPeers(s *sourceState, out *wire.FleetResponse) {
+	if out.PeersChange == s.peersChange && len(out.Peers) == 0 {
+		return
+	}
+	s.peersChange = out.PeersChange
+	if !out.Relayed {
+		return
+	}
+	f.peers = nil
+	for _, p := range out.Peers {
+		f.peers = append(f.peers, detour.Peer{Address: p.Address, FailureDomain: p.FailureDomain})
+	}
+}
+
 // requestRefresh makes Run refresh the list of sources at once. Each instance reports to any one of
 // the sources, so an entry that starts with a few seeds knows only some of the instances.
 func (f *Follower) requestRefresh() {
@@ -254,7 +276,7 @@
 	s.loads.apply(out, restarted, now)
 	s.factsChange = out.FactsChange
 	if s.entriesChange != out.EntriesChange || restarted {
-		s.entryNames = out.EntryNames
+		s.entryPeers = toEntryPeers(out)
 	}
 	s.entriesChange = out.EntriesChange
 	s.entries = int(out.Entries)
--- a/internal/transport/serving/condition.go
+++ b/internal/transport/serving/condition.go
@@ -8,21 +8,22 @@
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// recordCondition records the condition that the instance of the current attempt reports in its
-// response to a request sent at the given time. The server's mu must be held.
-func (j *job) recordCondition(c exchange.Condition, sent, now time.Time) {
-	of := j.instance.Incarnation()
-	balancer := j.server.balancer
+// recordCondition records the condition that an instance reports in its response to a request sent at the
+// given time. mu must be held.
+func (s *Server) recordCondition(in registry.Instance, request string, c exchange.Condition, sent, now time.Time) {
+	of := in.Incarnation()
+	balancer := s.balancer
 	if c.ColdFor > 0 {
 		balancer.SetColdUntil(of, now.Add(c.ColdFor))
 	}
 	if c.RestFor > 0 && balancer.SetRestUntil(of, now.Add(c.RestFor), now) {
-		j.recordRest(c.RestFor)
+		s.recordRest(in, request, c.RestFor)
 	}
 	if c.Leaving && balancer.SetLeaving(of) {
-		j.recordLeaving()
+		s.recordLeaving(in, request)
 	}
 	changed := false
 	switch limit := c.Limit.(type) {
@@ -32,38 +33,35 @@
 		changed = balancer.ClearLimit(of, sent)
 	case exchange.UnreadableLimit:
 		if balancer.MarkLimitUnreadable(of) {
-			j.server.Log.Warn().Str("event", "instance_limit_unreadable").Str("instance", of.ID).Int64("start", int64(of.Start)).
-				Str("request", j.request.ID).Str("text", limit.Text).Msg("")
+			s.Log.Warn().Str("event", "instance_limit_unreadable").Str("instance", of.ID).Int64("start", int64(of.Start)).
+				Str("request", request).Str("text", limit.Text).Msg("")
 		}
 	}
 	if changed {
-		j.recordLimitChange(balancer.Limit(of))
+		s.recordLimitChange(in, request, balancer.Limit(of))
 	}
 }
 
-// recordRest logs and counts that the instance of the current attempt asked for a pause in requests.
-func (j *job) recordRest(length time.Duration) {
-	in := j.instance
-	j.server.Metrics.rests.WithLabelValues(in.Service).Inc()
-	j.server.Log.Info().Str("event", "instance_rests").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
-		Str("request", j.request.ID).Dur("for_ms", length).Msg("")
+// recordRest logs and counts that an instance asked for a pause in requests.
+func (s *Server) recordRest(in registry.Instance, request string, length time.Duration) {
+	s.Metrics.rests.WithLabelValues(in.Service).Inc()
+	s.Log.Info().Str("event", "instance_rests").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
+		Str("request", request).Dur("for_ms", length).Msg("")
 }
 
-// recordLeaving logs and counts that the instance of the current attempt announced its shutdown.
-func (j *job) recordLeaving() {
-	in := j.instance
-	j.server.Metrics.leavings.WithLabelValues(in.Service).Inc()
-	j.server.Log.Info().Str("event", "instance_leaves").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
-		Str("request", j.request.ID).Msg("")
+// recordLeaving logs and counts that an instance announced its shutdown.
+func (s *Server) recordLeaving(in registry.Instance, request string) {
+	s.Metrics.leavings.WithLabelValues(in.Service).Inc()
+	s.Log.Info().Str("event", "instance_leaves").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
+		Str("request", request).Msg("")
 }
 
-// recordLimitChange logs and counts that the instance of the current attempt changed or removed its
+// recordLimitChange logs and counts that an instance changed or removed its
 // request rate limit.
-func (j *job) recordLimitChange(limit balance.Limit) {
-	in := j.instance
-	j.server.Metrics.limitChanges.WithLabelValues(in.Service).Inc()
-	line := j.server.Log.Info().Str("event", "instance_limit").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
-		Str("request", j.request.ID).Bool("limited", limit.Active)
+func (s *Server) recordLimitChange(in registry.Instance, request string, limit balance.Limit) {
+	s.Metrics.limitChanges.WithLabelValues(in.Service).Inc()
+	line := s.Log.Info().Str("event", "instance_limit").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).
+		Str("request", request).Bool("limited", limit.Active)
 	if limit.Active {
 		line = line.Float64("per_second", limit.PerSecond)
 	}
--- a/internal/transport/serving/ends.go
+++ b/internal/transport/serving/ends.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -75,17 +73,12 @@
 // refusalProbe returns the probe that tests whether an instance refuses connections, or nil unless
 // the attempt ended because its connection closed.
 func (j *job) refusalProbe(err error) ends.RefusalProbe {
-	if !connectionClosed(err) {
+	if !exchange.ConnectionClosed(err) {
 		return nil
 	}
 	return j.server.Upstreams.Refuses
 }
 
-// connectionClosed reports whether an attempt ended because the other side closed the connection.
-func connectionClosed(err error) bool {
-	return slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(of error) bool { return errors.Is(err, of) })
-}
-
 // fromInstance reports whether a reply was sent by the instance that the attempt was addressed to.
 func fromInstance(reply exchange.Reply) bool {
 	switch reply := reply.(type) {
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -82,6 +82,8 @@
 	condition conditionSnapshot
 	// weights is the state by which the weight version of the last attempt was chosen.
 	weights weightsSnapshot
+	// via is the address of the entry by way of which the last attempt was sent, or empty.
+	via string
 	// answerAge is how long ago any instance of the service had answered when the last attempt ended, or negative
 	// if none ever has.
 	answerAge time.Duration
@@ -189,7 +191,9 @@
 	defer watch.close()
 	defer j.done()
 	defer j.releaseGrant()
-	reply := j.server.Upstreams.Send(watchedCtx, j.newAttempt())
+	a := j.newAttempt()
+	reply := j.server.Upstreams.Send(watchedCtx, a)
+	j.via = a.Via
 	respondedAt := clock.Now()
 	tracked := j.trackedAttempt(sentAt)
 	j.recordResponse(reply, tracked, respondedAt)
@@ -203,8 +207,8 @@
 	if gone {
 		err = errSuperseded
 	}
-	if context.Cause(trackedCtx) == errDomainUnreachable {
-		err = errDomainUnreachable
+	if cause := context.Cause(trackedCtx); cause == errDomainUnreachable || cause == errWayLost {
+		err = cause
 	}
 	if _, whole := end.(retry.Completed); !whole && ctx.Err() == context.Canceled {
 		// The connection was closed because the caller disconnected, not by the instance.
@@ -218,8 +222,12 @@
 	case retry.Completed:
 		result.Latency = respondedAt.Sub(sentAt)
 		result.Failed = end.Status >= 500
-	case retry.Unreached, retry.Misdirected:
+	case retry.Unreached:
+		// Without a way, the attempt says nothing about the instance.
+		result.Aborted = end.NoWay
 		result.Failed, result.Unreachable, result.TimedOut = true, true, timedOut(reply, err)
+	case retry.Misdirected:
+		result.Failed, result.Unreachable = true, true
 	case retry.Broken:
 		result.Failed, result.TimedOut = true, timedOut(reply, err)
 	case retry.CallerGone:
@@ -251,7 +259,7 @@
 	case retry.Completed:
 		return end.Status >= 500
 	case retry.Broken:
-		return !gone && connectionClosed(err)
+		return !gone && exchange.ConnectionClosed(err)
 	}
 	return false
 }
@@ -275,7 +283,7 @@
 	}
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	j.recordCondition(exchange.ConditionOf(reply), attempt.Sent, now)
+	j.server.recordCondition(j.instance, j.request.ID, exchange.ConditionOf(reply), attempt.Sent, now)
 	switch reply.(type) {
 	case exchange.Unreached, exchange.Broken:
 	default:
@@ -288,6 +296,7 @@
 	a := &exchange.Attempt{
 		Request: j.request, Instance: j.instance, Deadline: j.deadline, Team: j.team.Name, Urgency: j.urgency,
 		After: j.lastAccepted(), Resumes: j.request.Resumes || j.begun(),
+		AllowsDomain: func(domain string) bool { return j.residency.Allows(domain, j.server.Regions) },
 	}
 	if p := j.request.Prompt; p != nil {
 		j.planContext(a, p)
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -19,7 +19,7 @@
 	if j.memory.ok {
 		line = line.Int("room", j.memory.tokens).Dur("room_age_ms", j.memory.age)
 	}
-	line = j.consultation.addTo(line)
+	line = j.addVia(j.consultation.addTo(line))
 	line = j.condition.addTo(addQuarantine(j.weights.addTo(line), j.quarantined))
 	switch o := o.(type) {
 	case outcome.Answered:
@@ -44,7 +44,7 @@
 	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.attemptNumber).
 		Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endLabel(end)).Dur("took_ms", took)
-	line = j.consultation.addTo(line.Str("digest", j.digest.String()))
+	line = j.addVia(j.consultation.addTo(line.Str("digest", j.digest.String())))
 	line = j.condition.addTo(addQuarantine(j.weights.addTo(line), j.quarantined))
 	if err != nil {
 		line = line.Str("error", err.Error())
@@ -55,6 +55,14 @@
 	line.Msg("")
 }
 
+// addVia adds to a log line by way of which entry the last attempt was sent.
+func (j *job) addVia(line *log.Entry) *log.Entry {
+	if j.via == "" {
+		return line
+	}
+	return line.Str("via", j.via)
+}
+
 // answerAge returns how long ago an instance of a service last answered, or a negative value if none ever
 // has. mu must be held.
 func (s *Server) answerAge(service string, now time.Time) time.Duration {
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -14,15 +14,21 @@
 // Heartbeats report a restart some hundred milliseconds after it.
 const supersededInterval = 250 * time.Millisecond
 
+// lossMargin is how long before the loss of the way an attempt must have been sent to be canceled for it: later
+// ones may have been sent by way of another entry.
+const lossMargin = 400 * time.Millisecond
+
 // overdueAfter is how long after its deadline an attempt is canceled if its own timers have not done so.
 const overdueAfter = 2 * deadlineGrace
 
 // errSuperseded reports that the process that had a request no longer exists, errDomainUnreachable that
-// its failure domain was cut off from this one, and errOverdue that the deadline passed while the timers did
+// its failure domain was cut off from this one, errWayLost that this entry lost its way to all instances of the
+// service, and errOverdue that the deadline passed while the timers did
 // not run.
 var (
 	errSuperseded        = errors.New("the instance restarted, or another one has its address")
 	errDomainUnreachable = errors.New("the instance's failure domain is unreachable")
+	errWayLost           = errors.New("the entry lost its way to the instances of the service")
 	errOverdue           = errors.New("deadline exceeded while the machine was suspended")
 )
 
@@ -33,6 +39,7 @@
 type inFlightAttempt struct {
 	target registry.Instance
 	cancel context.CancelCauseFunc
+	sentAt time.Time
 }
 
 // track registers the current attempt until release is called. The attempt must use the returned
@@ -44,7 +51,7 @@
 	tracked, cancel := context.WithCancelCause(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[j] = inFlightAttempt{target: j.instance, cancel: cancel}
+	s.inFlight[j] = inFlightAttempt{target: j.instance, cancel: cancel, sentAt: clock.Now()}
 	select {
 	case s.attemptBegan <- struct{}{}:
 	default:
@@ -62,8 +69,8 @@
 
 // cancelStale cancels the attempts at instances that were superseded, and those whose deadline passed
 // while the machine was suspended, when the timers that enforce it do not advance. An attempt at a failure
-// domain that is unreachable is canceled if the request may be sent again, once for each request. It returns
-// the number of attempts in flight.
+// domain that is unreachable, or sent before the way to its service was lost, is canceled if the request may be
+// sent again, once for each request. It returns the number of attempts in flight.
 func (s *Server) cancelStale() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,9 +83,21 @@
 		case !j.wasCutOff && j.attempts.MayFollow() && s.balancer.Unreachable(a.target, view.Unreachable):
 			j.wasCutOff = true
 			a.cancel(errDomainUnreachable)
+		case !j.wasCutOff && j.attempts.MayFollow() && s.sentBeforeLoss(a):
+			j.wasCutOff = true
+			a.cancel(errWayLost)
 		case now.Sub(j.deadline) > overdueAfter:
 			a.cancel(errOverdue)
 		}
 	}
 	return len(s.inFlight)
 }
+
+// sentBeforeLoss reports whether an attempt was sent before this entry lost its way to the service's instances.
+func (s *Server) sentBeforeLoss(a inFlightAttempt) bool {
+	if s.WayLostSince == nil {
+		return false
+	}
+	since, lost := s.WayLostSince(a.target.Service)
+	return lost && since.Sub(a.sentAt) > lossMargin
+}
