The front for prompts sends attempts by way of other entries as well

Change: attempts, resumed runs, calls to services and cancellations go through detours; Peers serves those of others and samples the entries of the region that gossip knows. Polls count as evidence. What an entry held against the upstreams of a model is dropped when it learns that its own way is lost. The loss of one way has the others probed.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -68,10 +68,12 @@
 // Cause is the evidence that led to a probe.
 type Cause string
 
-// The causes: requests failed at distinct instances, or no instance responded while requests waited.
+// The causes: requests failed at distinct instances, no instance responded while requests waited, or the way to
+// another service was lost.
 const (
-	CauseFailures Cause = "failures"
-	CauseSilence  Cause = "silence"
+	CauseFailures     Cause = "failures"
+	CauseSilence      Cause = "silence"
+	CauseOtherService Cause = "other_service"
 )
 
 // Path is an entry's own way to the instances of one service. The zero value is an open one. It is not safe
@@ -84,6 +86,8 @@
 	waiting      int
 	waitingSince time.Time
 	lastHeard    time.Time
+	// hinted is true after Hint, until the next round of probes.
+	hinted bool
 	// probing is true while a round of probes is under way, and lost after one that failed.
 	probing, lost bool
 	cause         Cause
@@ -165,9 +169,13 @@
 		return false
 	}
 	p.probing = true
+	p.hinted = false
 	return true
 }
 
+// Hint records that the way to another service was lost, so that this one is probed before requests fail.
+func (p *Path) Hint() { p.hinted = true }
+
 // suspicious reports whether there is evidence that the way is lost, and records its cause.
 func (p *Path) suspicious(live int, now time.Time) bool {
 	maps.DeleteFunc(p.failures, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > evidenceWindow })
@@ -176,6 +184,8 @@
 		p.cause = CauseFailures
 	case p.waiting > 0 && now.Sub(p.waitingSince) >= silentAfter:
 		p.cause = CauseSilence
+	case p.hinted:
+		p.cause = CauseOtherService
 	default:
 		return false
 	}
@@ -190,7 +200,9 @@
 
 // Active reports whether ProbeDue can become true without further events: while it is false, it need not be
 // called.
-func (p *Path) Active() bool { return p.lost || p.waiting > 0 || len(p.failures) > 0 }
+func (p *Path) Active() bool {
+	return p.lost || p.hinted || p.waiting > 0 || len(p.failures) > 0
+}
 
 // Probed records the result of a round of probes, each on a new connection to another instance. It reports
 // whether the way was lost or found by it.
--- a/internal/coordination/membership/domains.go
+++ b/internal/coordination/membership/domains.go
@@ -206,14 +206,23 @@
 // Contacts returns the live entries of the failure domains that near accepts and of this
 // entry's own domain, sorted by name.
 func (e *Entries) Contacts(near func(domain string) bool, now time.Time) []Contact {
+	var out []Contact
+	for _, contacts := range e.ContactsByDomain(near, now) {
+		out = append(out, contacts...)
+	}
+	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// ContactsByDomain returns the same entries as Contacts by failure domain.
+func (e *Entries) ContactsByDomain(near func(domain string) bool, now time.Time) map[string][]Contact {
 	ownDomain := e.ownDomain(now)
-	out := slices.Clone(ownDomain.members)
+	out := map[string][]Contact{ownDomain.name: ownDomain.members}
 	for _, d := range e.domains {
 		if d != ownDomain && now.Sub(d.lastHeartbeat) <= domainSilentAfter && near(d.name) {
-			out = append(out, d.members...)
+			out[d.name] = d.members
 		}
 	}
-	slices.SortFunc(out, func(a, b Contact) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -116,7 +116,10 @@
 }
 
 // NoteSuccess resets the counts of consecutive failures and ejections.
-func (u *Upstream) NoteSuccess() {
+func (u *Upstream) NoteSuccess() { u.ForgetFailures() }
+
+// ForgetFailures drops all failures and ends an ejection, because they had another cause than the upstream.
+func (u *Upstream) ForgetFailures() {
 	u.failures = 0
 	u.ejections = 0
 }
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -48,8 +48,11 @@
 	Direct              Direct
 	// Instances returns the live instances of a service.
 	Instances func(service string) []registry.Instance
-	// Peers returns the entries that may be known to have a way. Without any, all is sent directly.
-	Peers   func() []detour.Peer
+	// Peers returns the entries that may be known to have a way. Without any, or if it is nil, all is sent directly.
+	Peers func() []detour.Peer
+	// OnLost, when set, is called when the own way to a service has been lost: failures of before were not those
+	// of its instances.
+	OnLost  func(service string)
 	Metrics *Metrics
 	// Log receives one line per change of a way.
 	Log *log.Logger
@@ -76,6 +79,14 @@
 	})
 }
 
+// knownPeers returns the entries that may be known to have a way.
+func (u *Upstreams) knownPeers() []detour.Peer {
+	if u.Peers == nil {
+		return nil
+	}
+	return u.Peers()
+}
+
 // path returns the own way to a service. mu must be held.
 func (u *Upstreams) path(service string) *detour.Path {
 	p, ok := u.paths[service]
@@ -128,7 +139,7 @@
 func (u *Upstreams) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 	u.init()
 	state := u.State(a.Instance.Service)
-	usesPeers := len(u.Peers()) > 0
+	usesPeers := len(u.knownPeers()) > 0
 	if usesPeers && (state == detour.Lost || state == detour.OpenConnectionsOnly && !u.Direct.HasIdle(a.Instance)) {
 		reply, ok := u.sendByPeer(ctx, a)
 		switch {
@@ -234,7 +245,7 @@
 // begin sends an attempt to peers until one accepts it. It returns a reply if the connection broke after the
 // attempt was sent, and neither a call nor a reply if no peer takes the attempt. via is set to the peer's address.
 func (u *Upstreams) begin(ctx context.Context, service string, in *wire.ForwardRequest, deadline time.Time, allows func(string) bool, via *string) (*call, exchange.Reply) {
-	choice := detour.Choice{Candidates: u.Peers(), Domain: u.FailureDomain, Tried: map[string]bool{}, Allows: allows}
+	choice := detour.Choice{Candidates: u.knownPeers(), Domain: u.FailureDomain, Tried: map[string]bool{}, Allows: allows}
 	for len(choice.Tried) < maxPeersTried && ctx.Err() == nil {
 		peer, ok := u.pick(choice)
 		if !ok {
@@ -305,7 +316,7 @@
 // refusal of this entry's own connection says nothing about the instance, and a peer is asked.
 func (u *Upstreams) Refuses(ctx context.Context, in registry.Instance) bool {
 	u.init()
-	if len(u.Peers()) == 0 {
+	if len(u.knownPeers()) == 0 {
 		return u.Direct.Refuses(ctx, in)
 	}
 	if u.State(in.Service) == detour.Open {
@@ -329,6 +340,19 @@
 	return c != nil && c.refuses()
 }
 
+// Observe records whether an instance responded to a request that this entry sent it by other means.
+func (u *Upstreams) Observe(in registry.Instance, responded bool) {
+	u.init()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if responded {
+		u.path(in.Service).Heard(in.Incarnation(), clock.Now())
+		return
+	}
+	u.path(in.Service).Failed(in.Incarnation(), clock.Now())
+	u.watch()
+}
+
 // watch makes Run look at the ways.
 func (u *Upstreams) watch() {
 	select {
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -90,22 +90,35 @@
 		})
 	}
 	group.Wait()
+	if u.probed(service, path, int(succeeded.Load()), len(targets)) && u.OnLost != nil {
+		u.OnLost(service)
+	}
+}
+
+// probed records the result of a round of probes. It reports whether the way was lost by it.
+func (u *Upstreams) probed(service string, path *detour.Path, succeeded, probed int) (lost bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := clock.Now()
 	before, failing, heard := path.Since(), path.Failures(), path.LastHeard()
-	if !path.Probed(int(succeeded.Load()), now) {
-		return
+	if !path.Probed(succeeded, now) {
+		return false
 	}
 	u.Metrics.setState(service, path.State(now))
 	if path.State(now) == detour.Open {
 		u.Log.Info().Str("event", "way_found").Str("service", service).Dur("lost_ms", now.Sub(before)).Msg("")
-		return
+		return false
+	}
+	for _, other := range u.paths {
+		if other != path {
+			other.Hint()
+		}
 	}
 	line := u.Log.Warn().Str("event", "way_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
-		Int("failing", failing).Int("probed", len(targets)).Int("peers", len(u.Peers()))
+		Int("failing", failing).Int("probed", probed).Int("peers", len(u.knownPeers()))
 	if !heard.IsZero() {
 		line = line.Dur("heard_age_ms", now.Sub(heard))
 	}
 	line.Msg("")
+	return true
 }
--- a/internal/transport/entry/attempt.go
+++ b/internal/transport/entry/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/prefix"
-	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 // dispatch fetches stored context if the plan says so, and sends the prompt to the
@@ -24,14 +23,14 @@
 	if j.plan.Fetch {
 		e.fetch(ctx, j)
 	}
-	return e.handleReply(c, j, s, e.upstreams.Send(ctx, j.exchangeAttempt(c.class)))
+	return e.handleReply(c, j, s, e.detours.Send(ctx, j.exchangeAttempt(c.class)))
 }
 
 // exchangeAttempt returns the current attempt in the form that the upstream client
 // sends.
 func (j *job) exchangeAttempt(class admission.Class) *exchange.Attempt {
 	return &exchange.Attempt{
-		Request: j.request, Instance: registry.Instance{ID: j.plan.Name, Address: j.plan.Address},
+		Request: j.request, Instance: j.instance(),
 		Run: j.runID, Number: j.attempt, Salt: j.salt, WeightsName: j.version, Urgency: urgency(class),
 	}
 }
@@ -52,7 +51,7 @@
 	j.lastActivity.Store(clock.Now().UnixNano())
 	switch reply := reply.(type) {
 	case exchange.Unreached:
-		return retry.Unreached{}
+		return retry.Unreached{NoWay: reply.NoWay}
 	case exchange.NotRun:
 		e.recordLoad(j, reply.Header)
 		e.recordRefusal(j, reply)
@@ -151,7 +150,7 @@
 	a := j.exchangeAttempt(admission.Interactive)
 	a.Resumes = true
 	a.After = offset
-	stream, ok := e.upstreams.Send(ctx, a).(exchange.Stream)
+	stream, ok := e.detours.Send(ctx, a).(exchange.Stream)
 	if !ok {
 		return retry.Broken{Sent: s.sent}
 	}
--- a/internal/transport/entry/ends.go
+++ b/internal/transport/entry/ends.go
@@ -10,7 +10,6 @@
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/outcome"
-	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 )
 
@@ -58,7 +57,7 @@
 // trackAttemptEnd reports the end of a prompt's attempt to the tracker of instance
 // ends.
 func (e *Entry) trackAttemptEnd(ctx context.Context, c caller, j *job, end retry.Result) {
-	a := ends.Attempt{Request: c.requestID, Digest: j.digest, To: registry.Instance{ID: j.plan.Name, Address: j.plan.Address}, Sent: j.startedAt}
+	a := ends.Attempt{Request: c.requestID, Digest: j.digest, To: j.instance(), Sent: j.startedAt}
 	switch end := end.(type) {
 	case retry.Completed:
 		if end.Status < http.StatusMultipleChoices {
@@ -67,7 +66,7 @@
 	case retry.CallerGone:
 		e.Ends.RecordAbandoned(a)
 	case retry.Broken:
-		e.Ends.RecordBroken(ctx, a, e.upstreams.Refuses)
+		e.Ends.RecordBroken(ctx, a, e.detours.Refuses)
 	}
 }
 
@@ -83,7 +82,7 @@
 			e.Ends.RecordAbandoned(a)
 			return
 		}
-		e.Ends.RecordBroken(ctx, a, e.upstreams.Refuses)
+		e.Ends.RecordBroken(ctx, a, e.detours.Refuses)
 	}
 }
 
@@ -98,7 +97,7 @@
 	defer done()
 	sent := clock.Now()
 	attempt := call.attempt(instance, number, single)
-	reply := e.upstreams.Send(ctx, attempt)
+	reply := e.detours.Send(ctx, attempt)
 	e.trackReply(ctx, ends.Attempt{Request: c.requestID, Digest: d, To: attempt.Instance, Sent: sent}, reply)
 	e.recordBackoff(instance, reply)
 	return resultOf(reply), true
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
+	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/peers"
 	"github.com/shedrock/shedrock/internal/transport/upstream"
@@ -96,8 +97,10 @@
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
 	upstreams  *upstream.Client
-	sealer     *cursor.Sealer
-	metrics    *metrics
+	// detours sends attempts, directly or by way of other entries.
+	detours *detour.Upstreams
+	sealer  *cursor.Sealer
+	metrics *metrics
 	// fetches deduplicates concurrent fetches of the same context to the same upstream.
 	fetches singleflight.Group
 	// state is the declared state that this entry currently applies.
@@ -149,6 +152,7 @@
 	group.Go(func() error { e.resizePeriodically(groupCtx); return nil })
 	group.Go(func() error { e.relearnPeriodically(groupCtx); return nil })
 	group.Go(func() error { e.Ends.Run(groupCtx); return nil })
+	group.Go(func() error { e.detours.Run(e.baseCtx); return nil })
 	if e.Instances != "" {
 		group.Go(func() error { e.pollInstances(groupCtx); return nil })
 	}
@@ -204,6 +208,7 @@
 		e.backoffs = backoffs{}
 		e.activeAttempts = map[int]map[*job]context.CancelFunc{}
 		e.state.Store(declared.New())
+		e.initDetours()
 	})
 	return err
 }
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -15,6 +15,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 const (
@@ -133,12 +134,15 @@
 func (p *poller) pollLoad(ctx context.Context) {
 	var load engine.Load
 	err := p.get(ctx, engine.PathLoad, &load)
+	e := p.e
+	if ctx.Err() == nil {
+		e.detours.Observe(p.instance(), err == nil)
+	}
 	if err != nil {
 		p.recordPollFailure(ctx)
 		return
 	}
 	p.unanswered = 0
-	e := p.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := e.planner.Upstream(p.number)
@@ -151,19 +155,31 @@
 	}
 }
 
+// instance returns the upstream as attempts name it.
+func (p *poller) instance() registry.Instance {
+	e := p.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return registry.Instance{ID: e.planner.Name(p.number), Service: modelGroup + e.planner.Upstream(p.number).Model, Address: p.address}
+}
+
 // recordPollFailure counts a poll without an answer. An upstream that stays
 // unresponsive is ejected, and the attempts in progress there are cancelled, so that
 // they can be resumed, or run again elsewhere. An attempt that was sent after the
 // previous poll is left until the next one: polls that went unanswered before it say
-// nothing about it.
+// nothing about it. While this entry has lost its own way to the model's upstreams, no poll says anything about
+// one of them.
 func (p *poller) recordPollFailure(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
 	}
-	p.unanswered++
 	e := p.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.wayLost(e.planner.Upstream(p.number).Model) {
+		return
+	}
+	p.unanswered++
 	e.planner.Upstream(p.number).NoteFailure(clock.Now())
 	if p.unanswered < maxUnansweredPolls {
 		return
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
 // cancelTimeout bounds the request that cancels an abandoned run.
@@ -237,7 +237,9 @@
 
 // cancelRun asks an engine to cancel a run, in the background.
 func (e *Entry) cancelRun(ctx context.Context, j *job) {
-	url := "http://" + j.plan.Address + engine.PathRuns + j.runID
+	cancellation := &exchange.Attempt{
+		Request: &exchange.Request{ID: j.request.ID, Method: http.MethodDelete, Target: engine.PathRuns + j.runID}, Instance: j.instance(), Run: j.runID, Number: j.attempt,
+	}
 	if !e.background.tryAdd() {
 		return
 	}
@@ -245,15 +247,12 @@
 		defer e.background.done()
 		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 		defer cancel()
-		req, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
-		if err != nil {
-			return
-		}
-		res, err := e.upstreams.HTTP().Do(req)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHeaderBytes))
-		_ = res.Body.Close()
+		// Without an answer, the run ends by itself.
+		_ = e.detours.Send(ctx, cancellation)
 	}()
 }
+
+// instance returns the upstream of the current attempt.
+func (j *job) instance() registry.Instance {
+	return registry.Instance{ID: j.plan.Name, Service: modelGroup + j.model.Name(), Address: j.plan.Address}
+}
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -72,7 +72,7 @@
 // attempt returns the call in the form that is sent to one instance.
 func (call *serviceCall) attempt(instance string, number int, single bool) *exchange.Attempt {
 	return &exchange.Attempt{
-		Request: call.request, Instance: registry.Instance{ID: instance, Address: instance}, Run: call.runID, Number: number, Single: single,
+		Request: call.request, Instance: registry.Instance{ID: instance, Service: serviceGroup + call.service.Name(), Address: instance}, Run: call.runID, Number: number, Single: single,
 	}
 }
 
@@ -87,6 +87,9 @@
 func resultOf(reply exchange.Reply) result {
 	switch reply := reply.(type) {
 	case exchange.Unreached:
+		if reply.NoWay {
+			return result{outcome: outcome.NotRun{Reason: outcome.ReasonNoWay}}
+		}
 		return result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
 	case exchange.NotRun:
 		return result{outcome: outcome.NotRun{Reason: outcome.ReasonRefused}}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -19,11 +19,13 @@
 	"github.com/phuslu/log"
 
 	"github.com/shedrock/shedrock/internal/clock"
+	coordination "github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/coordination/limits"
 	"github.com/shedrock/shedrock/internal/coordination/membership"
 	"github.com/shedrock/shedrock/internal/coordination/placement"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/feed"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
@@ -58,6 +60,8 @@
 	GrantLoan func(team string, cost float64) limits.Loan
 	// Ends, when set, holds the facts on ends of instances, which are exchanged with other entries.
 	Ends *ends.Tracker
+	// Forwarder, when set, serves attempts of other entries. It must be set before Run.
+	Forwarder http.Handler
 	// InSameRegion reports whether a failure domain is in this entry's region, whose entries share
 	// one directory. If nil, all domains are in the region.
 	InSameRegion func(domain string) bool
@@ -75,6 +79,8 @@
 	// contacts are the live entries that share the directory. owners has the owner of each
 	// part of the directory.
 	contacts, owners []membership.Contact
+	// sample holds the entries by way of which this one may send requests.
+	sample []coordination.Peer
 }
 
 func (p *Peers) init() {
@@ -102,6 +108,9 @@
 	feedServer := wire.NewFeedServer(feed.Service{Feed: p.Feed})
 	mux.Handle(peersServer.PathPrefix(), peersServer)
 	mux.Handle(feedServer.PathPrefix(), feedServer)
+	if p.Forwarder != nil {
+		mux.Handle("POST "+detour.Path, p.Forwarder)
+	}
 	var group sync.WaitGroup
 	group.Go(func() { p.gossip(ctx) })
 	group.Go(func() { p.flushNotes(ctx) })
@@ -199,6 +208,28 @@
 	return max(len(p.contacts), 1)
 }
 
+// Sample returns the entries of the region by way of which this one may send requests. Not all of them need have a
+// way themselves.
+func (p *Peers) Sample() []coordination.Peer {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sample
+}
+
+// drawSample returns a sample of the live entries of the region. mu must be held.
+func (p *Peers) drawSample(now time.Time) []coordination.Peer {
+	var all []coordination.Peer
+	for domain, contacts := range p.entries.ContactsByDomain(p.InSameRegion, now) {
+		for _, c := range contacts {
+			if c.Name != p.Name {
+				all = append(all, coordination.Peer{Address: c.Address, FailureDomain: domain})
+			}
+		}
+	}
+	return coordination.Sample(p.Name, p.FailureDomain, all, nil)
+}
+
 // LocalPeerAddresses returns the addresses of the other live entries of this failure domain.
 func (p *Peers) LocalPeerAddresses() []string {
 	p.init()
@@ -300,6 +331,7 @@
 		return
 	}
 	p.contacts = contacts
+	p.sample = p.drawSample(now)
 	p.owners = p.entries.Owners(placement.Partitions, contacts)
 	p.Log.Info().Str("event", "entries").Int("live", len(contacts)).Msg("")
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/protocol/classify"
+	"github.com/shedrock/shedrock/internal/protocol/engine"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/netdial"
 )
@@ -94,6 +95,23 @@
 	return false
 }
 
+// HasIdle reports whether a connection to an instance is free. The HTTP library does not tell, so it returns false.
+func (c *Client) HasIdle(registry.Instance) bool { return false }
+
+// Probe opens a new connection to an instance and returns nil if any response arrives on it. It requests the
+// load; an instance that is no engine responds with an error.
+func (c *Client) Probe(ctx context.Context, in registry.Instance) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.Address+engine.PathLoad, nil)
+	if err != nil {
+		return err
+	}
+	res, err := c.single.Do(req)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
 // doOnce sends a request that must not be repeated.
 func (c *Client) doOnce(req *http.Request, run string, attempt int) (*http.Response, classify.Exchange) {
 	req.GetBody = nil
