--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -282,6 +282,11 @@
 			return name
 		}
 		<-time.After(openerPause)
+		// A connection attempt may have been given up meanwhile; then nobody will hold the socket.
+		now, err := socketInode(other, c.LocalAddr().(*net.TCPAddr))
+		if err != nil || now != inode {
+			return Outside
+		}
 	}
 	l.t.Logf("nobody holds the socket at %v", other)
 	return Outside
