--- a/internal/transport/control/size_test.go
+++ b/internal/transport/control/size_test.go
@@ -106,7 +106,9 @@
 	replica *control.Replica
 	// snapshots counts the snapshots that the replica has written.
 	snapshots lineCounter
-	stop      func()
+	// beforeWrite, when set, is called before each write to the disk.
+	beforeWrite atomic.Pointer[func()]
+	stop        func()
 }
 
 // lineCounter counts the log lines that contain a word.
@@ -176,6 +178,12 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
+	folder.BeforeWrite = func() error {
+		if f := n.beforeWrite.Load(); f != nil {
+			(*f)()
+		}
+		return nil
+	}
 	n.replica = &control.Replica{
 		ID: n.id, Address: n.link.address(), Peers: peers, Folder: folder, RecoveredState: recovered, Ledger: ledger,
 		Listener: listener, Log: &log.Logger{Writer: log.IOWriter{Writer: &n.snapshots}}, Tick: slowdown * control.DefaultTick,
@@ -345,6 +353,33 @@
 	g.mustTransferOnce(before, changes*configurationSize)
 }
 
+// Guards against texts that are sent again to a replica which has received them and is still storing them: its disk
+// takes twice as long for each as the link does.
+func TestTextsAreSentOnceToAReplicaThatStoresSlowly(t *testing.T) {
+	const changes = 6
+	g := newSlowGroup(t, 3)
+	leader := g.leader()
+	leader.install(1, []byte("small"))
+	g.mustReplicate(leader, slack)
+	slow := g.nodes[int(leader.id)%3]
+	before := g.transferred()
+	stored := 0
+	store := func() {
+		if slow.link.transferred.Load()-before[slow.id] < int64((stored+1)*configurationSize) {
+			return
+		}
+		stored++
+		time.Sleep(transferTime(2 * configurationSize))
+	}
+	slow.beforeWrite.Store(&store)
+	for i := range changes {
+		leader.install(uint64(2+i), randomText(configurationSize, uint64(i)))
+	}
+	g.mustReplicate(leader, transferTime(4*changes*configurationSize)+slack)
+	t.Logf("the link to the slow replica transferred %d bytes", slow.link.transferred.Load()-before[slow.id])
+	g.mustTransferOnce(before, changes*configurationSize)
+}
+
 // After all replicas restart at once, the group continues from large entries. A replica that was
 // stopped until the entries that it lacks were compacted gets a large snapshot over its slow link.
 func TestRestartsWithLargeEntries(t *testing.T) {
