Texts that a replica has received are not sent to it again while it stores them

What was seen: TestManyLargeChangesPastACutReplica, once beside load, a link that carried 8,390,136 bytes for texts of 4,950,000.

Cause: of the deliveries that a peer had accepted only the last counted as in flight, for as long as it had taken; the next one takes as long, so the time was over just before that ended. A replica that stores more slowly than its link brings was sent again what it held in memory. Class: silence taken for a loss, though other signs of the peer arrive.

Change: all accepted deliveries that are not acknowledged count as in flight, for up to a second after the last delivery or acknowledgement, and while a delivery that began in that time is under way: its end tells whether the peer is there. A failed delivery ends it.

--- a/internal/transport/control/lane.go
+++ b/internal/transport/control/lane.go
@@ -19,10 +19,10 @@
 	// maxBatchBytes limits one delivery, unless its first message is larger. All messages of a
 	// failed delivery have to be sent again.
 	maxBatchBytes = 1 << 20
-	// maxStoreGrace limits how long entries count as in flight after their delivery. Up to this
-	// limit, it is as long as the delivery took, because sending them again takes no less. A
-	// sync of 8 MB takes about 100 ms; the limit is for a peer that stopped before it stored
-	// them.
+	// maxStoreGrace limits how long delivered entries count as in flight after the last delivery or
+	// acknowledgement. Up to this limit, it is as long as their deliveries took, because sending
+	// them again takes no less. A sync of 8 MB takes about 100 ms; the limit is for a peer that
+	// stopped before it stored them.
 	maxStoreGrace = time.Second
 	// messageOverheadBytes is the approximate encoded size of a message without entries.
 	messageOverheadBytes = 64
@@ -40,10 +40,13 @@
 	bytes int
 	// began is when the delivery in flight began.
 	began time.Time
-	// delivered holds the last large delivery that the peer accepted. It counts as in flight
-	// until graceUntil, because the peer stores the entries before it acknowledges them.
-	delivered  []replication.Message
-	graceUntil time.Time
+	// delivered holds the large deliveries that the peer has accepted and not acknowledged, in order.
+	// They count as in flight until graceUntil, because the peer stores entries before it
+	// acknowledges them, and may accept further deliveries meanwhile. deliveryTime is how long
+	// they took.
+	delivered    []replication.Message
+	deliveryTime time.Duration
+	graceUntil   time.Time
 	// wake holds a token if messages may be queued.
 	wake chan struct{}
 }
@@ -111,12 +114,13 @@
 	defer q.mu.Unlock()
 	done, rest := q.messages[:q.inFlight], slices.Clone(q.messages[q.inFlight:])
 	now := clock.Now()
-	if !ok || now.After(q.graceUntil) {
-		q.delivered = nil
+	if !ok || !q.inGrace(now) {
+		q.delivered, q.deliveryTime = nil, 0
 	}
 	if ok && sizeOf(done...) > overtakeBytes {
-		q.delivered = done
-		q.graceUntil = now.Add(min(now.Sub(q.began), maxStoreGrace))
+		q.delivered = append(q.delivered, done...)
+		q.deliveryTime += now.Sub(q.began)
+		q.extendGrace(now)
 	}
 	if !ok {
 		rest = slices.DeleteFunc(rest, func(m replication.Message) bool { return m.Kind == replication.AppendRequest })
@@ -126,10 +130,37 @@
 	q.inFlight = 0
 }
 
+// inGrace reports whether delivered entries count as in flight. While a delivery is under way that began in time,
+// they do: whether it succeeds tells whether the peer is still there. The caller must hold mu.
+func (q *sendQueue) inGrace(now time.Time) bool {
+	return now.Before(q.graceUntil) || q.inFlight > 0 && q.began.Before(q.graceUntil)
+}
+
+// extendGrace restarts the time for which delivered entries count as in flight. The caller must hold mu.
+func (q *sendQueue) extendGrace(now time.Time) {
+	q.graceUntil = now.Add(min(q.deliveryTime, maxStoreGrace))
+}
+
+// acknowledged records that the peer has stored the entries up to an index.
+func (q *sendQueue) acknowledged(index uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	before := len(q.delivered)
+	q.delivered = slices.DeleteFunc(q.delivered, func(m replication.Message) bool {
+		return m.Kind == replication.AppendRequest && m.LogIndex+uint64(len(m.Entries)) <= index
+	})
+	switch {
+	case len(q.delivered) == 0:
+		q.deliveryTime = 0
+	case len(q.delivered) < before && q.inGrace(clock.Now()):
+		q.extendGrace(clock.Now())
+	}
+}
+
 // pending returns, in order, the undelivered messages and those that the peer may still have to
 // store. The caller must hold mu.
 func (q *sendQueue) pending() []replication.Message {
-	if clock.Now().Before(q.graceUntil) {
+	if q.inGrace(clock.Now()) {
 		return slices.Concat(q.delivered, q.messages)
 	}
 	return q.messages
--- a/internal/transport/control/network.go
+++ b/internal/transport/control/network.go
@@ -60,7 +60,9 @@
 			s.ordered.enqueue(m)
 		}
 	case replication.AppendRequest:
-		s.sendAppend(m, m.LogIndex <= r.machine.MatchIndex(m.To))
+		matched := r.machine.MatchIndex(m.To)
+		s.ordered.acknowledged(matched)
+		s.sendAppend(m, m.LogIndex <= matched)
 	default:
 		s.sendWithoutEntries(m, true)
 	}
