Failed tests keep the whole logs of all processes, and say where

The logs of most entries of KNOWN-RED.txt were cut to their end, or gone: they were kept only where SHEDROCK_TEST_LOGS was set.

--- a/internal/system/processes/processes.go
+++ b/internal/system/processes/processes.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/await"
+	"github.com/shedrock/shedrock/internal/testlogs"
 )
 
 // program is the path of the program that Main built.
@@ -75,26 +76,13 @@
 		p.Kill()
 		if t.Failed() {
 			t.Logf("%v\n%s", args, tail(p.Text()))
-			p.keepLog()
+			testlogs.Keep(t, filepath.Base(args[len(args)-1]), p.Text())
 		}
 	})
 	p.Start()
 	return p
 }
 
-// keepLog keeps the whole log of a process of a failed test in the folder SHEDROCK_TEST_LOGS.
-func (p *Process) keepLog() {
-	folder := os.Getenv("SHEDROCK_TEST_LOGS")
-	if folder == "" {
-		return
-	}
-	name := strings.ReplaceAll(p.t.Name(), "/", "-") + "-" + filepath.Base(p.Args[len(p.Args)-1]) + ".log"
-	err := os.WriteFile(filepath.Join(folder, name), []byte(p.Text()), 0o600)
-	if err != nil {
-		p.t.Log("the log is not kept: ", err)
-	}
-}
-
 func tail(s string) string { return s[max(0, len(s)-4000):] }
 
 // Start starts the process again.
--- a/internal/transport/control/size_test.go
+++ b/internal/transport/control/size_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/testlogs"
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
@@ -111,17 +112,33 @@
 	stop        func()
 }
 
-// lineCounter counts the log lines that contain a word.
+// lineCounter counts the log lines that contain a word, and keeps them all.
 type lineCounter struct {
 	word string
 	n    atomic.Int64
+
+	mu sync.Mutex
+	// text holds all lines; it is guarded by mu.
+	text strings.Builder
 }
 
 func (c *lineCounter) Write(line []byte) (int, error) {
 	if strings.Contains(string(line), c.word) {
 		c.n.Add(1)
 	}
-	return len(line), nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(line)
+}
+
+// keepLog keeps the node's log and what its link has transferred, if the test has failed.
+func (n *node) keepLog() {
+	if !n.t.Failed() {
+		return
+	}
+	n.snapshots.mu.Lock()
+	defer n.snapshots.mu.Unlock()
+	testlogs.Keep(n.t, fmt.Sprint("replica", n.id), fmt.Sprintf("%slink transferred=%d\n", n.snapshots.text.String(), n.link.transferred.Load()))
 }
 
 // group is a group of replicas that are connected over slow links.
@@ -142,7 +159,10 @@
 		go n.link.serve(t.Context())
 		n.start(listener, g.peers())
 	}
-	t.Cleanup(func() { g.each((*node).stopReplica) })
+	t.Cleanup(func() {
+		g.each((*node).stopReplica)
+		g.each((*node).keepLog)
+	})
 	return g
 }
 
