--- a/internal/transport/detour/call.go
+++ b/internal/transport/detour/call.go
@@ -51,20 +51,20 @@
 	ended func()
 }
 
-// declined is the result of a call that the peer did not pass on.
-type declined struct {
-	why detour.Decline
-	err error
-}
+// declinedError reports that a peer certainly did not pass an attempt on.
+type declinedError struct{ why detour.Decline }
+
+// Error returns the reason.
+func (e *declinedError) Error() string { return "the peer did not take the attempt: " + e.why.String() }
 
-// begin sends an attempt to a peer. It returns why the peer did not take it; a non-nil linkErr means
-// that the peer may have taken it.
-func begin(ctx context.Context, pool *connpool.Pool, address string, in *wire.ForwardRequest, deadline time.Time) (c *call, why *declined, linkErr error) {
+// newCall sends an attempt to a peer and returns once the peer has accepted it. After any error but a
+// declinedError, the peer may have passed the attempt on.
+func newCall(ctx context.Context, pool *connpool.Pool, address string, in *wire.ForwardRequest, deadline time.Time) (*call, error) {
 	conn, err := pool.Get(ctx, connpool.Peer{Address: address})
 	if err != nil {
-		return nil, &declined{detour.DeclineUnreachable, err}, nil
+		return nil, &declinedError{detour.DeclineUnreachable}
 	}
-	c = &call{pool: pool, conn: conn, ended: func() {}}
+	c := &call{pool: pool, conn: conn, ended: func() {}}
 	c.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if !deadline.IsZero() {
 		err = conn.SetDeadline(clock.Deadline(deadline.Add(linkGrace)))
@@ -76,19 +76,19 @@
 	if err != nil {
 		c.abandon()
 		if n == 0 {
-			return nil, &declined{detour.DeclineUnreachable, err}, nil
+			return nil, &declinedError{detour.DeclineUnreachable}
 		}
-		return nil, nil, &linkError{err}
+		return nil, &linkError{err}
 	}
 	c.res, err = http.ReadResponse(conn.Reader, nil)
 	if err != nil {
 		c.abandon()
-		return nil, nil, &linkError{err}
+		return nil, &linkError{err}
 	}
 	if c.res.StatusCode != http.StatusOK {
-		return nil, c.readDecline(), nil
+		return nil, c.readDecline()
 	}
-	return c, nil, nil
+	return c, nil
 }
 
 func encodeCall(address string, in *wire.ForwardRequest) []byte {
@@ -104,14 +104,15 @@
 }
 
 // readDecline reads why the peer did not take the attempt, and releases the connection.
-func (c *call) readDecline() *declined {
+func (c *call) readDecline() *declinedError {
+	why := detour.DeclineUnreachable
 	number, err := strconv.Atoi(c.res.Header.Get(headerDecline))
-	if err != nil {
-		number = int(detour.DeclineUnreachable)
+	if err == nil {
+		why = detour.Decline(number)
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(c.res.Body, maxDeclineBytes))
 	c.release(err)
-	return &declined{detour.Decline(number), errors.Errorf("the peer declined with status %d", c.res.StatusCode)}
+	return &declinedError{why}
 }
 
 // reply reads the reply to the attempt. Unless it is a stream, the call has ended then.
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -27,8 +27,12 @@
 // maxPeersTried is how many peers may decline one attempt. Each takes a round trip.
 const maxPeersTried = 3
 
-// errNoWay reports that neither this entry nor a peer that it knows has a way to the instance.
-var errNoWay = errors.New("no way to the instance: the own one is lost, and no other entry has one")
+// errNoWay reports that neither this entry nor a peer that it knows has a way to the instance, and errNoPeer that no
+// peer takes an attempt.
+var (
+	errNoWay  = errors.New("no way to the instance: the own one is lost, and no other entry has one")
+	errNoPeer = errors.New("no other entry takes the attempt")
+)
 
 // Direct sends attempts to instances over connections of this process.
 type Direct interface {
@@ -238,21 +242,21 @@
 
 // sendByPeer sends one attempt by way of a peer; ok is false if no peer takes it.
 func (u *Upstreams) sendByPeer(ctx context.Context, a *exchange.Attempt) (reply exchange.Reply, ok bool) {
-	service := a.Instance.Service
-	c, reply := u.begin(ctx, service, fromAttempt(u.Name, a), a.Deadline, a.AllowsDomain, &a.Via)
+	c, via, err := u.call(ctx, fromAttempt(u.Name, a), a.Deadline, a.AllowsDomain)
+	a.Via = via
 	switch {
-	case reply != nil:
-		return reply, true
-	case c == nil:
-		u.Metrics.detours.WithLabelValues(service, "none").Inc()
+	case err == errNoPeer:
+		u.Metrics.detours.WithLabelValues(a.Instance.Service, "none").Inc()
 		return nil, false
+	case err != nil:
+		return exchange.Broken{Err: err}, true
 	}
 	return c.reply(), true
 }
 
-// begin sends an attempt to peers until one accepts it. It returns a reply if the connection broke after the
-// attempt was sent, and neither a call nor a reply if no peer takes the attempt. via is set to the peer's address.
-func (u *Upstreams) begin(ctx context.Context, service string, in *wire.ForwardRequest, deadline time.Time, allows func(string) bool, via *string) (*call, exchange.Reply) {
+// call sends an attempt to peers until one accepts it, and returns that peer's address. It returns errNoPeer if none
+// does; after any other error the attempt may have been passed on.
+func (u *Upstreams) call(ctx context.Context, in *wire.ForwardRequest, deadline time.Time, allows func(domain string) bool) (c *call, via string, err error) {
 	choice := detour.Choice{Candidates: u.knownPeers(), Domain: u.FailureDomain, Tried: map[string]bool{}, Allows: allows}
 	for len(choice.Tried) < maxPeersTried && ctx.Err() == nil {
 		peer, ok := u.pick(choice)
@@ -260,34 +264,28 @@
 			break
 		}
 		choice.Tried[peer.Address] = true
+		in.RemainingNanoseconds = remaining(deadline)
 		sent := clock.Now()
-		if !deadline.IsZero() {
-			in.RemainingNanoseconds = remaining(deadline)
-		}
-		c, why, linkErr := begin(ctx, &u.pool, peer.Address, in, deadline)
+		c, err := newCall(ctx, &u.pool, peer.Address, in, deadline)
 		now := clock.Now()
-		if c == nil {
-			reason := detour.DeclineUnreachable
-			if why != nil {
-				reason = why.why
-			}
-			u.declined(service, peer, reason, ctx.Err() != nil, now)
-			if linkErr != nil {
-				*via = peer.Address
-				return nil, exchange.Broken{Err: linkErr}
-			}
+		var declined *declinedError
+		switch {
+		case errors.As(err, &declined):
+			u.declined(in.Service, peer, declined.why, ctx.Err() != nil, now)
 			continue
+		case err != nil:
+			u.declined(in.Service, peer, detour.DeclineUnreachable, ctx.Err() != nil, now)
+			return nil, peer.Address, err
 		}
-		u.accepted(service, peer, now.Sub(sent), now)
-		*via = peer.Address
+		u.accepted(in.Service, peer, now.Sub(sent), now)
 		c.ended = sync.OnceFunc(func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
 			u.peers.End(peer.Address, clock.Now())
 		})
-		return c, nil
+		return c, peer.Address, nil
 	}
-	return nil, nil
+	return nil, "", errNoPeer
 }
 
 func (u *Upstreams) pick(c detour.Choice) (detour.Peer, bool) {
@@ -343,9 +341,8 @@
 		Entry: u.Name, Instance: in.ID, Start: int64(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, RefusalProbe: true,
 	}
 	deadline, _ := ctx.Deadline()
-	var via string
-	c, _ := u.begin(ctx, in.Service, request, deadline, nil, &via)
-	return c != nil && c.refuses()
+	c, _, err := u.call(ctx, request, deadline, nil)
+	return err == nil && c.refuses()
 }
 
 // Observe records whether an instance responded to a request that this entry sent it by other means.
