A lost way to a service without instances is forgotten

Found by reading: an entry that had lost its way to a service which then was removed, or had no instance left, told control instances for good that it lacks a way, and looked at it ten times a second. TestServiceWithoutInstancesIsNoLostWay failed without the change.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -202,6 +202,9 @@
 	return p.lost || p.probing || len(p.failures) >= min(minSuspectInstances, live) && !now.Before(p.nextProbe)
 }
 
+// Idle reports whether no request waits and no probe is under way, so that the state may be dropped.
+func (p *Path) Idle() bool { return p.waiting == 0 && !p.probing }
+
 // Active reports whether ProbeDue can become true without further events: while it is false, it need not be
 // called.
 func (p *Path) Active() bool {
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// Guards against entries that tell for good that they lack a way, after a service was removed to which they had lost it.
+func TestServiceWithoutInstancesIsNoLostWay(t *testing.T) {
+	e := newEntry(t, answered)
+	e.loseWay(t)
+	if !e.AnyLost() {
+		t.Fatal("the entry does not tell that it lacks a way")
+	}
+	e.gone.Store(true)
+	await(t, "no way counts as lost", func() bool { return !e.AnyLost() })
+}
+
 // A request passes through no failure domain in which its data may not be.
 func TestDetourKeepsToAllowedDomains(t *testing.T) {
 	inside, outside := newEntry(t, answered), newEntry(t, answered)
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,8 @@
 	direct    *fakeDirect
 	forwarder *detour.Forwarder
 	peers     []coordination.Peer
+	// gone is true once the service has no instances any more.
+	gone atomic.Bool
 	// address is where others reach it.
 	address string
 }
@@ -112,8 +115,13 @@
 	}
 	e.Upstreams = &detour.Upstreams{
 		Name: "e", FailureDomain: "d1", Direct: e.direct, Metrics: detour.NewMetrics(), Log: quiet,
-		Instances: func(string) []registry.Instance { return instances },
-		Peers:     func() []coordination.Peer { return e.peers },
+		Instances: func(string) []registry.Instance {
+			if e.gone.Load() {
+				return nil
+			}
+			return instances
+		},
+		Peers: func() []coordination.Peer { return e.peers },
 	}
 	e.forwarder = &detour.Forwarder{
 		Upstreams: e.Upstreams, Send: e.SendDirect, Stopping: func() bool { return false }, Metrics: e.Metrics, Log: quiet,
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -62,6 +62,13 @@
 		instances := u.Instances(service)
 		u.mu.Lock()
 		path := u.path(service)
+		if len(instances) == 0 && path.Idle() {
+			// Nothing can be learned about a service without instances, and nothing is sent there.
+			delete(u.paths, service)
+			u.Metrics.state.DeleteLabelValues(service)
+			u.mu.Unlock()
+			continue
+		}
 		if path.ProbeDue(len(instances), clock.Now()) {
 			targets := detour.ProbeTargets(path, instances, u.random)
 			go u.probe(ctx, service, path, targets)
