Detours carry any bytes that a caller or an instance sends

Found by reading: the message between entries held headers, targets and ids as text, and encoding one that is not valid UTF-8 panicked, so that a caller could end an entry while its way was lost. They are bytes now, and an attempt that cannot be encoded counts as not taken. TestAttemptPassesUnchanged and TestRepliesPassUnchanged send such bytes.

--- a/internal/transport/detour/call.go
+++ b/internal/transport/detour/call.go
@@ -69,9 +69,13 @@
 	if !deadline.IsZero() {
 		err = conn.SetDeadline(clock.Deadline(deadline.Add(linkGrace)))
 	}
+	var data []byte
+	if err == nil {
+		data, err = encodeCall(address, in)
+	}
 	var n int
 	if err == nil {
-		n, err = conn.Write(encodeCall(address, in))
+		n, err = conn.Write(data)
 	}
 	if err != nil {
 		c.abandon()
@@ -91,16 +95,16 @@
 	return c, nil
 }
 
-func encodeCall(address string, in *wire.ForwardRequest) []byte {
+func encodeCall(address string, in *wire.ForwardRequest) ([]byte, error) {
 	body, err := proto.Marshal(in)
 	if err != nil {
-		panic("detour: encode an attempt: " + err.Error())
+		return nil, errors.Wrap(err, "encode an attempt")
 	}
 	var b bytes.Buffer
 	b.Grow(len(body) + 128)
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", Path, address, len(body))
 	b.Write(body)
-	return b.Bytes()
+	return b.Bytes(), nil
 }
 
 // readDecline reads why the peer did not take the attempt, and releases the connection.
--- a/internal/transport/detour/convert.go
+++ b/internal/transport/detour/convert.go
@@ -36,20 +36,24 @@
 }
 
 func fromError(err error) *wire.ForwardError {
-	out := &wire.ForwardError{Text: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED), Closed: exchange.ConnectionClosed(err)}
+	out := &wire.ForwardError{Text: []byte(err.Error()), Refused: errors.Is(err, syscall.ECONNREFUSED), Closed: exchange.ConnectionClosed(err)}
 	var network net.Error
 	out.TimedOut = errors.As(err, &network) && network.Timeout()
 	return out
 }
 
 func toError(in *wire.ForwardError) error {
-	return &remoteError{text: in.GetText(), timedOut: in.GetTimedOut(), refused: in.GetRefused(), closed: in.GetClosed()}
+	return &remoteError{text: string(in.GetText()), timedOut: in.GetTimedOut(), refused: in.GetRefused(), closed: in.GetClosed()}
 }
 
 func fromHeader(h http.Header) []*wire.HeaderField {
 	var out []*wire.HeaderField
 	for name, values := range h {
-		out = append(out, &wire.HeaderField{Name: name, Values: values})
+		f := &wire.HeaderField{Name: []byte(name)}
+		for _, value := range values {
+			f.Values = append(f.Values, []byte(value))
+		}
+		out = append(out, f)
 	}
 	return out
 }
@@ -57,7 +61,11 @@
 func toHeader(in []*wire.HeaderField) http.Header {
 	out := make(http.Header, len(in))
 	for _, f := range in {
-		out[f.Name] = f.Values
+		var values []string
+		for _, value := range f.Values {
+			values = append(values, string(value))
+		}
+		out[string(f.Name)] = values
 	}
 	return out
 }
@@ -86,7 +94,7 @@
 	case exchange.NoLimit:
 		out.Limit = &wire.InstanceCondition_NoLimit{NoLimit: true}
 	case exchange.UnreadableLimit:
-		out.Limit = &wire.InstanceCondition_Unreadable{Unreadable: limit.Text}
+		out.Limit = &wire.InstanceCondition_Unreadable{Unreadable: []byte(limit.Text)}
 	}
 	return out
 }
@@ -99,14 +107,14 @@
 	case *wire.InstanceCondition_NoLimit:
 		out.Limit = exchange.NoLimit{}
 	case *wire.InstanceCondition_Unreadable:
-		out.Limit = exchange.UnreadableLimit{Text: limit.Unreadable}
+		out.Limit = exchange.UnreadableLimit{Text: string(limit.Unreadable)}
 	}
 	return out
 }
 
 func fromAttempt(entry string, a *exchange.Attempt) *wire.ForwardRequest {
 	return &wire.ForwardRequest{
-		Entry: entry, Id: a.ID, Method: a.Method, Target: a.Target, Host: a.Host, Header: fromHeader(a.Header), Body: a.Body,
+		Entry: entry, Id: []byte(a.ID), Method: []byte(a.Method), Target: []byte(a.Target), Host: []byte(a.Host), Header: fromHeader(a.Header), Body: a.Body,
 		Instance: a.Instance.ID, Start: int64(a.Instance.Start), Service: a.Instance.Service, Address: a.Instance.Address, FailureDomain: a.Instance.FailureDomain,
 		RemainingNanoseconds: remaining(a.Deadline), Team: a.Team, Urgency: int32(a.Urgency), Salt: a.Salt,
 		Fetch: fromPlaces(a.Fetch), Save: fromPlaces(a.Save), FetchUntilNanoseconds: int64(a.FetchUntil),
@@ -130,7 +138,7 @@
 func toAttempt(in *wire.ForwardRequest, now time.Time) *exchange.Attempt {
 	a := &exchange.Attempt{
 		Request: &exchange.Request{
-			ID: in.Id, Method: in.Method, Target: in.Target, Host: in.Host, Header: toHeader(in.Header), Body: in.Body, Streamed: in.Streamed,
+			ID: string(in.Id), Method: string(in.Method), Target: string(in.Target), Host: string(in.Host), Header: toHeader(in.Header), Body: in.Body, Streamed: in.Streamed,
 			Arrived: now, After: in.After, Resumes: in.Resumes,
 		},
 		Instance: toInstance(in), Team: in.Team, Urgency: int(in.Urgency), Salt: in.Salt,
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -32,7 +32,7 @@
 		"not run":         exchange.NotRun{Status: 503, Condition: condition, Header: http.Header{"Retry-After": {"1.5"}}},
 		"misdirected":     exchange.NotRun{Status: 421, Misdirected: true, Header: http.Header{}},
 		"no limit":        exchange.Whole{Head: exchange.Head{Status: 200, Header: http.Header{}, Condition: exchange.Condition{Limit: exchange.NoLimit{}}}},
-		"unreadable":      exchange.Whole{Head: exchange.Head{Status: 200, Header: http.Header{}, Condition: exchange.Condition{Limit: exchange.UnreadableLimit{Text: "x"}}}},
+		"unreadable":      exchange.Whole{Head: exchange.Head{Status: 200, Header: http.Header{"X": {"\xff"}}, Condition: exchange.Condition{Limit: exchange.UnreadableLimit{Text: "\xff"}}}},
 		"unreached":       exchange.Unreached{Err: errors.Wrap(syscall.ECONNREFUSED, "connect")},
 		"timed out":       exchange.Broken{Err: errCut, Condition: condition},
 		"closed":          exchange.Broken{Err: errors.Wrap(io.ErrUnexpectedEOF, "read")},
@@ -63,7 +63,7 @@
 		exchange.ConnectionClosed(a) == exchange.ConnectionClosed(b)
 }
 
-// Everything that an attempt says to the instance is kept. A field that is added to these types must be carried, or
+// Everything that an attempt says to the instance is kept, also bytes that are no text. A field that is added to these types must be carried, or
 // listed here with the reason why a peer does not need it.
 func TestAttemptPassesUnchanged(t *testing.T) {
 	unneeded := map[string]string{
@@ -77,7 +77,7 @@
 	e.loseWay(t)
 	sent := &exchange.Attempt{
 		Request: &exchange.Request{
-			ID: "id", Method: "PUT", Target: "/t?q", Host: "h", Header: http.Header{"X": {"1", "2"}}, Body: []byte{0, 1}, Prompt: &exchange.Prompt{}, Streamed: true, After: 7, Resumes: true,
+			ID: "id\xff", Method: "PUT", Target: "/t\xff?q", Host: "h\xfe", Header: http.Header{"X": {"1", "\xff\xfe"}}, Body: []byte{0, 1}, Prompt: &exchange.Prompt{}, Streamed: true, After: 7, Resumes: true,
 		},
 		Instance: instances[1], Deadline: clock.Now().Add(5 * time.Second), Team: "team", Urgency: 3, Salt: "salt",
 		Fetch: []exchange.PartLocation{{}, {Address: "s:1", Tokens: 9}}, Save: []exchange.PartLocation{{Address: "s:2"}}, FetchUntil: 12345 * time.Microsecond,
--- a/internal/transport/detour/forward.go
+++ b/internal/transport/detour/forward.go
@@ -161,7 +161,7 @@
 		f.senders = map[string]time.Time{}
 	}
 	f.senders[in.Entry] = now
-	f.Log.Info().Str("event", "forwards_for").Str("entry", in.Entry).Str("service", in.Service).Str("request", in.Id).Int64("in_flight", f.inFlight.Load()).Msg("")
+	f.Log.Info().Str("event", "forwards_for").Str("entry", in.Entry).Str("service", in.Service).Str("request", string(in.Id)).Int64("in_flight", f.inFlight.Load()).Msg("")
 }
 
 // frameWriter writes the frames of one reply.
