--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -92,9 +92,9 @@
 		Instances: func(service string) []registry.Instance { return follower.View().Instances[service] },
 		Peers:     func() []coordination.Peer { return follower.View().Peers },
 	}
-	follower.PeerAddress, follower.WayLost = s.PeerAddress(), detours.AnyLost
+	follower.PeerAddress, follower.PathLost = s.PeerAddress(), detours.AnyLost
 	server := &serving.Server{
-		View: follower.View, Upstreams: detours, WayLostSince: detours.LostSince, Ends: tracker, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
+		View: follower.View, Upstreams: detours, PathLostSince: detours.LostSince, Ends: tracker, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
 		BufferBytes: int(bufferShare * s.MemoryMB * (1 << 20)), OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -1,7 +1,7 @@
-// Package detour decides when an entry sends requests to instances by way of another entry, its peer, and
+// Package detour decides when an entry sends requests to instances through another entry, its peer, and
 // by which one. It does no I/O.
 //
-// An entry may lose the way to instances that others still reach. A Path tracks that for one service, from
+// An entry may lose the path to instances that others still reach. A Path tracks that for one service, from
 // the failures of requests and from probes on new connections. Peers chooses among the other entries.
 package detour
 
@@ -22,21 +22,21 @@
 	silentAfter = 400 * time.Millisecond
 	// heardWindow is how long after a response open connections count as working.
 	heardWindow = 500 * time.Millisecond
-	// probeInterval is the time between two rounds of probes while the way is lost.
+	// probeInterval is the time between two rounds of probes while the path is lost.
 	probeInterval = 300 * time.Millisecond
-	// minRecheck is the time after a round that found the way open until the next suspicion is probed. It
+	// minRecheck is the time after a round that found the path open until the next suspicion is probed. It
 	// doubles with each further one, up to maxRecheck, until none has come for recheckReset.
 	minRecheck   = 500 * time.Millisecond
 	maxRecheck   = 4 * time.Second
 	recheckReset = 10 * time.Second
-	// minGoodRounds is how many successive rounds must find the way open before it is used again. The number
-	// doubles, up to maxGoodRounds, if the way is lost again within flapWindow.
+	// minGoodRounds is how many successive rounds must find the path open before it is used again. The number
+	// doubles, up to maxGoodRounds, if the path is lost again within flapWindow.
 	minGoodRounds = 2
 	maxGoodRounds = 16
 	flapWindow    = 10 * time.Second
 )
 
-// State is what an entry knows of its own way to the instances of a service.
+// State is what an entry knows of its direct path to the instances of a service.
 type State int
 
 const (
@@ -68,7 +68,7 @@
 // Cause is the evidence that led to a probe.
 type Cause string
 
-// The causes: requests failed at distinct instances, no instance responded while requests waited, or the way to
+// The causes: requests failed at distinct instances, no instance responded while requests waited, or the path to
 // another service was lost.
 const (
 	CauseFailures     Cause = "failures"
@@ -76,7 +76,7 @@
 	CauseOtherService Cause = "other_service"
 )
 
-// Path is an entry's own way to the instances of one service. The zero value is an open one. It is not safe
+// Path is an entry's direct path to the instances of one service. The zero value is an open one. It is not safe
 // for concurrent use.
 type Path struct {
 	// failures holds when requests last failed at each instance that has not responded since.
@@ -94,14 +94,14 @@
 	nextProbe     time.Time
 	recheck       time.Duration
 	lastSuspected time.Time
-	// since is when the way was lost or found last; zero if it was never lost.
+	// since is when the path was lost or found last; zero if it was never lost.
 	since time.Time
-	// goodRounds counts the successive rounds that found a lost way open, and neededRounds is how many there
+	// goodRounds counts the successive rounds that found a lost path open, and neededRounds is how many there
 	// must be.
 	goodRounds, neededRounds int
 }
 
-// State returns the state of the way.
+// State returns the state of the path.
 func (p *Path) State(now time.Time) State {
 	switch {
 	case p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) < heardWindow:
@@ -114,14 +114,14 @@
 	return Open
 }
 
-// Returning reports whether the last round of probes on a lost way found it open, but not yet often enough for it to
+// Returning reports whether the last round of probes on a lost path found it open, but not yet often enough for it to
 // be preferred again.
 func (p *Path) Returning() bool { return p.lost && p.goodRounds > 0 }
 
-// Since returns when the way was lost or found last, or zero.
+// Since returns when the path was lost or found last, or zero.
 func (p *Path) Since() time.Time { return p.since }
 
-// Cause returns the evidence that led to the last round of probes on an open way.
+// Cause returns the evidence that led to the last round of probes on an open path.
 func (p *Path) Cause() Cause { return p.cause }
 
 // Failures returns the number of instances at which requests failed lately.
@@ -177,10 +177,10 @@
 	return true
 }
 
-// Hint records that the way to another service was lost, so that this one is probed before requests fail.
+// Hint records that the path to another service was lost, so that this one is probed before requests fail.
 func (p *Path) Hint() { p.hinted = true }
 
-// suspicious reports whether there is evidence that the way is lost, and records its cause.
+// suspicious reports whether there is evidence that the path is lost, and records its cause.
 func (p *Path) suspicious(live int, now time.Time) bool {
 	maps.DeleteFunc(p.failures, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > evidenceWindow })
 	switch {
@@ -196,7 +196,7 @@
 	return true
 }
 
-// Doubtful reports whether an instance that could not be connected to may be reached by way of a peer: the way
+// Doubtful reports whether an instance that could not be connected to may be reached through a peer: the path
 // is lost, or is about to be probed because instances failed.
 func (p *Path) Doubtful(live int, now time.Time) bool {
 	return p.lost || p.probing || len(p.failures) >= min(minSuspectInstances, live) && !now.Before(p.nextProbe)
@@ -212,7 +212,7 @@
 }
 
 // Probed records the result of a round of probes, each on a new connection to another instance. It reports
-// whether the way was lost or found by it.
+// whether the path was lost or found by it.
 func (p *Path) Probed(succeeded int, now time.Time) (changed bool) {
 	p.probing = false
 	if !p.lost {
@@ -233,7 +233,7 @@
 	return true
 }
 
-// probedOpen records the result of a round on a way that was not lost.
+// probedOpen records the result of a round on a path that was not lost.
 func (p *Path) probedOpen(succeeded int, now time.Time) (changed bool) {
 	if now.Sub(p.lastSuspected) > recheckReset {
 		p.recheck = 0
--- a/internal/coordination/detour/path_test.go
+++ b/internal/coordination/detour/path_test.go
@@ -22,13 +22,13 @@
 // live is the number of live instances in tests that do not say otherwise.
 const live = 5
 
-// lose makes a way lost at a time, by two failures and a round of probes without a success.
+// lose makes a path lost at a time, by two failures and a round of probes without a success.
 func lose(t *testing.T, p *detour.Path, now time.Time) {
 	t.Helper()
 	p.Failed(instance(1), now)
 	p.Failed(instance(2), now)
 	if !p.ProbeDue(live, now) || !p.Probed(0, now) {
-		t.Fatal("the way was not lost")
+		t.Fatal("the path was not lost")
 	}
 }
 
@@ -87,9 +87,9 @@
 	}
 }
 
-// Instances that ended at once look like a lost way until the probes of others succeed. After that, the same
+// Instances that ended at once look like a lost path until the probes of others succeed. After that, the same
 // evidence is probed ever more seldom.
-func TestProbesTellEndedInstancesFromALostWay(t *testing.T) {
+func TestProbesTellEndedInstancesFromALostPath(t *testing.T) {
 	var p detour.Path
 	var rounds []time.Duration
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
@@ -98,7 +98,7 @@
 		if p.ProbeDue(live, after(at)) {
 			rounds = append(rounds, at)
 			if p.Probed(1, after(at)) || p.State(after(at)) != detour.Open {
-				t.Fatalf("the way is %v after a probe that succeeded", p.State(after(at)))
+				t.Fatalf("the path is %v after a probe that succeeded", p.State(after(at)))
 			}
 		}
 	}
@@ -111,8 +111,8 @@
 	}
 }
 
-// A way is lost when all probes fail, and found by probes alone: no request is needed for that.
-func TestLostWayIsFoundByProbes(t *testing.T) {
+// A path is lost when all probes fail, and found by probes alone: no request is needed for that.
+func TestLostPathIsRestoredByProbes(t *testing.T) {
 	var p detour.Path
 	lose(t, &p, start)
 	if diff := cmp.Diff(detour.Lost, p.State(start)); diff != "" {
@@ -156,7 +156,7 @@
 	}
 }
 
-// Hysteresis keeps a link that loses half of its packets from opening and closing the way again and again.
+// Hysteresis keeps a link that loses half of its packets from opening and closing the path again and again.
 func TestFlappingLinkIsUsedEverMoreSeldom(t *testing.T) {
 	var p detour.Path
 	changes := 0
@@ -179,12 +179,12 @@
 		}
 	}
 	if changes > 10 {
-		t.Errorf("the way changed %d times in a minute", changes)
+		t.Errorf("the path changed %d times in a minute", changes)
 	}
 }
 
-// Drawn events never make a way lost without a round in which all probes failed.
-func TestOnlyFailedProbesLoseTheWay(t *testing.T) {
+// Drawn events never make a path lost without a round in which all probes failed.
+func TestOnlyFailedProbesLoseThePath(t *testing.T) {
 	for seed := range uint64(200) {
 		random := newRandom(seed)
 		var p detour.Path
@@ -209,7 +209,7 @@
 				p.Probed(1+random.IntN(3), now)
 			}
 			if s := p.State(now); s != detour.Open {
-				t.Fatalf("seed %d: the way is %v", seed, s)
+				t.Fatalf("seed %d: the path is %v", seed, s)
 			}
 		}
 	}
--- a/internal/coordination/detour/peers.go
+++ b/internal/coordination/detour/peers.go
@@ -13,9 +13,9 @@
 	// crossDomainDelay is added to the delay of peers in other failure domains, as traffic between domains has
 	// a cost of its own.
 	crossDomainDelay = time.Millisecond
-	// A peer is avoided for noWayAvoidance after it had no way itself, for busyAvoidance after it had no room,
+	// A peer is avoided for noPathAvoidance after it had no path itself, for busyAvoidance after it had no room,
 	// and for unreachableAvoidance after it could not be reached.
-	noWayAvoidance       = 500 * time.Millisecond
+	noPathAvoidance      = 500 * time.Millisecond
 	busyAvoidance        = 100 * time.Millisecond
 	unreachableAvoidance = time.Second
 	// unresponsiveAfter is how long a peer may leave a request unaccepted before it gets no others.
@@ -30,9 +30,9 @@
 // Decline is why a peer did not pass on a request.
 type Decline int
 
-// The reasons: the peer has lost its own way, has no room, or could not be reached.
+// The reasons: the peer has lost its direct path, has no room, or could not be reached.
 const (
-	DeclineNoWay Decline = iota + 1
+	DeclineNoPath Decline = iota + 1
 	DeclineBusy
 	DeclineUnreachable
 )
@@ -40,8 +40,8 @@
 // String returns the name of the reason that is written to logs and metrics.
 func (d Decline) String() string {
 	switch d {
-	case DeclineNoWay:
-		return "no_way"
+	case DeclineNoPath:
+		return "no_path"
 	case DeclineBusy:
 		return "busy"
 	case DeclineUnreachable:
@@ -77,7 +77,7 @@
 
 // Choice describes a request that takes a detour.
 type Choice struct {
-	// Candidates are the peers that may be known to have a way.
+	// Candidates are the peers that may be known to have a path.
 	Candidates []Peer
 	// Domain is the failure domain of this entry.
 	Domain string
@@ -162,7 +162,7 @@
 	s.unaccepted--
 	s.inFlight--
 	s.waitingSince = now
-	avoidance := map[Decline]time.Duration{DeclineNoWay: noWayAvoidance, DeclineBusy: busyAvoidance, DeclineUnreachable: unreachableAvoidance}[d]
+	avoidance := map[Decline]time.Duration{DeclineNoPath: noPathAvoidance, DeclineBusy: busyAvoidance, DeclineUnreachable: unreachableAvoidance}[d]
 	s.avoidUntil = now.Add(avoidance)
 }
 
--- a/internal/coordination/detour/peers_test.go
+++ b/internal/coordination/detour/peers_test.go
@@ -22,10 +22,10 @@
 	return out
 }
 
-// A peer without a way, without room or without an answer is left alone for a while.
+// A peer without a path, without room or without an answer is left alone for a while.
 func TestDecliningPeerIsAvoided(t *testing.T) {
 	for why, avoided := range map[detour.Decline]time.Duration{
-		detour.DeclineNoWay: 500 * time.Millisecond, detour.DeclineBusy: 100 * time.Millisecond, detour.DeclineUnreachable: time.Second,
+		detour.DeclineNoPath: 500 * time.Millisecond, detour.DeclineBusy: 100 * time.Millisecond, detour.DeclineUnreachable: time.Second,
 	} {
 		t.Run(why.String(), func(t *testing.T) {
 			p := detour.NewPeers(1)
@@ -107,9 +107,9 @@
 	}
 }
 
-// Peers that have lost their way are told of only where there are too few others: all may have lost the way to a
+// Peers that have lost their path are told of only where there are too few others: all may have lost the path to a
 // service that is down.
-func TestSampleHasPeersWithAWayFirst(t *testing.T) {
+func TestSampleHasPeersWithAPathFirst(t *testing.T) {
 	all := peers(20)
 	sample := detour.Sample("e", "d0", all[:1], all[1:])
 	if diff := cmp.Diff(all[0], sample[0]); diff != "" || len(sample) != 8 {
@@ -121,7 +121,7 @@
 	}
 	for _, p := range detour.Sample("e", "d0", all[:10], all[10:]) {
 		if !open[p] {
-			t.Errorf("%v has lost its way and is told of", p)
+			t.Errorf("%v has lost its path and is told of", p)
 		}
 	}
 }
--- a/internal/coordination/detour/sample.go
+++ b/internal/coordination/detour/sample.go
@@ -10,7 +10,7 @@
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// probesPerRound is how many instances a round probes: enough that a few dead ones do not make a way look
+// probesPerRound is how many instances a round probes: enough that a few dead ones do not make a path look
 // lost.
 const probesPerRound = 3
 
@@ -38,12 +38,12 @@
 const (
 	// sampleOwnDomain is how many peers of its own failure domain an entry is told, and sampleOthers how many
 	// of other domains. They are few, so that this scales to any number of entries, and enough that one with
-	// a way is among them while the control instances leave out those without.
+	// a path is among them while the control instances leave out those without.
 	sampleOwnDomain = 4
 	sampleOthers    = 4
 )
 
-// Sample returns the peers that an entry is told of, out of those with a way and, where these are too few, those
+// Sample returns the peers that an entry is told of, out of those with a path and, where these are too few, those
 // that have lost theirs. It uses rendezvous hashing: each peer is in about as many samples, and a change of the set
 // changes few samples.
 func Sample(name, domain string, open, lost []Peer) []Peer {
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -36,8 +36,8 @@
 
 // Unreached means that no byte of the request reached the upstream.
 type Unreached struct {
-	// NoWay means that no other upstream can be reached either.
-	NoWay bool
+	// NoPath means that no other upstream can be reached either.
+	NoPath bool
 }
 
 // Misdirected means that the upstream received the request but did not run it, because it is not
@@ -123,8 +123,8 @@
 	case Refused:
 		return r.redispatch(outcome.ReasonRefused, budget)
 	case Unreached:
-		if result.NoWay {
-			return Stop{r.GiveUp(outcome.ReasonNoWay)}
+		if result.NoPath {
+			return Stop{r.GiveUp(outcome.ReasonNoPath)}
 		}
 		return r.dispatchElsewhere()
 	case Misdirected:
--- a/internal/coordination/retry/tries.go
+++ b/internal/coordination/retry/tries.go
@@ -45,8 +45,8 @@
 	case CallerGone:
 		return Stop{outcome.CallerGone}
 	case Unreached:
-		if result.NoWay {
-			return Stop{t.giveUp(outcome.ReasonNoWay)}
+		if result.NoPath {
+			return Stop{t.giveUp(outcome.ReasonNoPath)}
 		}
 		t.unreached++
 		if t.unreached < maxUnreachedInstances {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -117,7 +117,7 @@
 	Resumes bool
 	// AllowsDomain reports whether the request may pass through an entry in a failure domain; nil allows all.
 	AllowsDomain func(domain string) bool
-	// Via is set by Upstreams to the address of the entry by way of which the attempt was sent, if it was.
+	// Via is set by Upstreams to the address of the entry through which the attempt was sent, if it was.
 	Via string
 }
 
@@ -136,9 +136,9 @@
 // Unreached means that no byte of the request was sent.
 type Unreached struct {
 	Err error
-	// NoWay reports that the sender has no way to any instance of the service now, so that another attempt
+	// NoPath reports that the sender has no path to any instance of the service now, so that another attempt
 	// would fail as well.
-	NoWay bool
+	NoPath bool
 }
 
 // NotRun means that the instance did not execute the request and never will.
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -76,8 +76,8 @@
 	ReasonUnderWay      Reason = "under_way"
 	// ReasonLimited means that the upstreams receive as many requests as their limits allow.
 	ReasonLimited Reason = "upstream_limited"
-	// ReasonNoWay means that the entry has lost its way to the upstreams, and no other entry has one.
-	ReasonNoWay Reason = "no_way"
+	// ReasonNoPath means that the entry has lost its path to the upstreams, and no other entry has one.
+	ReasonNoPath Reason = "no_path"
 	// ReasonResting means that the upstreams asked for a backoff.
 	ReasonResting Reason = "upstream_resting"
 )
--- a/internal/system/cut_entry_test.go
+++ b/internal/system/cut_entry_test.go
@@ -12,8 +12,8 @@
 // cutContact is how long after a cut callers must be served again.
 const cutContact = 3 * time.Second
 
-// Guards against an entry that fails its callers because it alone has lost the way to engines and services: prompts
-// are served, and orders run once, by way of another entry.
+// Guards against an entry that fails its callers because it alone has lost the path to engines and services: prompts
+// are served, and orders run once, through another entry.
 func TestEntryCutOffFromUpstreamsServes(t *testing.T) {
 	const engine, service = "engine", "service"
 	ways := map[string]func(l *processes.Links, entry string, upstreams []string){
--- a/internal/transport/detour/call.go
+++ b/internal/transport/detour/call.go
@@ -196,7 +196,7 @@
 	_ = c.conn.Close()
 }
 
-// events reads the events of a stream that comes by way of a peer. It implements exchange.Events.
+// events reads the events of a stream that comes through a peer. It implements exchange.Events.
 type events struct {
 	call  *call
 	ended bool
--- a/internal/transport/detour/convert.go
+++ b/internal/transport/detour/convert.go
@@ -22,7 +22,7 @@
 }
 
 // Error returns the text of the peer's error.
-func (e *remoteError) Error() string { return "by way of a peer: " + e.text }
+func (e *remoteError) Error() string { return "through a peer: " + e.text }
 
 // Timeout reports whether the instance did not respond in time. With Temporary it makes the error a net.Error.
 func (e *remoteError) Timeout() bool { return e.timedOut }
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -42,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			helper := newEntry(t, func(context.Context, *exchange.Attempt) exchange.Reply { return reply })
 			e := newEntry(t, answered, helper)
-			e.loseWay(t)
+			e.losePath(t)
 			a := newAttempt("1", instances[0])
 			got := e.Send(t.Context(), a)
 			if diff := cmp.Diff(reply, got, cmpopts.EquateEmpty(), cmp.Comparer(sameError)); diff != "" {
@@ -74,7 +74,7 @@
 	}
 	helper := newEntry(t, answered)
 	e := newEntry(t, answered, helper)
-	e.loseWay(t)
+	e.losePath(t)
 	sent := &exchange.Attempt{
 		Request: &exchange.Request{
 			ID: "id\xff", Method: "PUT", Target: "/t\xff?q", Host: "h\xfe", Header: http.Header{"X": {"1", "\xff\xfe"}}, Body: []byte{0, 1}, Prompt: &exchange.Prompt{}, Streamed: true, After: 7, Resumes: true,
@@ -127,7 +127,7 @@
 				return exchange.Stream{Head: exchange.Head{Status: 200, Header: http.Header{}}, Events: l}
 			})
 			e := newEntry(t, answered, helper)
-			e.loseWay(t)
+			e.losePath(t)
 			stream, ok := e.Send(t.Context(), newAttempt("1", instances[0])).(exchange.Stream)
 			if !ok {
 				t.Fatal("no stream")
@@ -166,7 +166,7 @@
 				return exchange.Broken{Err: ctx.Err()}
 			})
 			e := newEntry(t, answered, helper)
-			e.loseWay(t)
+			e.losePath(t)
 			ctx, leave := context.WithCancel(t.Context())
 			replied := make(chan exchange.Reply, 1)
 			go func() { replied <- e.Send(ctx, newAttempt("1", instances[0])) }()
@@ -194,7 +194,7 @@
 		helpers[i] = newEntry(t, func(context.Context, *exchange.Attempt) exchange.Reply { panic(http.ErrAbortHandler) })
 	}
 	e := newEntry(t, answered, helpers...)
-	e.loseWay(t)
+	e.losePath(t)
 	reply := e.Send(t.Context(), newAttempt("1", instances[0]))
 	broken, ok := reply.(exchange.Broken)
 	if !ok || exchange.ConnectionClosed(broken.Err) {
@@ -205,18 +205,18 @@
 	}
 }
 
-// A peer that has no way, or that no process serves any more, is passed over. A peer never asks a third entry.
+// A peer that has no path, or that no process serves any more, is passed over. A peer never asks a third entry.
 func TestNextPeerIsAskedAndNoPeerPassesOnTwice(t *testing.T) {
 	last := newEntry(t, answered)
 	cut := newEntry(t, answered, last)
-	cut.loseWay(t)
+	cut.losePath(t)
 	gone := &entry{address: "127.0.0.1:1"}
 	for range 20 {
 		e := newEntry(t, answered, cut, gone, last)
-		e.loseWay(t)
+		e.losePath(t)
 		a := newAttempt("1", instances[0])
 		if _, ok := e.Send(t.Context(), a).(exchange.Whole); !ok {
-			t.Fatal("the entry with a way was not asked")
+			t.Fatal("the entry with a path was not asked")
 		}
 		if diff := cmp.Diff(last.address, a.Via); diff != "" {
 			t.Error(diff)
@@ -227,15 +227,15 @@
 	}
 }
 
-// Without any way, an attempt fails at once, and says that others would as well.
-func TestNoWayIsSaidAtOnce(t *testing.T) {
+// Without any path, an attempt fails at once, and says that others would as well.
+func TestNoPathIsSaidAtOnce(t *testing.T) {
 	cut := newEntry(t, answered)
-	cut.loseWay(t)
+	cut.losePath(t)
 	e := newEntry(t, answered, cut)
-	e.loseWay(t)
+	e.losePath(t)
 	began := time.Now()
 	reply := e.Send(t.Context(), newAttempt("1", instances[0]))
-	if unreached, ok := reply.(exchange.Unreached); !ok || !unreached.NoWay {
+	if unreached, ok := reply.(exchange.Unreached); !ok || !unreached.NoPath {
 		t.Errorf("the reply is %#v", reply)
 	}
 	if took := time.Since(began); took > 300*time.Millisecond {
@@ -244,18 +244,18 @@
 }
 
 // Guards against entries that refuse requests while they wait for further probes, after a service was down for all: the
-// first probe that succeeds is enough where no peer has a way.
+// first probe that succeeds is enough where no peer has a path.
 func TestServiceThatWasDownForAllIsUsedAtOnce(t *testing.T) {
 	cut := newEntry(t, answered)
-	cut.loseWay(t)
+	cut.losePath(t)
 	e := newEntry(t, answered, cut)
-	// The way that is lost again and again needs ever more rounds of probes.
+	// The path that is lost again and again needs ever more rounds of probes.
 	for range 3 {
-		e.loseWay(t)
+		e.losePath(t)
 		e.direct.setCut(false)
-		await(t, "the way is found", func() bool { return e.State("svc") == coordination.Open })
+		await(t, "the path is found", func() bool { return e.State("svc") == coordination.Open })
 	}
-	e.loseWay(t)
+	e.losePath(t)
 	e.direct.setCut(false)
 	began := time.Now()
 	await(t, "the entry serves", func() bool {
@@ -267,22 +267,22 @@
 	}
 }
 
-// Guards against entries that tell for good that they lack a way, after a service was removed to which they had lost it.
-func TestServiceWithoutInstancesIsNoLostWay(t *testing.T) {
+// Guards against entries that tell for good that they lack a path, after a service was removed to which they had lost it.
+func TestServiceWithoutInstancesIsNoLostPath(t *testing.T) {
 	e := newEntry(t, answered)
-	e.loseWay(t)
+	e.losePath(t)
 	if !e.AnyLost() {
-		t.Fatal("the entry does not tell that it lacks a way")
+		t.Fatal("the entry does not tell that it lacks a path")
 	}
 	e.gone.Store(true)
-	await(t, "no way counts as lost", func() bool { return !e.AnyLost() })
+	await(t, "no path counts as lost", func() bool { return !e.AnyLost() })
 }
 
 // A request passes through no failure domain in which its data may not be.
 func TestDetourKeepsToAllowedDomains(t *testing.T) {
 	inside, outside := newEntry(t, answered), newEntry(t, answered)
 	e := newEntry(t, answered, inside, outside)
-	e.loseWay(t)
+	e.losePath(t)
 	for range 20 {
 		a := newAttempt("1", instances[0])
 		a.AllowsDomain = func(domain string) bool { return domain == "d1" }
@@ -293,13 +293,13 @@
 	}
 	a := newAttempt("1", instances[0])
 	a.AllowsDomain = func(string) bool { return false }
-	if unreached, ok := e.Send(t.Context(), a).(exchange.Unreached); !ok || !unreached.NoWay {
+	if unreached, ok := e.Send(t.Context(), a).(exchange.Unreached); !ok || !unreached.NoPath {
 		t.Error("an attempt was sent that no peer may pass on")
 	}
 }
 
-// While the way is open, nothing takes a detour, also for instances that are gone.
-func TestOpenWayIsUsed(t *testing.T) {
+// While the path is open, nothing takes a detour, also for instances that are gone.
+func TestOpenPathIsUsed(t *testing.T) {
 	helper := newEntry(t, answered)
 	e := newEntry(t, func(_ context.Context, a *exchange.Attempt) exchange.Reply {
 		if a.Instance.ID == "a" {
@@ -317,7 +317,7 @@
 	}
 }
 
-// An attempt at an instance that was not reached is sent by way of a peer in the same moment if others were not
+// An attempt at an instance that was not reached is sent through a peer in the same moment if others were not
 // reached either: nothing was sent, so it is still the same attempt.
 func TestFirstRequestsOfACutTakeADetour(t *testing.T) {
 	helper := newEntry(t, answered)
@@ -334,13 +334,13 @@
 	}
 }
 
-// After the way is back, requests are sent directly, without a request that looked for it.
-func TestWayIsFoundByProbes(t *testing.T) {
+// After the path is back, requests are sent directly, without a request that looked for it.
+func TestPathIsRestoredByProbes(t *testing.T) {
 	helper := newEntry(t, answered)
 	e := newEntry(t, answered, helper)
-	e.loseWay(t)
+	e.losePath(t)
 	e.direct.setCut(false)
-	await(t, "the way is found", func() bool { return e.State("svc") == coordination.Open })
+	await(t, "the path is found", func() bool { return e.State("svc") == coordination.Open })
 	if diff := cmp.Diff(0, len(e.direct.sent())); diff != "" {
 		t.Error(diff)
 	}
@@ -351,9 +351,9 @@
 	}
 }
 
-// Guards against an entry that has lost its own way and reports that instances ended, because its connections to
+// Guards against an entry that has lost its direct path and reports that instances ended, because its connections to
 // them are refused: a peer that reaches them knows better.
-func TestOwnLostWayIsNoSignOfAnEnd(t *testing.T) {
+func TestOwnLostPathIsNoSignOfAnEnd(t *testing.T) {
 	reaches, refused := newEntry(t, answered), newEntry(t, answered)
 	refused.direct.refuses = true
 	for _, c := range []struct {
@@ -361,7 +361,7 @@
 		want   bool
 	}{{reaches, false}, {refused, true}} {
 		e := newEntry(t, answered, c.helper)
-		e.loseWay(t)
+		e.losePath(t)
 		if diff := cmp.Diff(c.want, e.Refuses(t.Context(), instances[0])); diff != "" {
 			t.Error(diff)
 		}
@@ -376,13 +376,13 @@
 		return answered(ctx, a)
 	})
 	e := newEntry(t, answered, helper)
-	e.loseWay(t)
+	e.losePath(t)
 	replies := make(chan exchange.Reply, detour.MaxForwarded)
 	for range detour.MaxForwarded {
 		go func() { replies <- e.Send(t.Context(), newAttempt("1", instances[0])) }()
 	}
 	await(t, "the peer is full", func() bool { return len(helper.direct.sent()) == detour.MaxForwarded })
-	if unreached, ok := e.Send(t.Context(), newAttempt("1", instances[0])).(exchange.Unreached); !ok || !unreached.NoWay {
+	if unreached, ok := e.Send(t.Context(), newAttempt("1", instances[0])).(exchange.Unreached); !ok || !unreached.NoPath {
 		t.Error("a full peer took an attempt")
 	}
 	close(release)
@@ -394,7 +394,7 @@
 	unknown := registry.Instance{ID: "unknown", Service: "svc"}
 	await(t, "the peer is asked again", func() bool {
 		reply, ok := e.Send(t.Context(), newAttempt("1", unknown)).(exchange.Unreached)
-		return ok && !reply.NoWay
+		return ok && !reply.NoPath
 	})
 	res, err := http.Post("http://"+helper.address+detour.Path, "", strings.NewReader("\xff"))
 	if err != nil {
@@ -406,7 +406,7 @@
 	}
 }
 
-// BenchmarkSend shows what the watch of an open way adds to an attempt.
+// BenchmarkSend shows what the watch of an open path adds to an attempt.
 func BenchmarkSend(b *testing.B) {
 	direct := &fakeDirect{reply: answered}
 	u := &detour.Upstreams{Name: "e", Direct: direct, Metrics: detour.NewMetrics(), Instances: func(string) []registry.Instance { return instances }}
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -136,11 +136,11 @@
 	return e
 }
 
-// loseWay cuts an entry off and waits until it knows.
-func (e *entry) loseWay(t *testing.T) {
+// losePath cuts an entry off and waits until it knows.
+func (e *entry) losePath(t *testing.T) {
 	t.Helper()
 	e.direct.setCut(true)
-	await(t, "the entry knows that its way is lost", func() bool {
+	await(t, "the entry knows that its path is lost", func() bool {
 		for _, in := range instances {
 			e.SendDirect(t.Context(), newAttempt("lost", in))
 		}
--- a/internal/transport/detour/forward.go
+++ b/internal/transport/detour/forward.go
@@ -99,10 +99,10 @@
 	}
 	switch f.Upstreams.State(target.Service) {
 	case detour.Lost:
-		return detour.DeclineNoWay
+		return detour.DeclineNoPath
 	case detour.OpenConnectionsOnly:
 		if !f.Upstreams.Direct.HasIdle(target) {
-			return detour.DeclineNoWay
+			return detour.DeclineNoPath
 		}
 	}
 	return 0
--- a/internal/transport/detour/metrics.go
+++ b/internal/transport/detour/metrics.go
@@ -8,7 +8,7 @@
 
 // Metrics holds the metrics of detours. Create one with NewMetrics.
 type Metrics struct {
-	// state is the state of the own way to each service, and probes counts probes by their result.
+	// state is the state of the direct path to each service, and probes counts probes by their result.
 	state  *prometheus.GaugeVec
 	probes *prometheus.CounterVec
 	// detours counts attempts at peers by their result, and acceptSeconds has how long peers took to accept one.
@@ -22,9 +22,9 @@
 // NewMetrics returns metrics that are not registered yet.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		state:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_way_state", Help: "The entry's own way to the instances of a service: 0 open, 1 suspected, 2 open connections only, 3 lost."}, []string{"service"}),
-		probes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_way_probes_total", Help: "Probes of instances on new connections, by their result."}, []string{"service", "result"}),
-		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_detours_total", Help: "Attempts by way of another entry: passed on, or why one did not pass them on; none if there was no entry to ask."}, []string{"service", "result"}),
+		state:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_direct_path_state", Help: "The entry's direct path to the instances of a service: 0 open, 1 suspected, 2 open connections only, 3 lost."}, []string{"service"}),
+		probes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_direct_path_probes_total", Help: "Probes of instances on new connections, by their result."}, []string{"service", "result"}),
+		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_detours_total", Help: "Attempts through another entry: passed on, or why one did not pass them on; none if there was no entry to ask."}, []string{"service", "result"}),
 		// From 0.5 ms to 0.5 s.
 		acceptSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "shedrock_detour_accept_seconds", Help: "From sending an attempt to another entry until that entry accepts it.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 11)}),
 		forwarded:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_forwarded_total", Help: "Attempts of other entries: passed on to an instance, or why not."}, []string{"result"}),
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -1,4 +1,4 @@
-// Package detour sends requests to instances by way of another entry while this one has lost its own way to
+// Package detour sends requests to instances through another entry while this one has lost its direct path to
 // them, and does the same for other entries.
 //
 // What travels is one attempt: the entry that has the caller's request makes all decisions about it, and keeps
@@ -27,10 +27,10 @@
 // maxPeersTried is how many peers may decline one attempt. Each takes a round trip.
 const maxPeersTried = 3
 
-// errNoWay reports that neither this entry nor a peer that it knows has a way to the instance, and errNoPeer that no
+// errNoPath reports that neither this entry nor a peer that it knows has a path to the instance, and errNoPeer that no
 // peer takes an attempt.
 var (
-	errNoWay  = errors.New("no way to the instance: the own one is lost, and no other entry has one")
+	errNoPath = errors.New("no path to the instance: the own one is lost, and no other entry has one")
 	errNoPeer = errors.New("no other entry takes the attempt")
 )
 
@@ -44,7 +44,7 @@
 	HasIdle(in registry.Instance) bool
 }
 
-// Upstreams sends attempts to instances directly, or by way of a peer. Set the exported fields before Run and
+// Upstreams sends attempts to instances directly, or through a peer. Set the exported fields before Run and
 // Send. It is safe for concurrent use.
 type Upstreams struct {
 	// Name and FailureDomain are those of this entry.
@@ -52,23 +52,23 @@
 	Direct              Direct
 	// Instances returns the live instances of a service.
 	Instances func(service string) []registry.Instance
-	// Peers returns the entries that may be known to have a way. Without any, or if it is nil, all is sent directly.
+	// Peers returns the entries that may be known to have a path. Without any, or if it is nil, all is sent directly.
 	Peers func() []detour.Peer
-	// OnLost, when set, is called when the own way to a service has been lost: failures of before were not those
+	// OnLost, when set, is called when the direct path to a service has been lost: failures of before were not those
 	// of its instances.
 	OnLost  func(service string)
 	Metrics *Metrics
-	// Log receives one line per change of a way.
+	// Log receives one line per change of a direct path.
 	Log *log.Logger
 
 	once sync.Once
 	// pool holds connections to peers.
 	pool connpool.Pool
-	// active holds a token when a way needs to be watched.
+	// active holds a token when a path needs to be watched.
 	active chan struct{}
 
 	mu sync.Mutex
-	// The fields below are guarded by mu. paths holds the own way to each service.
+	// The fields below are guarded by mu. paths holds the direct path to each service.
 	paths  map[string]*detour.Path
 	peers  *detour.Peers
 	random *rand.Rand
@@ -83,7 +83,7 @@
 	})
 }
 
-// knownPeers returns the entries that may be known to have a way.
+// knownPeers returns the entries that may be known to have a path.
 func (u *Upstreams) knownPeers() []detour.Peer {
 	if u.Peers == nil {
 		return nil
@@ -91,7 +91,7 @@
 	return u.Peers()
 }
 
-// path returns the own way to a service. mu must be held.
+// path returns the direct path to a service. mu must be held.
 func (u *Upstreams) path(service string) *detour.Path {
 	p, ok := u.paths[service]
 	if !ok {
@@ -101,7 +101,7 @@
 	return p
 }
 
-// State returns the state of the own way to the instances of a service.
+// State returns the state of the direct path to the instances of a service.
 func (u *Upstreams) State(service string) detour.State {
 	u.init()
 	u.mu.Lock()
@@ -113,7 +113,7 @@
 	return p.State(clock.Now())
 }
 
-// LostSince returns since when the own way to a service has been lost; ok is false if it is not.
+// LostSince returns since when the direct path to a service has been lost; ok is false if it is not.
 func (u *Upstreams) LostSince(service string) (since time.Time, ok bool) {
 	u.init()
 	u.mu.Lock()
@@ -125,7 +125,7 @@
 	return p.Since(), true
 }
 
-// AnyLost reports whether the own way to any service is lost.
+// AnyLost reports whether the direct path to any service is lost.
 func (u *Upstreams) AnyLost() bool {
 	u.init()
 	now := clock.Now()
@@ -139,7 +139,7 @@
 	return false
 }
 
-// Send sends one attempt directly, or by way of a peer if the own way is lost. It sets the attempt's Via.
+// Send sends one attempt directly, or through a peer if the direct path is lost. It sets the attempt's Via.
 func (u *Upstreams) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 	u.init()
 	state := u.State(a.Instance.Service)
@@ -150,7 +150,7 @@
 		case ok:
 			return reply
 		case state == detour.Lost && !u.returning(a.Instance.Service):
-			return exchange.Unreached{Err: errNoWay, NoWay: true}
+			return exchange.Unreached{Err: errNoPath, NoPath: true}
 		}
 		return u.SendDirect(ctx, a)
 	}
@@ -165,7 +165,7 @@
 	return reply
 }
 
-// returning reports whether the lost way to a service may be tried where no peer has one: the service may have been
+// returning reports whether the lost path to a service may be tried where no peer has one: the service may have been
 // down for all.
 func (u *Upstreams) returning(service string) bool {
 	u.mu.Lock()
@@ -173,7 +173,7 @@
 	return u.path(service).Returning()
 }
 
-// doubtful reports whether an instance that was not reached may be reached by way of a peer.
+// doubtful reports whether an instance that was not reached may be reached through a peer.
 func (u *Upstreams) doubtful(service string) bool {
 	live := len(u.Instances(service))
 	u.mu.Lock()
@@ -240,7 +240,7 @@
 	return event, more, err
 }
 
-// sendByPeer sends one attempt by way of a peer; ok is false if no peer takes it.
+// sendByPeer sends one attempt through a peer; ok is false if no peer takes it.
 func (u *Upstreams) sendByPeer(ctx context.Context, a *exchange.Attempt) (reply exchange.Reply, ok bool) {
 	c, via, err := u.call(ctx, fromAttempt(u.Name, a), a.Deadline, a.AllowsDomain)
 	a.Via = via
@@ -318,7 +318,7 @@
 	u.Metrics.detours.WithLabelValues(service, why.String()).Inc()
 }
 
-// Refuses reports whether an instance's address refuses connections. While the own way is in doubt, a
+// Refuses reports whether an instance's address refuses connections. While the direct path is in doubt, a
 // refusal of this entry's own connection says nothing about the instance, and a peer is asked.
 func (u *Upstreams) Refuses(ctx context.Context, in registry.Instance) bool {
 	u.init()
@@ -358,7 +358,7 @@
 	u.watch()
 }
 
-// watch makes Run look at the ways.
+// watch makes Run look at the paths.
 func (u *Upstreams) watch() {
 	select {
 	case u.active <- struct{}{}:
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// watchInterval is how often the ways are checked while there are requests or failures.
+	// watchInterval is how often the paths are checked while there are requests or failures.
 	watchInterval = 100 * time.Millisecond
 	// probeTimeout is many times the round trip within a region, and leaves room for one lost packet less.
 	probeTimeout = 300 * time.Millisecond
@@ -20,12 +20,12 @@
 	sweepInterval = time.Second
 )
 
-// Run probes ways that are lost or suspected until ctx ends.
+// Run probes paths that are lost or suspected until ctx ends.
 func (u *Upstreams) Run(ctx context.Context) {
 	u.init()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
-	// due fires when the ways are to be checked; it is nil while there is nothing to check.
+	// due fires when the paths are to be checked; it is nil while there is nothing to check.
 	var due <-chan time.Time
 	for {
 		select {
@@ -50,7 +50,7 @@
 	}
 }
 
-// check starts the rounds of probes that are due. It reports whether any way needs to be checked again.
+// check starts the rounds of probes that are due. It reports whether any path needs to be checked again.
 func (u *Upstreams) check(ctx context.Context) (active bool) {
 	u.mu.Lock()
 	services := make([]string, 0, len(u.paths))
@@ -102,7 +102,7 @@
 	}
 }
 
-// probed records the result of a round of probes. It reports whether the way was lost by it.
+// probed records the result of a round of probes. It reports whether the path was lost by it.
 func (u *Upstreams) probed(service string, path *detour.Path, succeeded, probed int) (lost bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -113,7 +113,7 @@
 	}
 	u.Metrics.setState(service, path.State(now))
 	if path.State(now) == detour.Open {
-		u.Log.Info().Str("event", "way_found").Str("service", service).Dur("lost_ms", now.Sub(before)).Msg("")
+		u.Log.Info().Str("event", "path_restored").Str("service", service).Dur("lost_ms", now.Sub(before)).Msg("")
 		return false
 	}
 	for _, other := range u.paths {
@@ -121,7 +121,7 @@
 			other.Hint()
 		}
 	}
-	line := u.Log.Warn().Str("event", "way_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
+	line := u.Log.Warn().Str("event", "path_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
 		Int("failing", failing).Int("probed", probed).Int("peers", len(u.knownPeers()))
 	if !heard.IsZero() {
 		line = line.Dur("heard_age_ms", now.Sub(heard))
--- a/internal/transport/entry/attempt.go
+++ b/internal/transport/entry/attempt.go
@@ -51,7 +51,7 @@
 	j.lastActivity.Store(clock.Now().UnixNano())
 	switch reply := reply.(type) {
 	case exchange.Unreached:
-		return retry.Unreached{NoWay: reply.NoWay}
+		return retry.Unreached{NoPath: reply.NoPath}
 	case exchange.NotRun:
 		e.recordLoad(j, reply.Header)
 		e.recordRefusal(j, reply)
--- a/internal/transport/entry/detours.go
+++ b/internal/transport/entry/detours.go
@@ -11,13 +11,13 @@
 	"github.com/shedrock/shedrock/internal/transport/detour"
 )
 
-// Attempts at the upstreams of a model, and at the instances of a service, share their ways.
+// Attempts at the upstreams of a model, and at the instances of a service, share a path.
 const (
 	modelGroup   = "model "
 	serviceGroup = "service "
 )
 
-// initDetours makes attempts that this entry cannot send itself go by way of other entries, and serves those of
+// initDetours makes attempts that this entry cannot send itself go through other entries, and serves those of
 // others.
 func (e *Entry) initDetours() {
 	e.detours = &detour.Upstreams{
@@ -83,7 +83,7 @@
 	return reply
 }
 
-// forgetFailures drops what this entry holds against the upstreams of a model to which it has lost its own way.
+// forgetFailures drops what this entry holds against the upstreams of a model to which it has lost its direct path.
 func (e *Entry) forgetFailures(group string) {
 	model, ok := strings.CutPrefix(group, modelGroup)
 	if !ok {
@@ -98,9 +98,9 @@
 	}
 }
 
-// wayLost reports whether this entry has lost its own way to the upstreams of a model, so that it learns nothing
+// pathLost reports whether this entry has lost its direct path to the upstreams of a model, so that it learns nothing
 // about them by its own polls.
-func (e *Entry) wayLost(model string) bool {
+func (e *Entry) pathLost(model string) bool {
 	_, lost := e.detours.LostSince(modelGroup + model)
 	return lost
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -97,7 +97,7 @@
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
 	upstreams  *upstream.Client
-	// detours sends attempts, directly or by way of other entries.
+	// detours sends attempts, directly or through other entries.
 	detours *detour.Upstreams
 	sealer  *cursor.Sealer
 	metrics *metrics
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -167,7 +167,7 @@
 // unresponsive is ejected, and the attempts in progress there are cancelled, so that
 // they can be resumed, or run again elsewhere. An attempt that was sent after the
 // previous poll is left until the next one: polls that went unanswered before it say
-// nothing about it. While this entry has lost its own way to the model's upstreams, no poll says anything about
+// nothing about it. While this entry has lost its direct path to the model's upstreams, no poll says anything about
 // one of them.
 func (p *poller) recordPollFailure(ctx context.Context) {
 	if ctx.Err() != nil {
@@ -176,7 +176,7 @@
 	e := p.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.wayLost(e.planner.Upstream(p.number).Model) {
+	if e.pathLost(e.planner.Upstream(p.number).Model) {
 		return
 	}
 	p.unanswered++
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -87,8 +87,8 @@
 func resultOf(reply exchange.Reply) result {
 	switch reply := reply.(type) {
 	case exchange.Unreached:
-		if reply.NoWay {
-			return result{outcome: outcome.NotRun{Reason: outcome.ReasonNoWay}}
+		if reply.NoPath {
+			return result{outcome: outcome.NotRun{Reason: outcome.ReasonNoPath}}
 		}
 		return result{outcome: outcome.NotRun{Reason: outcome.ReasonUnreachable}}
 	case exchange.NotRun:
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -139,7 +139,7 @@
 		var p entryPeer
 		if i < len(in.EntryPeers) {
 			e := in.EntryPeers[i]
-			p = entryPeer{detour.Peer{Address: e.Address, FailureDomain: e.FailureDomain}, e.WayLost}
+			p = entryPeer{detour.Peer{Address: e.Address, FailureDomain: e.FailureDomain}, e.PathLost}
 		}
 		out[name] = p
 	}
--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -23,8 +23,8 @@
 // entryPeer is an entry as other entries reach it. Address is empty if they do not.
 type entryPeer struct {
 	detour.Peer
-	// wayLost is true while the entry does not reach the instances of some service.
-	wayLost bool
+	// pathLost is true while the entry does not reach the instances of some service.
+	pathLost bool
 }
 
 // entryTable holds the entries that polled lately. The zero value is empty.
@@ -48,7 +48,7 @@
 	if t.polled == nil {
 		t.polled = map[string]entryStatus{}
 	}
-	peer := entryPeer{detour.Peer{Address: in.PeerAddress, FailureDomain: in.FailureDomain}, in.WayLost}
+	peer := entryPeer{detour.Peer{Address: in.PeerAddress, FailureDomain: in.FailureDomain}, in.PathLost}
 	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations, standby: in.Standby, peer: peer}
 	if known && before.peer == peer {
 		return
@@ -107,14 +107,14 @@
 	t.merge()
 }
 
-// sample returns the entries that an entry is told of as its peers. Those without a way come last, as all may
-// lack the way to a service that is down.
+// sample returns the entries that an entry is told of as its peers. Those without a path come last, as all may
+// lack the path to a service that is down.
 func (t *entryTable) sample(name, domain string) []detour.Peer {
 	var open, lost []detour.Peer
 	add := func(other string, p entryPeer) {
 		switch {
 		case other == name || p.Address == "":
-		case p.wayLost:
+		case p.pathLost:
 			lost = append(lost, p.Peer)
 		default:
 			open = append(open, p.Peer)
@@ -174,7 +174,7 @@
 	out.EntryNames = s.entries.names
 	for _, name := range s.entries.names {
 		p := s.entries.polled[name].peer
-		out.EntryPeers = append(out.EntryPeers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain, WayLost: p.wayLost})
+		out.EntryPeers = append(out.EntryPeers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain, PathLost: p.pathLost})
 	}
 }
 
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -46,10 +46,10 @@
 	Entry bool
 	// FailureDomain is the failure domain of this process. Sources in it are preferred.
 	FailureDomain string
-	// PeerAddress is where other entries reach this entry, or empty if they do not. WayLost reports whether this
+	// PeerAddress is where other entries reach this entry, or empty if they do not. PathLost reports whether this
 	// entry does not reach the instances of some service; it must be set with PeerAddress.
 	PeerAddress string
-	WayLost     func() bool
+	PathLost    func() bool
 	// Relay, when set, is the source of this process, a control instance, and Address its own address.
 	// What the other sources report is relayed to the pollers of Relay.
 	Relay   *Source
@@ -105,7 +105,7 @@
 	// ownDomainSince is since when control instances of the own failure domain have answered without a
 	// gap, or zero.
 	ownDomainSince time.Time
-	// peers holds the entries by way of which this entry may send requests.
+	// peers holds the entries through which this entry may send requests.
 	peers []detour.Peer
 	// relayedLoads identifies the loads that were last relayed.
 	relayedLoads loadsVersion
--- a/internal/transport/fleet/peers_test.go
+++ b/internal/transport/fleet/peers_test.go
@@ -13,10 +13,10 @@
 )
 
 // startPeer starts an entry that others may send requests by.
-func startPeer(t *testing.T, i int, seed *relayingControl, wayLost *atomic.Bool) *fleet.Follower {
+func startPeer(t *testing.T, i int, seed *relayingControl, pathLost *atomic.Bool) *fleet.Follower {
 	t.Helper()
 	f := &fleet.Follower{
-		Name: fmt.Sprint("e", i), Entry: true, FailureDomain: fmt.Sprint("d", i%3), PeerAddress: peerAddress(i), WayLost: wayLost.Load,
+		Name: fmt.Sprint("e", i), Entry: true, FailureDomain: fmt.Sprint("d", i%3), PeerAddress: peerAddress(i), PathLost: pathLost.Load,
 		Heartbeat: time.Hour, Log: discardLogger, Decode: decodeVersion, Seeds: func() []string { return []string{seed.address()} },
 	}
 	runFollower(t, f)
@@ -27,7 +27,7 @@
 
 // Entries are told of a few others, whichever control instances each polls, and not of those that have lost their
 // way as long as there are others. They know them still when no control instance answers any more.
-func TestEntriesAreToldOfPeersWithAWay(t *testing.T) {
+func TestEntriesAreToldOfPeersWithAPath(t *testing.T) {
 	const n = 12
 	controls := startRelayingControls(t, 5, 3, time.Hour)
 	lost := make([]atomic.Bool, n)
@@ -50,7 +50,7 @@
 			t.Errorf("peers of entry %d in its own failure domain: %s", i, diff)
 		}
 	}
-	// The entries 3 to 11 lose their way: 0, 1 and 2 come first.
+	// The entries 3 to 11 lose their path: 0, 1 and 2 come first.
 	for i := 3; i < n; i++ {
 		lost[i].Store(true)
 	}
@@ -61,7 +61,7 @@
 				want[detour.Peer{Address: peerAddress(j), FailureDomain: fmt.Sprint("d", j)}] = true
 			}
 		}
-		waitFor(t, "the peers with a way come first", func() bool {
+		waitFor(t, "the peers with a path come first", func() bool {
 			peers := f.View().Peers
 			got := map[detour.Peer]bool{}
 			for _, p := range peers[:min(len(want), len(peers))] {
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -60,7 +60,7 @@
 	// Entries is the highest number of entries that any source counted lately, at least 1, and Rank
 	// this entry's rank among them.
 	Entries, Rank int
-	// Peers holds the entries by way of which this entry may send requests.
+	// Peers holds the entries through which this entry may send requests.
 	Peers []detour.Peer
 }
 
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -143,7 +143,7 @@
 		in.PeersChange = s.peersChange
 	}
 	if f.Entry && f.PeerAddress != "" {
-		in.PeerAddress, in.FailureDomain, in.WayLost = f.PeerAddress, f.FailureDomain, f.WayLost()
+		in.PeerAddress, in.FailureDomain, in.PathLost = f.PeerAddress, f.FailureDomain, f.PathLost()
 	}
 	return in
 }
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -79,7 +79,7 @@
 	// contacts are the live entries that share the directory. owners has the owner of each
 	// part of the directory.
 	contacts, owners []membership.Contact
-	// sample holds the entries by way of which this one may send requests.
+	// sample holds the entries through which this one may send requests.
 	sample []coordination.Peer
 }
 
@@ -208,8 +208,8 @@
 	return max(len(p.contacts), 1)
 }
 
-// Sample returns the entries of the region by way of which this one may send requests. Not all of them need have a
-// way themselves.
+// Sample returns the entries of the region through which this one may send requests. Not all of them need have a
+// path themselves.
 func (p *Peers) Sample() []coordination.Peer {
 	p.init()
 	p.mu.Lock()
--- a/internal/transport/serving/forwarded.go
+++ b/internal/transport/serving/forwarded.go
@@ -17,7 +17,7 @@
 // errLeaving reports that an instance has announced its shutdown to this entry.
 var errLeaving = errors.New("the instance is leaving")
 
-// Forward sends an attempt of another entry, which has lost its own way. To the instance this entry is the
+// Forward sends an attempt of another entry, which has lost its direct path. To the instance this entry is the
 // sender, so the attempt obeys what the instance asked of this entry, and counts as load from it. send sends the
 // attempt directly.
 func (s *Server) Forward(ctx context.Context, a *exchange.Attempt, send func(context.Context, *exchange.Attempt) exchange.Reply) exchange.Reply {
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -82,7 +82,7 @@
 	condition conditionSnapshot
 	// weights is the state by which the weight version of the last attempt was chosen.
 	weights weightsSnapshot
-	// via is the address of the entry by way of which the last attempt was sent, or empty.
+	// via is the address of the entry through which the last attempt was sent, or empty.
 	via string
 	// answerAge is how long ago any instance of the service had answered when the last attempt ended, or negative
 	// if none ever has.
@@ -207,7 +207,7 @@
 	if gone {
 		err = errSuperseded
 	}
-	if cause := context.Cause(trackedCtx); cause == errDomainUnreachable || cause == errWayLost {
+	if cause := context.Cause(trackedCtx); cause == errDomainUnreachable || cause == errPathLost {
 		err = cause
 	}
 	if _, whole := end.(retry.Completed); !whole && ctx.Err() == context.Canceled {
@@ -223,8 +223,8 @@
 		result.Latency = respondedAt.Sub(sentAt)
 		result.Failed = end.Status >= 500
 	case retry.Unreached:
-		// Without a way, the attempt says nothing about the instance.
-		result.Aborted = end.NoWay
+		// Without a path, the attempt says nothing about the instance.
+		result.Aborted = end.NoPath
 		result.Failed, result.Unreachable, result.TimedOut = true, true, timedOut(reply, err)
 	case retry.Misdirected:
 		result.Failed, result.Unreachable = true, true
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -55,7 +55,7 @@
 	line.Msg("")
 }
 
-// addVia adds to a log line by way of which entry the last attempt was sent.
+// addVia adds to a log line through which entry the last attempt was sent.
 func (j *job) addVia(line *log.Entry) *log.Entry {
 	if j.via == "" {
 		return line
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -19,7 +19,7 @@
 func (j *job) forward(ctx context.Context, reply exchange.Reply, watch *weightsWatch) (retry.Result, error) {
 	switch reply := reply.(type) {
 	case exchange.Unreached:
-		return retry.Unreached{NoWay: reply.NoWay}, reply.Err
+		return retry.Unreached{NoPath: reply.NoPath}, reply.Err
 	case exchange.NotRun:
 		if reply.Misdirected {
 			return retry.Misdirected{}, errors.New("misdirected: another instance has the address, or its weights changed")
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -89,9 +89,9 @@
 	View func() *fleet.View
 	// Upstreams sends requests to instances.
 	Upstreams exchange.Upstreams
-	// WayLostSince returns since when this entry has lost its own way to the instances of a service; ok is false
+	// PathLostSince returns since when this entry has lost its direct path to the instances of a service; ok is false
 	// if it has not. When nil, attempts wait until they fail.
-	WayLostSince func(service string) (since time.Time, ok bool)
+	PathLostSince func(service string) (since time.Time, ok bool)
 	// Allowance limits resends over all entries.
 	Allowance retry.Allowance
 	// OldWeightsGrace is how long after the announcement of newer weights requests may still begin on
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -14,21 +14,21 @@
 // Heartbeats report a restart some hundred milliseconds after it.
 const supersededInterval = 250 * time.Millisecond
 
-// lossMargin is how long before the loss of the way an attempt must have been sent to be canceled for it: later
-// ones may have been sent by way of another entry.
+// lossMargin is how long before the loss of the path an attempt must have been sent to be canceled for it: later
+// ones may have been sent through another entry.
 const lossMargin = 400 * time.Millisecond
 
 // overdueAfter is how long after its deadline an attempt is canceled if its own timers have not done so.
 const overdueAfter = 2 * deadlineGrace
 
 // errSuperseded reports that the process that had a request no longer exists, errDomainUnreachable that
-// its failure domain was cut off from this one, errWayLost that this entry lost its way to all instances of the
+// its failure domain was cut off from this one, errPathLost that this entry lost its path to all instances of the
 // service, and errOverdue that the deadline passed while the timers did
 // not run.
 var (
 	errSuperseded        = errors.New("the instance restarted, or another one has its address")
 	errDomainUnreachable = errors.New("the instance's failure domain is unreachable")
-	errWayLost           = errors.New("the entry lost its way to the instances of the service")
+	errPathLost          = errors.New("the entry lost its path to the instances of the service")
 	errOverdue           = errors.New("deadline exceeded while the machine was suspended")
 )
 
@@ -69,7 +69,7 @@
 
 // cancelStale cancels the attempts at instances that were superseded, and those whose deadline passed
 // while the machine was suspended, when the timers that enforce it do not advance. An attempt at a failure
-// domain that is unreachable, or sent before the way to its service was lost, is canceled if the request may be
+// domain that is unreachable, or sent before the path to its service was lost, is canceled if the request may be
 // sent again, once for each request. It returns the number of attempts in flight.
 func (s *Server) cancelStale() int {
 	s.mu.Lock()
@@ -85,7 +85,7 @@
 			a.cancel(errDomainUnreachable)
 		case !j.wasCutOff && j.attempts.MayFollow() && s.sentBeforeLoss(a):
 			j.wasCutOff = true
-			a.cancel(errWayLost)
+			a.cancel(errPathLost)
 		case now.Sub(j.deadline) > overdueAfter:
 			a.cancel(errOverdue)
 		}
@@ -93,11 +93,11 @@
 	return len(s.inFlight)
 }
 
-// sentBeforeLoss reports whether an attempt was sent before this entry lost its way to the service's instances.
+// sentBeforeLoss reports whether an attempt was sent before this entry lost its path to the service's instances.
 func (s *Server) sentBeforeLoss(a inFlightAttempt) bool {
-	if s.WayLostSince == nil {
+	if s.PathLostSince == nil {
 		return false
 	}
-	since, lost := s.WayLostSince(a.target.Service)
+	since, lost := s.PathLostSince(a.target.Service)
 	return lost && since.Sub(a.sentAt) > lossMargin
 }
