--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -20,8 +20,8 @@
 	// silentAfter is how long no instance may respond while requests wait, before a probe. Engines at normal
 	// load are silent for that long only while there are few requests.
 	silentAfter = 400 * time.Millisecond
-	// heardWindow is how long after a response open connections count as working.
-	heardWindow = 500 * time.Millisecond
+	// responseWindow is how long after a response open connections count as working.
+	responseWindow = 500 * time.Millisecond
 	// probeInterval is the time between two rounds of probes while the path is lost.
 	probeInterval = 300 * time.Millisecond
 	// minRecheck is the time after a round that found the path open until the next suspicion is probed. It
@@ -85,7 +85,7 @@
 	// was sent, or when any instance last responded, if that was later.
 	waiting      int
 	waitingSince time.Time
-	lastHeard    time.Time
+	lastResponse time.Time
 	// hinted is true after Hint, until the next round of probes.
 	hinted bool
 	// probing is true while a round of probes is under way, and lost after one that failed.
@@ -104,7 +104,7 @@
 // State returns the state of the path.
 func (p *Path) State(now time.Time) State {
 	switch {
-	case p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) < heardWindow:
+	case p.lost && !p.lastResponse.IsZero() && now.Sub(p.lastResponse) < responseWindow:
 		return OpenConnectionsOnly
 	case p.lost:
 		return Lost
@@ -127,8 +127,8 @@
 // Failures returns the number of instances at which requests failed lately.
 func (p *Path) Failures() int { return len(p.failures) }
 
-// LastHeard returns when any instance last responded to this entry, or zero.
-func (p *Path) LastHeard() time.Time { return p.lastHeard }
+// LastResponse returns when any instance last responded to this entry, or zero.
+func (p *Path) LastResponse() time.Time { return p.lastResponse }
 
 // Failing reports whether a request failed lately at an instance that has not responded since.
 func (p *Path) Failing(target registry.Incarnation) bool {
@@ -147,9 +147,9 @@
 // End records that a request no longer waits for a response.
 func (p *Path) End() { p.waiting-- }
 
-// Heard records that an instance responded to this entry directly.
-func (p *Path) Heard(target registry.Incarnation, now time.Time) {
-	p.lastHeard = now
+// Responded records that an instance responded to this entry directly.
+func (p *Path) Responded(target registry.Incarnation, now time.Time) {
+	p.lastResponse = now
 	p.waitingSince = now
 	delete(p.failures, target)
 }
--- a/internal/coordination/detour/path_test.go
+++ b/internal/coordination/detour/path_test.go
@@ -56,7 +56,7 @@
 		{"two instances fail, one responds", func(p *detour.Path) {
 			p.Failed(instance(1), start)
 			p.Failed(instance(2), start)
-			p.Heard(instance(1), start)
+			p.Responded(instance(1), start)
 		}, live, 0, false},
 		{"failures of long ago", func(p *detour.Path) {
 			p.Failed(instance(1), start)
@@ -67,12 +67,12 @@
 		{"a request waits, others are answered", func(p *detour.Path) {
 			p.Begin(start)
 			p.Begin(start)
-			p.Heard(instance(1), after(300*time.Millisecond))
+			p.Responded(instance(1), after(300*time.Millisecond))
 			p.End()
 		}, live, 500 * time.Millisecond, false},
 		{"no request waits", func(p *detour.Path) {
 			p.Begin(start)
-			p.Heard(instance(1), start)
+			p.Responded(instance(1), start)
 			p.End()
 		}, live, time.Minute, false},
 	}
@@ -142,7 +142,7 @@
 // While responses still arrive on open connections, these may be used although new ones fail.
 func TestOpenConnectionsOutliveNewOnes(t *testing.T) {
 	var p detour.Path
-	p.Heard(instance(3), start)
+	p.Responded(instance(3), start)
 	lose(t, &p, start)
 	if diff := cmp.Diff(detour.OpenConnectionsOnly, p.State(after(400*time.Millisecond))); diff != "" {
 		t.Error(diff)
@@ -150,7 +150,7 @@
 	if diff := cmp.Diff(detour.Lost, p.State(after(600*time.Millisecond))); diff != "" {
 		t.Error(diff)
 	}
-	p.Heard(instance(3), after(700*time.Millisecond))
+	p.Responded(instance(3), after(700*time.Millisecond))
 	if diff := cmp.Diff(detour.OpenConnectionsOnly, p.State(after(800*time.Millisecond))); diff != "" {
 		t.Error(diff)
 	}
@@ -198,7 +198,7 @@
 			case 1:
 				p.Failed(instance(random.IntN(live)), now)
 			case 2:
-				p.Heard(instance(random.IntN(live)), now)
+				p.Responded(instance(random.IntN(live)), now)
 			case 3:
 				if waiting > 0 {
 					p.End()
--- a/internal/coordination/detour/peers_test.go
+++ b/internal/coordination/detour/peers_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// A peer that accepts nothing more gets no further requests, and a canceled request says nothing about one.
+// A peer that accepts nothing more gets no further requests, and a canceled request is no evidence about one.
 func TestUnresponsivePeerIsAvoided(t *testing.T) {
 	p := detour.NewPeers(1)
 	all := peers(1)
@@ -79,35 +79,35 @@
 	}
 }
 
-// Entries are told of few peers whatever the number of entries, of the own failure domain and of others, and each
-// peer is told to about as many.
+// Samples have the same size whatever the number of entries, hold peers of the own failure domain and of others, and
+// each peer is in about as many of them.
 func TestSampleIsSmallAndEven(t *testing.T) {
 	for _, n := range []int{9, 300, 1000} {
 		all := peers(n)
-		told := map[string]int{}
+		counts := map[string]int{}
 		for i, self := range all {
 			others := append(append([]detour.Peer(nil), all[:i]...), all[i+1:]...)
 			sample := detour.Sample(fmt.Sprint("e", i), self.FailureDomain, others, nil)
 			own := 0
 			for _, p := range sample {
-				told[p.Address]++
+				counts[p.Address]++
 				if p.FailureDomain == self.FailureDomain {
 					own++
 				}
 			}
 			if wantOwn := min(4, n/3-1); len(sample) != min(8, n-1) || own < wantOwn {
-				t.Fatalf("of %d entries, one is told of %d, %d of them of its own failure domain", n, len(sample), own)
+				t.Fatalf("of %d entries, one has a sample of %d, %d of them of its own failure domain", n, len(sample), own)
 			}
 		}
-		for address, times := range told {
+		for address, times := range counts {
 			if n > 100 && times > 30 {
-				t.Errorf("of %d entries, %d are told of %s", n, times, address)
+				t.Errorf("of %d entries, %d have %s in their sample", n, times, address)
 			}
 		}
 	}
 }
 
-// Peers that have lost their path are told of only where there are too few others: all may have lost the path to a
+// Peers that have lost their path are sampled only where there are too few others: all may have lost the path to a
 // service that is down.
 func TestSampleHasPeersWithAPathFirst(t *testing.T) {
 	all := peers(20)
@@ -121,7 +121,7 @@
 	}
 	for _, p := range detour.Sample("e", "d0", all[:10], all[10:]) {
 		if !open[p] {
-			t.Errorf("%v has lost its path and is told of", p)
+			t.Errorf("%v has lost its path and is in the sample", p)
 		}
 	}
 }
--- a/internal/coordination/detour/replay_test.go
+++ b/internal/coordination/detour/replay_test.go
@@ -111,7 +111,7 @@
 	return d[len(d)*95/100]
 }
 
-// samplesOf returns the sample that each entry that is cut off is told of, as indices.
+// samplesOf returns the sample of each entry that is cut off, as indices.
 func samplesOf(c replayCase, all []detour.Peer) [][]int {
 	index := map[string]int{}
 	for i, p := range all {
--- a/internal/coordination/detour/sample.go
+++ b/internal/coordination/detour/sample.go
@@ -36,14 +36,14 @@
 }
 
 const (
-	// sampleOwnDomain is how many peers of its own failure domain an entry is told, and sampleOthers how many
-	// of other domains. They are few, so that this scales to any number of entries, and enough that one with
+	// sampleOwnDomain is the number of peers of the own failure domain in a sample, and sampleOthers the number
+	// of those of other domains. They are few, so that this scales to any number of entries, and enough that one with
 	// a path is among them while the control instances leave out those without.
 	sampleOwnDomain = 4
 	sampleOthers    = 4
 )
 
-// Sample returns the peers that an entry is told of, out of those with a path and, where these are too few, those
+// Sample returns the peers that an entry learns of, out of those with a path and, where these are too few, those
 // that have lost theirs. It uses rendezvous hashing: each peer is in about as many samples, and a change of the set
 // changes few samples.
 func Sample(name, domain string, open, lost []Peer) []Peer {
--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -282,7 +282,7 @@
 			return name
 		}
 		<-time.After(openerPause)
-		// A connection attempt may have been given up meanwhile; then nobody will hold the socket.
+		// A connection attempt may have been given up meanwhile; then no process will hold the socket.
 		now, err := socketInode(other, c.LocalAddr().(*net.TCPAddr))
 		if err != nil || now != inode {
 			return Outside
--- a/internal/transport/control/lane.go
+++ b/internal/transport/control/lane.go
@@ -131,7 +131,7 @@
 }
 
 // inGrace reports whether delivered entries count as in flight. While a delivery is under way that began in time,
-// they do: whether it succeeds tells whether the peer is still there. The caller must hold mu.
+// they do: whether it succeeds shows whether the peer is still running. The caller must hold mu.
 func (q *sendQueue) inGrace(now time.Time) bool {
 	return now.Before(q.graceUntil) || q.inFlight > 0 && q.began.Before(q.graceUntil)
 }
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/clock"
 	coordination "github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
@@ -140,7 +141,7 @@
 func (e *entry) losePath(t *testing.T) {
 	t.Helper()
 	e.direct.setCut(true)
-	await(t, "the entry knows that its path is lost", func() bool {
+	await.Until(t, patience, "the entry knows that its path is lost", func() bool {
 		for _, in := range instances {
 			e.SendDirect(t.Context(), newAttempt("lost", in))
 		}
@@ -148,15 +149,6 @@
 	})
 }
 
-func await(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for began := time.Now(); !ok(); time.Sleep(5 * time.Millisecond) {
-		if time.Since(began) > patience {
-			t.Fatal("not in time: " + what)
-		}
-	}
-}
-
 func newAttempt(id string, in registry.Instance) *exchange.Attempt {
 	return &exchange.Attempt{
 		Request:  &exchange.Request{ID: id, Method: "POST", Target: "/x?y=1", Host: "h", Header: http.Header{"X-Own": {"1", "2"}}, Body: []byte("body")},
--- a/internal/transport/detour/forward.go
+++ b/internal/transport/detour/forward.go
@@ -41,7 +41,7 @@
 type Forwarder struct {
 	// Upstreams is this entry's own.
 	Upstreams *Upstreams
-	// Send sends an attempt directly, and records at this entry what the reply says of the instance.
+	// Send sends an attempt directly, and records at this entry the condition that the instance reports.
 	Send func(ctx context.Context, a *exchange.Attempt) exchange.Reply
 	// Knows reports whether an instance is one that this entry would send requests to.
 	Knows func(in registry.Instance) bool
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -196,16 +196,16 @@
 	path.End()
 	switch {
 	case !gotNothing(reply):
-		path.Heard(target, clock.Now())
+		path.Responded(target, clock.Now())
 	case ctx.Err() == nil:
 		path.Failed(target, clock.Now())
 		u.watch()
 	}
 	if stream, ok := reply.(exchange.Stream); ok {
-		stream.Events = &heardEvents{Events: stream.Events, heard: func() {
+		stream.Events = &observedEvents{Events: stream.Events, responded: func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			path.Heard(target, clock.Now())
+			path.Responded(target, clock.Now())
 		}}
 		return stream
 	}
@@ -225,17 +225,17 @@
 	return false
 }
 
-// heardEvents records that the instance of a stream responds.
-type heardEvents struct {
+// observedEvents records that the instance of a stream responds.
+type observedEvents struct {
 	exchange.Events
-	heard func()
+	responded func()
 }
 
 // Next returns the next event.
-func (h *heardEvents) Next() (event exchange.Event, more bool, err error) {
+func (h *observedEvents) Next() (event exchange.Event, more bool, err error) {
 	event, more, err = h.Events.Next()
 	if err == nil && !more {
-		h.heard()
+		h.responded()
 	}
 	return event, more, err
 }
@@ -306,7 +306,7 @@
 	u.Metrics.acceptSeconds.Observe(delay.Seconds())
 }
 
-// declined records that a peer did not take an attempt. One that was canceled here says nothing about the peer.
+// declined records that a peer did not take an attempt. An attempt that was canceled here is no evidence about the peer.
 func (u *Upstreams) declined(service string, peer detour.Peer, why detour.Decline, canceled bool, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -319,7 +319,7 @@
 }
 
 // Refuses reports whether an instance's address refuses connections. While the direct path is in doubt, a
-// refusal of this entry's own connection says nothing about the instance, and a peer is asked.
+// refusal of this entry's own connection is no evidence about the instance, and a peer is asked.
 func (u *Upstreams) Refuses(ctx context.Context, in registry.Instance) bool {
 	u.init()
 	if len(u.knownPeers()) == 0 {
@@ -351,7 +351,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if responded {
-		u.path(in.Service).Heard(in.Incarnation(), clock.Now())
+		u.path(in.Service).Responded(in.Incarnation(), clock.Now())
 		return
 	}
 	u.path(in.Service).Failed(in.Incarnation(), clock.Now())
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -107,7 +107,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := clock.Now()
-	before, failing, heard := path.Since(), path.Failures(), path.LastHeard()
+	before, failing, lastResponse := path.Since(), path.Failures(), path.LastResponse()
 	if !path.Probed(succeeded, now) {
 		return false
 	}
@@ -123,8 +123,8 @@
 	}
 	line := u.Log.Warn().Str("event", "path_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
 		Int("failing", failing).Int("probed", probed).Int("peers", len(u.knownPeers()))
-	if !heard.IsZero() {
-		line = line.Dur("heard_age_ms", now.Sub(heard))
+	if !lastResponse.IsZero() {
+		line = line.Dur("response_age_ms", now.Sub(lastResponse))
 	}
 	line.Msg("")
 	return true
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -167,8 +167,8 @@
 // unresponsive is ejected, and the attempts in progress there are cancelled, so that
 // they can be resumed, or run again elsewhere. An attempt that was sent after the
 // previous poll is left until the next one: polls that went unanswered before it say
-// nothing about it. While this entry has lost its direct path to the model's upstreams, no poll says anything about
-// one of them.
+// nothing about it. While this entry has lost its direct path to the model's upstreams, a failed poll is no
+// evidence about one of them.
 func (p *poller) recordPollFailure(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -132,7 +132,7 @@
 	return out
 }
 
-// toEntryPeers returns the entries of an answer by name. A source of an earlier version tells their names only.
+// toEntryPeers returns the entries of an answer by name. A source of an earlier version sends their names only.
 func toEntryPeers(in *wire.FleetResponse) map[string]entryPeer {
 	out := make(map[string]entryPeer, len(in.EntryNames))
 	for i, name := range in.EntryNames {
--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -107,7 +107,7 @@
 	t.merge()
 }
 
-// sample returns the entries that an entry is told of as its peers. Those without a path come last, as all may
+// sample returns the peers that an entry learns of. Those without a path come last, as all may
 // lack the path to a service that is down.
 func (t *entryTable) sample(name, domain string) []detour.Peer {
 	var open, lost []detour.Peer
--- a/internal/transport/fleet/peers_test.go
+++ b/internal/transport/fleet/peers_test.go
@@ -25,9 +25,9 @@
 
 func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
-// Entries are told of a few others, whichever control instances each polls, and not of those that have lost their
-// way as long as there are others. They know them still when no control instance answers any more.
-func TestEntriesAreToldOfPeersWithAPath(t *testing.T) {
+// Entries learn of a few others, whichever control instances each polls, and not of those that have lost their
+// path as long as there are others. They keep them when no control instance answers any more.
+func TestEntriesLearnOfPeersWithAPath(t *testing.T) {
 	const n = 12
 	controls := startRelayingControls(t, 5, 3, time.Hour)
 	lost := make([]atomic.Bool, n)
@@ -41,7 +41,7 @@
 			own := 0
 			for _, p := range f.View().Peers {
 				if p.Address == peerAddress(i) {
-					t.Fatalf("entry %d is told of itself", i)
+					t.Fatalf("entry %d is its own peer", i)
 				}
 				if p.FailureDomain == fmt.Sprint("d", i%3) {
 					own++
--- a/internal/transport/serving/forwarded_test.go
+++ b/internal/transport/serving/forwarded_test.go
@@ -15,7 +15,7 @@
 )
 
 // To an instance, the entry that forwards is the sender: what the instance asks of it holds for attempts of other
-// entries as well, and the entry that has the caller is told.
+// entries as well, and is reported to the entry that has the caller.
 func TestForwardedAttemptsObeyTheInstance(t *testing.T) {
 	server := &serving.Server{
 		View: func() *fleet.View { return &fleet.View{Entries: 1} }, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel},
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -223,7 +223,7 @@
 		result.Latency = respondedAt.Sub(sentAt)
 		result.Failed = end.Status >= 500
 	case retry.Unreached:
-		// Without a path, the attempt says nothing about the instance.
+		// Without a path, the attempt is no evidence about the instance.
 		result.Aborted = end.NoPath
 		result.Failed, result.Unreachable, result.TimedOut = true, true, timedOut(reply, err)
 	case retry.Misdirected:
