control: log large deliveries to other replicas, with their entries, size, time and error

What was missing: when a link carried more than the texts, the log did not tell which entries had crossed it, in what order, or which delivery had failed.

--- a/internal/transport/control/network.go
+++ b/internal/transport/control/network.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/replication"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 )
@@ -149,10 +150,34 @@
 	transfer := time.Duration(sizeOf(messages...)) * time.Second / minBytesPerSecond
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout+transfer)
 	defer cancel()
+	began := clock.Now()
 	_, err := wire.NewReplicationProtobufClient("http://"+address, client).Deliver(ctx, batch)
+	r.logDelivery(address, messages, clock.Since(began), err)
 	return err
 }
 
+// logDelivery logs a delivery that is large enough to occupy a slow link.
+func (r *Replica) logDelivery(address string, messages []replication.Message, took time.Duration, err error) {
+	bytes := sizeOf(messages...)
+	if bytes <= overtakeBytes {
+		return
+	}
+	var first, last uint64
+	snapshot := false
+	for _, m := range messages {
+		snapshot = snapshot || m.Snapshot != nil
+		if len(m.Entries) == 0 {
+			continue
+		}
+		if first == 0 {
+			first = m.Entries[0].Index
+		}
+		last = m.Entries[len(m.Entries)-1].Index
+	}
+	r.Log.Info().Str("event", "delivery").Str("peer", address).Uint64("first_index", first).Uint64("last_index", last).
+		Bool("snapshot", snapshot).Int("bytes", bytes).Int64("took_ms", took.Milliseconds()).AnErr("error", err).Msg("")
+}
+
 // reportFailedSnapshots reports undelivered snapshots to the machine. Otherwise the machine would
 // wait for as long as a snapshot takes on a slow link before it sends the next one.
 func (r *Replica) reportFailedSnapshots(ctx context.Context, messages []replication.Message) {
