Of two reports whether an entry has a path, the newer one counts

Cause: an entry polls two control instances, and those relay to one another. The second one hears of a loss up to a poll later; a relay merged the reports in the order of a map, and an entry took the sample that came last. Class: an older report overrides a newer one.

Change: reports carry when the path was lost or found last, by the entry's own clock, and tables, relays and entries keep the newer one.

--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/registry"
@@ -138,8 +137,7 @@
 	for i, name := range in.EntryNames {
 		var p entryPeer
 		if i < len(in.EntryPeers) {
-			e := in.EntryPeers[i]
-			p = entryPeer{detour.Peer{Address: e.Address, FailureDomain: e.FailureDomain}, e.PathLost}
+			p = toEntryPeer(in.EntryPeers[i])
 		}
 		out[name] = p
 	}
--- a/internal/transport/fleet/entries.go
+++ b/internal/transport/fleet/entries.go
@@ -23,8 +23,21 @@
 // entryPeer is an entry as other entries reach it. Address is empty if they do not.
 type entryPeer struct {
 	detour.Peer
-	// pathLost is true while the entry does not reach the instances of some service.
-	pathLost bool
+	// pathLost is true while the entry does not reach the instances of some service, and pathChangedAt is when
+	// that changed last, in milliseconds by the entry's clock.
+	pathLost      bool
+	pathChangedAt int64
+}
+
+// newer reports whether p is from a later report of the same entry than other.
+func (p entryPeer) newer(other entryPeer) bool { return p.pathChangedAt > other.pathChangedAt }
+
+func (p entryPeer) toWire() *wire.EntryPeer {
+	return &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain, PathLost: p.pathLost, PathChangedAt: p.pathChangedAt}
+}
+
+func toEntryPeer(in *wire.EntryPeer) entryPeer {
+	return entryPeer{detour.Peer{Address: in.Address, FailureDomain: in.FailureDomain}, in.PathLost, in.PathChangedAt}
 }
 
 // entryTable holds the entries that polled lately. The zero value is empty.
@@ -48,7 +61,7 @@
 	if t.polled == nil {
 		t.polled = map[string]entryStatus{}
 	}
-	peer := entryPeer{detour.Peer{Address: in.PeerAddress, FailureDomain: in.FailureDomain}, in.PathLost}
+	peer := entryPeer{detour.Peer{Address: in.PeerAddress, FailureDomain: in.FailureDomain}, in.PathLost, in.PathChangedAt}
 	t.polled[in.Name] = entryStatus{polledAt: now, evacuations: in.Evacuations, standby: in.Standby, peer: peer}
 	if known && before.peer == peer {
 		return
@@ -109,26 +122,34 @@
 
 // sample returns the peers that an entry learns of. Those without a path come last, as all may
 // lack the path to a service that is down.
-func (t *entryTable) sample(name, domain string) []detour.Peer {
+func (t *entryTable) sample(name, domain string) []entryPeer {
+	known := maps.Clone(t.relayedPeers)
+	if known == nil {
+		known = map[string]entryPeer{}
+	}
+	for other, s := range t.polled {
+		if p, relayed := known[other]; !relayed || !p.newer(s.peer) {
+			known[other] = s.peer
+		}
+	}
+	delete(known, name)
 	var open, lost []detour.Peer
-	add := func(other string, p entryPeer) {
+	byPeer := make(map[detour.Peer]entryPeer, len(known))
+	for _, p := range known {
+		byPeer[p.Peer] = p
 		switch {
-		case other == name || p.Address == "":
+		case p.Address == "":
 		case p.pathLost:
 			lost = append(lost, p.Peer)
 		default:
 			open = append(open, p.Peer)
 		}
 	}
-	for other, s := range t.polled {
-		add(other, s.peer)
-	}
-	for other, p := range t.relayedPeers {
-		if _, own := t.polled[other]; !own {
-			add(other, p)
-		}
+	var out []entryPeer
+	for _, p := range detour.Sample(name, domain, open, lost) {
+		out = append(out, byPeer[p])
 	}
-	return detour.Sample(name, domain, open, lost)
+	return out
 }
 
 // merge updates the names of all entries.
@@ -173,8 +194,7 @@
 	}
 	out.EntryNames = s.entries.names
 	for _, name := range s.entries.names {
-		p := s.entries.polled[name].peer
-		out.EntryPeers = append(out.EntryPeers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain, PathLost: p.pathLost})
+		out.EntryPeers = append(out.EntryPeers, s.entries.polled[name].peer.toWire())
 	}
 }
 
@@ -188,6 +208,6 @@
 		return
 	}
 	for _, p := range s.entries.sample(in.Name, in.FailureDomain) {
-		out.Peers = append(out.Peers, &wire.EntryPeer{Address: p.Address, FailureDomain: p.FailureDomain})
+		out.Peers = append(out.Peers, p.toWire())
 	}
 }
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -107,6 +107,10 @@
 	ownDomainSince time.Time
 	// peers holds the entries through which this entry may send requests.
 	peers []detour.Peer
+	// pathLost is the last result of PathLost, and pathChangedAt when it changed last, in milliseconds since
+	// 1970; it never decreases, so that newer reports are told from older ones.
+	pathLost      bool
+	pathChangedAt int64
 	// relayedLoads identifies the loads that were last relayed.
 	relayedLoads loadsVersion
 	// instances holds the live instances of the last view. The list was completed at rebuiltAt,
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -65,7 +65,11 @@
 func (f *Follower) relayEntries() {
 	peers := map[string]entryPeer{}
 	for _, s := range f.sources {
-		maps.Copy(peers, s.entryPeers)
+		for name, p := range s.entryPeers {
+			if known, ok := peers[name]; !ok || p.newer(known) {
+				peers[name] = p
+			}
+		}
 	}
 	f.Relay.setRelayedEntries(peers)
 }
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -69,7 +69,8 @@
 	// entryPeers holds the entries that poll the source, by name, and entriesChange the cursor for them.
 	entryPeers    map[string]entryPeer
 	entriesChange uint64
-	// peersChange is the cursor for this entry's peers.
+	// peers holds this entry's peers by the source's last sample, and peersChange the cursor for them.
+	peers       []entryPeer
 	peersChange uint64
 	stores      storesState
 	// configVersion is the newest configuration version that the source announced.
@@ -143,11 +144,20 @@
 		in.PeersChange = s.peersChange
 	}
 	if f.Entry && f.PeerAddress != "" {
-		in.PeerAddress, in.FailureDomain, in.PathLost = f.PeerAddress, f.FailureDomain, f.PathLost()
+		f.updatePathLost()
+		in.PeerAddress, in.FailureDomain, in.PathLost, in.PathChangedAt = f.PeerAddress, f.FailureDomain, f.pathLost, f.pathChangedAt
 	}
 	return in
 }
 
+// updatePathLost records whether this entry has lost its path, and when that changed; mu must be held.
+func (f *Follower) updatePathLost() {
+	lost := f.PathLost()
+	if f.pathChangedAt == 0 || lost != f.pathLost {
+		f.pathLost, f.pathChangedAt = lost, max(f.pathChangedAt+1, time.Now().UnixMilli())
+	}
+}
+
 func (f *Follower) markUnreachable(address string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -233,10 +243,33 @@
 	if !out.Relayed {
 		return
 	}
-	f.peers = nil
+	s.peers = nil
 	for _, p := range out.Peers {
-		f.peers = append(f.peers, detour.Peer{Address: p.Address, FailureDomain: p.FailureDomain})
+		s.peers = append(s.peers, toEntryPeer(p))
+	}
+	f.peers = f.orderPeers(s.peers)
+}
+
+// orderPeers returns the peers of a source's sample, those with a path first. Another source may know more
+// recently whether a peer has one; mu must be held.
+func (f *Follower) orderPeers(sample []entryPeer) []detour.Peer {
+	newest := map[string]entryPeer{}
+	for _, s := range f.sources {
+		for _, p := range s.peers {
+			if known, ok := newest[p.Address]; !ok || p.newer(known) {
+				newest[p.Address] = p
+			}
+		}
+	}
+	var open, lost []detour.Peer
+	for _, p := range sample {
+		if newest[p.Address].pathLost {
+			lost = append(lost, p.Peer)
+		} else {
+			open = append(open, p.Peer)
+		}
 	}
+	return append(open, lost...)
 }
 
 // requestRefresh makes Run refresh the list of sources at once. Each instance reports to any one of
