A rest that an instance asks for right after a restart under its id is heeded

What callers saw: requests went to an instance that had just asked for rest; the users' rule allows two in that time, the entry sent 133 to 135.

Cause: an answer does not say which run of an instance gave it, and a restart may keep the id. Until the news of the new start arrives, the entry files what the new run asks for under the old start, and drops that state with the news. Class: a fact filed under what was asked, not under what answered.

Change: a rest that was asked for in the last 3 s counts for another start of the same instance as well, for 30 s at most, since it may be that of the run that has ended.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -80,6 +80,8 @@
 	// active holds the loads with requests in flight.
 	active  map[registry.Incarnation]*load
 	domains map[string]*domain
+	// rests holds the latest rest that each instance asked for, by its ID.
+	rests map[string]restReport
 	// demand is the sum of the tokens of long prompts that were asked for, decaying with
 	// demandDecayTime; demandAt is when it was last updated.
 	demand   float64
@@ -93,14 +95,14 @@
 func New(seed uint64) *Balancer {
 	return &Balancer{
 		random: rand.New(rand.NewPCG(seed, 0xba1a)), loads: map[registry.Incarnation]*load{}, unused: newLoad(), active: map[registry.Incarnation]*load{},
-		domains: map[string]*domain{},
+		domains: map[string]*domain{}, rests: map[string]restReport{},
 	}
 }
 
 func newLoad() *load { return &load{latency: initialLatency} }
 
 // load returns the state of an incarnation, to be modified. No state passes to the next incarnation with
-// the same id.
+// the same id, but for a rest that may be its own: see carryRest.
 func (b *Balancer) load(target registry.Incarnation) *load {
 	l, ok := b.loads[target]
 	if ok {
@@ -224,5 +226,6 @@
 			used[d.name] = true
 		}
 	}
+	maps.DeleteFunc(b.rests, func(_ string, r restReport) bool { return r.at.Before(before) })
 	maps.DeleteFunc(b.domains, func(name string, _ *domain) bool { return !used[name] })
 }
--- a/internal/coordination/balance/candidates.go
+++ b/internal/coordination/balance/candidates.go
@@ -81,6 +81,7 @@
 		}
 		set.hashes[i] = Hash(in.ID)
 		set.candidates[i] = candidate{in: in, load: b.unused, domain: d, hash: set.hashes[i]}
+		b.carryRest(in, now)
 		if l, ok := b.loads[in.Incarnation()]; ok {
 			set.candidates[i].setLoad(l, now)
 		}
@@ -102,13 +103,22 @@
 
 // find returns the candidate of an incarnation, or nil.
 func (set *candidateSet) find(target registry.Incarnation) *candidate {
+	c := set.findID(target.ID)
+	if c == nil || c.in.Incarnation() != target {
+		return nil
+	}
+	return c
+}
+
+// findID returns the candidate with an instance's ID, or nil.
+func (set *candidateSet) findID(id string) *candidate {
 	var i int
 	if set.sorted {
-		i, _ = slices.BinarySearchFunc(set.instances, target.ID, func(in registry.Instance, id string) int { return strings.Compare(in.ID, id) })
+		i, _ = slices.BinarySearchFunc(set.instances, id, func(in registry.Instance, id string) int { return strings.Compare(in.ID, id) })
 	} else {
-		i = slices.IndexFunc(set.instances, func(in registry.Instance) bool { return in.ID == target.ID })
+		i = slices.IndexFunc(set.instances, func(in registry.Instance) bool { return in.ID == id })
 	}
-	if i < 0 || i == len(set.instances) || set.instances[i].Incarnation() != target {
+	if i < 0 || i == len(set.instances) || set.instances[i].ID != id {
 		return nil
 	}
 	return &set.candidates[i]
--- a/internal/coordination/balance/condition.go
+++ b/internal/coordination/balance/condition.go
@@ -30,15 +30,49 @@
 	return c.leaving || c.limit.Active || latest(c.coldUntil, c.nextColdSend, c.restUntil).After(at)
 }
 
+const (
+	// startNewsDelay is how long after a restart an entry knows the new start at the latest, unless it is cut off.
+	startNewsDelay = 3 * time.Second
+	// maxCarriedRest limits a rest that may be that of a run which has ended.
+	maxCarriedRest = 30 * time.Second
+)
+
+// restReport is the rest that an instance asked for last, in an answer to a request for the run with this start.
+type restReport struct {
+	start     registry.Start
+	at, until time.Time
+}
+
 // SetRestUntil records that an instance accepts no requests from this entry until a time. It
 // reports whether the instance was not resting already. An earlier end does not shorten a rest.
 func (b *Balancer) SetRestUntil(target registry.Incarnation, until, now time.Time) (began bool) {
 	l := b.load(target)
 	began = !now.Before(l.restUntil)
 	l.restUntil = latest(l.restUntil, until)
+	b.rests[target.ID] = restReport{target.Start, now, until}
+	for _, set := range b.candidateSets {
+		if c := set.findID(target.ID); c != nil {
+			b.carryRest(c.in, now)
+		}
+	}
 	return began
 }
 
+// carryRest applies to an incarnation the rest that was reported lately under another start of the same instance. An
+// answer names no start, and the first answers of a restarted instance may arrive before the news of its start.
+func (b *Balancer) carryRest(in *registry.Instance, now time.Time) {
+	r, ok := b.rests[in.ID]
+	if !ok || r.start == in.Start || now.Sub(r.at) > startNewsDelay {
+		return
+	}
+	l := b.load(in.Incarnation())
+	until := r.until
+	if limit := r.at.Add(maxCarriedRest); limit.Before(until) {
+		until = limit
+	}
+	l.restUntil = latest(l.restUntil, until)
+}
+
 // RestRemaining returns for how long an instance still accepts no requests from this entry, or 0.
 func (b *Balancer) RestRemaining(target registry.Incarnation, now time.Time) time.Duration {
 	return max(0, b.load(target).restUntil.Sub(now))
--- a/internal/coordination/balance/condition_test.go
+++ b/internal/coordination/balance/condition_test.go
@@ -123,3 +123,52 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against the loss of a rest that an instance asked for right after a restart under its ID: the answer counted for
+// the run before, whose state was dropped with the news of the new start.
+func TestRestReportedBeforeTheNewStartIsKnown(t *testing.T) {
+	before := registry.Instance{ID: "restarted", Slots: 4, Start: 1}
+	after := before
+	after.Start = 2
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	const second = 1000
+	for _, c := range []struct {
+		name string
+		// listed is when the new start is first listed, asked when the answer arrives, and rest what it asks for.
+		listed, asked, rest int
+		// rests and free are when the instance must not be chosen, and when it must.
+		rests []int
+		free  int
+	}{
+		{"news after the answer", 2 * second, 1 * second, 4 * second, []int{1001, 2 * second, 4 * second}, 6 * second},
+		{"news before the answer", 1 * second, 2 * second, 4 * second, []int{2001, 5 * second}, 7 * second},
+		{"news long after the answer", 5 * second, 1 * second, 60 * second, []int{1001, 4 * second}, 6 * second},
+		{"a long rest", 2 * second, 1 * second, 3600 * second, []int{1001, 2 * second, 30 * second}, 32 * second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := balance.New(1)
+			chosen := func(ms int) bool {
+				in := before
+				if ms >= c.listed {
+					in = after
+				}
+				_, ok := b.Pick([]registry.Instance{in}, balance.PickInfo{}, at(ms))
+				return ok
+			}
+			for _, ms := range []int{0, c.listed, c.asked} {
+				if ms <= c.asked && !chosen(ms) {
+					t.Errorf("not chosen at %d ms", ms)
+				}
+			}
+			b.SetRestUntil(before.Incarnation(), at(c.asked+c.rest), at(c.asked))
+			for _, ms := range c.rests {
+				if chosen(ms) {
+					t.Errorf("chosen at %d ms", ms)
+				}
+			}
+			if !chosen(c.free) {
+				t.Errorf("not chosen at %d ms", c.free)
+			}
+		})
+	}
+}
