Test of overload: the request that must wait is sent again until it does

Cause, by a stack of the process at the time-out and the answers' order: the entry did what it should. One request ran; the probing one came before the second and took the one waiting place; the second was refused at once (queue_full) and never came back. So the probing one waited for its 50 ms each time and was refused for its deadline, until the first ended after 20 s, and then ran itself.

Change: both are sent again whenever they are answered, so that one waits in the end; what is asked of the refusal is as before.

--- a/internal/transport/entry/path_test.go
+++ b/internal/transport/entry/path_test.go
@@ -130,8 +130,17 @@
 	e := s.start(func(e *entry.Entry) { e.MaxWaiting = 1 })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	// One of these runs and one waits. A request of the loop below may wait first, and the second of these is then
+	// refused and sent again.
 	for range 2 {
-		go func() { _, _ = client.Do(e.request(chat("long", true, 1)).WithContext(ctx)) }()
+		go func() {
+			for ctx.Err() == nil {
+				res, err := client.Do(e.request(chat("long", true, 1)).WithContext(ctx))
+				if err == nil {
+					_ = res.Body.Close()
+				}
+			}
+		}()
 	}
 	eventually(t, "one request runs", func() bool { return s.engines[0].Running() == 1 })
 	var last answer
