Links: searches for the openers of connections share one pass over the open files

Cause: the test's links tell who opened a connection by the open files of all processes. Each search read all of them by itself; many at once hold one another up in the kernel. Counted in such a run: 4,927 searches took 24.6 minutes, 0.3 s each, and read 2,569,652 descriptors. Entries and callers gave up connections meanwhile and opened new ones, each with a search of its own. A fault of the test's links, not of the product.

Change: searches that wait share a pass, and it ends when all are found. Links log their counts.

TestSearchesForOpenersShareAPass.

--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -1,10 +1,7 @@
 package processes
 
 import (
-	"fmt"
 	"net"
-	"os"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,8 +29,9 @@
 	// silent holds the connections that carry nothing any more.
 	silent map[*net.TCPConn]bool
 	// healed is closed and replaced whenever a cut ends.
-	healed chan struct{}
-	closed chan struct{}
+	healed   chan struct{}
+	closed   chan struct{}
+	searcher searcher
 }
 
 // Outside is the name of who is no process of the deployment.
@@ -49,7 +47,11 @@
 		t: t, processes: map[string]*Process{}, cuts: map[[2]string]bool{}, refused: map[[2]string]bool{}, delays: map[string]time.Duration{},
 		open: map[string]map[*net.TCPConn]bool{}, silent: map[*net.TCPConn]bool{}, healed: make(chan struct{}), closed: make(chan struct{}),
 	}
-	t.Cleanup(func() { close(l.closed) })
+	l.searcher.pids = l.pids
+	t.Cleanup(func() {
+		close(l.closed)
+		t.Log("links: ", l.searcher.summary())
+	})
 	return l
 }
 
@@ -277,7 +279,7 @@
 		return Outside
 	}
 	for range openerTries {
-		name, ok := l.holder(inode)
+		name, ok := l.searcher.holder(inode)
 		if ok {
 			return name
 		}
@@ -292,16 +294,6 @@
 	return Outside
 }
 
-// holder returns the process that holds a socket, or Outside when this test does.
-func (l *Links) holder(inode uint32) (name string, ok bool) {
-	for name, pid := range l.pids() {
-		if holds(pid, inode) {
-			return name, true
-		}
-	}
-	return Outside, holds(int64(os.Getpid()), inode)
-}
-
 // pids returns the ids of the processes that run, by their names.
 func (l *Links) pids() map[string]int64 {
 	l.mu.Lock()
@@ -314,14 +306,3 @@
 	}
 	return out
 }
-
-func holds(pid int64, inode uint32) bool {
-	folder := fmt.Sprintf("/proc/%d/fd", pid)
-	// A process that has ended holds none.
-	files, _ := os.ReadDir(folder)
-	want := fmt.Sprintf("socket:[%d]", inode)
-	return slices.ContainsFunc(files, func(f os.DirEntry) bool {
-		link, err := os.Readlink(folder + "/" + f.Name())
-		return err == nil && link == want
-	})
-}
--- a/internal/system/processes/links_test.go
+++ b/internal/system/processes/links_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,3 +71,46 @@
 		t.Error("not reset: ", err)
 	}
 }
+
+// Guards against searches for openers that hold one another up: each read all open files by itself, and beside many
+// connections it took 0.3 s on average until one was joined.
+func TestSearchesForOpenersShareAPass(t *testing.T) {
+	const openFiles, connections = 500, 100
+	l := processes.NewLinks(t)
+	target, err := net.Listen("tcp", processes.FreeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	for range openFiles {
+		r, w, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _, _ = r.Close(), w.Close() }()
+	}
+	address := processes.FreeAddress(t)
+	l.Forward("target", address, target.Addr().String())
+	var dials sync.WaitGroup
+	for range connections {
+		dials.Go(func() {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+		})
+	}
+	for range connections {
+		c, err := target.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	dials.Wait()
+	if read, limit := l.DescriptorsRead(), connections*openFiles/2; read > limit {
+		t.Errorf("%d connections took %d reads, at most %d allowed", connections, read, limit)
+	}
+}
