--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -154,7 +154,7 @@
 func (f *Follower) updatePathLost() {
 	lost := f.PathLost()
 	if f.pathChangedAt == 0 || lost != f.pathLost {
-		f.pathLost, f.pathChangedAt = lost, max(f.pathChangedAt+1, time.Now().UnixMilli())
+		f.pathLost, f.pathChangedAt = lost, max(f.pathChangedAt+1, clock.Now().UnixMilli())
 	}
 }
 
