--- a/internal/system/processes/links_test.go
+++ b/internal/system/processes/links_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against searches for openers that hold one another up: each read all open files by itself, and beside many
+// Guards against searches for openers that contend with one another: each read all open files by itself, and beside many
 // connections it took 0.3 s on average until one was joined.
 func TestSearchesForOpenersShareAPass(t *testing.T) {
 	const openFiles, connections = 500, 100
--- a/internal/system/processes/searcher.go
+++ b/internal/system/processes/searcher.go
@@ -10,7 +10,7 @@
 )
 
 // searcher finds out which process holds a socket, from the open files of all processes. All searches that wait share
-// one pass over these: each pass reads up to thousands of links below /proc, and many at once hold one another up.
+// one pass over these: each pass reads up to thousands of links below /proc, and concurrent passes contend for locks in the kernel.
 type searcher struct {
 	// pids returns the ids of the processes by their names.
 	pids func() map[string]int64
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -23,7 +23,7 @@
 // patience is how long a condition may take to come true on a busy machine.
 const patience = 20 * time.Second
 
-// fakeDirect plays an entry's own connections. It is safe for concurrent use.
+// fakeDirect is a stub for an entry's own connections. It is safe for concurrent use.
 type fakeDirect struct {
 	// reply answers an attempt, and refuses a refusal probe.
 	reply   func(ctx context.Context, a *exchange.Attempt) exchange.Reply
