Software versions of instances: decoded, relayed to entries and logged

The logs could not tell the hypotheses of docs/incidents/software-versions.md apart: no line named the version of an instance, which request a stream resumes, or after which event.

The lines request and attempt of streams name it as software, with resumes and after; instance_reported names it as well. Nothing is decided by it yet.

Measured: nothing beyond the tests; the decisions are unchanged.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -40,6 +40,9 @@
 	// is set.
 	After   uint64
 	Resumes bool
+	// ResumedID is the id of the caller's request that brought the first event of the resumed stream, or
+	// empty if the caller does not name it.
+	ResumedID string
 }
 
 // Prompt describes the prompt of a request to a model.
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -101,7 +101,7 @@
 	m.init()
 	from := m.currentEpoch(source)
 	for _, r := range reports {
-		r.Service, r.FailureDomain = m.shared.name(r.Service), m.shared.name(r.FailureDomain)
+		r.Service, r.FailureDomain, r.SoftwareVersion = m.shared.name(r.Service), m.shared.name(r.FailureDomain), m.shared.name(r.SoftwareVersion)
 		if r.Left && r.Start == 0 {
 			m.endEarlier(r, now)
 		}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -31,6 +31,9 @@
 	Start                           Start
 	Service, Address, FailureDomain string
 	Slots                           int
+	// SoftwareVersion is the version of the instance's software, which has no order. It is empty if the
+	// instance does not report one, and then counts as a version of its own.
+	SoftwareVersion string
 	// ColdUntil is until when the instance reports itself as cold, which means that it can carry less
 	// load than usual. It is zero or in the past for an instance that is not cold.
 	ColdUntil time.Time
@@ -272,6 +275,6 @@
 func (r *Registry) recordChange(k *record) { k.report.Change = r.log.Add(k.report.ID) }
 
 func sameStatus(a, b Instance) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
+	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.SoftwareVersion == b.SoftwareVersion &&
 		a.Slots == b.Slots && a.Leaving == b.Leaving && b.ColdUntil.Sub(a.ColdUntil).Abs() < coldUntilTolerance
 }
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -18,7 +18,7 @@
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
 		AgeMilliseconds:        uint64(now.Sub(r.FirstSeen).Milliseconds()),
 		WeightsAgeMilliseconds: uint64(now.Sub(r.WeightsProvenance.At).Milliseconds()), WeightsAsked: r.WeightsProvenance.Queried,
-		ColdMilliseconds: uint32(max(0, r.ColdUntil.Sub(now).Milliseconds())),
+		ColdMilliseconds: uint32(max(0, r.ColdUntil.Sub(now).Milliseconds())), SoftwareVersion: r.SoftwareVersion,
 	}
 }
 
@@ -27,7 +27,7 @@
 	return registry.Report{
 		Instance: registry.Instance{
 			ID: in.Id, Start: registry.Start(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
-			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights),
+			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights), SoftwareVersion: in.SoftwareVersion,
 			ColdUntil:         coldUntil(in.ColdMilliseconds, now),
 			WeightsProvenance: registry.Provenance{At: ago(now, in.WeightsAgeMilliseconds), Queried: in.WeightsAsked, Via: from},
 		},
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -138,7 +138,7 @@
 		return
 	}
 	s.own.notify(true)
-	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
+	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Str("software", in.SoftwareVersion).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
 }
 
 // RecordDeparture records that an incarnation has left. Without a start, it applies to all
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -7,6 +7,7 @@
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 )
 
@@ -16,6 +17,7 @@
 	if j.request.Prompt != nil {
 		line = line.Int("fetch", j.fetchParts).Int("save", j.saveParts).Int("tokens", j.request.Prompt.Tokens)
 	}
+	line = j.addStream(line)
 	if j.memory.ok {
 		line = line.Int("room", j.memory.tokens).Dur("room_age_ms", j.memory.age)
 	}
@@ -44,7 +46,7 @@
 	line := j.server.Log.Info().Str("event", "attempt").Str("request", j.request.ID).Int("number", j.attemptNumber).
 		Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endLabel(end)).Dur("took_ms", took)
-	line = j.addVia(j.consultation.addTo(line.Str("digest", j.digest.String())))
+	line = j.addStream(j.addVia(j.consultation.addTo(line.Str("digest", j.digest.String()))))
 	line = j.condition.addTo(addQuarantine(j.weights.addTo(line), j.quarantined))
 	if err != nil {
 		line = line.Str("error", err.Error())
@@ -55,6 +57,19 @@
 	line.Msg("")
 }
 
+// addStream adds to the log line of a stream the software version of the last attempt's instance, and which
+// request it resumes after which event.
+func (j *job) addStream(line *log.Entry) *log.Entry {
+	if j.route.Kind != deployment.Stream {
+		return line
+	}
+	line = line.Str("software", j.instance.SoftwareVersion)
+	if j.request.Resumes {
+		line = line.Str("resumes", j.request.ResumedID).Uint64("after", j.request.After)
+	}
+	return line
+}
+
 // addVia adds to a log line through which entry the last attempt was sent.
 func (j *job) addVia(line *log.Entry) *log.Entry {
 	if j.via == "" {
