A stream goes on only at the software version that began it

Cause: the instance that continues a stream was chosen as for a new request. Entries did not know software versions, and where a stream began was known to one entry only, which may just have ended.

Change: what decides is package streamorigin. Each entry records where its streams began. While a service has, or has lately had, more than one version, records go within some milliseconds to two control instances by rendezvous hashing of the stream, and a resumed stream that an entry does not know is looked up at all of them. With a single version nothing is sent and nothing is asked, unless the entry has just started or its view is not fresh. A further version settles for a second before resumable streams begin there, in which all entries learn of it and share the origins that they have. What is not known is not guessed: the stream is refused as unknown_origin, or as no_software_version if no instance has its version. The same filter covers an answer that an entry itself continues, and the arbiter's choice.

Why it works: a record never changes, as all later events come from its version, so of two answers none is outdated.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -25,6 +25,7 @@
 	"github.com/shedrock/shedrock/internal/transport/keeping"
 	"github.com/shedrock/shedrock/internal/transport/loads"
 	"github.com/shedrock/shedrock/internal/transport/orders"
+	"github.com/shedrock/shedrock/internal/transport/streams"
 	"github.com/shedrock/shedrock/platform"
 )
 
@@ -112,8 +113,11 @@
 	}
 	decisions := &arbiter.Service{View: follower.View, Leading: replica.Leading, Log: logger}
 	replica.Arbiter = decisions
+	origins := &streams.Service{View: follower.View}
+	replica.Streams = origins
 	calls := callmetrics.New(func() callmetrics.ReplicaState { return standing(replica, follower) })
 	calls.Register(decisions)
+	calls.Register(origins.Collector())
 	return &platformControl{
 		replica: replica, client: client, follower: follower, log: logger,
 		keeper: &keeping.StoreWatcher{
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -20,6 +20,7 @@
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/serving"
+	"github.com/shedrock/shedrock/internal/transport/streams"
 	"github.com/shedrock/shedrock/platform"
 )
 
@@ -86,6 +87,8 @@
 		Metrics:         ends.NewMetrics(), Log: logger,
 	}
 	follower.Ends = tracker
+	origins := &streams.Tracker{View: follower.View, Metrics: streams.NewMetrics(), Log: logger}
+	follower.OnVersionAdded = origins.ShareAll
 	upstreams := &platform.UpstreamClient{}
 	detours := &detour.Upstreams{
 		Name: s.Name, FailureDomain: s.FailureDomain, Direct: upstreams, Metrics: detour.NewMetrics(), Log: logger,
@@ -94,7 +97,7 @@
 	}
 	follower.PeerAddress, follower.PathLost = s.PeerAddress(), detours.AnyLost
 	server := &serving.Server{
-		View: follower.View, Upstreams: detours, PathLostSince: detours.LostSince, Ends: tracker, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
+		View: follower.View, Upstreams: detours, PathLostSince: detours.LostSince, Ends: tracker, Streams: origins, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
 		BufferBytes: int(bufferShare * s.MemoryMB * (1 << 20)), OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
@@ -102,6 +105,7 @@
 	server.Metrics.RegisterView(follower.View)
 	server.Metrics.Register(tracker.Collectors())
 	server.Metrics.Register(detours.Metrics.Collectors())
+	server.Metrics.Register(origins.Metrics.Collectors())
 	forwarder := &detour.Forwarder{
 		Upstreams: detours, Stopping: server.Stopping, Metrics: detours.Metrics, Log: logger,
 		Send: func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -78,6 +78,10 @@
 	ReasonLimited Reason = "upstream_limited"
 	// ReasonNoPath means that the entry has lost its path to the upstreams, and no other entry has one.
 	ReasonNoPath Reason = "no_path"
+	// ReasonUnknownOrigin means that it is not known at which software version a resumed stream began, and
+	// ReasonNoVersion that no upstream has that version.
+	ReasonUnknownOrigin Reason = "unknown_origin"
+	ReasonNoVersion     Reason = "no_software_version"
 	// ReasonResting means that the upstreams asked for a backoff.
 	ReasonResting Reason = "upstream_resting"
 )
--- a/internal/state/registry/live.go
+++ b/internal/state/registry/live.go
@@ -46,6 +46,24 @@
 	return maps.Clone(m.live)
 }
 
+// SoftwareVersions returns the software versions of each service's instances, including those that have ended
+// and are still retained.
+func (m *Merged) SoftwareVersions() map[string]map[string]bool {
+	out := map[string]map[string]bool{}
+	for k := range m.all() {
+		service := k.newest.Service
+		if service == "" {
+			// Only the end of the incarnation is known.
+			continue
+		}
+		if out[service] == nil {
+			out[service] = map[string]bool{}
+		}
+		out[service][k.newest.SoftwareVersion] = true
+	}
+	return out
+}
+
 // edit is a change of one id's entry in the list of a service. in is nil to remove it.
 type edit struct {
 	id string
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -84,6 +84,8 @@
 	Source *fleet.Source
 	// Arbiter, if set, is served to entries.
 	Arbiter wire.Arbiter
+	// Streams, if set, keeps where streams began for entries.
+	Streams wire.Streams
 	// Fleet, if set, is the set of engines to which this replica sends orders for weight versions
 	// while it leads, instead of the declared engines.
 	Fleet orders.Fleet
@@ -269,6 +271,10 @@
 		arbiterServer := wire.NewArbiterServer(r.Arbiter)
 		mux.Handle(arbiterServer.PathPrefix(), arbiterServer)
 	}
+	if r.Streams != nil {
+		streamsServer := wire.NewStreamsServer(r.Streams)
+		mux.Handle(streamsServer.PathPrefix(), streamsServer)
+	}
 	return mux
 }
 
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/detour"
+	"github.com/shedrock/shedrock/internal/coordination/streamorigin"
 	"github.com/shedrock/shedrock/internal/coordination/suspects"
 	"github.com/shedrock/shedrock/internal/state/chunks"
 	"github.com/shedrock/shedrock/internal/state/deployment"
@@ -67,6 +68,8 @@
 	// at instances that answered. TakeFailures returns the failures since its last call.
 	FailuresPending <-chan struct{}
 	TakeFailures    func() []suspects.Failures
+	// OnVersionAdded, when set, is called when a service has got a further software version. It must not block.
+	OnVersionAdded func(service string)
 	// Log receives one line per event.
 	Log *log.Logger
 
@@ -119,6 +122,8 @@
 	instances       map[string][]registry.Instance
 	rebuiltAt       time.Time
 	rebuildDuration time.Duration
+	// softwareVersions holds those of each service. The map is replaced when it changes.
+	softwareVersions map[string]streamorigin.Versions
 	// rebuildScheduled is true while a rebuild of instances is scheduled.
 	rebuildScheduled bool
 }
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -10,6 +10,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
+	"github.com/shedrock/shedrock/internal/coordination/streamorigin"
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/state/weights"
@@ -28,16 +29,20 @@
 	NewestConfigVersion uint64
 	// Instances holds the live instances of each service, in the order of their ids.
 	Instances map[string][]registry.Instance
+	// SoftwareVersions holds the software versions of each service, with the times since when this process
+	// knows them. Its values are never modified.
+	SoftwareVersions map[string]streamorigin.Versions
 	// Weights holds the newest weight version of each model, and WeightHistories what is known of
 	// when its versions were announced.
 	Weights         map[string]uint64
 	WeightHistories map[string]weights.History
 	// Contact tells whether the control log is reachable.
 	Contact Contact
-	// Control holds the addresses of the control instances, and Leader the address of the one that leads
+	// Replicas holds the addresses of all control instances that are known, in order, and Control those that
+	// this process polls. Leader is the address of the one that leads
 	// the control log; it is empty while no source that answers knows it.
-	Control []string
-	Leader  string
+	Replicas, Control []string
+	Leader            string
 	// Busy holds the instances that are loading weights, or are next to do so.
 	Busy map[registry.Incarnation]bool
 	// Failing holds the instances that answer but fail, judged by the failures seen by all entries.
@@ -130,6 +135,7 @@
 	f.rebuildScheduled = false
 	startedAt := clock.Now()
 	f.instances = f.merged.LiveByService(startedAt)
+	f.updateSoftwareVersions(startedAt)
 	f.rebuiltAt = clock.Now()
 	f.rebuildDuration = f.rebuiltAt.Sub(startedAt)
 }
@@ -138,7 +144,7 @@
 func (f *Follower) publish() {
 	v := &View{
 		Config: f.config, NewestConfigVersion: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
+		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, SoftwareVersions: f.softwareVersions, Replicas: f.replicas(), Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
 		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
 		Unreachable: f.unreachable(clock.Now()), Peers: f.peers,
--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -51,6 +51,7 @@
 func (j *job) startDelivery(h exchange.Head) *delivery {
 	if j.delivery == nil {
 		j.fallback = nil
+		j.recordOrigin()
 		j.delivery = newDelivery(j, h)
 	}
 	return j.delivery
--- a/internal/transport/serving/arbitrate.go
+++ b/internal/transport/serving/arbitrate.go
@@ -110,7 +110,7 @@
 	now := clock.Now()
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	return j.server.balancer.Excluded(view.Instances[j.service], j.weightsTooOld(view, now), pickInfo, now)
+	return j.server.balancer.Excluded(view.Instances[j.service], j.unusable(view, now), pickInfo, now)
 }
 
 func (j *job) arbiterRequest(pickInfo balance.PickInfo, excluded map[string]bool) arbiter.Request {
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -53,6 +53,8 @@
 	// instance is the instance of the current attempt, and attemptNumber counts the attempts.
 	instance      registry.Instance
 	attemptNumber int
+	// origin is where the stream began, if it has begun.
+	origin streamOrigin
 	// headSent is true once the head of a stream was forwarded, and lastEvent is the number of
 	// the last event that was forwarded.
 	headSent  bool
@@ -130,6 +132,10 @@
 	j.setDigest()
 	j.urgency = config.Urgency(j.team, j.route)
 	j.service = j.route.Service(rand.Float64())
+	if o := j.resolveOrigin(ctx); o != nil {
+		j.refuse(o)
+		return false
+	}
 	j.buffered = j.server.buffers != nil && config.Tiered(j.service)
 	j.deadline = r.Arrived.Add(min(j.route.Timeout, r.MaxWait()))
 	j.attempts = retry.RequestAttempts{MaxAttempts: max(1, j.route.Attempts), Idempotent: j.route.AllowsRetries(), Streamed: j.route.Kind == deployment.Stream}
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -67,7 +67,7 @@
 	if j.request.Resumes {
 		line = line.Str("resumes", j.request.ResumedID).Uint64("after", j.request.After)
 	}
-	return line
+	return j.origin.addTo(line)
 }
 
 // addVia adds to a log line through which entry the last attempt was sent.
--- /dev/null
+++ b/internal/transport/serving/origin.go
@@ -0,0 +1,107 @@
+package serving
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/streamorigin"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/outcome"
+	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+)
+
+const (
+	// unknownOriginRetryAfter is the Retry-After when it is not known where a resumed stream began. Control
+	// instances that did not answer may do so by then.
+	unknownOriginRetryAfter = time.Second
+	// noVersionRetryAfter is the Retry-After when no instance has the software version of a resumed stream. Only
+	// a change of the fleet ends that.
+	noVersionRetryAfter = 2 * time.Second
+)
+
+// streamOrigin is where the stream of a request began, and how this entry knows. The zero value means that it has
+// not begun.
+type streamOrigin struct {
+	streamorigin.Origin
+	begun bool
+	// source and took are set if the caller resumes the stream: took is how long it took to find its origin.
+	source streamorigin.Source
+	took   time.Duration
+}
+
+// resolveOrigin finds out where the stream began that the caller resumes. It returns the request's outcome if the
+// stream cannot go on.
+func (j *job) resolveOrigin(ctx context.Context) outcome.Outcome {
+	r := j.request
+	if j.route.Kind != deployment.Stream || !r.Resumes || r.After == 0 {
+		return nil
+	}
+	began := clock.Now()
+	origin, source := j.server.Streams.Resolve(ctx, streamorigin.KeyOf(j.team.Name, r.ResumedID), j.service)
+	j.origin = streamOrigin{Origin: origin, begun: source != streamorigin.Unknown, source: source, took: clock.Since(began)}
+	if !j.origin.begun {
+		return outcome.NotRun{RetryAfter: unknownOriginRetryAfter, Reason: outcome.ReasonUnknownOrigin}
+	}
+	if !slices.ContainsFunc(j.route.Targets, func(t deployment.Target) bool { return t.Service == origin.Service && t.Weight > 0 }) {
+		return outcome.NotRun{RetryAfter: noVersionRetryAfter, Reason: outcome.ReasonNoVersion}
+	}
+	j.service = origin.Service
+	return nil
+}
+
+// recordOrigin records where the stream begins, before its first event is forwarded.
+func (j *job) recordOrigin() {
+	if !j.origin.begun {
+		j.origin.Origin, j.origin.begun = streamorigin.Origin{Service: j.service, SoftwareVersion: j.instance.SoftwareVersion}, true
+	}
+	if !j.route.AllowsRetries() {
+		return
+	}
+	id := j.request.ID
+	if j.origin.source != "" {
+		id = j.request.ResumedID
+	}
+	j.server.Streams.Began(streamorigin.Record{Key: streamorigin.KeyOf(j.team.Name, id), Origin: j.origin.Origin})
+}
+
+// wrongVersion returns a function that reports whether the stream may not begin or go on at an instance because
+// of its software version, or nil if that applies to none.
+func (j *job) wrongVersion(view *fleet.View, now time.Time) func(registry.Instance) bool {
+	if j.origin.begun {
+		return func(in registry.Instance) bool { return in.SoftwareVersion != j.origin.SoftwareVersion }
+	}
+	versions := view.SoftwareVersions[j.service]
+	if len(versions) < 2 || j.route.Kind != deployment.Stream || !j.route.Resumable {
+		return nil
+	}
+	contact := view.Contact
+	settled := func(in registry.Instance) bool {
+		return !contact.Unreachable(now) && versions.Settled(in.SoftwareVersion, contact.LastUnreachable, now)
+	}
+	if !slices.ContainsFunc(view.Instances[j.service], settled) {
+		return nil
+	}
+	return func(in registry.Instance) bool { return !settled(in) }
+}
+
+// noVersion returns the request's outcome if none of the instances has the software version at which its stream
+// began.
+func (j *job) noVersion(instances []registry.Instance) outcome.Outcome {
+	if !j.origin.begun || slices.ContainsFunc(instances, func(in registry.Instance) bool { return in.SoftwareVersion == j.origin.SoftwareVersion }) {
+		return nil
+	}
+	return j.attempts.Reject(noVersionRetryAfter, outcome.ReasonNoVersion)
+}
+
+// addTo adds to the log line of a resumed stream how its origin is known.
+func (o streamOrigin) addTo(line *log.Entry) *log.Entry {
+	if o.source == "" {
+		return line
+	}
+	return line.Str("origin", string(o.source)).Str("origin_service", o.Service).Str("origin_software", o.SoftwareVersion).Dur("origin_ms", o.took)
+}
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -128,6 +128,7 @@
 		return nil
 	}
 	j.fallback = nil
+	j.recordOrigin()
 	j.headSent = true
 	j.firstByteAt = clock.Now()
 	return j.sink.Begin(h)
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -79,6 +79,9 @@
 	defer j.server.mu.Unlock()
 	instances := j.usable(view, now)
 	if len(instances) == 0 && len(view.Instances[j.service]) > 0 {
+		if o := j.noVersion(view.Instances[j.service]); o != nil {
+			return o
+		}
 		return j.noWeights()
 	}
 	if in, o, decided := j.followArbiter(instances, pickInfo, now); decided {
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -27,6 +27,7 @@
 	"github.com/shedrock/shedrock/internal/state/residency"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/streams"
 )
 
 const (
@@ -105,6 +106,9 @@
 	// Ends tracks which instances ended while they served which requests. The server does not call
 	// its Run. When nil, the server uses a tracker of its own, which learns nothing from other entries.
 	Ends *ends.Tracker
+	// Streams holds where streams began. When nil, the server uses a tracker of its own, which other entries
+	// do not share.
+	Streams *streams.Tracker
 	// Arbiter requests decisions from the leader about long prompts of tiered services. When nil, the server decides all by
 	// itself.
 	Arbiter Arbiter
@@ -159,6 +163,9 @@
 		if s.BufferBytes > 0 {
 			s.buffers = newBuffers(s.BufferBytes, s.Metrics, s.Log)
 		}
+		if s.Streams == nil {
+			s.Streams = &streams.Tracker{View: s.View, Metrics: streams.NewMetrics(), Log: s.Log}
+		}
 		if s.Ends == nil {
 			s.Ends = &ends.Tracker{Entries: func() int { return s.View().Entries }, Metrics: ends.NewMetrics(), Log: s.Log}
 		}
--- a/internal/transport/serving/weights.go
+++ b/internal/transport/serving/weights.go
@@ -44,21 +44,34 @@
 	return view.WeightHistories[model].AllowedUntil(version, view.OldWeightsGrace(s.oldWeightsGrace(), now))
 }
 
-// usable returns the instances of the service without the engines on whose weights the request may no
-// longer begin. A streamed request is expected to begin within the route's objective. The beginning of
-// any other request cannot be observed, so its deadline must be before the expiry. The server's mu must be
-// held.
+// usable returns the instances of the service at which the request may begin or go on: those with fitting
+// weights and software. The server's mu must be held.
 func (j *job) usable(view *fleet.View, now time.Time) []registry.Instance {
 	all := view.Instances[j.service]
-	tooOld := j.weightsTooOld(view, now)
-	if tooOld == nil {
+	unusable := j.unusable(view, now)
+	if unusable == nil {
 		return all
 	}
-	return slices.DeleteFunc(slices.Clone(all), tooOld)
+	return slices.DeleteFunc(slices.Clone(all), unusable)
+}
+
+// unusable returns a function that reports whether the request may not begin or go on at an instance because of
+// its weights or its software, or nil if that applies to none. The server's mu must be held.
+func (j *job) unusable(view *fleet.View, now time.Time) func(registry.Instance) bool {
+	tooOld, wrongVersion := j.weightsTooOld(view, now), j.wrongVersion(view, now)
+	switch {
+	case tooOld == nil:
+		return wrongVersion
+	case wrongVersion == nil:
+		return tooOld
+	}
+	return func(in registry.Instance) bool { return tooOld(in) || wrongVersion(in) }
 }
 
 // weightsTooOld returns a function that reports whether the request may no longer begin on an engine's
-// weights, or nil if that applies to none. The server's mu must be held.
+// weights, or nil if that applies to none. A streamed request is expected to begin within the route's objective. The beginning of
+// any other request cannot be observed, so its deadline must be before the expiry. The server's mu must be
+// held.
 func (j *job) weightsTooOld(view *fleet.View, now time.Time) func(registry.Instance) bool {
 	if !j.needsWeights(view) {
 		return nil
