The parts of prompts under which instances end are logged

The logs could not tell what these requests have in common (docs/incidents/ending-parts.md): instance_ended_under named the digest of the request, which is another each time.

Change: the line names the digests of the parts that the prompt shares with others, up to 16 of them. A part is identified for a model, and within the team if the team shares nothing with others. Nothing is decided by it yet.

--- a/internal/coordination/quarantine/digest.go
+++ b/internal/coordination/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
 // DigestSize is the length of a Digest in bytes.
@@ -17,18 +18,31 @@
 // the team; target is the method, host and request target.
 func DigestOf(caller string, target []string, body []byte) Digest {
 	h := sha256.New()
-	add := func(b []byte) {
-		// The length prefix keeps different lists of fields from producing the same bytes.
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(b)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(b)
-	}
-	add([]byte(caller))
+	addField(h, []byte(caller))
 	for _, part := range target {
-		add([]byte(part))
+		addField(h, []byte(part))
+	}
+	addField(h, body)
+	return Digest(h.Sum(nil)[:DigestSize])
+}
+
+// addField adds a field with its length, so that different lists of fields do not produce the same bytes.
+func addField(h hash.Hash, field []byte) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+	_, _ = h.Write(size[:])
+	_, _ = h.Write(field)
+}
+
+// PartDigestOf returns the digest of all requests to a model with one part in their prompts. scope separates the
+// requests of a team that shares no parts with others; it is empty for all other teams.
+func PartDigestOf(scope, model, part string) Digest {
+	h := sha256.New()
+	// No digest of a request begins like this: it would have a caller of several exabytes.
+	_, _ = h.Write([]byte("part of a prompt"))
+	for _, field := range []string{scope, model, part} {
+		addField(h, []byte(field))
 	}
-	add(body)
 	return Digest(h.Sum(nil)[:DigestSize])
 }
 
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -50,6 +50,8 @@
 	// Request is the request's id in log lines.
 	Request string
 	Digest  quarantine.Digest
+	// Parts are the digests of the parts of its prompt that other requests share.
+	Parts []quarantine.Digest
 	To      registry.Instance
 	Sent    time.Time
 }
@@ -246,10 +248,19 @@
 		return
 	}
 	t.Metrics.ends.WithLabelValues(sign).Inc()
-	t.Log.Info().Str("event", "instance_ended_under").Str("request", a.Request).Str("digest", a.Digest.String()).Str("instance", a.To.ID).
+	t.Log.Info().Str("event", "instance_ended_under").Str("request", a.Request).Str("digest", a.Digest.String()).Strs("parts", a.partNames()).Str("instance", a.To.ID).
 		Int64("start", int64(a.To.Start)).Str("address", a.To.Address).Str("sign", sign).Dur("sent_age_ms", at.Sub(a.Sent)).Msg("")
 }
 
+// partNames returns the digests of the parts as they appear in logs.
+func (a Attempt) partNames() []string {
+	var out []string
+	for _, p := range a.Parts {
+		out = append(out, p.String())
+	}
+	return out
+}
+
 // RecordSuccess records a complete response with a status below 300. Other entries are told if an
 // instance has ended under the request, or as soon as one does.
 func (t *Tracker) RecordSuccess(a Attempt) {
--- a/internal/transport/serving/ends.go
+++ b/internal/transport/serving/ends.go
@@ -17,10 +17,25 @@
 	"github.com/shedrock/shedrock/internal/transport/ends"
 )
 
-// setDigest sets the request's digest. All keys of a team count as the same caller.
+// maxTrackedParts limits the parts of a prompt by which instances that end are tracked.
+const maxTrackedParts = 16
+
+// setDigest sets the request's digest and those of the shared parts of its prompt. All keys of a team count as the
+// same caller.
 func (j *job) setDigest() {
 	r := j.request
 	j.digest = quarantine.DigestOf(j.team.Name, []string{r.Method, r.Host, r.Target}, r.Body)
+	if r.Prompt == nil || len(r.Prompt.Parts) == 0 {
+		return
+	}
+	scope := ""
+	if j.team.Isolated {
+		scope = j.team.Name
+	}
+	shared := r.Prompt.Parts[:len(r.Prompt.Parts)-1]
+	for _, part := range shared[:min(len(shared), maxTrackedParts)] {
+		j.parts = append(j.parts, quarantine.PartDigestOf(scope, r.Prompt.Model, part.ID))
+	}
 }
 
 // checkQuarantine decides whether the next attempt may be sent, by the instances whose processes
@@ -37,7 +52,7 @@
 
 // trackedAttempt returns the current attempt as the tracker of instance ends records it.
 func (j *job) trackedAttempt(sent time.Time) ends.Attempt {
-	return ends.Attempt{Request: j.request.ID, Digest: j.digest, To: j.instance, Sent: sent}
+	return ends.Attempt{Request: j.request.ID, Digest: j.digest, Parts: j.parts, To: j.instance, Sent: sent}
 }
 
 // trackEnd reports the end of an attempt to the tracker. gone is true when the attempt was
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -37,7 +37,9 @@
 	// digest identifies all identical requests. quarantined is the quarantine state of the digest
 	// when the last attempt was permitted or held, and done must be called when a permitted attempt
 	// has ended.
-	digest      quarantine.Digest
+	digest quarantine.Digest
+	// parts are the digests of the shared parts of its prompt.
+	parts       []quarantine.Digest
 	quarantined quarantine.RequestStatus
 	done        func()
 
