--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -52,8 +52,8 @@
 	Digest  quarantine.Digest
 	// Parts are the digests of the parts of its prompt that other requests share.
 	Parts []quarantine.Digest
-	To      registry.Instance
-	Sent    time.Time
+	To    registry.Instance
+	Sent  time.Time
 }
 
 // Tracker holds one entry's knowledge of instance ends. Set the exported fields, then call Run. It
