Parts of prompts under which instances end are held, beside whole requests

Cause: evidence was kept by whole requests only, of which none came three times.

Change: an attempt is judged by several digests, that of its request and those of the parts that its prompt shares with others, in one decision by the same facts: the strictest verdict holds. What clears a part is any answer that has begun on it, whoever's request that is: a deadly part never gets so far. An end does not accuse the parts of an attempt whose answer had begun, nor a part on which another answer has begun at this entry since the attempt was sent. Nothing changes on the wire: a part has a digest as a request has. Ends before a success are evicted first, as popular parts would drive held ones out.

Why it works: parts that a deadly one comes with are in other prompts too, whose answers begin many times a second.

--- a/internal/coordination/quarantine/book.go
+++ b/internal/coordination/quarantine/book.go
@@ -210,8 +210,8 @@
 	s.ends[k.digest] = left
 }
 
-// evictFor removes the oldest fact, preferring requests with few ends, so that a caller whose many
-// different bodies each end an instance does not evict a held request. A fact that is not much
+// evictFor removes the oldest fact, preferring requests with few ends and ends before a success, so that neither a
+// caller whose many different bodies each end an instance nor a popular part evicts a held request. A fact that is not much
 // newer than the oldest is not added, unless its request is suspected: with more facts than fit in
 // a set, the entries would otherwise evict what they send each other again and again.
 func (s *FactSet) evictFor(fact Fact) bool {
@@ -219,7 +219,7 @@
 	var at time.Time
 	few := false
 	for k, e := range s.facts {
-		isFew := len(s.ends[k.digest]) < endsToHold
+		isFew := len(s.ends[k.digest]) < endsToHold || s.cleared(e.fact)
 		if isFew && !few || isFew == few && (at.IsZero() || e.fact.When().Before(at)) {
 			oldest, at, few = k, e.fact.When(), isFew
 		}
@@ -231,6 +231,16 @@
 	return true
 }
 
+// cleared reports whether a fact is an end before the last success of its digest.
+func (s *FactSet) cleared(f Fact) bool {
+	end, ok := f.(InstanceEnded)
+	if !ok {
+		return false
+	}
+	success, ok := s.facts[Key{digest: end.Digest}]
+	return ok && !end.At.After(success.fact.When())
+}
+
 // Checksum returns a value that is equal for sets that hold the same keys, independent of the order
 // in which they were merged.
 func (s *FactSet) Checksum() uint64 { return s.checksum }
--- a/internal/coordination/quarantine/facts.go
+++ b/internal/coordination/quarantine/facts.go
@@ -28,7 +28,8 @@
 	Sent, At time.Time
 }
 
-// RequestSucceeded means that an instance answered a request successfully.
+// RequestSucceeded means that an instance answered a request successfully, or that it has begun to answer a prompt
+// with a part.
 type RequestSucceeded struct {
 	Digest Digest
 	At     time.Time
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -1,12 +1,14 @@
 // Package quarantine decides which requests are held, that is, not sent to instances, because
 // instances end under them, and for how long.
 //
-// After a single end, a request that ends the process that runs it cannot be told apart from the
-// other requests that ran there, up to all slots of the instance. What distinguishes it is that it
+// What ends instances is a whole request or one part of a prompt, whatever else the request holds. Both are
+// identified by digests, and judged alike. After a single end, such a digest cannot be told apart from those
+// of the other requests that ran there, up to all slots of the instance. What distinguishes it is that it
 // never succeeds, and that further instances end under it. The decision therefore counts distinct
-// instances that ended under the same request without a successful answer in between. No request is
+// instances that ended under the same digest without a success in between: the success of a request is a
+// good answer, that of a part any answer that has begun. Nothing is
 // held forever: after a pause, which grows with the number of independent tries that ended an
-// instance, it is tried once more, and a successful answer clears it.
+// instance, it is tried once more, and a success clears it.
 //
 // A FactSet holds facts that are merged from all entries, in any order; all entries with the same
 // facts decide the same.
@@ -88,9 +90,12 @@
 	EndsInstances bool
 }
 
-// Reason returns the reason for callers, logs and metrics.
-func (h Hold) Reason() outcome.Reason {
-	if h.EndsInstances {
+// Reason returns the reason for callers, logs and metrics. part is true if a part of the prompt is held.
+func (h Hold) Reason(part bool) outcome.Reason {
+	switch {
+	case h.EndsInstances && part:
+		return outcome.ReasonPartEndsInstances
+	case h.EndsInstances:
 		return outcome.ReasonEndsInstances
 	}
 	return outcome.ReasonUnderWay
@@ -100,8 +105,10 @@
 func (SendAlone) verdict() {}
 func (Hold) verdict()      {}
 
-// RequestStatus is what is known about a request. It is a plain value.
+// RequestStatus is what is known about a request, or about all requests with one part. It is a plain value.
 type RequestStatus struct {
+	// Digest is what the status is about: a request, or a part of its prompt.
+	Digest Digest
 	// Ends is how many distinct instances ended under it and count. Rounds is how many of these
 	// followed one another, each sent after the previous one had ended.
 	Ends, Rounds int
@@ -113,12 +120,42 @@
 	Until time.Time
 }
 
-// Decide returns whether an attempt may be sent now; entries is the number of entries that serve.
-func (s *FactSet) Decide(d Digest, entries int, now time.Time) Verdict {
-	if !s.IsSuspected(d) {
-		return Send{}
+// Decide returns whether an attempt may be sent now that all of the digests identify: the one of its request, and
+// those of the parts of its prompt. The strictest verdict about any of them holds, and cause is that digest.
+// entries is the number of entries that serve.
+func (s *FactSet) Decide(subjects []Digest, entries int, now time.Time) (verdict Verdict, cause Digest) {
+	verdict = Send{}
+	var tries []Digest
+	for _, d := range subjects {
+		if !s.IsSuspected(d) {
+			continue
+		}
+		c := s.Status(d, entries, now)
+		switch v := s.decide(d, c, entries, now).(type) {
+		case Hold:
+			if held, ok := verdict.(Hold); !ok || v.RetryAfter > held.RetryAfter {
+				verdict, cause = v, d
+			}
+		case SendAlone:
+			if _, any := verdict.(Send); any {
+				verdict, cause = v, d
+			}
+			if c.Held {
+				tries = append(tries, d)
+			}
+		}
+	}
+	if _, held := verdict.(Hold); held {
+		return verdict, cause
+	}
+	for _, d := range tries {
+		s.lastTry[d] = now
 	}
-	c := s.Status(d, entries, now)
+	return verdict, cause
+}
+
+// decide returns the verdict about one suspected digest with the given status.
+func (s *FactSet) decide(d Digest, c RequestStatus, entries int, now time.Time) Verdict {
 	switch {
 	case c.Ends == 0, !c.Held && s.recentlySucceeded(c, now):
 		return Send{}
@@ -129,9 +166,6 @@
 	case s.running[d] > 0:
 		return Hold{RetryAfter: minRetryAfter, EndsInstances: c.Held}
 	}
-	if c.Held {
-		s.lastTry[d] = now
-	}
 	return SendAlone{}
 }
 
@@ -149,13 +183,19 @@
 }
 
 // Begin records that an attempt is sent.
-func (s *FactSet) Begin(d Digest) { s.running[d]++ }
+func (s *FactSet) Begin(subjects []Digest) {
+	for _, d := range subjects {
+		s.running[d]++
+	}
+}
 
 // Done records the end of an attempt.
-func (s *FactSet) Done(d Digest) {
-	s.running[d]--
-	if s.running[d] <= 0 {
-		delete(s.running, d)
+func (s *FactSet) Done(subjects []Digest) {
+	for _, d := range subjects {
+		s.running[d]--
+		if s.running[d] <= 0 {
+			delete(s.running, d)
+		}
 	}
 }
 
@@ -166,7 +206,7 @@
 
 // Status returns what is known about a request.
 func (s *FactSet) Status(d Digest, entries int, now time.Time) RequestStatus {
-	var c RequestStatus
+	c := RequestStatus{Digest: d}
 	if answered, ok := s.facts[Key{digest: d}]; ok {
 		c.LastSuccess = answered.fact.When()
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -195,12 +195,13 @@
 				b.Merge(f)
 			}
 			for range c.running {
-				b.Begin(digestOf(1))
+				b.Begin(only(digestOf(1)))
 			}
 			for _, instance := range c.confirmed {
 				b.ConfirmEnd(incarnation(instance))
 			}
-			if diff := cmp.Diff(c.want, name(b.Decide(digestOf(1), 1, at(c.now)))); diff != "" {
+			verdict, _ := b.Decide(only(digestOf(1)), 1, at(c.now))
+			if diff := cmp.Diff(c.want, name(verdict)); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -257,7 +258,8 @@
 	if diff := cmp.Diff(maxFacts, b.Len()); diff != "" {
 		t.Error("facts: " + diff)
 	}
-	if _, held := b.Decide(digestOf(1), 1, at(4)).(quarantine.Hold); !held {
+	verdict, _ := b.Decide(only(digestOf(1)), 1, at(4))
+	if _, held := verdict.(quarantine.Hold); !held {
 		t.Error("the request is no longer held")
 	}
 }
--- a/internal/coordination/quarantine/replay_test.go
+++ b/internal/coordination/quarantine/replay_test.go
@@ -28,19 +28,22 @@
 
 // decider is the implementation under test: a FactSet or a mutant of it.
 type decider interface {
-	Decide(d quarantine.Digest, entries int, now time.Time) quarantine.Verdict
+	Decide(subjects []quarantine.Digest, entries int, now time.Time) (quarantine.Verdict, quarantine.Digest)
 	Merge(quarantine.Fact) bool
 	IsSuspected(quarantine.Digest) bool
 	PresumedEnded(registry.Incarnation) bool
-	Begin(quarantine.Digest)
-	Done(quarantine.Digest)
+	Begin([]quarantine.Digest)
+	Done([]quarantine.Digest)
 	Since(change uint64, most int) (facts []quarantine.Fact, last uint64)
 	Len() int
 }
 
 // request is one request of a caller.
 type request struct {
-	digest  quarantine.Digest
+	digest quarantine.Digest
+	// parts are the shared parts of its prompt, of which deadly, if set, ends the instance that begins to answer.
+	parts   []quarantine.Digest
+	deadly  *quarantine.Digest
 	poison  bool
 	entry   *replayEntry
 	tried   []*instance
@@ -48,6 +51,19 @@
 	took    time.Duration
 }
 
+// subjects are the digests by which the request is judged.
+func (q *request) subjects() []quarantine.Digest {
+	return append([]quarantine.Digest{q.digest}, q.parts...)
+}
+
+// kills returns the digest of what ends the instance that runs it; ok is false if nothing does.
+func (q *request) kills() (d quarantine.Digest, ok bool) {
+	if q.deadly != nil {
+		return *q.deadly, true
+	}
+	return q.digest, q.poison
+}
+
 type instance struct {
 	registry.Instance
 	up bool
@@ -67,11 +83,15 @@
 	of   registry.Incarnation
 	sent time.Time
 	over bool
+	// begun is true once the answer has begun.
+	begun bool
 }
 
 type replayEntry struct {
 	decider
 	answered map[quarantine.Digest]time.Time
+	// begun holds when answers to prompts with a part began last.
+	begun map[quarantine.Digest]time.Time
 	// refused holds the instances to which this entry's connections are refused on the way.
 	refused map[*instance]bool
 }
@@ -126,7 +146,7 @@
 		r.instances = append(r.instances, &instance{Instance: registry.Instance{ID: id, Address: id, Start: 1}, up: true})
 	}
 	for i := range replayEntries {
-		r.entries = append(r.entries, &replayEntry{decider: newDecider(i), answered: map[quarantine.Digest]time.Time{}, refused: map[*instance]bool{}})
+		r.entries = append(r.entries, &replayEntry{decider: newDecider(i), answered: map[quarantine.Digest]time.Time{}, begun: map[quarantine.Digest]time.Time{}, refused: map[*instance]bool{}})
 	}
 	return r
 }
@@ -160,6 +180,9 @@
 	r.now = end
 }
 
+// only returns the subjects of a request without a prompt.
+func only(d quarantine.Digest) []quarantine.Digest { return []quarantine.Digest{d} }
+
 func digestOf(n uint64) quarantine.Digest {
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], n)
@@ -196,7 +219,8 @@
 }
 
 func (r *replay) attempt(q *request) {
-	if hold, held := q.entry.Decide(q.digest, len(r.entries), r.now).(quarantine.Hold); held {
+	verdict, _ := q.entry.Decide(q.subjects(), len(r.entries), r.now)
+	if hold, held := verdict.(quarantine.Hold); held {
 		r.hold(q, hold)
 		return
 	}
@@ -212,25 +236,43 @@
 	}
 	in := open[r.random.IntN(len(open))]
 	q.tried = append(q.tried, in)
-	q.entry.Begin(q.digest)
+	q.entry.Begin(q.subjects())
 	x := &run{r: q, at: in, of: in.Incarnation(), sent: r.now}
 	in.running = append(in.running, x)
-	if q.poison {
-		r.sends[q.digest] = append(r.sends[q.digest], r.now)
+	if cause, kills := q.kills(); kills {
+		r.sends[cause] = append(r.sends[cause], r.now)
 		r.after(20*time.Millisecond+r.exponential(50*time.Millisecond), func() {
 			if in.Incarnation() == x.of && in.up {
-				r.deaths[q.digest] = append(r.deaths[q.digest], r.now)
+				r.deaths[cause] = append(r.deaths[cause], r.now)
 				r.endInstance(in)
 			}
 		})
 		return
 	}
+	if len(q.parts) > 0 {
+		r.after(q.took/2, func() { r.beginAnswer(x) })
+	}
 	r.after(q.took, func() { r.succeed(x) })
 }
 
+// beginAnswer clears the parts of a prompt, unless its run is over.
+func (r *replay) beginAnswer(x *run) {
+	if x.over {
+		return
+	}
+	x.begun = true
+	e := x.r.entry
+	for _, part := range x.r.parts {
+		e.begun[part] = r.now
+		if e.IsSuspected(part) {
+			r.publish(e, quarantine.RequestSucceeded{Digest: part, At: r.now})
+		}
+	}
+}
+
 // hold counts a refused request; its caller retries up to twice.
 func (r *replay) hold(q *request, hold quarantine.Hold) {
-	if q.poison {
+	if _, kills := q.kills(); kills {
 		return
 	}
 	r.refused++
@@ -246,7 +288,7 @@
 
 // retry makes the caller of a failed request retry once.
 func (r *replay) retry(q *request) {
-	if q.poison || q.retries > 0 {
+	if _, kills := q.kills(); kills || q.retries > 0 {
 		return
 	}
 	q.retries++
@@ -261,7 +303,7 @@
 	x.over = true
 	x.at.remove(x)
 	e := x.r.entry
-	e.Done(x.r.digest)
+	e.Done(x.r.subjects())
 	r.served++
 	e.answered[x.r.digest] = r.now
 	if e.IsSuspected(x.r.digest) {
@@ -293,9 +335,17 @@
 	}
 	x.over = true
 	q := x.r
-	q.entry.Done(q.digest)
+	q.entry.Done(q.subjects())
 	if ended || r.closedIsEnd {
-		r.publish(q.entry, quarantine.InstanceEnded{Digest: q.digest, Incarnation: x.of, Address: x.at.Address, Sent: x.sent, At: r.now})
+		fact := quarantine.InstanceEnded{Digest: q.digest, Incarnation: x.of, Address: x.at.Address, Sent: x.sent, At: r.now}
+		r.publish(q.entry, fact)
+		for _, part := range q.parts {
+			if begun, known := q.entry.begun[part]; x.begun || known && !begun.Before(x.sent) {
+				continue
+			}
+			fact.Digest = part
+			r.publish(q.entry, fact)
+		}
 	}
 	r.attempt(q)
 }
@@ -319,8 +369,10 @@
 	if !isNew || !ok {
 		return
 	}
-	if at, known := e.answered[end.Digest]; known {
-		r.publish(e, quarantine.RequestSucceeded{Digest: end.Digest, At: at})
+	for _, known := range []map[quarantine.Digest]time.Time{e.answered, e.begun} {
+		if at, ok := known[end.Digest]; ok {
+			r.publish(e, quarantine.RequestSucceeded{Digest: end.Digest, At: at})
+		}
 	}
 }
 
@@ -357,7 +409,7 @@
 			if n == 0 {
 				return
 			}
-			if !x.r.poison {
+			if _, kills := x.r.kills(); !kills {
 				n--
 				in.remove(x)
 				r.breakRun(x, false)
@@ -372,7 +424,7 @@
 	i := r.random.IntN(len(r.entries))
 	e := r.entries[i]
 	e.decider = r.newDecider(i)
-	e.answered = map[quarantine.Digest]time.Time{}
+	e.answered, e.begun = map[quarantine.Digest]time.Time{}, map[quarantine.Digest]time.Time{}
 	other := r.entries[(i+1)%len(r.entries)]
 	facts, _ := other.Since(0, other.Len())
 	for _, f := range facts {
--- a/internal/state/outcome/outcome.go
+++ b/internal/state/outcome/outcome.go
@@ -74,6 +74,8 @@
 	// an identical request, during which an instance ended, is still in flight.
 	ReasonEndsInstances Reason = "ends_instances"
 	ReasonUnderWay      Reason = "under_way"
+	// ReasonPartEndsInstances means that instances ended while they ran prompts with one of the parts of this one.
+	ReasonPartEndsInstances Reason = "prompt_part_ends_instances"
 	// ReasonLimited means that the upstreams receive as many requests as their limits allow.
 	ReasonLimited Reason = "upstream_limited"
 	// ReasonNoPath means that the entry has lost its path to the upstreams, and no other entry has one.
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -40,9 +40,6 @@
 	refusalWindow = 2 * time.Second
 	// maxUndecided limits the undecided attempts of each kind, broken and abandoned.
 	maxUndecided = 256
-	// maxSucceeded limits the requests that are remembered to have succeeded: at 200 requests/s,
-	// those of the last 20 s. A Tracker uses 1.2 MB at most.
-	maxSucceeded = 4096
 )
 
 // Attempt is one attempt to run a request at an instance.
@@ -52,6 +49,8 @@
 	Digest  quarantine.Digest
 	// Parts are the digests of the parts of its prompt that other requests share.
 	Parts []quarantine.Digest
+	// Begun is true once an event of the answer was read.
+	Begun bool
 	To    registry.Instance
 	Sent  time.Time
 }
@@ -84,11 +83,9 @@
 	abandoned []undecidedAttempt
 	// undecided holds a token if an attempt was added to either list.
 	undecided chan struct{}
-	// succeededAt holds when requests succeeded at this entry, and succeededRing their digests in a
-	// ring buffer whose oldest element is at ringNext.
-	succeededAt   map[quarantine.Digest]time.Time
-	succeededRing []quarantine.Digest
-	ringNext      int
+	// succeeded holds the requests that succeeded at this entry, and partsBegun the parts of prompts whose answers
+	// began here.
+	succeeded, partsBegun successes
 	// origins holds the source of each fact and the time from which it is relayed.
 	origins map[quarantine.Key]origin
 	// localFacts counts the facts that this entry observed itself. changed is closed and replaced
@@ -105,7 +102,6 @@
 func (t *Tracker) init() {
 	t.once.Do(func() {
 		t.factSet = quarantine.New(rand.Uint64())
-		t.succeededAt = map[quarantine.Digest]time.Time{}
 		t.origins = map[quarantine.Key]origin{}
 		t.changed = make(chan struct{})
 		t.undecided = make(chan struct{}, 1)
@@ -138,24 +134,28 @@
 	}
 }
 
-// Begin decides whether a request may be sent. Unless it is held, done must be called when the
-// attempt has ended.
-func (t *Tracker) Begin(d quarantine.Digest) (verdict quarantine.Verdict, status quarantine.RequestStatus, done func()) {
+// Begin decides whether a request may be sent that the digest identifies, and the parts of its prompt. status is
+// that of the digest by which it was decided. Unless it is held, done must be called when the attempt has ended.
+func (t *Tracker) Begin(d quarantine.Digest, parts ...quarantine.Digest) (verdict quarantine.Verdict, status quarantine.RequestStatus, done func()) {
 	t.init()
+	subjects := append([]quarantine.Digest{d}, parts...)
 	entries, now := t.Entries(), clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	verdict = t.factSet.Decide(d, entries, now)
-	status = t.factSet.Status(d, entries, now)
+	verdict, cause := t.factSet.Decide(subjects, entries, now)
+	if _, any := verdict.(quarantine.Send); any {
+		cause = d
+	}
+	status = t.factSet.Status(cause, entries, now)
 	if hold, held := verdict.(quarantine.Hold); held {
-		t.Metrics.countHold(hold)
+		t.Metrics.countHold(hold, cause != d)
 		return verdict, status, func() {}
 	}
-	t.factSet.Begin(d)
+	t.factSet.Begin(subjects)
 	return verdict, status, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.factSet.Done(d)
+		t.factSet.Done(subjects)
 	}
 }
 
@@ -235,7 +235,8 @@
 	t.recordEnd(a, signSuperseded, clock.Now())
 }
 
-// recordEnd records that an instance ended while it served a request.
+// recordEnd records that an instance ended while it served a request. The parts of its prompt are accused as well,
+// unless this attempt had begun an answer, or another one with the part has since it was sent.
 func (t *Tracker) recordEnd(a Attempt, sign string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -244,6 +245,15 @@
 		of.Start = -registry.Start(at.UnixMilli())
 	}
 	fact := quarantine.InstanceEnded{Digest: a.Digest, Incarnation: of, Address: a.To.Address, Sent: a.Sent, At: at}
+	for _, part := range a.Parts {
+		begun, known := t.partsBegun.at[part]
+		if a.Begun || known && !begun.Before(a.Sent) {
+			continue
+		}
+		accused := fact
+		accused.Digest = part
+		t.merge(accused, origin{at: at})
+	}
 	if !t.merge(fact, origin{at: at}) {
 		return
 	}
@@ -268,13 +278,38 @@
 	now := clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remember(a.Digest, now)
-	if t.factSet.IsSuspected(a.Digest) {
-		t.merge(quarantine.RequestSucceeded{Digest: a.Digest, At: now}, origin{at: now})
-	}
+	t.recordSuccess(&t.succeeded, a.Digest, now)
+	t.recordPartsBegun(a.Parts, now)
 	t.recordResponse(a, now)
 }
 
+// RecordBegun records that an event of an answer was read, to a prompt with the given parts: none of them ends
+// instances.
+func (t *Tracker) RecordBegun(parts []quarantine.Digest) {
+	if len(parts) == 0 {
+		return
+	}
+	t.init()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordPartsBegun(parts, clock.Now())
+}
+
+// recordPartsBegun records that an answer to a prompt with some parts has begun. mu must be held.
+func (t *Tracker) recordPartsBegun(parts []quarantine.Digest, now time.Time) {
+	for _, part := range parts {
+		t.recordSuccess(&t.partsBegun, part, now)
+	}
+}
+
+// recordSuccess records the success of a digest, and shares it if the digest is suspected. mu must be held.
+func (t *Tracker) recordSuccess(known *successes, d quarantine.Digest, now time.Time) {
+	known.add(d, now)
+	if t.factSet.IsSuspected(d) {
+		t.merge(quarantine.RequestSucceeded{Digest: d, At: now}, origin{at: now})
+	}
+}
+
 // RecordResponse records that the instance of an attempt responded.
 func (t *Tracker) RecordResponse(a Attempt) {
 	t.init()
@@ -290,22 +325,6 @@
 	}
 }
 
-// remember keeps the time at which a request succeeded at this entry. mu must be held.
-func (t *Tracker) remember(d quarantine.Digest, now time.Time) {
-	_, known := t.succeededAt[d]
-	t.succeededAt[d] = now
-	if known {
-		return
-	}
-	if len(t.succeededRing) < maxSucceeded {
-		t.succeededRing = append(t.succeededRing, d)
-		return
-	}
-	delete(t.succeededAt, t.succeededRing[t.ringNext])
-	t.succeededRing[t.ringNext] = d
-	t.ringNext = (t.ringNext + 1) % maxSucceeded
-}
-
 // review checks whether other incarnations have taken the id or address of those at which attempts
 // are undecided, or that are presumed to have ended.
 func (t *Tracker) review(now time.Time) {
--- a/internal/transport/ends/facts.go
+++ b/internal/transport/ends/facts.go
@@ -66,8 +66,10 @@
 			continue
 		}
 		ends = append(ends, end)
-		if at, known := t.succeededAt[end.Digest]; known {
-			t.merge(quarantine.RequestSucceeded{Digest: end.Digest, At: at}, origin{at: now})
+		for _, known := range []successes{t.succeeded, t.partsBegun} {
+			if at, ok := known.at[end.Digest]; ok {
+				t.merge(quarantine.RequestSucceeded{Digest: end.Digest, At: at}, origin{at: now})
+			}
 		}
 	}
 	t.logReceived(from, ends, now)
--- a/internal/transport/ends/metrics.go
+++ b/internal/transport/ends/metrics.go
@@ -31,9 +31,9 @@
 	}
 }
 
-// countHold counts an attempt that was held.
-func (m *Metrics) countHold(h quarantine.Hold) {
-	m.held.WithLabelValues(string(h.Reason())).Inc()
+// countHold counts an attempt that was held because of its whole request or of a part of its prompt.
+func (m *Metrics) countHold(h quarantine.Hold, part bool) {
+	m.held.WithLabelValues(string(h.Reason(part))).Inc()
 }
 
 // countReceived counts a fact that was received from another process before it was observed here.
--- a/internal/transport/entry/ends.go
+++ b/internal/transport/entry/ends.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return nil, done
 	}
-	return &denial{hold.RetryAfter, hold.Reason()}, done
+	return &denial{hold.RetryAfter, hold.Reason(false)}, done
 }
 
 // trackAttemptEnd reports the end of a prompt's attempt to the tracker of instance
--- a/internal/transport/serving/ends.go
+++ b/internal/transport/serving/ends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -41,13 +42,23 @@
 // checkQuarantine decides whether the next attempt may be sent, by the instances whose processes
 // ended while they served the request. It returns the request's outcome when it may not.
 func (j *job) checkQuarantine() outcome.Outcome {
-	verdict, known, done := j.server.Ends.Begin(j.digest)
+	verdict, known, done := j.server.Ends.Begin(j.digest, j.parts...)
 	j.quarantined, j.done = known, done
+	j.heldPart = j.partOf(known.Digest)
 	hold, ok := verdict.(quarantine.Hold)
 	if !ok {
 		return nil
 	}
-	return j.attempts.Reject(hold.RetryAfter, hold.Reason())
+	return j.attempts.Reject(hold.RetryAfter, hold.Reason(j.heldPart != ""))
+}
+
+// partOf returns the name of the part of the prompt that a digest identifies, or "" if it is that of the request.
+func (j *job) partOf(d quarantine.Digest) string {
+	i := slices.Index(j.parts, d)
+	if i < 0 {
+		return ""
+	}
+	return j.request.Prompt.Parts[i].ID
 }
 
 // trackedAttempt returns the current attempt as the tracker of instance ends records it.
@@ -106,11 +117,15 @@
 }
 
 // addQuarantine adds to a log line how many instances are known to have ended while they served
-// the request, and whether it is held.
-func addQuarantine(line *log.Entry, c quarantine.RequestStatus) *log.Entry {
+// the request, or prompts with one of its parts, and whether it is held.
+func (j *job) addQuarantine(line *log.Entry) *log.Entry {
+	c := j.quarantined
 	if c.Ends == 0 {
 		return line
 	}
+	if j.heldPart != "" {
+		line = line.Str("part", j.heldPart)
+	}
 	now := clock.Now()
 	line = line.Int("ends", c.Ends).Int("end_rounds", c.Rounds).Dur("end_age_ms", now.Sub(c.LastEnd)).Bool("held", c.Held)
 	if c.Held {
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -41,7 +41,9 @@
 	// parts are the digests of the shared parts of its prompt.
 	parts       []quarantine.Digest
 	quarantined quarantine.RequestStatus
-	done        func()
+	// heldPart is the part of the prompt that quarantined is about, or empty if it is about the request.
+	heldPart string
+	done     func()
 
 	version        uint64
 	route          deployment.Route
@@ -207,6 +209,7 @@
 	j.recordResponse(reply, tracked, respondedAt)
 	j.firstEventAt = time.Time{}
 	end, err := j.forward(watchedCtx, reply, watch)
+	tracked.Begun = !j.firstEventAt.IsZero()
 	j.recordReading(sentAt)
 	if canceledByWatch(end, watch) {
 		err = errWeightsExpired
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -22,7 +22,7 @@
 		line = line.Int("room", j.memory.tokens).Dur("room_age_ms", j.memory.age)
 	}
 	line = j.addVia(j.consultation.addTo(line))
-	line = j.condition.addTo(addQuarantine(j.weights.addTo(line), j.quarantined))
+	line = j.condition.addTo(j.addQuarantine(j.weights.addTo(line)))
 	switch o := o.(type) {
 	case outcome.Answered:
 		line = line.Int("status", o.Status).Dur("first_ms", j.firstByteAt.Sub(j.request.Arrived))
@@ -47,7 +47,7 @@
 		Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Str("address", j.instance.Address).Uint64("sequence", j.instance.Sequence).
 		Str("end", endLabel(end)).Dur("took_ms", took)
 	line = j.addStream(j.addVia(j.consultation.addTo(line.Str("digest", j.digest.String()))))
-	line = j.condition.addTo(addQuarantine(j.weights.addTo(line), j.quarantined))
+	line = j.condition.addTo(j.addQuarantine(j.weights.addTo(line)))
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
--- a/internal/transport/serving/reading.go
+++ b/internal/transport/serving/reading.go
@@ -57,6 +57,7 @@
 func (j *job) recordEvent() {
 	if j.firstEventAt.IsZero() {
 		j.firstEventAt = clock.Now()
+		j.server.Ends.RecordBegun(j.parts)
 	}
 }
 
