Command held: what is held because instances ended under it, and its release

Operators could see held requests in logs and metrics only, and had no way to send a held part again after its cause was mended, but to wait for up to an hour.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,6 +46,7 @@
 	Apply    applyCommand    `cmd:"" help:"Submit declared files, each whole."`
 	Status   statusCommand   `cmd:"" help:"Show what is in force where."`
 	Evacuate evacuateCommand `cmd:"" help:"Have no request begin at the upstreams of a failure domain, or end that."`
+	Held     heldCommand     `cmd:"" help:"Show the requests and parts of prompts that are held because instances ended under them, or release one."`
 	Ask      askCommand      `cmd:"" help:"Send one prompt, to try a deployment."`
 	Standin  standinCommand  `cmd:"" help:"Run a small stand-in for an outside system."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -76,6 +76,10 @@
 		{"bad peers", []string{"control", "--data", t.TempDir(), "--peers", "one=127.0.0.1:1"}, 2, `--peers: "one=127.0.0.1:1": expected NUMBER=IP:PORT`},
 		{"bad address", []string{"control", "--data", t.TempDir(), "--address", "localhost:1"}, 2, `--address: "localhost:1" is not an address`},
 		{"nobody there", []string{"status", "--control", "127.0.0.1:1", "--timeout", "100ms"}, 1, "no replica of the control log answers"},
+		{"nobody there to list", []string{"held", "--control", "127.0.0.1:1", "--timeout", "100ms"}, 1, "no replica of the control log answers"},
+		{"nobody there to release", []string{"held", "--control", "127.0.0.1:1", "--release", strings.Repeat("a", 32)}, 1, "no replica of the control log answers"},
+		{"bad digest", []string{"held", "--release", "abc"}, 2, `--release: "abc" is not a digest of 32 hexadecimal digits`},
+		{"a part without its model", []string{"held", "--part", "a"}, 2, "--part and --model are needed together"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/coordination/quarantine/digest.go
+++ b/internal/coordination/quarantine/digest.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+
+	"github.com/pkg/errors"
 )
 
 // DigestSize is the length of a Digest in bytes.
@@ -46,5 +48,14 @@
 	return Digest(h.Sum(nil)[:DigestSize])
 }
 
+// ParseDigest is the inverse of String.
+func ParseDigest(text string) (Digest, error) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != DigestSize {
+		return Digest{}, errors.Errorf("%q is not a digest of %d hexadecimal digits", text, 2*DigestSize)
+	}
+	return Digest(b), nil
+}
+
 // String returns the digest in hexadecimal, as it appears in logs.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -15,6 +15,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -182,6 +184,27 @@
 	return suspected, held
 }
 
+// Held returns the status of everything that is held, the latest end last.
+func (s *FactSet) Held(entries int, now time.Time) []RequestStatus {
+	var out []RequestStatus
+	for d := range s.ends {
+		if c := s.Status(d, entries, now); c.Held {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b RequestStatus) int {
+		return cmp.Or(a.LastEnd.Compare(b.LastEnd), bytes.Compare(a.Digest[:], b.Digest[:]))
+	})
+	return out
+}
+
+// Ends returns the ends that count against a digest, oldest first.
+func (s *FactSet) Ends(d Digest) []InstanceEnded {
+	out := s.countedEnds(d, s.Status(d, 1, time.Time{}).LastSuccess)
+	slices.SortFunc(out, func(a, b InstanceEnded) int { return a.At.Compare(b.At) })
+	return out
+}
+
 // Begin records that an attempt is sent.
 func (s *FactSet) Begin(subjects []Digest) {
 	for _, d := range subjects {
