Software versions are counted as reports come, not gathered from all instances

The list was gathered anew at each rebuild of the instances, whose work must not depend on their number.

--- a/internal/coordination/streamorigin/replay_test.go
+++ b/internal/coordination/streamorigin/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -144,7 +145,7 @@
 }
 
 func (r *replay) learn(e *replayEntry) {
-	versions, changed := e.versions.Update(r.known, r.now)
+	versions, changed := e.versions.Update(maps.Keys(r.known), r.now)
 	e.versions = versions
 	if changed && len(versions) > 1 && !r.untold {
 		for _, record := range e.own.OfService("s", r.now) {
--- a/internal/coordination/streamorigin/streamorigin_test.go
+++ b/internal/coordination/streamorigin/streamorigin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,12 +56,12 @@
 
 // Guards against streams that begin at a further version before other entries know of it.
 func TestFurtherVersionSettles(t *testing.T) {
-	versions, changed := streamorigin.Versions(nil).Update(map[string]bool{"v1": true}, start)
+	versions, changed := streamorigin.Versions(nil).Update(slices.Values([]string{"v1"}), start)
 	if !changed || !versions.Settled("v1", time.Time{}, start) {
 		t.Error("the only version does not serve at once")
 	}
 	later := start.Add(time.Minute)
-	versions, _ = versions.Update(map[string]bool{"v1": true, "v2": true}, later)
+	versions, _ = versions.Update(slices.Values([]string{"v1", "v2"}), later)
 	settled := later.Add(streamorigin.SettleTime)
 	for _, c := range []struct {
 		version          string
@@ -74,11 +75,11 @@
 			t.Errorf("%s at %s: settled %t", c.version, c.at.Sub(later), got)
 		}
 	}
-	same, changed := versions.Update(map[string]bool{"v1": true, "v2": true}, settled)
+	same, changed := versions.Update(slices.Values([]string{"v1", "v2"}), settled)
 	if diff := cmp.Diff(versions, same); diff != "" || changed {
 		t.Error(diff, changed)
 	}
-	back, changed := versions.Update(map[string]bool{"v2": true}, settled)
+	back, changed := versions.Update(slices.Values([]string{"v2"}), settled)
 	if version, sole := back.Sole(); !changed || !sole || version != "v2" {
 		t.Errorf("sole %t, version %q", sole, version)
 	}
--- a/internal/coordination/streamorigin/versions.go
+++ b/internal/coordination/streamorigin/versions.go
@@ -1,15 +1,17 @@
 package streamorigin
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Versions holds the software versions of one service that an entry knows of, each with the time since when. Those
 // whose instances have all ended are included for a while. It is never modified.
 type Versions map[string]time.Time
 
-// Update returns the versions after instances of the given ones are known, and whether that differs from before.
-func (v Versions) Update(known map[string]bool, now time.Time) (next Versions, changed bool) {
-	next = make(Versions, len(known))
-	changed = len(known) != len(v)
+// Update returns the versions now that those of known are known, each given once, and whether that differs from before.
+func (v Versions) Update(known iter.Seq[string], now time.Time) (next Versions, changed bool) {
+	next = Versions{}
 	for version := range known {
 		since, ok := v[version]
 		if !ok {
@@ -17,7 +19,7 @@
 		}
 		next[version] = since
 	}
-	if !changed {
+	if !changed && len(next) == len(v) {
 		return v, false
 	}
 	return next, true
--- a/internal/state/registry/live.go
+++ b/internal/state/registry/live.go
@@ -46,22 +46,35 @@
 	return maps.Clone(m.live)
 }
 
-// SoftwareVersions returns the software versions of each service's instances, including those that have ended
-// and are still retained.
-func (m *Merged) SoftwareVersions() map[string]map[string]bool {
-	out := map[string]map[string]bool{}
-	for k := range m.all() {
-		service := k.newest.Service
-		if service == "" {
-			// Only the end of the incarnation is known.
-			continue
-		}
-		if out[service] == nil {
-			out[service] = map[string]bool{}
-		}
-		out[service][k.newest.SoftwareVersion] = true
+// SoftwareVersions returns how many incarnations of each service have each software version, including those that
+// have ended and are still retained. changed is false if no version has come or gone since the last call. The
+// result must not be modified, and is valid until the next call of another method.
+func (m *Merged) SoftwareVersions() (versions map[string]map[string]int, changed bool) {
+	changed = m.versionsChanged
+	m.versionsChanged = false
+	return m.versions, changed
+}
+
+// countVersion adds n to the number of incarnations with an instance's service and software version. Without a service,
+// only the end of the incarnation is known.
+func (m *Merged) countVersion(in Instance, n int) {
+	if in.Service == "" {
+		return
 	}
-	return out
+	counts := m.versions[in.Service]
+	if counts == nil {
+		counts = map[string]int{}
+		m.versions[in.Service] = counts
+	}
+	before := counts[in.SoftwareVersion]
+	counts[in.SoftwareVersion] = before + n
+	if before+n == 0 {
+		delete(counts, in.SoftwareVersion)
+	}
+	if len(counts) == 0 {
+		delete(m.versions, in.Service)
+	}
+	m.versionsChanged = m.versionsChanged || before == 0 || before+n == 0
 }
 
 // edit is a change of one id's entry in the list of a service. in is nil to remove it.
@@ -172,6 +185,7 @@
 		}
 		m.touch(k)
 		m.removeAddress(k)
+		m.countVersion(k.newest, -1)
 		delete(m.orphans, k)
 		delete(m.unsettled, k)
 		id := m.instances[k.newest.ID]
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -37,9 +37,13 @@
 	changed map[string]struct{}
 	// dirty holds the ids whose entry in live may have to change. live holds the instances in use of each
 	// service, in the order of their ids; its slices are never modified.
-	dirty  map[string]struct{}
-	live   map[string][]Instance
-	shared shared
+	dirty map[string]struct{}
+	live  map[string][]Instance
+	// versions counts the incarnations by service and software version, and versionsChanged is true if a version has
+	// come or gone since the last call of SoftwareVersions.
+	versions        map[string]map[string]int
+	versionsChanged bool
+	shared          shared
 }
 
 // known is what is known of one id.
@@ -94,6 +98,7 @@
 	m.changed = map[string]struct{}{}
 	m.dirty = map[string]struct{}{}
 	m.live = map[string][]Instance{}
+	m.versions = map[string]map[string]int{}
 }
 
 // Merge merges reports of one source.
@@ -144,6 +149,7 @@
 	id.incarnations = slices.Insert(id.incarnations, i, k)
 	m.orphans[k] = struct{}{}
 	m.addAddress(k)
+	m.countVersion(k.newest, 1)
 	return k
 }
 
@@ -192,6 +198,8 @@
 // the estimates.
 func (m *Merged) replaceNewest(k *merged, in Instance) {
 	in.Weights, in.WeightsProvenance = k.newest.Weights, k.newest.WeightsProvenance
+	m.countVersion(k.newest, -1)
+	m.countVersion(in, 1)
 	if in.Address != k.newest.Address || in.Service != k.newest.Service {
 		m.removeAddress(k)
 		k.newest = in
--- a/internal/transport/fleet/software.go
+++ b/internal/transport/fleet/software.go
@@ -10,24 +10,23 @@
 
 // updateSoftwareVersions records the software versions of all services; mu must be held.
 func (f *Follower) updateSoftwareVersions(now time.Time) {
-	next := map[string]streamorigin.Versions{}
-	anyChanged := false
-	for service, known := range f.merged.SoftwareVersions() {
-		before := f.softwareVersions[service]
-		versions, changed := before.Update(known, now)
+	known, changed := f.merged.SoftwareVersions()
+	if !changed {
+		return
+	}
+	next := make(map[string]streamorigin.Versions, len(known))
+	for service, counts := range known {
+		versions, changed := f.softwareVersions[service].Update(maps.Keys(counts), now)
 		next[service] = versions
 		if !changed {
 			continue
 		}
-		anyChanged = true
 		f.Log.Info().Str("event", "software_versions").Str("service", service).Strs("versions", slices.Sorted(maps.Keys(versions))).Msg("")
 		if len(versions) > 1 && f.OnVersionAdded != nil {
 			go f.OnVersionAdded(service)
 		}
 	}
-	if anyChanged || len(next) != len(f.softwareVersions) {
-		f.softwareVersions = next
-	}
+	f.softwareVersions = next
 }
 
 // replicas returns the addresses of all control instances that the sources list, or of the sources while they list
--- a/internal/transport/streams/tracker.go
+++ b/internal/transport/streams/tracker.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -206,7 +207,7 @@
 			}
 		}
 	}
-	out.Versions, _ = out.Versions.Update(versions, clock.Now())
+	out.Versions, _ = out.Versions.Update(maps.Keys(versions), clock.Now())
 	out.Current = answered > len(replicas)/2
 	return out
 }
