--- a/internal/transport/streams/streams_test.go
+++ b/internal/transport/streams/streams_test.go
@@ -243,3 +243,32 @@
 		t.Error(diff)
 	}
 }
+
+// BenchmarkBegan is what a stream costs its entry: with one version, and with two, at which its record is sent to two
+// control instances in this process.
+func BenchmarkBegan(b *testing.B) {
+	for name, versions := range map[string]streamorigin.Versions{"one version": one, "two versions": two} {
+		b.Run(name, func(b *testing.B) {
+			v := &fleet.View{SoftwareVersions: map[string]streamorigin.Versions{"s": versions}}
+			e := &streams.Tracker{View: func() *fleet.View { return v }, Metrics: streams.NewMetrics(), Log: quiet}
+			for n := range b.N {
+				e.Began(record(n, first))
+			}
+		})
+	}
+}
+
+// BenchmarkShare is what a control instance does for a message with 8 records.
+func BenchmarkShare(b *testing.B) {
+	s := streams.Service{View: func() *fleet.View { return &fleet.View{} }}
+	for n := range b.N {
+		var records []streamorigin.Record
+		for i := range 8 {
+			records = append(records, record(8*n+i, first))
+		}
+		_, err := s.Share(b.Context(), &wire.ShareRequest{Origins: wire.FromOrigins(records)})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
