Nothing is recorded of resumed streams that callers do not name

What callers would see: a stream that a caller resumes without saying which goes on at another software version, by the record of another such stream, once a service has a second version.

Cause: the record of a resumed stream is kept under the id that the caller names, also if that is none.

Found by reading; TestUnnamedStreamsHaveNoRecord failed before and passes now.

--- a/internal/transport/serving/origin.go
+++ b/internal/transport/serving/origin.go
@@ -54,18 +54,19 @@
 	return nil
 }
 
-// recordOrigin records where the stream begins, before its first event is forwarded.
+// recordOrigin records where the stream begins, before its first event is forwarded. A resumed stream that the caller
+// does not name cannot be told from others.
 func (j *job) recordOrigin() {
 	if !j.origin.begun {
 		j.origin.Origin, j.origin.begun = streamorigin.Origin{Service: j.service, SoftwareVersion: j.instance.SoftwareVersion}, true
 	}
-	if !j.route.AllowsRetries() {
-		return
-	}
 	id := j.request.ID
 	if j.origin.source != "" {
 		id = j.request.ResumedID
 	}
+	if !j.route.AllowsRetries() || id == "" {
+		return
+	}
 	j.server.Streams.Began(streamorigin.Record{Key: streamorigin.KeyOf(j.team.Name, id), Origin: j.origin.Origin})
 }
 
