Two streams under one id have no known origin

What callers would see: of two streams that a caller began under the same id at two software versions, the second goes on at the version of the first.

Cause: a record that is kept already was left as it is, whatever the new one says. Of two different origins none is kept now, and the streams are refused as of unknown origin when they are resumed.

Found by reading; TestAmbiguousIDsAreNotGuessed failed before and passes now.

--- a/internal/coordination/streamorigin/streamorigin.go
+++ b/internal/coordination/streamorigin/streamorigin.go
@@ -46,10 +46,10 @@
 	return Key(h.Sum(nil)[:KeySize])
 }
 
-// Origin is where a stream began.
+// Origin is where a stream began. The zero value stands for several origins: a caller used one id twice.
 type Origin struct{ Service, SoftwareVersion string }
 
-// Record is the origin of one stream. It never changes: after its first event a stream stays at its version.
+// Record is the origin of one stream. It never changes, as a stream stays at its version after its first event.
 type Record struct {
 	Key    Key
 	Origin Origin
@@ -77,13 +77,18 @@
 	at  time.Time
 }
 
-// Add keeps a record from now on. A record that is kept already, and not long since, is left as it is.
+// Add keeps a record from now on. A record that is kept already, and not long since, is left as it is. Of two different
+// origins none is kept.
 func (t *Table) Add(r Record, now time.Time) {
 	if t.origins == nil {
 		t.origins = map[Key]kept{}
 	}
 	t.expire(now)
 	known, ok := t.origins[r.Key]
+	if ok && known.origin != r.Origin {
+		r.Origin = Origin{}
+		t.origins[r.Key] = kept{r.Origin, known.at}
+	}
 	if ok && now.Sub(known.at) < refreshAfter {
 		return
 	}
--- a/internal/coordination/streamorigin/streamorigin_test.go
+++ b/internal/coordination/streamorigin/streamorigin_test.go
@@ -120,3 +120,21 @@
 		t.Errorf("%d records of one stream", got)
 	}
 }
+
+// Guards against a guess between two streams that a caller began under the same id at two versions.
+func TestAmbiguousIDsAreNotGuessed(t *testing.T) {
+	table := streamorigin.Table{Max: 10}
+	key := streamorigin.KeyOf("a", "twice")
+	for _, o := range []streamorigin.Origin{first, second, first} {
+		table.Add(streamorigin.Record{Key: key, Origin: o}, start)
+	}
+	found, ok := table.Find(key, start)
+	if !ok {
+		t.Fatal("the record is gone")
+	}
+	for _, known := range []streamorigin.Known{{Own: &found}, {Shared: &found}, {Own: &found, Shared: &first}} {
+		if o, from := streamorigin.Resolve(known); from != streamorigin.Unknown {
+			t.Errorf("%v by %s", o, from)
+		}
+	}
+}
--- a/internal/coordination/streamorigin/versions.go
+++ b/internal/coordination/streamorigin/versions.go
@@ -74,11 +74,17 @@
 
 // Resolve returns where a resumed stream began.
 func Resolve(k Known) (o Origin, from Source) {
-	if k.Own != nil {
-		return *k.Own, OwnRecord
-	}
-	if k.Shared != nil {
-		return *k.Shared, SharedRecord
+	for _, record := range []struct {
+		origin *Origin
+		source Source
+	}{{k.Own, OwnRecord}, {k.Shared, SharedRecord}} {
+		if record.origin == nil {
+			continue
+		}
+		if *record.origin == (Origin{}) {
+			return Origin{}, Unknown
+		}
+		return *record.origin, record.source
 	}
 	if version, ok := k.Versions.Sole(); ok && k.Current {
 		return Origin{k.Service, version}, SoleVersion
