--- a/internal/coordination/streamorigin/streamorigin_test.go
+++ b/internal/coordination/streamorigin/streamorigin_test.go
@@ -64,14 +64,14 @@
 	versions, _ = versions.Update(slices.Values([]string{"v1", "v2"}), later)
 	settled := later.Add(streamorigin.SettleTime)
 	for _, c := range []struct {
-		version          string
-		inTouchSince, at time.Time
-		want             bool
+		version            string
+		connectedSince, at time.Time
+		want               bool
 	}{
 		{"v1", time.Time{}, later, true}, {"v2", time.Time{}, later, false}, {"v2", time.Time{}, settled.Add(-1), false},
 		{"v2", time.Time{}, settled, true}, {"v2", settled, settled, false}, {"v3", time.Time{}, settled, false},
 	} {
-		if got := versions.Settled(c.version, c.inTouchSince, c.at); got != c.want {
+		if got := versions.Settled(c.version, c.connectedSince, c.at); got != c.want {
 			t.Errorf("%s at %s: settled %t", c.version, c.at.Sub(later), got)
 		}
 	}
--- a/internal/coordination/streamorigin/versions.go
+++ b/internal/coordination/streamorigin/versions.go
@@ -37,14 +37,14 @@
 }
 
 // Settled reports whether streams may begin at a version, as far as there is a choice: it has been known for
-// SettleTime without a time in between in which this entry was out of touch with others.
-func (v Versions) Settled(version string, inTouchSince, now time.Time) bool {
+// SettleTime, during which this entry was connected to the control log.
+func (v Versions) Settled(version string, connectedSince, now time.Time) bool {
 	if len(v) < 2 {
 		return true
 	}
 	since, ok := v[version]
-	if since.Before(inTouchSince) {
-		since = inTouchSince
+	if since.Before(connectedSince) {
+		since = connectedSince
 	}
 	return ok && now.Sub(since) >= SettleTime
 }
--- a/internal/transport/controlclient/facts.go
+++ b/internal/transport/controlclient/facts.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Release tells every replica that what a digest identifies has succeeded, so that it is no longer held. It returns how
+// Release records at every replica that what a digest identifies has succeeded, so that it is no longer held. It returns how
 // many took that; from one of them it reaches all entries. No leader is needed.
 func (c *Client) Release(ctx context.Context, d quarantine.Digest) (taken int) {
 	now := clock.Now()
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -235,7 +235,7 @@
 	t.recordEnd(a, signSuperseded, clock.Now())
 }
 
-// recordEnd records that an instance ended while it served a request. The parts of its prompt are accused as well,
+// recordEnd records that an instance ended while it served a request. The end counts against the parts of its prompt as well,
 // unless this attempt had begun an answer, or another one with the part has since it was sent.
 func (t *Tracker) recordEnd(a Attempt, sign string, at time.Time) {
 	t.mu.Lock()
@@ -250,9 +250,9 @@
 		if a.Begun || known && !begun.Before(a.Sent) {
 			continue
 		}
-		accused := fact
-		accused.Digest = part
-		t.merge(accused, origin{at: at})
+		partFact := fact
+		partFact.Digest = part
+		t.merge(partFact, origin{at: at})
 	}
 	if !t.merge(fact, origin{at: at}) {
 		return
--- a/internal/transport/ends/parts_test.go
+++ b/internal/transport/ends/parts_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/coordination/quarantine"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/ends"
@@ -39,11 +40,10 @@
 	if diff := cmp.Diff(map[string]bool{"deadly": true, "popular": false, "own": false, "seldom": true}, got); diff != "" {
 		t.Error(diff)
 	}
-	time.Sleep(time.Millisecond)
-	tracker.RecordBegun([]quarantine.Digest{seldom})
-	if held(seldom) {
-		t.Error("a part is held on which an answer has begun since")
-	}
+	await.Until(t, 20*time.Second, "a part is sent on which an answer has begun since", func() bool {
+		tracker.RecordBegun([]quarantine.Digest{seldom})
+		return !held(seldom)
+	})
 	var others ends.Tracker
 	others.Entries, others.Metrics, others.Log = tracker.Entries, ends.NewMetrics(), tracker.Log
 	facts, _ := tracker.Snapshot()
--- a/internal/transport/streams/tracker.go
+++ b/internal/transport/streams/tracker.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// homes is how many control instances keep each record.
-	homes = 2
+	// recordCopies is how many control instances keep each record.
+	recordCopies = 2
 	// shareDelay is how long records are collected before they are sent, and shareTimeout bounds the call.
 	shareDelay   = 5 * time.Millisecond
 	shareTimeout = 500 * time.Millisecond
@@ -32,7 +32,7 @@
 	maxUnsent = 16 << 10
 	// maxOwn bounds the records of an entry, to some 2 MB.
 	maxOwn = 16 << 10
-	// findTimeout bounds the search for a record. A record that is on its way to its homes is found in a second
+	// findTimeout bounds the search for a record. A record that is being sent is found in a second
 	// search after findPause.
 	findTimeout = 200 * time.Millisecond
 	findPause   = 4 * shareDelay
@@ -99,7 +99,7 @@
 	t.unsent = append(t.unsent, records...)
 }
 
-// flush sends each record that waits to its homes.
+// flush sends each queued record to recordCopies control instances.
 func (t *Tracker) flush() {
 	t.mu.Lock()
 	records := t.unsent
@@ -108,7 +108,7 @@
 	replicas := t.View().Replicas
 	batches := map[string][]streamorigin.Record{}
 	for _, r := range records {
-		for _, address := range preferred(replicas, r.Key)[:min(homes, len(replicas))] {
+		for _, address := range preferred(replicas, r.Key)[:min(recordCopies, len(replicas))] {
 			batches[address] = append(batches[address], r)
 		}
 	}
@@ -126,7 +126,7 @@
 	return out
 }
 
-// send sends records to one control instance. Those that it does not take are kept by their other home only.
+// send sends records to one control instance. Those that it does not accept have one copy less.
 func (t *Tracker) send(address string, records []streamorigin.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 	defer cancel()
