A broken answer has an event and a counter of its own

The line of a request said failed or unknown for a 502 and for a connection that was closed in the middle of an answer alike. event=answer_broken tells the request, the events sent, the instance, the time left and the error of the last attempt; shedrock_answers_broken_total counts them by service and reason.

--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -101,6 +101,8 @@
 	waited time.Duration
 	// counted is true while the backlog counts the attempt in progress.
 	counted bool
+	// lastError is why the last attempt gave no whole response, or nil.
+	lastError error
 	// fallback is a 5xx response of an instance, sent to the caller if no later attempt succeeds.
 	fallback *exchange.Whole
 }
@@ -264,6 +266,7 @@
 		j.server.recordFailure(j.instance, j.team.Name)
 	}
 	j.server.mu.Unlock()
+	j.lastError = err
 	j.server.Metrics.endAttempt(j.service, end, j.condition)
 	if _, whole := end.(retry.Completed); !whole || result.Failed {
 		j.logAttempt(end, err, respondedAt.Sub(sentAt))
@@ -345,6 +348,7 @@
 		return
 	}
 	if j.headSent {
+		j.logBroken(o)
 		j.logOutcome(o)
 		j.sink.Break()
 		return
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -40,6 +40,22 @@
 	j.server.Metrics.endRequest(j.team.Name, j.route, o, j.request.Arrived, j.firstByteAt)
 }
 
+// logBroken logs and counts an answer whose caller's connection is closed before its end.
+func (j *job) logBroken(o outcome.Outcome) {
+	reason := "broken_off"
+	if o == outcome.CallerGone {
+		reason = "caller_gone"
+	}
+	j.server.Metrics.brokenAnswers.WithLabelValues(j.service, reason).Inc()
+	line := j.server.Log.Warn().Str("event", "answer_broken").Str("request", j.request.ID).Str("service", j.service).Uint64("config", j.version).
+		Str("reason", reason).Str("instance", j.instance.ID).Int("attempts", j.attemptNumber).Uint64("events", j.lastEvent-j.request.After).
+		Dur("first_ms", j.firstByteAt.Sub(j.request.Arrived)).Dur("took_ms", clock.Since(j.request.Arrived)).Dur("remaining_ms", clock.Until(j.deadline))
+	if j.lastError != nil {
+		line = line.Str("error", j.lastError.Error())
+	}
+	line.Msg("")
+}
+
 func (j *job) line(end string) *log.Entry {
 	return j.server.Log.Info().Str("event", "request").Str("request", j.request.ID).Str("outcome", end).
 		Str("team", j.team.Name).Str("route", j.route.Name).Str("service", j.service).Uint64("config", j.version)
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -20,6 +20,8 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	// brokenAnswers counts answers whose callers' connections were closed before their end.
+	brokenAnswers *prometheus.CounterVec
 	// limited counts attempts at instances with a rate limit, and limitChanges how often an instance
 	// announces, changes or removes its limit.
 	limited, limitChanges *prometheus.CounterVec
@@ -54,16 +56,17 @@
 // NewMetrics returns metrics in a registry of their own.
 func NewMetrics() *Metrics {
 	m := &Metrics{
-		registry:     prometheus.NewRegistry(),
-		requests:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_total", Help: "Requests by their outcome."}, []string{"team", "class", "outcome"}),
-		refusals:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
-		attempts:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
-		limited:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
-		limitChanges: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
-		unwanted:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_unwanted_attempts_total", Help: "Attempts at instances that asked for rest or said that they will end."}, []string{"service"}),
-		rests:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_rests_total", Help: "How often an instance asked for rest."}, []string{"service"}),
-		leavings:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_leavings_total", Help: "Instances that said in an answer that they will end."}, []string{"service"}),
-		fragile:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_fragile_attempts_total", Help: "Attempts at instances that are known to stop when they refuse too many requests, by their end."}, []string{"service", "end"}),
+		registry:      prometheus.NewRegistry(),
+		requests:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_total", Help: "Requests by their outcome."}, []string{"team", "class", "outcome"}),
+		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
+		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
+		brokenAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_total", Help: "Answers whose caller's connection was closed before their end, by the reason."}, []string{"service", "reason"}),
+		limited:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
+		limitChanges:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
+		unwanted:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_unwanted_attempts_total", Help: "Attempts at instances that asked for rest or said that they will end."}, []string{"service"}),
+		rests:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_rests_total", Help: "How often an instance asked for rest."}, []string{"service"}),
+		leavings:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_leavings_total", Help: "Instances that said in an answer that they will end."}, []string{"service"}),
+		fragile:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_fragile_attempts_total", Help: "Attempts at instances that are known to stop when they refuse too many requests, by their end."}, []string{"service", "end"}),
 
 		refusalLimitChanges:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_refusal_limit_changes_total", Help: "How often an instance named another rate of refusals at which it stops than before, or none any more."}, []string{"service"}),
 		unreadableRefusalLimits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_unreadable_refusal_limits_total", Help: "Answers with a rate of refusals that is not a number of requests."}, []string{"service"}),
@@ -88,7 +91,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
