Silence ends no attempt: another one is made beside it, and takes over once it has a response

Callers saw: beside a change of the configuration, streams in progress were closed in the middle and repeatable requests answered 502 about 0.8 s after the links of all instances of a service had fallen silent, though the instances were sound, went on after a second, and seconds of the deadline remained.

Cause: an attempt was canceled as soon as this entry counted the path to the service, or the failure domain, as lost; only then was another instance looked for. Where no entry had a path either, nothing was left but to break the answer off. The class of the fault: silence taken as the end of a peer, and an answer in hand given up before there is another.

An attempt that counts as silent now gets a successor, once for each request, if it may be repeated and a resend is allowed: the request is sent to another instance, resumed after the last event accepted. The silent attempt ends only when the successor has a response, or for a stream the next event, and nothing has come meanwhile. A successor that fails or is not needed is dropped; a resend that was not made is given back. event=successor and shedrock_successors_total tell each.

--- a/internal/coordination/retry/tries.go
+++ b/internal/coordination/retry/tries.go
@@ -34,10 +34,9 @@
 // Next decides what to do after an attempt. takeBudget reports whether the budget allows one more
 // send, and if so counts it.
 func (t *RequestAttempts) Next(result Result, takeBudget func() bool) Step {
+	t.Count(result)
 	switch result := result.(type) {
 	case Completed:
-		t.sent++
-		t.mayHaveRun = true
 		if result.Status >= 500 && t.mayRetry(takeBudget) {
 			return Dispatch{}
 		}
@@ -48,19 +47,16 @@
 		if result.NoPath {
 			return Stop{t.giveUp(outcome.ReasonNoPath)}
 		}
-		t.unreached++
 		if t.unreached < maxUnreachedInstances {
 			return Dispatch{}
 		}
 		return Stop{t.giveUp(outcome.ReasonUnreachable)}
 	case Misdirected:
-		t.unreached++
 		if t.unreached < maxUnreachedInstances && takeBudget() {
 			return Dispatch{}
 		}
 		return Stop{t.giveUp(outcome.ReasonRefused)}
 	case Refused:
-		t.sent++
 		if t.sent < t.MaxAttempts && takeBudget() {
 			return Dispatch{}
 		}
@@ -71,9 +67,24 @@
 	panic("retry: unknown result type")
 }
 
+// Count counts an attempt by its result. Next calls it; it is for attempts after which nothing is to be decided.
+func (t *RequestAttempts) Count(result Result) {
+	switch result := result.(type) {
+	case Completed, Broken:
+		t.sent++
+		t.mayHaveRun = true
+	case Refused:
+		t.sent++
+	case Misdirected:
+		t.unreached++
+	case Unreached:
+		if !result.NoPath {
+			t.unreached++
+		}
+	}
+}
+
 func (t *RequestAttempts) broken(result Broken, takeBudget func() bool) Step {
-	t.sent++
-	t.mayHaveRun = true
 	if !t.Idempotent {
 		if result.Sent > 0 {
 			return Stop{outcome.Failed{Detail: "the answer broke off"}}
@@ -94,7 +105,7 @@
 	return t.Idempotent && t.sent < t.MaxAttempts && takeBudget()
 }
 
-// MayFollow reports whether the attempt in progress may be followed by another one if it is broken off.
+// MayFollow reports whether another attempt may be made after the one in progress, or beside it.
 func (t *RequestAttempts) MayFollow() bool { return t.Idempotent && t.sent+1 < t.MaxAttempts }
 
 // GiveUp returns the outcome when no instance is left to try.
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -54,6 +54,9 @@
 	return true
 }
 
+// Return gives back a retry that was taken and not made.
+func (w *Window) Return(now time.Time) { w.bucket(now).retries-- }
+
 // bucket returns the current bucket, after clearing those that are outside the window.
 func (w *Window) bucket(now time.Time) *counts {
 	length := max(w.Allowance.Window/windowBuckets, time.Millisecond)
--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -43,6 +43,7 @@
 		if err != nil {
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
+		j.progress.accept(d.lastRead)
 	}
 }
 
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -93,9 +93,12 @@
 	// answerAge is how long ago any instance of the service had answered when the last attempt ended, or negative
 	// if none ever has.
 	answerAge time.Duration
-	// wasCutOff is true once an attempt was canceled because the failure domain of its instance is
-	// unreachable. It is guarded by the server's mu.
-	wasCutOff bool
+	// progress tells what the attempt in progress has received, for a successor.
+	progress progress
+	// hadSuccessor is true once the request was sent to another instance because one was silent, and successor is that
+	// attempt until it is followed or dropped. Both are guarded by the server's mu.
+	hadSuccessor bool
+	successor    *successor
 	// full is true if the last choice found no instance with room, and waited is how long the request has waited for some.
 	full   bool
 	waited time.Duration
@@ -151,6 +154,7 @@
 	j.deadline = r.Arrived.Add(min(j.route.Timeout, r.MaxWait()))
 	j.attempts = retry.RequestAttempts{MaxAttempts: max(1, j.route.Attempts), Idempotent: j.route.AllowsRetries(), Streamed: j.route.Kind == deployment.Stream}
 	j.lastEvent = r.After
+	j.progress.accept(r.After)
 	j.server.mu.Lock()
 	j.server.window(j.service).CountRequest(clock.Now())
 	j.server.mu.Unlock()
@@ -199,23 +203,50 @@
 	return j.server.window(j.service).Take(clock.Now(), entries)
 }
 
-// attempt sends the request once and forwards the response.
+// sentAttempt is an attempt for which a reply has arrived, or which has failed.
+type sentAttempt struct {
+	sentAt, respondedAt time.Time
+	// trackedCtx is canceled when the attempt is given up, and watchedCtx also by watch.
+	trackedCtx, watchedCtx context.Context
+	watch                  *weightsWatch
+	// tracked is the attempt as the tracker of instance ends records it.
+	tracked ends.Attempt
+	reply   exchange.Reply
+	// release ends the tracking of the attempt.
+	release func()
+}
+
+// attempt sends the request and forwards the response. While the instance is silent, it may be sent to another one as
+// well, whose response is then forwarded if it comes first.
 func (j *job) attempt(ctx context.Context) retry.Result {
-	sentAt := clock.Now()
-	trackedCtx, release := j.track(ctx)
-	defer release()
-	watchedCtx, watch := j.watchWeights(trackedCtx)
+	end := j.finish(ctx, j.send(ctx))
+	return j.followSuccessor(ctx, end)
+}
+
+// send sends the request once and waits for the reply.
+func (j *job) send(ctx context.Context) *sentAttempt {
+	x := &sentAttempt{sentAt: clock.Now()}
+	x.trackedCtx, x.release = j.track(ctx)
+	x.watchedCtx, x.watch = j.watchWeights(x.trackedCtx)
+	a := j.newAttempt()
+	x.reply = j.server.Upstreams.Send(x.watchedCtx, a)
+	j.via = a.Via
+	x.respondedAt = clock.Now()
+	x.tracked = j.trackedAttempt(x.sentAt)
+	j.recordResponse(x.reply, x.tracked, x.respondedAt)
+	return x
+}
+
+// finish forwards the response to an attempt and records its end.
+func (j *job) finish(ctx context.Context, x *sentAttempt) retry.Result {
+	sentAt, respondedAt, trackedCtx, watch, reply := x.sentAt, x.respondedAt, x.trackedCtx, x.watch, x.reply
+	defer x.release()
 	defer watch.close()
 	defer j.done()
 	defer j.releaseGrant()
-	a := j.newAttempt()
-	reply := j.server.Upstreams.Send(watchedCtx, a)
-	j.via = a.Via
-	respondedAt := clock.Now()
-	tracked := j.trackedAttempt(sentAt)
-	j.recordResponse(reply, tracked, respondedAt)
+	tracked := x.tracked
 	j.firstEventAt = time.Time{}
-	end, err := j.forward(watchedCtx, reply, watch)
+	end, err := j.forward(x.watchedCtx, reply, watch)
 	tracked.Begun = !j.firstEventAt.IsZero()
 	j.recordReading(sentAt)
 	if canceledByWatch(end, watch) {
@@ -225,8 +256,8 @@
 	if gone {
 		err = errSuperseded
 	}
-	if cause := context.Cause(trackedCtx); cause == errDomainUnreachable || cause == errPathLost {
-		err = cause
+	if context.Cause(trackedCtx) == errTakenOver {
+		err = errTakenOver
 	}
 	if _, whole := end.(retry.Completed); !whole && ctx.Err() == context.Canceled {
 		// The connection was closed because the caller disconnected, not by the instance.
--- a/internal/transport/serving/origin.go
+++ b/internal/transport/serving/origin.go
@@ -58,7 +58,10 @@
 // does not name cannot be told from others.
 func (j *job) recordOrigin() {
 	if !j.origin.begun {
+		// A successor that begins meanwhile reads the origin.
+		j.server.mu.Lock()
 		j.origin.Origin, j.origin.begun = streamorigin.Origin{Service: j.service, SoftwareVersion: j.instance.SoftwareVersion}, true
+		j.server.mu.Unlock()
 	}
 	id := j.request.ID
 	if j.origin.source != "" {
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -102,6 +102,7 @@
 			return retry.CallerGone{}, err
 		}
 		j.lastEvent = max(j.lastEvent, event.Number)
+		j.progress.accept(j.lastEvent)
 	}
 }
 
--- a/internal/transport/serving/reading.go
+++ b/internal/transport/serving/reading.go
@@ -55,6 +55,7 @@
 
 // recordEvent records that an event of the current attempt was read.
 func (j *job) recordEvent() {
+	j.progress.count()
 	if j.firstEventAt.IsZero() {
 		j.firstEventAt = clock.Now()
 		j.server.Ends.RecordBegun(j.parts)
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -176,7 +176,8 @@
 	})
 }
 
-// Run removes idle state and cancels attempts that can no longer get a response, until ctx ends.
+// Run removes idle state, cancels attempts that can no longer get a response, and sends requests whose instances are
+// silent to others as well, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	s.init()
 	ticker := time.NewTicker(sweepInterval)
@@ -191,7 +192,7 @@
 			}
 		case <-stale:
 			stale = nil
-			if s.cancelStale() > 0 {
+			if s.checkInFlight() > 0 {
 				stale = time.After(supersededInterval)
 			}
 		case <-ticker.C:
--- a/internal/transport/serving/slow_fixture_test.go
+++ b/internal/transport/serving/slow_fixture_test.go
@@ -188,7 +188,7 @@
 	}
 	view := &fleet.View{Entries: 1, Config: config, Instances: map[string][]registry.Instance{}}
 	for _, id := range []string{"a", "b"} {
-		view.Instances["svc"] = append(view.Instances["svc"], registry.Instance{ID: id, Service: "svc", Slots: 9, Weights: map[string]uint64{"m": 7}})
+		view.Instances["svc"] = append(view.Instances["svc"], registry.Instance{ID: id, Address: id, Service: "svc", Slots: 9, Weights: map[string]uint64{"m": 7}})
 	}
 	s := &serving.Server{View: func() *fleet.View { return view }, Upstreams: upstreams, BufferBytes: bytes, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel}}
 	s.Allowance.Slack, s.Allowance.Window = 100, time.Minute
--- /dev/null
+++ b/internal/transport/serving/successor.go
@@ -0,0 +1,250 @@
+package serving
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/coordination/retry"
+	"github.com/shedrock/shedrock/internal/protocol/exchange"
+)
+
+// silence is why an instance counts as silent, as logs and metrics name it.
+type silence string
+
+const (
+	// silentDomain means that the instance's failure domain is unreachable from this one, and silentPath that this
+	// entry reaches no instance of the service.
+	silentDomain silence = "domain_unreachable"
+	silentPath   silence = "path_lost"
+)
+
+// successorEnd is what became of a successor, as logs and metrics name it.
+type successorEnd string
+
+const (
+	successorTookOver successorEnd = "took_over"
+	// successorDropped means that the silent instance went on, or that the caller left.
+	successorDropped successorEnd = "dropped"
+	// successorFailed means that the other instance was not reached, refused the request, or broke it off.
+	successorFailed successorEnd = "failed"
+	// successorNotSent means that no resend was allowed, or that no instance could be chosen.
+	successorNotSent successorEnd = "not_sent"
+)
+
+// errDropped reports that a successor was not needed.
+var errDropped = errors.New("the silent instance went on, or the request ended")
+
+// progress tells the goroutine of a successor what the attempt in progress has received. The zero value means nothing.
+type progress struct {
+	// received counts events, and accepted is the number of the last one that the caller has or will be sent.
+	received, accepted atomic.Uint64
+}
+
+func (p *progress) count()               { p.received.Add(1) }
+func (p *progress) accept(number uint64) { p.accepted.Store(number) }
+
+// successor is an attempt that is made while another instance is silent. A sound instance may be silent for a second and
+// go on, so the silent attempt lasts until the successor has something to go on with.
+type successor struct {
+	cause silence
+	// job holds the state of the successor's attempt, and predecessor is the job of the request.
+	job, predecessor *job
+	// received is what the silent attempt had received when the successor began.
+	received uint64
+	// cancelSilent ends the silent attempt, and cancel the successor.
+	cancelSilent context.CancelCauseFunc
+	cancel       context.CancelFunc
+	// done is closed when the fields below are set. sent is the attempt that goes on, or nil; end is the result of an
+	// attempt that does not, or nil if none was made.
+	done chan struct{}
+	sent *sentAttempt
+	end  retry.Result
+}
+
+// startSuccessor sends the request of a silent attempt to another instance as well. mu must be held.
+func (s *Server) startSuccessor(j *job, silent inFlightAttempt, cause silence) {
+	ctx, cancel := context.WithCancel(silent.ctx)
+	c := &successor{
+		cause: cause, job: j.forSuccessor(), predecessor: j, received: j.progress.received.Load(),
+		cancelSilent: silent.cancel, cancel: cancel, done: make(chan struct{}),
+	}
+	j.hadSuccessor = true
+	j.successor = c
+	go func() {
+		defer close(c.done)
+		c.run(ctx)
+	}()
+}
+
+// forSuccessor returns a job for an attempt beside the one in progress. The server's mu must be held.
+func (j *job) forSuccessor() *job {
+	last := j.progress.accepted.Load()
+	return &job{
+		server: j.server, request: j.request, digest: j.digest, parts: j.parts, version: j.version, route: j.route, team: j.team,
+		residency: j.residency, service: j.service, urgency: j.urgency, deadline: j.deadline, attempts: j.attempts,
+		triedInstances: slices.Clone(j.triedInstances), attemptNumber: j.attemptNumber, origin: j.origin, headSent: last > j.request.After,
+		lastEvent: last, callerCtx: j.callerCtx, stop: j.stop, hadSuccessor: true,
+	}
+}
+
+// run makes the attempt, and ends the silent one once there is a response to go on with.
+func (c *successor) run(ctx context.Context) {
+	j := c.job
+	if !j.mayResend() {
+		c.record(successorNotSent)
+		return
+	}
+	if j.place(ctx) != nil {
+		j.returnResend()
+		c.record(successorNotSent)
+		return
+	}
+	x := j.send(ctx)
+	switch {
+	case !c.isUsable(x):
+		c.end = j.finish(ctx, x)
+		switch c.end.(type) {
+		case retry.CallerGone:
+			c.record(successorDropped)
+		case retry.Unreached:
+			j.returnResend()
+			c.record(successorFailed)
+		default:
+			c.record(successorFailed)
+		}
+	case !c.takeOver():
+		c.end = j.drop(ctx, x)
+		c.record(successorDropped)
+	default:
+		c.sent = x
+	}
+}
+
+// isUsable reports whether the response goes on where the silent attempt stopped. Of a stream, it reads the first event.
+func (c *successor) isUsable(x *sentAttempt) bool {
+	switch reply := x.reply.(type) {
+	case exchange.Whole:
+		return !c.job.headSent && reply.Head.Status < 500
+	case exchange.Stream:
+		first := &firstRead{Events: reply.Events, pending: true}
+		first.event, first.more, first.err = reply.Events.Next()
+		x.watch.begun()
+		reply.Events = first
+		x.reply = reply
+		return first.err == nil || first.err == io.EOF
+	}
+	return false
+}
+
+// takeOver ends the silent attempt, unless it has received something since the successor began.
+func (c *successor) takeOver() bool {
+	if c.predecessor.progress.received.Load() != c.received {
+		return false
+	}
+	c.cancelSilent(errTakenOver)
+	return true
+}
+
+// record logs and counts what became of the successor.
+func (c *successor) record(end successorEnd) {
+	j := c.job
+	j.server.Metrics.successors.WithLabelValues(j.service, string(c.cause), string(end)).Inc()
+	silent := c.predecessor.instance
+	j.server.Log.Info().Str("event", "successor").Str("request", j.request.ID).Str("service", j.service).Str("cause", string(c.cause)).
+		Str("result", string(end)).Str("silent", silent.ID).Str("instance", j.instance.ID).Uint64("after", j.lastEvent).Msg("")
+}
+
+// followSuccessor returns the result of the request's successor if there is one that goes on, and else end, the result
+// of the attempt that was silent.
+func (j *job) followSuccessor(ctx context.Context, end retry.Result) retry.Result {
+	j.server.mu.Lock()
+	c := j.successor
+	j.successor = nil
+	j.server.mu.Unlock()
+	if c == nil {
+		return end
+	}
+	defer c.cancel()
+	final := isFinal(end)
+	if final {
+		c.cancel()
+	}
+	<-c.done
+	j.triedInstances, j.attemptNumber = c.job.triedInstances, c.job.attemptNumber
+	switch {
+	case c.sent == nil:
+		if c.end != nil {
+			j.attempts.Count(c.end)
+		}
+		return end
+	case final:
+		c.job.drop(ctx, c.sent)
+		c.record(successorDropped)
+		return end
+	}
+	c.record(successorTookOver)
+	j.attempts.Count(end)
+	j.adopt(c.job)
+	return j.finish(ctx, c.sent)
+}
+
+// isFinal reports whether nothing follows a result: the caller has left, or has an answer that is no failure.
+func isFinal(end retry.Result) bool {
+	switch end := end.(type) {
+	case retry.CallerGone:
+		return true
+	case retry.Completed:
+		return end.Status < 500
+	}
+	return false
+}
+
+// adopt takes over the state of a successor's attempt.
+func (j *job) adopt(from *job) {
+	j.instance, j.via, j.condition, j.memory, j.waiting = from.instance, from.via, from.condition, from.memory, from.waiting
+	j.consultation, j.done, j.counted, j.full, j.waited = from.consultation, from.done, from.counted, from.full, j.waited+from.waited
+	j.fetchParts, j.saveParts, j.computed, j.weights = from.fetchParts, from.saveParts, from.computed, from.weights
+	j.quarantined, j.heldPart = from.quarantined, from.heldPart
+}
+
+// drop ends an attempt that has a response but is not needed.
+func (j *job) drop(ctx context.Context, x *sentAttempt) retry.Result {
+	if stream, ok := x.reply.(exchange.Stream); ok {
+		stream.Events.Close()
+	}
+	x.reply = exchange.Broken{Err: errDropped}
+	canceled, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	cancel()
+	return j.finish(canceled, x)
+}
+
+// returnResend gives back a resend that was allowed and not made.
+func (j *job) returnResend() {
+	j.server.mu.Lock()
+	defer j.server.mu.Unlock()
+	j.server.window(j.service).Return(clock.Now())
+}
+
+// firstRead is a stream whose first event has been read already.
+type firstRead struct {
+	exchange.Events
+	// pending is true until Next has returned the fields below.
+	pending bool
+	event   exchange.Event
+	more    bool
+	err     error
+}
+
+// Next returns the next event, and whether further data has already arrived.
+func (f *firstRead) Next() (event exchange.Event, more bool, err error) {
+	if f.pending {
+		f.pending = false
+		return f.event, f.more, f.err
+	}
+	return f.Events.Next()
+}
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -14,22 +14,19 @@
 // Heartbeats report a restart some hundred milliseconds after it.
 const supersededInterval = 250 * time.Millisecond
 
-// lossMargin is how long before the loss of the path an attempt must have been sent to be canceled for it: later
+// lossMargin is how long before the loss of the path an attempt must have been sent to get a successor for it: later
 // ones may have been sent through another entry.
 const lossMargin = 400 * time.Millisecond
 
 // overdueAfter is how long after its deadline an attempt is canceled if its own timers have not done so.
 const overdueAfter = 2 * deadlineGrace
 
-// errSuperseded reports that the process that had a request no longer exists, errDomainUnreachable that
-// its failure domain was cut off from this one, errPathLost that this entry lost its path to all instances of the
-// service, and errOverdue that the deadline passed while the timers did
-// not run.
+// errSuperseded reports that the process that had a request no longer exists, errTakenOver that another instance
+// responded while it was silent, and errOverdue that the deadline passed while the timers did not run.
 var (
-	errSuperseded        = errors.New("the instance restarted, or another one has its address")
-	errDomainUnreachable = errors.New("the instance's failure domain is unreachable")
-	errPathLost          = errors.New("the entry lost its path to the instances of the service")
-	errOverdue           = errors.New("deadline exceeded while the machine was suspended")
+	errSuperseded = errors.New("the instance restarted, or another one has its address")
+	errTakenOver  = errors.New("another instance responded while this one was silent")
+	errOverdue    = errors.New("deadline exceeded while the machine was suspended")
 )
 
 // inFlight maps each job to its attempt in flight. A request has one attempt at a time.
@@ -40,6 +37,8 @@
 	target registry.Instance
 	cancel context.CancelCauseFunc
 	sentAt time.Time
+	// ctx is the context in which the attempt was begun.
+	ctx context.Context
 }
 
 // track registers the current attempt until release is called. The attempt must use the returned
@@ -51,7 +50,7 @@
 	tracked, cancel := context.WithCancelCause(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[j] = inFlightAttempt{target: j.instance, cancel: cancel, sentAt: clock.Now()}
+	s.inFlight[j] = inFlightAttempt{target: j.instance, cancel: cancel, sentAt: clock.Now(), ctx: ctx}
 	select {
 	case s.attemptBegan <- struct{}{}:
 	default:
@@ -67,11 +66,11 @@
 // superseded reports whether an attempt was canceled because its instance had restarted.
 func superseded(tracked context.Context) bool { return context.Cause(tracked) == errSuperseded }
 
-// cancelStale cancels the attempts at instances that were superseded, and those whose deadline passed
+// checkInFlight cancels the attempts at instances that were superseded, and those whose deadline passed
 // while the machine was suspended, when the timers that enforce it do not advance. An attempt at a failure
-// domain that is unreachable, or sent before the path to its service was lost, is canceled if the request may be
-// sent again, once for each request. It returns the number of attempts in flight.
-func (s *Server) cancelStale() int {
+// domain that is unreachable, or sent before the path to its service was lost, gets a successor if the request may be
+// sent again, once for each request: silence alone ends no attempt. It returns the number of attempts in flight.
+func (s *Server) checkInFlight() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.View()
@@ -80,14 +79,13 @@
 		switch {
 		case view.Superseded(a.target):
 			a.cancel(errSuperseded)
-		case !j.wasCutOff && j.attempts.MayFollow() && s.balancer.Unreachable(a.target, view.Unreachable):
-			j.wasCutOff = true
-			a.cancel(errDomainUnreachable)
-		case !j.wasCutOff && j.attempts.MayFollow() && s.sentBeforeLoss(a):
-			j.wasCutOff = true
-			a.cancel(errPathLost)
 		case now.Sub(j.deadline) > overdueAfter:
 			a.cancel(errOverdue)
+		case j.hadSuccessor || !j.attempts.MayFollow():
+		case s.balancer.Unreachable(a.target, view.Unreachable):
+			s.startSuccessor(j, a, silentDomain)
+		case s.sentBeforeLoss(a):
+			s.startSuccessor(j, a, silentPath)
 		}
 	}
 	return len(s.inFlight)
