Connections outlast a silence of a second or so, whatever the back-off of retransmissions

Callers saw: an answer breaks off, or a request that runs once is lost, 2.4 s after the link of a sound instance fell silent for 1.7 s; after an earlier loss a silence of a second is enough.

Cause: the kernel ends a connection on which bytes are unacknowledged for TCP_USER_TIMEOUT, which was 2 s. Intervals between retransmissions double, so the last one that can succeed goes out 1.66 s after the first transmission at a round trip near 0, and the one before it at 0.83 s. The tests compared constants, or silenced a process whose kernel goes on acknowledging.

The timeout is 3.5 s: when a link carries again after up to 1.5 s, the next retransmission is due within it whatever the interval was. On kernels that have it (Linux 6.15), TCP_RTO_MAX_MS keeps the intervals at a second, so that bytes arrive within a second after a cut has healed. The longest hold-up after a heal is half of the timeout without it, below the 3 s within which callers must have recovered. An idle connection to a silent peer lasts 4 s instead of 3.

--- a/internal/transport/netdial/netdial.go
+++ b/internal/transport/netdial/netdial.go
@@ -12,17 +12,20 @@
 )
 
 const (
-	// UserTimeout is how long sent bytes may stay unacknowledged. It is above the few
-	// hundred milliseconds that retransmissions take on a lossy link, and below the 3 s
-	// within which callers must have recovered after a network partition has healed.
-	UserTimeout = 2 * time.Second
+	// UserTimeout is how long sent bytes may stay unacknowledged. A sound peer may be silent for a second or so.
+	// Intervals between retransmissions double, so when it goes on, the next one may be as far away as the first
+	// transmission is back, and must still be within the timeout.
+	UserTimeout = 3500 * time.Millisecond
+	// maxRetransmitInterval bounds these intervals on kernels that allow it: bytes arrive within this time after a
+	// network partition has healed.
+	maxRetransmitInterval = time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes detect a silent peer on an idle connection.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	// IdleTimeout is how long an idle connection to a silent peer lasts. With a user timeout, Linux does not count
 	// keep-alive probes: it gives up at the first one that is due after UserTimeout, if one was sent before.
-	IdleTimeout = keepAliveIdle + keepAliveInterval
+	IdleTimeout = keepAliveIdle + 2*keepAliveInterval
 	// AcceptedIdleTimeout is how long an accepted connection to a silent peer lasts while it is idle. It has no user
 	// timeout: a caller may be behind a slow link, and what it is owed has a deadline of its own.
 	AcceptedIdleTimeout = acceptedKeepAliveIdle + acceptedKeepAliveProbes*acceptedKeepAliveInterval
@@ -32,6 +35,8 @@
 	acceptedKeepAliveProbes   = 9
 	// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
 	tcpUserTimeout = 18
+	// tcpRTOMax is TCP_RTO_MAX_MS, which Linux has since 6.15.
+	tcpRTOMax = 44
 )
 
 // Dialer returns a dialer with these socket options; timeout bounds each connection attempt.
@@ -45,6 +50,8 @@
 			var optErr error
 			err := c.Control(func(fd uintptr) {
 				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(UserTimeout.Milliseconds()))
+				// The error is ignored: older kernels lack the option.
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpRTOMax, int(maxRetransmitInterval.Milliseconds()))
 			})
 			if err != nil {
 				return err
