A successor goes on exactly where the silent run stopped

Callers could see: an answer that joins pieces of two runs. If the silent instance sent an event at the moment at which its successor took over, that event was forwarded, and the successor's answer, which was asked for after the event before, went on behind it.

Cause: whether the silent attempt had received anything was read and then acted on, in two steps. The take-over is now one compare-and-swap on the count of events, each event is counted before it is forwarded, and an attempt that was taken over forwards nothing more; a successor that was asked for another event than the next one is dropped.

--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -27,7 +27,9 @@
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
 		watch.begun()
-		j.recordEvent()
+		if !j.recordEvent() {
+			return retry.Broken{Sent: j.lastSent()}, errTakenOver
+		}
 		repeated, err := j.checkOrder(event)
 		if err != nil {
 			return retry.Broken{Sent: j.lastSent()}, err
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -86,7 +86,9 @@
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
 		watch.begun()
-		j.recordEvent()
+		if !j.recordEvent() {
+			return retry.Broken{Sent: j.lastSent()}, errTakenOver
+		}
 		repeated, err := j.checkOrder(event)
 		if err != nil {
 			return retry.Broken{Sent: j.lastSent()}, err
--- a/internal/transport/serving/reading.go
+++ b/internal/transport/serving/reading.go
@@ -53,13 +53,14 @@
 	return n
 }
 
-// recordEvent records that an event of the current attempt was read.
-func (j *job) recordEvent() {
-	j.progress.count()
+// recordEvent records that an event of the current attempt was read; ok is false if it must not be forwarded because a
+// successor has taken over.
+func (j *job) recordEvent() (ok bool) {
 	if j.firstEventAt.IsZero() {
 		j.firstEventAt = clock.Now()
 		j.server.Ends.RecordBegun(j.parts)
 	}
+	return j.progress.count()
 }
 
 // recordReading counts the current attempt for the reading speed of the service's engines, if it began
--- a/internal/transport/serving/successor.go
+++ b/internal/transport/serving/successor.go
@@ -39,15 +39,28 @@
 // errDropped reports that a successor was not needed.
 var errDropped = errors.New("the silent instance went on, or the request ended")
 
-// progress tells the goroutine of a successor what the attempt in progress has received. The zero value means nothing.
+// takenOver is set in the count of events once a successor has taken over: no event of the silent attempt may follow.
+const takenOver = 1 << 63
+
+// progress is what the attempt in progress has received; its successor reads it. The zero value means nothing.
 type progress struct {
 	// received counts events, and accepted is the number of the last one that the caller has or will be sent.
 	received, accepted atomic.Uint64
 }
 
-func (p *progress) count()               { p.received.Add(1) }
+// count counts an event of the silent attempt; ok is false if a successor has taken over.
+func (p *progress) count() (ok bool) { return p.received.Add(1)&takenOver == 0 }
+
 func (p *progress) accept(number uint64) { p.accepted.Store(number) }
 
+// takeOver lets a successor go on unless an event was counted since the given count.
+func (p *progress) takeOver(received uint64) (ok bool) {
+	return p.received.CompareAndSwap(received, received|takenOver)
+}
+
+// reset begins the count of another attempt.
+func (p *progress) reset() { p.received.Store(0) }
+
 // successor is an attempt that is made while another instance is silent. A sound instance may be silent for a second and
 // go on, so the silent attempt lasts until the successor has something to go on with.
 type successor struct {
@@ -69,8 +82,10 @@
 // startSuccessor sends the request of a silent attempt to another instance as well. mu must be held.
 func (s *Server) startSuccessor(j *job, silent inFlightAttempt, cause silence) {
 	ctx, cancel := context.WithCancel(silent.ctx)
+	// The count is read first: an event that is forwarded meanwhile keeps the successor from taking over.
+	received := j.progress.received.Load()
 	c := &successor{
-		cause: cause, job: j.forSuccessor(), predecessor: j, received: j.progress.received.Load(),
+		cause: cause, job: j.forSuccessor(), predecessor: j, received: received,
 		cancelSilent: silent.cancel, cancel: cancel, done: make(chan struct{}),
 	}
 	j.hadSuccessor = true
@@ -143,7 +158,7 @@
 
 // takeOver ends the silent attempt, unless it has received something since the successor began.
 func (c *successor) takeOver() bool {
-	if c.predecessor.progress.received.Load() != c.received {
+	if !c.predecessor.progress.takeOver(c.received) {
 		return false
 	}
 	c.cancelSilent(errTakenOver)
@@ -182,13 +197,14 @@
 			j.attempts.Count(c.end)
 		}
 		return end
-	case final:
+	case final || j.lastAccepted() != c.job.lastEvent:
 		c.job.drop(ctx, c.sent)
 		c.record(successorDropped)
 		return end
 	}
 	c.record(successorTookOver)
 	j.attempts.Count(end)
+	j.progress.reset()
 	j.adopt(c.job)
 	return j.finish(ctx, c.sent)
 }
--- a/internal/transport/serving/successor_test.go
+++ b/internal/transport/serving/successor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,13 @@
 	return since, !e.silentAt.IsZero() && now.After(since) && now.Before(e.silentAt.Add(e.silence))
 }
 
+// silentSince returns when the first instance fell silent.
+func (e *silentEngines) silentSince() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silentAt
+}
+
 // pause returns how long the first instance takes for its next event.
 func (e *silentEngines) pause(next uint64) time.Duration {
 	if next != silentAfter+1 {
@@ -175,3 +183,58 @@
 	serve(ctx, server, time.Minute, sink)
 	return sink
 }
+
+// taggedEvents are events that say which run made them.
+type taggedEvents struct {
+	numberedEvents
+	run byte
+}
+
+func (e *taggedEvents) Next() (exchange.Event, bool, error) {
+	event, more, err := e.numberedEvents.Next()
+	event.Raw = []byte{e.run, byte(event.Number)}
+	return event, more, err
+}
+
+// Guards against an answer that joins pieces of two runs because the silent instance goes on at the moment at which
+// another one takes over.
+func TestSuccessorGoesOnWhereTheSilentRunStopped(t *testing.T) {
+	for range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			var asked atomic.Uint64
+			engines := &silentEngines{silence: 1250 * time.Millisecond}
+			// The first event of the other instance comes at the moment at which the silence ends.
+			engines.others = func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+				asked.Store(a.After)
+				goesOn := engines.silentSince().Add(engines.silence)
+				return exchange.Stream{Head: exchange.Head{Status: 200}, Events: &taggedEvents{run: 'b', numberedEvents: numberedEvents{
+					ctx: ctx, last: a.After, pause: func(uint64) time.Duration { return max(pieceInterval, clock.Until(goesOn)) },
+				}}}
+			}
+			server := tieredServer(t, engines, 0)
+			server.PathLostSince = engines.pathLost
+			sink := runSilent(t, server)
+			text, joined := sink.text, -1
+			for i := 0; i < len(text); {
+				if text[i] == 'b' {
+					if joined < 0 {
+						joined = i
+					}
+					i += 2
+					continue
+				}
+				if joined >= 0 {
+					t.Fatalf("an event of the silent run follows one of its successor: %v", text)
+				}
+				i++
+			}
+			if joined >= 0 && uint64(joined) != asked.Load() {
+				t.Fatalf("the successor was asked to go on after event %d, and follows event %d", asked.Load(), joined)
+			}
+			if sink.end != "whole" {
+				t.Fatalf("end %q: %v", sink.end, text)
+			}
+		})
+	}
+}
