A path is kept if an instance answers while others are probed in vain

Callers saw: while part of a service was silent, an entry counted its path to the whole service as lost, refused or detoured requests and made second attempts, although instances were answering it.

Cause: a round draws three instances and decides alone. What others answer meanwhile was not asked, and instances were drawn evenly, those that had not answered for a second among them.

Change: on an open path, a round probes the instances that answered last. A round that fails while an instance outside of it answers leaves the path undecided, and a second round at others follows at once and decides. Silence alone is over with the first answer. Services of up to three instances are decided by one round as before, and so is a path on which nothing arrives. event=path_kept says why a path was kept.

TestReplayOfPeerChoice passes unchanged.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -22,6 +22,9 @@
 	silentAfter = 400 * time.Millisecond
 	// responseWindow is how long after a response open connections count as working.
 	responseWindow = 500 * time.Millisecond
+	// maxResponses is how many responses are remembered for each live instance until those before responseWindow are
+	// dropped.
+	maxResponses = 2
 	// probeInterval is the time between two rounds of probes while the path is lost.
 	probeInterval = 300 * time.Millisecond
 	// minRecheck is the time after a round that found the path open until the next suspicion is probed. It
@@ -81,6 +84,8 @@
 type Path struct {
 	// failures holds when requests last failed at each instance that has not responded since.
 	failures map[registry.Incarnation]time.Time
+	// responses holds when instances last responded, those that are live no more among them until pruneResponses.
+	responses map[registry.Incarnation]time.Time
 	// waiting is the number of requests that wait for a response, and waitingSince when the oldest of them
 	// was sent, or when any instance last responded, if that was later.
 	waiting      int
@@ -90,6 +95,13 @@
 	hinted bool
 	// probing is true while a round of probes is under way, and lost after one that failed.
 	probing, lost bool
+	// targets holds the instances of the last round of probes, and roundBegan when it began. answeredElsewhere is
+	// true if another instance has responded since.
+	targets           map[registry.Incarnation]bool
+	roundBegan        time.Time
+	answeredElsewhere bool
+	// undecided is true after a round that failed while another instance responded, until the next round has ended.
+	undecided     bool
 	cause         Cause
 	nextProbe     time.Time
 	recheck       time.Duration
@@ -152,6 +164,13 @@
 	p.lastResponse = now
 	p.waitingSince = now
 	delete(p.failures, target)
+	if p.responses == nil {
+		p.responses = map[registry.Incarnation]time.Time{}
+	}
+	p.responses[target] = now
+	if p.probing && !p.targets[target] {
+		p.answeredElsewhere = true
+	}
 }
 
 // Failed records that a request got no byte of a response from an instance, because no connection was made
@@ -166,17 +185,27 @@
 // ProbeDue reports whether a round of probes is due, and if so, that it has begun: Probed must be called with
 // its result. live is the number of instances that are known to be live.
 func (p *Path) ProbeDue(live int, now time.Time) bool {
+	p.pruneResponses(live, now)
 	if p.probing || live == 0 || now.Before(p.nextProbe) {
 		return false
 	}
-	if !p.lost && !p.suspicious(live, now) {
+	if !p.lost && !p.undecided && !p.suspicious(live, now) {
 		return false
 	}
 	p.probing = true
 	p.hinted = false
+	p.roundBegan = now
+	p.answeredElsewhere = false
 	return true
 }
 
+// pruneResponses bounds the responses that are remembered.
+func (p *Path) pruneResponses(live int, now time.Time) {
+	if len(p.responses) > maxResponses*live {
+		maps.DeleteFunc(p.responses, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) > responseWindow })
+	}
+}
+
 // Hint records that the path to another service was lost, so that this one is probed before requests fail.
 func (p *Path) Hint() { p.hinted = true }
 
@@ -208,9 +237,13 @@
 // Active reports whether ProbeDue can become true without further events: while it is false, it need not be
 // called.
 func (p *Path) Active() bool {
-	return p.lost || p.hinted || p.waiting > 0 || len(p.failures) > 0
+	return p.lost || p.hinted || p.undecided || p.waiting > 0 || len(p.failures) > 0
 }
 
+// Undecided reports whether the last round of probes failed while an instance that was not probed responded. Another
+// round is due at once then.
+func (p *Path) Undecided() bool { return p.undecided }
+
 // Probed records the result of a round of probes, each on a new connection to another instance. It reports
 // whether the path was lost or found by it.
 func (p *Path) Probed(succeeded int, now time.Time) (changed bool) {
@@ -239,12 +272,22 @@
 		p.recheck = 0
 	}
 	p.lastSuspected = now
-	if succeeded > 0 {
+	switch {
+	case succeeded > 0:
+		p.undecided = false
 		p.recheck = min(max(2*p.recheck, minRecheck), maxRecheck)
 		p.nextProbe = now.Add(p.recheck)
 		p.resetEvidence(now)
 		return false
+	case p.silenceEnded():
+		p.undecided = false
+		p.resetEvidence(now)
+		return false
+	case p.answeredElsewhere && !p.undecided:
+		p.undecided = true
+		return false
 	}
+	p.undecided = false
 	p.neededRounds = max(p.neededRounds, minGoodRounds)
 	if !p.since.IsZero() && now.Sub(p.since) < flapWindow {
 		p.neededRounds = min(2*p.neededRounds, maxGoodRounds)
@@ -258,6 +301,12 @@
 	return true
 }
 
+// silenceEnded reports whether silence alone led to the last round of probes, and an instance has responded since. That
+// new connections fail is not known then: requests at them would have failed.
+func (p *Path) silenceEnded() bool {
+	return p.cause == CauseSilence && p.lastResponse.After(p.roundBegan)
+}
+
 // resetEvidence drops the evidence of before, so that only what follows counts.
 func (p *Path) resetEvidence(now time.Time) {
 	clear(p.failures)
--- a/internal/coordination/detour/path_test.go
+++ b/internal/coordination/detour/path_test.go
@@ -214,3 +214,39 @@
 		}
 	}
 }
+
+// Guards against a path that counts as lost although an instance that was not probed has answered meanwhile: those that
+// were probed may be silent themselves. That new connections fail is still found, by a second round.
+func TestAnswerOfAnotherInstanceKeepsThePath(t *testing.T) {
+	var p detour.Path
+	p.Failed(instance(1), start)
+	p.Failed(instance(2), start)
+	if !p.ProbeDue(live, start) {
+		t.Fatal("no probe is due")
+	}
+	p.Responded(instance(3), after(280*time.Millisecond))
+	if now := after(300 * time.Millisecond); p.Probed(0, now) || p.State(now) != detour.Open {
+		t.Fatalf("the path is %v", p.State(now))
+	}
+	if !p.ProbeDue(live, after(300*time.Millisecond)) {
+		t.Fatal("no second round is due at once")
+	}
+	p.Responded(instance(3), after(580*time.Millisecond))
+	if now := after(600 * time.Millisecond); !p.Probed(0, now) || p.State(now) != detour.OpenConnectionsOnly {
+		t.Errorf("the path is %v though new connections failed twice", p.State(now))
+	}
+}
+
+// Guards against a path that counts as lost for silence although the silence is over: the only instance has answered
+// while it was probed.
+func TestAnswerEndsSilence(t *testing.T) {
+	var p detour.Path
+	p.Begin(start)
+	if !p.ProbeDue(1, after(400*time.Millisecond)) {
+		t.Fatal("no probe is due")
+	}
+	p.Responded(instance(1), after(680*time.Millisecond))
+	if now := after(700 * time.Millisecond); p.Probed(0, now) || p.State(now) != detour.Open {
+		t.Errorf("the path is %v", p.State(now))
+	}
+}
--- a/internal/coordination/detour/sample.go
+++ b/internal/coordination/detour/sample.go
@@ -14,17 +14,23 @@
 // lost.
 const probesPerRound = 3
 
-// ProbeTargets draws the instances of a round of probes: those at which requests have not failed first, and of
-// these different failure domains first.
+// ProbeTargets draws the instances of the round of probes that has begun on p: those at which requests have not failed
+// first, and of these different failure domains first. On a path that is not lost, instances that responded last come
+// first: their silence says more. Instances of a round that left the path undecided come last.
 func ProbeTargets(p *Path, instances []registry.Instance, random *rand.Rand) []registry.Instance {
 	drawn := slices.Clone(instances)
 	random.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-	healthy, failing := map[string]int{}, map[string]int{}
+	if !p.lost {
+		slices.SortStableFunc(drawn, func(a, b registry.Instance) int {
+			return p.responses[b.Incarnation()].Compare(p.responses[a.Incarnation()])
+		})
+	}
+	healthy, avoided := map[string]int{}, map[string]int{}
 	rank := make(map[registry.Incarnation]int, len(drawn))
 	for _, in := range drawn {
 		repeated, last := healthy, 0
-		if p.Failing(in.Incarnation()) {
-			repeated, last = failing, len(drawn)
+		if p.Failing(in.Incarnation()) || p.undecided && p.targets[in.Incarnation()] {
+			repeated, last = avoided, len(drawn)
 		}
 		rank[in.Incarnation()] = last + repeated[in.FailureDomain]
 		repeated[in.FailureDomain]++
@@ -32,7 +38,12 @@
 	slices.SortStableFunc(drawn, func(a, b registry.Instance) int {
 		return cmp.Compare(rank[a.Incarnation()], rank[b.Incarnation()])
 	})
-	return drawn[:min(probesPerRound, len(drawn))]
+	drawn = drawn[:min(probesPerRound, len(drawn))]
+	p.targets = make(map[registry.Incarnation]bool, len(drawn))
+	for _, in := range drawn {
+		p.targets[in.Incarnation()] = true
+	}
+	return drawn
 }
 
 const (
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -28,6 +28,8 @@
 	// reply answers an attempt, and refuses a refusal probe.
 	reply   func(ctx context.Context, a *exchange.Attempt) exchange.Reply
 	refuses bool
+	// probe, when set, replies to probes.
+	probe func(ctx context.Context, in registry.Instance) error
 
 	mu sync.Mutex
 	// cut makes everything fail; the fields below are guarded by mu.
@@ -74,7 +76,10 @@
 
 func (f *fakeDirect) Refuses(context.Context, registry.Instance) bool { return f.isCut() || f.refuses }
 
-func (f *fakeDirect) Probe(context.Context, registry.Instance) error {
+func (f *fakeDirect) Probe(ctx context.Context, in registry.Instance) error {
+	if f.probe != nil {
+		return f.probe(ctx, in)
+	}
 	if f.isCut() {
 		return errCut
 	}
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -80,8 +80,19 @@
 	return active
 }
 
-// probe makes one round of probes.
+// probe makes a round of probes, and a second one at once if the first leaves the path undecided.
 func (u *Upstreams) probe(ctx context.Context, service string, path *detour.Path, targets []registry.Instance) {
+	for len(targets) > 0 {
+		succeeded := u.probeEach(ctx, service, targets)
+		if u.probed(service, path, succeeded, len(targets)) && u.OnLost != nil {
+			u.OnLost(service)
+		}
+		targets = u.secondRound(service, path)
+	}
+}
+
+// probeEach probes instances at the same time, and returns how many responded.
+func (u *Upstreams) probeEach(ctx context.Context, service string, targets []registry.Instance) int {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var succeeded atomic.Int64
@@ -97,9 +108,18 @@
 		})
 	}
 	group.Wait()
-	if u.probed(service, path, int(succeeded.Load()), len(targets)) && u.OnLost != nil {
-		u.OnLost(service)
+	return int(succeeded.Load())
+}
+
+// secondRound returns the instances to be probed next if the last round left the path undecided.
+func (u *Upstreams) secondRound(service string, path *detour.Path) []registry.Instance {
+	instances := u.Instances(service)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !path.Undecided() || !path.ProbeDue(len(instances), clock.Now()) {
+		return nil
 	}
+	return detour.ProbeTargets(path, instances, u.random)
 }
 
 // probed records the result of a round of probes. It reports whether the path was lost by it.
@@ -107,25 +127,35 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := clock.Now()
-	before, failing, lastResponse := path.Since(), path.Failures(), path.LastResponse()
-	if !path.Probed(succeeded, now) {
-		return false
-	}
-	u.Metrics.setState(service, path.State(now))
-	if path.State(now) == detour.Open {
-		u.Log.Info().Str("event", "path_restored").Str("service", service).Dur("lost_ms", now.Sub(before)).Msg("")
-		return false
-	}
-	for _, other := range u.paths {
-		if other != path {
-			other.Hint()
+	before, since, failing := path.State(now), path.Since(), path.Failures()
+	changed := path.Probed(succeeded, now)
+	state := path.State(now)
+	u.Metrics.setState(service, state)
+	switch {
+	case changed && state == detour.Open:
+		u.Log.Info().Str("event", "path_restored").Str("service", service).Dur("lost_ms", now.Sub(since)).Msg("")
+	case changed:
+		for _, other := range u.paths {
+			if other != path {
+				other.Hint()
+			}
 		}
+		u.logFailedRound("path_lost", service, path, failing, probed)
+		return true
+	case succeeded == 0 && before == detour.Suspected:
+		u.logFailedRound("path_kept", service, path, failing, probed)
 	}
-	line := u.Log.Warn().Str("event", "path_lost").Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
-		Int("failing", failing).Int("probed", probed).Int("peers", len(u.knownPeers()))
-	if !lastResponse.IsZero() {
-		line = line.Dur("response_age_ms", now.Sub(lastResponse))
+	return false
+}
+
+// logFailedRound logs what follows from a round of probes without a success. failing is the number of instances at which
+// requests failed before. mu must be held.
+func (u *Upstreams) logFailedRound(event, service string, path *detour.Path, failing, probed int) {
+	now := clock.Now()
+	line := u.Log.Warn().Str("event", event).Str("service", service).Str("state", path.State(now).String()).Str("cause", string(path.Cause())).
+		Int("failing", failing).Int("probed", probed).Int("peers", len(u.knownPeers())).Bool("undecided", path.Undecided())
+	if last := path.LastResponse(); !last.IsZero() {
+		line = line.Dur("response_age_ms", now.Sub(last))
 	}
 	line.Msg("")
-	return true
 }
