An earlier process of an address supersedes no later one when its service is declared again

Callers would see: beside a change of the configuration, answers in progress at a sound instance are canceled, and broken off where its service has no other.

Cause: of two incarnations that reported one address, the one of a declared service owns it. If the service of the sound, later one is taken out of the configuration while the earlier one, which is gone, still counts as alive (for some heartbeats), the earlier one is listed again, and View.Superseded took any other id at the address for a successor.

An instance is now superseded only by a process at its address that did not start before it, as far as both starts are known, and never while it is listed itself. Found by reading; not seen on a deployment.

--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -75,7 +75,8 @@
 	return found && v.Instances[in.Service][i].Start == in.Start
 }
 
-// Superseded reports whether another incarnation now has an instance's id or address.
+// Superseded reports whether a later process has an instance's id or address. One that started before may have the address
+// again by the registry, once the instance's service is not declared any more.
 func (v *View) Superseded(in registry.Instance) bool {
 	for _, instances := range v.Instances {
 		i, found := findInstance(instances, in.ID)
@@ -83,15 +84,24 @@
 			return true
 		}
 	}
+	if v.IsLive(in) {
+		return false
+	}
 	for _, instances := range v.Instances {
-		i := slices.IndexFunc(instances, func(other registry.Instance) bool { return other.Address == in.Address })
-		if i >= 0 {
-			return instances[i].ID != in.ID
+		if slices.ContainsFunc(instances, func(other registry.Instance) bool { return takesAddress(other, in) }) {
+			return true
 		}
 	}
 	return false
 }
 
+// takesAddress reports whether an instance with another id has the address of in and did not start before it, as far as the
+// starts are known.
+func takesAddress(other, in registry.Instance) bool {
+	known := other.Start != 0 && in.Start != 0
+	return other.Address == in.Address && other.ID != in.ID && !(known && other.Start < in.Start)
+}
+
 // findInstance returns the index of an id in a list that is in the order of ids.
 func findInstance(instances []registry.Instance, id string) (i int, found bool) {
 	return slices.BinarySearchFunc(instances, id, func(in registry.Instance, id string) int { return strings.Compare(in.ID, id) })
