Panics of callers' handlers are answered, logged and counted

A panic while a caller's request was served closed the connection without an answer: net/http recovered it and wrote a text to the standard error, with no request id, event or metric. A peer's forwarded attempt ended the same way.

httpserve.Recoverer recovers both fronts' callers and Forwarder: it logs event=panic (request, end, error and stack, at most 1 and 4 KiB), counts, and answers 502 if nothing was written yet. A panic says nothing about whether the request ran, so never 503. Otherwise the connection is broken, so that a part cannot pass for the whole. http.ErrAbortHandler passes through. A peer that panics before it accepted an attempt has passed nothing on, and its 502 counts as declined, as before.

Servers of internal/cli and of the entry get an ErrorLog that writes bounded event=http_server_error lines. As MaxBytesReader does not see through the wrapped writer, the entry sets Connection: close itself for a large body.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -41,14 +42,14 @@
 }
 
 // metricsServer serves metrics, and profiles if the settings ask for them.
-func metricsServer(metrics http.Handler, s *settings.Settings) *http.Server {
+func metricsServer(metrics http.Handler, s *settings.Settings, errorLog *stdlog.Logger) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("/", metrics)
 	if s.Profiling {
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	}
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout, ErrorLog: errorLog}
 }
 
 func metricsAddress(s *settings.Settings) string {
--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -22,6 +22,7 @@
 	"github.com/shedrock/shedrock/internal/transport/control"
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 	"github.com/shedrock/shedrock/internal/transport/keeping"
 	"github.com/shedrock/shedrock/internal/transport/loads"
 	"github.com/shedrock/shedrock/internal/transport/orders"
@@ -135,9 +136,9 @@
 				Control: client, Source: source, Domains: func() []string { return file.Current().FailureDomains },
 				Regions: func() residency.Regions { return file.Current().Regions }, OnReportRefused: calls.CountRefusedReport, Log: logger,
 			}.Handler()),
-			ReadHeaderTimeout: headTimeout,
+			ReadHeaderTimeout: headTimeout, ErrorLog: httpserve.NewErrorLog(logger),
 		},
-		metrics: metricsServer(calls.Handler(), s),
+		metrics: metricsServer(calls.Handler(), s, httpserve.NewErrorLog(logger)),
 	}, nil
 }
 
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -19,6 +19,7 @@
 	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 	"github.com/shedrock/shedrock/internal/transport/streams"
 	"github.com/shedrock/shedrock/platform"
@@ -113,15 +114,16 @@
 		},
 		Knows: func(in registry.Instance) bool { return follower.View().IsLive(in) },
 	}
+	errorLog := httpserve.NewErrorLog(logger)
 	return &platformEntry{
 		follower: follower, upstreams: upstreams, detours: detours, server: server, grace: s.Grace(), log: logger,
 		callers: &http.Server{
 			Handler:           platform.IngressHandler{Server: server, Log: logger},
-			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext,
+			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext, ErrorLog: errorLog,
 		},
-		ready:   &http.Server{Handler: platform.ReadinessHandler(server.Ready), ReadHeaderTimeout: headTimeout},
-		metrics: metricsServer(server.Metrics.Handler(), s),
-		peers:   &http.Server{Handler: peerHandler(forwarder), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout},
+		ready:   &http.Server{Handler: platform.ReadinessHandler(server.Ready), ReadHeaderTimeout: headTimeout, ErrorLog: errorLog},
+		metrics: metricsServer(server.Metrics.Handler(), s, errorLog),
+		peers:   &http.Server{Handler: peerHandler(forwarder), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog},
 	}
 }
 
--- a/internal/cli/servers.go
+++ b/internal/cli/servers.go
@@ -16,6 +16,7 @@
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 	"github.com/shedrock/shedrock/internal/transport/feed"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 	"github.com/shedrock/shedrock/internal/transport/peers"
 	"github.com/shedrock/shedrock/internal/transport/rpc"
 )
@@ -204,7 +205,7 @@
 		}
 		h.ServeHTTP(w, r)
 	})
-	server := &http.Server{Handler: logged}
+	server := &http.Server{Handler: logged, ErrorLog: httpserve.NewErrorLog(logger)}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return served(server.Serve(listener))
--- a/internal/transport/detour/forward.go
+++ b/internal/transport/detour/forward.go
@@ -19,6 +19,7 @@
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 )
 
 const (
@@ -58,8 +59,20 @@
 	senders map[string]time.Time
 }
 
-// ServeHTTP passes on one attempt.
+// ServeHTTP passes on one attempt, and recovers from panics.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var id string
+	httpserve.Recoverer{
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, &id) }),
+		RequestID: func(http.Header, *http.Request) string { return id },
+		// Nothing was passed on before the response began, so the sender may take it for declined.
+		Fail:  func(w http.ResponseWriter, _ string) { http.Error(w, "internal error", http.StatusBadGateway) },
+		Count: f.Metrics.forwarded.WithLabelValues("panicked").Inc, Log: f.Log,
+	}.ServeHTTP(w, r)
+}
+
+// serve passes on one attempt, and sets id to that of its request.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, id *string) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	in := &wire.ForwardRequest{}
 	if err == nil {
@@ -69,6 +82,7 @@
 		http.Error(w, "unreadable attempt: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	*id = string(in.Id)
 	defer f.inFlight.Add(-1)
 	if why := f.admit(toInstance(in), f.inFlight.Add(1)); why != 0 {
 		f.Metrics.forwarded.WithLabelValues(why.String()).Inc()
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -18,6 +18,7 @@
 	"github.com/shedrock/shedrock/internal/state/declared"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 	"github.com/shedrock/shedrock/internal/state/prefix"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 )
 
 const (
@@ -46,7 +47,15 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeRejection(w, errorResponse{status: http.StatusNotFound, kind: kindInvalid, code: "unknown_path", message: "There is no " + r.Method + " " + r.URL.Path + "."})
 	})
-	return mux
+	return httpserve.Recoverer{
+		Handler: mux,
+		Count:   e.metrics.panics.Inc, Log: e.Log,
+		RequestID: func(response http.Header, _ *http.Request) string { return response.Get(HeaderRequestID) },
+		Fail: func(w http.ResponseWriter, id string) {
+			w.Header().Set(HeaderRequestID, id)
+			writeOutcome(w, outcome.Unknown{Detail: "internal error"})
+		},
+	}
 }
 
 // authenticate wraps a handler: it refuses requests while the entry shuts down or has
@@ -109,6 +118,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		w.Header().Set("Connection", "close")
 		message := fmt.Sprintf("The body is larger than %d bytes.", e.MaxBody)
 		return nil, errorResponse{status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large", message: message}, false
 	}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/shedrock/shedrock/internal/transport/controlclient"
 	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 	"github.com/shedrock/shedrock/internal/transport/peers"
 	"github.com/shedrock/shedrock/internal/transport/upstream"
 )
@@ -144,8 +145,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return e.baseCtx },
+		ErrorLog:          httpserve.NewErrorLog(e.Log),
 	}
-	operators := &http.Server{Handler: e.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{Handler: e.operatorsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: httpserve.NewErrorLog(e.Log)}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return ignoreServerClosed(callers.Serve(e.Callers)) })
 	group.Go(func() error { return ignoreServerClosed(operators.Serve(e.Operators)) })
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -32,6 +32,7 @@
 	outcomes        *prometheus.CounterVec
 	attempts        *prometheus.CounterVec
 	relearned       *prometheus.CounterVec
+	panics          prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -55,9 +56,10 @@
 		attempts:        counter("attempts_total", "Dispatches to upstreams.", "upstream", "end"),
 		relearned:       counter("relearned_objects_total", "Objects learned from the lists of stores.", "store"),
 	}
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics while a caller's request was served."})
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned,
+		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned, m.panics,
 	)
 	return m
 }
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -22,6 +22,8 @@
 	attempts *prometheus.CounterVec
 	// brokenAnswers counts answers whose callers' connections were closed before their end.
 	brokenAnswers *prometheus.CounterVec
+	// panics counts the panics of callers' handlers.
+	panics prometheus.Counter
 	// successors counts the attempts that were made beside silent ones, by why and by what became of them.
 	successors *prometheus.CounterVec
 	// limited counts attempts at instances with a rate limit, and limitChanges how often an instance
@@ -63,6 +65,7 @@
 		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		brokenAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_total", Help: "Answers whose caller's connection was closed before their end, by the reason."}, []string{"service", "reason"}),
+		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "shedrock_panics_total", Help: "Panics while a caller's request was served."}),
 		successors:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_successors_total", Help: "Attempts made beside one whose instance is silent: why it counts as silent, and what became of them."}, []string{"service", "cause", "result"}),
 		limited:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
 		limitChanges:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
@@ -94,7 +97,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
@@ -133,6 +136,9 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// CountPanic counts a panic while a caller's request was served.
+func (m *Metrics) CountPanic() { m.panics.Inc() }
+
 func (m *Metrics) endRequest(team string, route deployment.Route, o outcome.Outcome, arrived, first time.Time) {
 	class := route.Kind.String()
 	m.requests.WithLabelValues(team, class, outcome.Label(o)).Inc()
