--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -95,12 +95,29 @@
 	return l.refused[[2]string{from, to}]
 }
 
+// Mend ends the cuts of the way from each of some processes to each of others.
+func (l *Links) Mend(from, to []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			delete(l.cuts, [2]string{a, b})
+		}
+	}
+	l.wakeWaiting()
+}
+
 // Heal ends every cut, and new connections are no longer reset.
 func (l *Links) Heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.cuts)
 	clear(l.refused)
+	l.wakeWaiting()
+}
+
+// wakeWaiting has whatever waits for a cut look again; mu must be held.
+func (l *Links) wakeWaiting() {
 	close(l.healed)
 	l.healed = make(chan struct{})
 }
--- a/internal/system/processes/links_test.go
+++ b/internal/system/processes/links_test.go
@@ -57,6 +57,14 @@
 	}
 	l.Heal()
 	await.Until(t, patience, "it arrives late", exchange)
+	l.Cut([]string{"echo", "other"}, []string{processes.Outside})
+	l.Mend([]string{"other"}, []string{processes.Outside})
+	write()
+	if exchange() {
+		t.Fatal("a way carried although only another one's cut had ended")
+	}
+	l.Mend([]string{"echo"}, []string{processes.Outside})
+	await.Until(t, patience, "it arrives once its own cut has ended", exchange)
 	l.Delay("echo", 300*time.Millisecond)
 	write()
 	if exchange() {
