A panic in a successor ends it, not the process

A successor runs in a goroutine of its own, where a panic ends the process with all of its callers' connections; in a caller's handler it ends one request. It is recovered, logged as event=panic with end=successor_failed, and counted; the silent attempt goes on. Seen before: TestSilenceEndsNoStream/another_panics ends the test process with "panic: no reply"; now it passes.

--- a/internal/transport/httpserve/httpserve.go
+++ b/internal/transport/httpserve/httpserve.go
@@ -61,9 +61,14 @@
 	if written {
 		end = "connection_closed"
 	}
+	LogPanic(c.Log, cause, id, end)
+}
+
+// LogPanic logs a panic that was recovered while a request was served, with the stack. end says what ended by it.
+func LogPanic(logger *log.Logger, cause any, requestID, end string) {
 	stack := make([]byte, maxStackBytes)
 	stack = stack[:runtime.Stack(stack, false)]
-	c.Log.Error().Str("event", "panic").Str("request", id).Str("end", end).
+	logger.Error().Str("event", "panic").Str("request", requestID).Str("end", end).
 		Str("error", truncate(fmt.Sprint(cause))).Str("stack", string(stack)).Msg("")
 }
 
--- a/internal/transport/serving/successor.go
+++ b/internal/transport/serving/successor.go
@@ -11,6 +11,7 @@
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/retry"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 )
 
 // silence is why an instance counts as silent, as logs and metrics name it.
@@ -92,10 +93,24 @@
 	j.successor = c
 	go func() {
 		defer close(c.done)
+		defer c.recoverPanic()
 		c.run(ctx)
 	}()
 }
 
+// recoverPanic ends a successor that panicked as failed. Unlike those of callers' handlers, its goroutine would take the
+// process with it.
+func (c *successor) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	c.sent = nil
+	c.job.server.Metrics.CountPanic()
+	httpserve.LogPanic(c.job.server.Log, cause, c.job.request.ID, "successor_failed")
+	c.record(successorFailed)
+}
+
 // forSuccessor returns a job for an attempt beside the one in progress. The server's mu must be held.
 func (j *job) forSuccessor() *job {
 	last := j.progress.accepted.Load()
--- a/internal/transport/serving/successor_test.go
+++ b/internal/transport/serving/successor_test.go
@@ -124,6 +124,9 @@
 	return exchange.Broken{Err: ctx.Err()}
 }
 
+// panics stands for a fault of this process.
+func panics(context.Context, *exchange.Attempt) exchange.Reply { panic("no reply") }
+
 // noPath is the reply while neither this entry nor another one has a path.
 func noPath(context.Context, *exchange.Attempt) exchange.Reply {
 	return exchange.Unreached{Err: io.ErrClosedPipe, NoPath: true}
@@ -145,6 +148,7 @@
 		{"others are silent too", silentToo, 100, 0, []uint64{0, silentAfter}, false, "dropped"},
 		{"there is no path", noPath, 100, 0, []uint64{0, silentAfter}, false, "failed"},
 		{"no resend is allowed", goesOn, 0, 0, []uint64{0}, false, "not_sent"},
+		{"another panics", panics, 100, 0, []uint64{0, silentAfter}, false, "failed"},
 		{"another goes on", goesOn, 100, 0, []uint64{0, silentAfter}, true, "took_over"},
 		{"buffered, others are silent too", silentToo, 100, 1 << 20, []uint64{0, silentAfter}, false, "dropped"},
 		{"buffered, another goes on", goesOn, 100, 1 << 20, []uint64{0, silentAfter}, true, "took_over"},
