A failed write to a caller is told from a caller that left

Every failed write counted as "the caller has gone", whether the caller had closed its connection, took nothing for 10 s, or this process had closed the connection. A write that times out also ends the caller's context in net/http, so the line of the request could not tell.

The job keeps the error of the write. The request's line says caller=left, write_timed_out, not_taken, closed_here or write_failed, with write_error, and shedrock_callers_gone_total counts them by service. A caller that leaves while nothing is written is "left", without write_error.

After a failed write of a whole answer, conclude called Refuse on the same sink. Now only Break follows, as after Begin and Event, and answer_broken is logged and counted for it.

Seen failing before: the cases of TestFailedWritesAreToldFromCallersThatLeft for streams had no caller in the line and no count; those for whole answers ended in a nil method of the test's sink, in Refuse after the failed Answer. All pass now, as do the tests of serving and platform with -race.

A whole answer of less than 4 KB is written by net/http after the handler, so its failed write is still not seen.

--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -71,6 +71,9 @@
 	err := d.finish(j.callerCtx)
 	j.headSent, j.lastEvent, j.firstByteAt = d.headSent, d.lastEvent, d.firstByteAt
 	if err != nil {
+		if err != errCallerLeft {
+			j.writeError = err
+		}
 		return outcome.CallerGone
 	}
 	if _, ok := o.(outcome.Answered); ok {
--- a/internal/transport/serving/delivery.go
+++ b/internal/transport/serving/delivery.go
@@ -53,6 +53,8 @@
 	// Only the reader uses both.
 	lastRead    uint64
 	pausedSince time.Time
+	// writeError is why a write failed, or nil. It is set before done is closed, and read afterwards.
+	writeError error
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. queue holds the events that are not being written, in order, and
@@ -95,6 +97,7 @@
 			err = d.write(batch)
 		}
 		held, _ := d.fail(err)
+		d.writeError = err
 		var network net.Error
 		if errors.As(err, &network) && network.Timeout() && d.failure() != errNotTaken {
 			d.logBreakOff(held, err)
@@ -319,7 +322,12 @@
 	}
 	d.endPause()
 	d.buffers.remove(d.id)
-	return d.failure()
+	err := d.failure()
+	// A failed write ends callerCtx as well.
+	if err == errCallerLeft && d.writeError != nil {
+		return d.writeError
+	}
+	return err
 }
 
 // endPause ends a pause, if there is one, and logs a long one.
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -106,6 +106,8 @@
 	counted bool
 	// lastError is why the last attempt gave no whole response, or nil.
 	lastError error
+	// writeError is why a write to the caller failed, or nil.
+	writeError error
 	// fallback is a 5xx response of an instance, sent to the caller if no later attempt succeeds.
 	fallback *exchange.Whole
 }
@@ -370,15 +372,14 @@
 		answer := *j.fallback
 		j.firstByteAt = clock.Now()
 		err := j.sink.Answer(answer)
-		if err != nil {
-			o = outcome.CallerGone
-		} else {
-			o = outcome.Answered{Status: answer.Head.Status}
+		if err == nil {
+			j.logOutcome(outcome.Answered{Status: answer.Head.Status})
+			return
 		}
-		j.logOutcome(o)
-		return
+		j.writeError = err
+		o = outcome.CallerGone
 	}
-	if j.headSent {
+	if j.headSent || j.writeError != nil {
 		j.logBroken(o)
 		j.logOutcome(o)
 		j.sink.Break()
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -36,7 +36,7 @@
 	case outcome.Failed:
 		line = line.Str("detail", o.Detail)
 	}
-	line.Msg("")
+	j.addCallerEnd(line, o).Msg("")
 	j.server.Metrics.endRequest(j.team.Name, j.route, o, j.request.Arrived, j.firstByteAt)
 }
 
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -22,6 +22,8 @@
 	attempts *prometheus.CounterVec
 	// brokenAnswers counts answers whose callers' connections were closed before their end.
 	brokenAnswers *prometheus.CounterVec
+	// callersGone counts callers to whom an answer could not be written, by how they were lost.
+	callersGone *prometheus.CounterVec
 	// panics counts the panics of callers' handlers.
 	panics prometheus.Counter
 	// successors counts the attempts that were made beside silent ones, by why and by what became of them.
@@ -65,6 +67,7 @@
 		refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_refusals_total", Help: "Requests that were not run, by the reason."}, []string{"team", "class", "reason"}),
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		brokenAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_total", Help: "Answers whose caller's connection was closed before their end, by the reason."}, []string{"service", "reason"}),
+		callersGone:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_callers_gone_total", Help: "Callers to whom an answer could not be written, by how they were lost."}, []string{"service", "caller"}),
 		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "shedrock_panics_total", Help: "Panics while a caller's request was served."}),
 		successors:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_successors_total", Help: "Attempts made beside one whose instance is silent: why it counts as silent, and what became of them."}, []string{"service", "cause", "result"}),
 		limited:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
@@ -97,7 +100,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -71,6 +71,7 @@
 	j.firstByteAt = clock.Now()
 	err := j.sink.Answer(a)
 	if err != nil {
+		j.writeError = err
 		return retry.CallerGone{}, err
 	}
 	return retry.Completed{Status: a.Head.Status}, nil
@@ -101,6 +102,7 @@
 			err = j.sink.Event(event.Raw, more)
 		}
 		if err != nil {
+			j.writeError = err
 			return retry.CallerGone{}, err
 		}
 		j.lastEvent = max(j.lastEvent, event.Number)
@@ -140,6 +142,7 @@
 func (j *job) endStream(h exchange.Head) retry.Result {
 	err := j.beginStream(h)
 	if err != nil {
+		j.writeError = err
 		return retry.CallerGone{}
 	}
 	j.sink.End()
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -43,8 +43,8 @@
 
 // Sink writes the response to the caller of one request. Either exactly one of Refuse, Deny and
 // Answer is called, or Begin, then Event any number of times, and finally End or Break. Begin and Event may
-// be called from another goroutine than the others, but no two calls overlap. After an error of one of these
-// two, only Break is called.
+// be called from another goroutine than the others, but no two calls overlap. After an error, only Break is
+// called.
 type Sink interface {
 	// Refuse sends the outcome of a request for which there is no response of an instance.
 	Refuse(o outcome.Outcome)
