Idle connections of callers are kept as long as the configuration allows

Callers saw (read, and then in the tests): with idle_timeout_ms above 94 s, a request on a connection that rested for up to four fifths of it met the entry's close at 75 s. A request that crosses the close gets no answer.

Cause: idle_timeout_ms was decoded into deployment.Limits and read by nothing; the callers' server had a fixed 75 s.

The connection now has its own deadline. The largest limit in force since it became idle counts, as does one that was replaced up to 30 s before, because callers may still act by it, and while a newer configuration is known but not in force here nothing is closed. 75 s is the least, and a second more is kept, as callers count from the arrival of their answer. Bytes that arrived before the deadline are read after it as well, so that a starved entry closes no connection with a request in its socket. event=caller_limit and shedrock_callers_limited_total tell each close.

A deadline in the connection's own Read has no such gap: only that Read sees the first byte. What remains is a request that arrives between the last look and the close.

Without the read of what has arrived, TestRequestThatHasArrivedOutlivesTheIdleTimeout fails with a timeout.

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -16,6 +16,7 @@
 	"github.com/shedrock/shedrock/internal/settings"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/arbiter"
+	"github.com/shedrock/shedrock/internal/transport/callerlimits"
 	"github.com/shedrock/shedrock/internal/transport/detour"
 	"github.com/shedrock/shedrock/internal/transport/ends"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
@@ -26,9 +27,9 @@
 )
 
 const (
-	// idleTimeout is above what callers are promised by any configuration seen so far (15 s).
-	idleTimeout = 75 * time.Second
-	maxHead     = 64 << 10
+	// peerIdleTimeout is how long an idle connection of another entry is kept.
+	peerIdleTimeout = 75 * time.Second
+	maxHead         = 64 << 10
 	// notice is how long a process that stops still takes new connections: the balancer
 	// asks each second and believes the second refusal.
 	notice = 2500 * time.Millisecond
@@ -69,6 +70,8 @@
 	detours   *detour.Upstreams
 	server    *serving.Server
 	forwarder *detour.Forwarder
+	// limiter holds callers' connections to the limits of the configuration.
+	limiter *callerlimits.Limiter
 	// callers, ready, metrics and peers serve a listener each.
 	callers, ready, metrics, peers *http.Server
 	// grace is how long the process may take to end.
@@ -116,15 +119,19 @@
 		Knows: func(in registry.Instance) bool { return follower.View().IsLive(in) },
 	}
 	errorLog := httpserve.NewErrorLog(logger)
+	limiter := newCallerLimiter(follower.View, logger)
+	server.Metrics.Register(limiter.Metrics.Collectors())
+	callers := &http.Server{
+		Handler:           platform.IngressHandler{Server: server, Log: logger},
+		ReadHeaderTimeout: headTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext, ErrorLog: errorLog,
+	}
+	limiter.Configure(callers)
 	return &platformEntry{
-		follower: follower, upstreams: upstreams, detours: detours, server: server, forwarder: forwarder, grace: s.Grace(), log: logger,
-		callers: &http.Server{
-			Handler:           platform.IngressHandler{Server: server, Log: logger},
-			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnContext: platform.ConnContext, ErrorLog: errorLog,
-		},
+		follower: follower, upstreams: upstreams, detours: detours, server: server, forwarder: forwarder, limiter: limiter, grace: s.Grace(), log: logger,
+		callers: callers,
 		ready:   &http.Server{Handler: platform.ReadinessHandler(server.Ready), ReadHeaderTimeout: headTimeout, ErrorLog: errorLog},
 		metrics: metricsServer(server.Metrics.Handler(), s, errorLog),
-		peers:   &http.Server{Handler: peerHandler(forwarder), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog},
+		peers:   &http.Server{Handler: peerHandler(forwarder), ReadHeaderTimeout: headTimeout, IdleTimeout: peerIdleTimeout, ErrorLog: errorLog},
 	}
 }
 
@@ -147,7 +154,8 @@
 	group.Go(func() error { e.detours.Run(helpers); return nil })
 	group.Go(func() error { sweepPool(helpers, e.upstreams); return nil })
 	group.Go(func() error { noteSuspensions(helpers, e.log); return nil })
-	group.Go(func() error { return served(e.callers.Serve(callers)) })
+	group.Go(func() error { e.limiter.Run(helpers); return nil })
+	group.Go(func() error { return served(e.callers.Serve(e.limiter.Listener(callers))) })
 	group.Go(func() error { return served(e.ready.Serve(ready)) })
 	group.Go(func() error { return served(e.metrics.Serve(metrics)) })
 	group.Go(func() error { return served(e.peers.Serve(peers)) })
--- /dev/null
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -0,0 +1,127 @@
+// Package callerlimits enforces the limits of the configuration in force on callers' connections: how long one may be
+// idle. The limits of http.Server are fixed once it serves, and those of the configuration change.
+package callerlimits
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/shedrock/shedrock/internal/clock"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+)
+
+const (
+	// DefaultIdleTimeout is the usual value of Defaults.IdleTimeout.
+	DefaultIdleTimeout = 75 * time.Second
+	// DefaultDeliveryTime is the usual value of Defaults.DeliveryTime.
+	DefaultDeliveryTime = time.Second
+	// DefaultFormerHold is the usual value of Defaults.FormerHold.
+	DefaultFormerHold = 30 * time.Second
+	// observeInterval is how often the configuration in force is read.
+	observeInterval = 100 * time.Millisecond
+	// pendingInterval is how often an idle connection is looked at again that is kept for a newer configuration.
+	pendingInterval = time.Second
+)
+
+// Defaults are what holds where the configuration sets no limit.
+type Defaults struct {
+	// IdleTimeout is also the least: configurations can only raise it.
+	IdleTimeout time.Duration
+	// DeliveryTime is how long the end of an answer may take to arrive. Callers count idle time from then on.
+	DeliveryTime time.Duration
+	// FormerHold is for how long after its replacement callers may still act by a configuration.
+	FormerHold time.Duration
+}
+
+// Limiter enforces limits on the connections of one http.Server. Set the exported fields, then call Configure, and Run.
+type Limiter struct {
+	// Limits returns the limits of the configuration in force, or zero ones.
+	Limits func() deployment.Limits
+	// Pending reports whether a newer configuration is known to exist. Idle connections are kept meanwhile, because
+	// it may allow them a longer time.
+	Pending  func() bool
+	Defaults Defaults
+	// Metrics counts what is closed.
+	Metrics *Metrics
+	// Log receives one line for each connection that is closed for a limit.
+	Log *log.Logger
+
+	mu sync.Mutex
+	// history is guarded by mu.
+	history history
+}
+
+// Configure sets the fields of a server that the limiter needs. The server must serve on listeners of Listener.
+func (m *Limiter) Configure(s *http.Server) {
+	// Without an IdleTimeout of its own, the server takes ReadTimeout, which is 0.
+	s.IdleTimeout = 0
+	s.ConnState = noteState
+}
+
+// Run follows the configuration until ctx ends.
+func (m *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		m.since(clock.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Listener returns a listener whose connections are held to the limits.
+func (m *Limiter) Listener(of net.Listener) net.Listener { return &listener{of, m} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &conn{TCPConn: tcp, limiter: l.limiter}, nil
+}
+
+// noteState is http.Server.ConnState.
+func noteState(c net.Conn, state http.ConnState) {
+	if limited, ok := c.(*conn); ok {
+		limited.noteState(state)
+	}
+}
+
+// since returns the largest limits by which a caller may have acted since t, a time of package clock.
+func (m *Limiter) since(t time.Time) values {
+	now := clock.Now()
+	current := m.resolve(m.Limits())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history.observe(now, current, m.Defaults.FormerHold)
+	return m.history.since(t.Add(-m.Defaults.FormerHold))
+}
+
+// resolve returns what holds under the limits of a configuration.
+func (m *Limiter) resolve(in deployment.Limits) values {
+	return values{idleTimeout: max(in.IdleTimeout, m.Defaults.IdleTimeout) + m.Defaults.DeliveryTime}
+}
+
+// noteClosed tells that a connection is closed for a limit.
+func (m *Limiter) noteClosed(c *conn, l limit, value, waited time.Duration) {
+	m.Metrics.closed.WithLabelValues(string(l)).Inc()
+	m.Log.Info().Str("event", "caller_limit").Str("limit", string(l)).Dur("value_ms", value).Dur("waited_ms", waited).Str("caller", c.RemoteAddr().String()).Msg("")
+}
