Slow heads and bodies without an end are given up by header_timeout_ms

Callers saw (read, and then in the tests): header_timeout_ms changed nothing, a head was given up after 10 s; a body that stopped in the middle was waited for for ever, with its connection and what had arrived of it; a connection that was opened ahead was closed after 10 s whatever idle_timeout_ms said.

Cause: header_timeout_ms was decoded and read by nothing, and net/http has no limit on the progress of a body.

The connection now has its own deadline for each of these. A head has header_timeout_ms from its first byte, 10 s where none is set. A body may go without a byte for that long, at least 10 s, and has no limit where none is set; then the answer is 408 and nothing has run. A new connection waits for its first byte as long as an idle one if idle_timeout_ms is set, else 10 s as before. As for idle connections the largest limit in force in the last 30 s counts, and what had arrived before the deadline is read after it.

One change also where nothing is set: a head that is given up is answered 408. net/http took what had come of a line for the whole one, and answered 400, or nothing if the line was empty.

--- a/internal/cli/caller_limits.go
+++ b/internal/cli/caller_limits.go
@@ -23,8 +23,8 @@
 			return v.NewestConfigVersion > 0 && (v.Config == nil || v.NewestConfigVersion > v.Config.Version)
 		},
 		Defaults: callerlimits.Defaults{
-			IdleTimeout: callerlimits.DefaultIdleTimeout, DeliveryTime: callerlimits.DefaultDeliveryTime, HeaderBytes: callerlimits.DefaultHeaderBytes,
-			FormerHold: callerlimits.DefaultFormerHold,
+			IdleTimeout: callerlimits.DefaultIdleTimeout, DeliveryTime: callerlimits.DefaultDeliveryTime,
+			HeaderTimeout: callerlimits.DefaultHeaderTimeout, HeaderBytes: callerlimits.DefaultHeaderBytes, FormerHold: callerlimits.DefaultFormerHold,
 		},
 		Metrics: callerlimits.NewMetrics(), Log: logger,
 	}
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -120,10 +120,7 @@
 	errorLog := httpserve.NewErrorLog(logger)
 	limiter := newCallerLimiter(follower.View, logger)
 	server.Metrics.Register(limiter.Metrics.Collectors())
-	callers := &http.Server{
-		Handler:           platform.IngressHandler{Server: server, Log: logger},
-		ReadHeaderTimeout: headTimeout, ConnContext: platform.ConnContext, ErrorLog: errorLog,
-	}
+	callers := &http.Server{Handler: platform.IngressHandler{Server: server, Log: logger}, ConnContext: platform.ConnContext, ErrorLog: errorLog}
 	limiter.Configure(callers)
 	return &platformEntry{
 		follower: follower, upstreams: upstreams, detours: detours, server: server, forwarder: forwarder, limiter: limiter, grace: s.Grace(), log: logger,
--- a/internal/transport/callerlimits/callerlimits.go
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -1,6 +1,6 @@
 // Package callerlimits enforces the limits of the configuration in force on callers' connections: how long one may be
-// idle, and how large the head of a request may be. The limits of http.Server are fixed once it serves, and those of the
-// configuration change.
+// idle, how large the head of a request may be, and how long a request may take to arrive. The limits of http.Server are
+// fixed once it serves, and those of the configuration change.
 package callerlimits
 
 import (
@@ -23,6 +23,8 @@
 	DefaultIdleTimeout = 75 * time.Second
 	// DefaultDeliveryTime is the usual value of Defaults.DeliveryTime.
 	DefaultDeliveryTime = time.Second
+	// DefaultHeaderTimeout is the usual value of Defaults.HeaderTimeout.
+	DefaultHeaderTimeout = 10 * time.Second
 	// DefaultHeaderBytes is the usual value of Defaults.HeaderBytes: 64 KiB, and what net/http allows beyond its limit.
 	DefaultHeaderBytes = 64<<10 + 4<<10
 	// DefaultFormerHold is the usual value of Defaults.FormerHold.
@@ -39,6 +41,10 @@
 	IdleTimeout time.Duration
 	// DeliveryTime is how long the end of an answer may take to arrive. Callers count idle time from then on.
 	DeliveryTime time.Duration
+	// HeaderTimeout limits the time from the first byte of a request to the end of its head. It also limits the time
+	// until that byte on a new connection, unless the configuration sets an idle timeout, and it is the least of the
+	// time without progress of a body, which has a limit only where the configuration sets a header timeout.
+	HeaderTimeout time.Duration
 	// HeaderBytes limits the head of a request: the request line, the header lines and the empty line after them.
 	HeaderBytes int
 	// FormerHold is for how long after its replacement callers may still act by a configuration.
@@ -65,8 +71,8 @@
 
 // Configure sets the fields of a server that the limiter needs. The server must serve on listeners of Listener.
 func (m *Limiter) Configure(s *http.Server) {
-	// Without an IdleTimeout of its own, the server takes ReadTimeout, which is 0.
-	s.IdleTimeout = 0
+	// With these, the server sets no deadlines of its own for reads.
+	s.ReadTimeout, s.ReadHeaderTimeout, s.IdleTimeout = 0, 0, 0
 	// The server's buffers grow with the head that arrives, and not with this.
 	s.MaxHeaderBytes = math.MaxInt32
 	s.ConnState = noteState
@@ -129,10 +135,20 @@
 
 // resolve returns what holds under the limits of a configuration.
 func (m *Limiter) resolve(in deployment.Limits) values {
-	return values{
-		idleTimeout: max(in.IdleTimeout, m.Defaults.IdleTimeout) + m.Defaults.DeliveryTime,
-		headerBytes: cmp.Or(in.HeaderBytes, m.Defaults.HeaderBytes),
+	out := values{
+		idleTimeout:   max(in.IdleTimeout, m.Defaults.IdleTimeout) + m.Defaults.DeliveryTime,
+		newTimeout:    m.Defaults.HeaderTimeout,
+		headerTimeout: cmp.Or(in.HeaderTimeout, m.Defaults.HeaderTimeout),
+		bodyTimeout:   never,
+		headerBytes:   cmp.Or(in.HeaderBytes, m.Defaults.HeaderBytes),
 	}
+	if in.IdleTimeout > 0 {
+		out.newTimeout = max(out.newTimeout, out.idleTimeout)
+	}
+	if in.HeaderTimeout > 0 {
+		out.bodyTimeout = max(in.HeaderTimeout, m.Defaults.HeaderTimeout)
+	}
+	return out
 }
 
 // noteTimeout tells that a connection is closed because its caller took too long.
--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -16,6 +16,9 @@
 // connection without a further answer.
 var errHeadTooLarge = errors.New("the head of the request is too large")
 
+// errPending is the error of a read whose limit may be longer under a newer configuration.
+var errPending = errors.New("a newer configuration is not known yet")
+
 // phase is what a read from a connection waits for.
 type phase int
 
@@ -25,7 +28,8 @@
 	ahead phase = iota
 	// inBody reads the body of a request.
 	inBody
-	// idle connections wait for the first byte of another request.
+	// unused connections wait for the first byte of their first request, and idle ones for that of another.
+	unused
 	idle
 	// inHead reads the head of a request.
 	inHead
@@ -40,8 +44,11 @@
 	// phase and since, when it began, are guarded by mu.
 	phase phase
 	since time.Time
-	// head is that of the request that is being read; its server uses it from one goroutine at a time.
-	head head
+
+	// head is that of the request that is being read, and bodyEnded whether its body has been given up. The server uses
+	// them from one goroutine at a time.
+	head      head
+	bodyEnded bool
 }
 
 // noteState takes up what the server tells of the connection.
@@ -50,10 +57,10 @@
 	case http.StateIdle:
 		c.enter(idle)
 	case http.StateNew:
-		c.enter(inHead)
+		c.enter(unused)
 	case http.StateActive:
 		c.enter(inBody)
-		c.head = head{}
+		c.head, c.bodyEnded = head{}, false
 	case http.StateHijacked, http.StateClosed:
 	}
 }
@@ -82,23 +89,29 @@
 func (c *conn) Read(p []byte) (int, error) {
 	phase, since := c.current()
 	switch phase {
-	case idle:
-		n, err := c.readIdle(p, since)
+	case unused, idle:
+		n, err := c.readFirst(p, since, phase)
 		if n == 0 {
 			return 0, err
 		}
 		c.enter(inHead)
 		return c.limitHead(p, n, err)
 	case inHead:
-		n, err := c.TCPConn.Read(p)
+		n, err := c.readBy(p, since, headerTimeout)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.refuse(http.StatusRequestTimeout)
+			return 0, err
+		}
 		return c.limitHead(p, n, err)
+	case inBody:
+		return c.readBody(p)
 	case ahead:
 		n, err := c.TCPConn.Read(p)
 		c.head.add(p[:n])
 		return n, err
-	case inBody:
+	default:
+		panic("callerlimits: a phase that does not exist")
 	}
-	return c.TCPConn.Read(p)
 }
 
 // limitHead refuses a request whose head has become too large with the n bytes that were read to p. It returns what Read
@@ -115,30 +128,64 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
 }
 
-// readIdle reads the first bytes of a request on a connection that is idle since a time.
-func (c *conn) readIdle(p []byte, since time.Time) (int, error) {
+// readFirst reads the first bytes of a request on a connection that waits for it since a time.
+func (c *conn) readFirst(p []byte, since time.Time, phase phase) (int, error) {
+	l := idleTimeout
+	if phase == unused {
+		l = newTimeout
+	}
 	for {
-		limit := c.limiter.since(since).idleTimeout
-		n, err := c.readUntil(p, since.Add(limit))
+		n, err := c.readBy(p, since, l)
+		if !errors.Is(err, errPending) {
+			return n, err
+		}
+		n, err = c.readUntil(p, clock.Now().Add(pendingInterval))
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
+// readBody reads a part of a body, within the time without progress. After that time, all reads fail: the server reads
+// the rest of a body that its handler has given up.
+func (c *conn) readBody(p []byte) (int, error) {
+	if c.bodyEnded {
+		return 0, os.ErrDeadlineExceeded
+	}
+	now := clock.Now()
+	if c.limiter.since(now).bodyTimeout == never {
+		return c.TCPConn.Read(p)
+	}
+	n, err := c.readBy(p, now, bodyTimeout)
+	c.bodyEnded = errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
+
+// readBy reads within the time of a limit since a time, of all that were in force since then the longest. The error is
+// errPending if the time is over, but may be longer under a configuration that is not known yet, and only for
+// connections that wait for a request.
+func (c *conn) readBy(p []byte, since time.Time, l limit) (int, error) {
+	for {
+		value := c.limiter.since(since).timeout(l)
+		n, err := c.readUntil(p, since.Add(value))
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		waited := clock.Since(since)
-		if c.limiter.since(since).idleTimeout > waited {
+		if c.limiter.since(since).timeout(l) > waited {
 			continue
 		}
-		if c.limiter.Pending() {
-			n, err = c.readUntil(p, clock.Now().Add(pendingInterval))
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				return n, err
-			}
-			continue
+		if waitsForRequest(l) && c.limiter.Pending() {
+			return 0, errPending
 		}
-		c.limiter.noteTimeout(c, idleTimeout, limit, waited)
+		c.limiter.noteTimeout(c, l, value, waited)
 		return 0, err
 	}
 }
 
+// waitsForRequest is whether a limit is on the time until the first byte of a request.
+func waitsForRequest(l limit) bool { return l == idleTimeout || l == newTimeout }
+
 // readUntil reads until a time of package clock. Bytes that have already arrived are read after it as well: this
 // process may have had no processor time since they came.
 func (c *conn) readUntil(p []byte, deadline time.Time) (int, error) {
--- a/internal/transport/callerlimits/fixture_test.go
+++ b/internal/transport/callerlimits/fixture_test.go
@@ -16,8 +16,11 @@
 	"github.com/shedrock/shedrock/internal/transport/callerlimits"
 )
 
-// defaultHeaderBytes stands for the default.
-const defaultHeaderBytes = 16 << 10
+const (
+	// defaultHeaderBytes and defaultHeaderTimeout stand for the defaults.
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 600 * time.Millisecond
+)
 
 // fixture is a server whose callers are limited.
 type fixture struct {
@@ -33,7 +36,7 @@
 	t.Helper()
 	f := &fixture{t: t}
 	f.limits.Store(&limits)
-	defaults.HeaderBytes = defaultHeaderBytes
+	defaults.HeaderBytes, defaults.HeaderTimeout = defaultHeaderBytes, defaultHeaderTimeout
 	f.limiter = &callerlimits.Limiter{
 		Limits: f.limits.Load, Pending: f.pending.Load,
 		Defaults: defaults, Metrics: callerlimits.NewMetrics(), Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
--- a/internal/transport/callerlimits/history.go
+++ b/internal/transport/callerlimits/history.go
@@ -8,18 +8,42 @@
 // maxFormer bounds the former values that are kept; beyond that, the two oldest become one.
 const maxFormer = 64
 
+// never is longer than any time that is waited for.
+const never = 100 * 365 * 24 * time.Hour
+
 // values is what holds under one configuration.
 type values struct {
-	idleTimeout time.Duration
-	headerBytes int
+	// newTimeout limits the time until the first byte on a new connection, and bodyTimeout the time without a byte of
+	// a body; never stands for no limit.
+	idleTimeout, newTimeout, headerTimeout, bodyTimeout time.Duration
+	headerBytes                                         int
 }
 
 // most returns the larger of each value.
 func most(a, b values) values {
 	return values{
-		idleTimeout: max(a.idleTimeout, b.idleTimeout),
-		headerBytes: max(a.headerBytes, b.headerBytes),
+		idleTimeout:   max(a.idleTimeout, b.idleTimeout),
+		newTimeout:    max(a.newTimeout, b.newTimeout),
+		headerTimeout: max(a.headerTimeout, b.headerTimeout),
+		bodyTimeout:   max(a.bodyTimeout, b.bodyTimeout),
+		headerBytes:   max(a.headerBytes, b.headerBytes),
+	}
+}
+
+// timeout returns the value of a limit that is a time.
+func (v values) timeout(l limit) time.Duration {
+	switch l {
+	case idleTimeout:
+		return v.idleTimeout
+	case newTimeout:
+		return v.newTimeout
+	case headerTimeout:
+		return v.headerTimeout
+	case bodyTimeout:
+		return v.bodyTimeout
+	case headerBytes:
 	}
+	panic("callerlimits: not a time: " + string(l))
 }
 
 // former is values that held until a time.
--- a/internal/transport/callerlimits/metrics.go
+++ b/internal/transport/callerlimits/metrics.go
@@ -6,8 +6,11 @@
 type limit string
 
 const (
-	idleTimeout limit = "idle_timeout"
-	headerBytes limit = "header_bytes"
+	idleTimeout   limit = "idle_timeout"
+	newTimeout    limit = "new_connection_timeout"
+	headerTimeout limit = "header_timeout"
+	bodyTimeout   limit = "body_timeout"
+	headerBytes   limit = "header_bytes"
 )
 
 // Metrics holds the metrics of a Limiter. Create one with NewMetrics.
