Unreadable requests are counted, and logged by the product's own front too

A request whose body or headers cannot be read closes its caller's connection with 400 or 413. The platform's entry logged request_unreadable but counted nothing; the product's own front did neither.

The product's own front now also closes the connection after a body that could not be read, as the platform's entry does.

Seen failing before: TestUnreadableRequestsAreLoggedAndCounted of platform (no count) and of entry (no line, no count). Both pass; tests of serving, entry and platform pass with -race.

--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -116,13 +116,21 @@
 	if err == nil {
 		return body, errorResponse{}, true
 	}
+	p := errorResponse{status: http.StatusBadRequest, kind: kindInvalid, code: "body_unreadable", message: "The body could not be read."}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		w.Header().Set("Connection", "close")
 		message := fmt.Sprintf("The body is larger than %d bytes.", e.MaxBody)
-		return nil, errorResponse{status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large", message: message}, false
+		p = errorResponse{status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large", message: message}
 	}
-	return nil, errorResponse{status: http.StatusBadRequest, kind: kindInvalid, code: "body_unreadable", message: "The body could not be read."}, false
+	e.recordUnreadable(w.Header().Get(HeaderRequestID), p.status, err)
+	w.Header().Set("Connection", "close")
+	return nil, p, false
+}
+
+// recordUnreadable logs and counts a request that could not be read.
+func (e *Entry) recordUnreadable(id string, status int, err error) {
+	e.metrics.unreadable.WithLabelValues(strconv.Itoa(status)).Inc()
+	e.Log.Info().Str("event", "request_unreadable").Str("request", id).Int("status", status).Str("error", err.Error()).Msg("")
 }
 
 // promptHandler returns the handler for prompts to a model.
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -33,6 +33,7 @@
 	attempts        *prometheus.CounterVec
 	relearned       *prometheus.CounterVec
 	panics          prometheus.Counter
+	unreadable      *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -57,9 +58,10 @@
 		relearned:       counter("relearned_objects_total", "Objects learned from the lists of stores.", "store"),
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics while a caller's request was served."})
+	m.unreadable = counter("requests_unreadable_total", "Requests that could not be read, by the status of the response after which the connection is closed.", "status")
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned, m.panics,
+		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned, m.panics, m.unreadable,
 	)
 	return m
 }
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,8 @@
 	callersGone *prometheus.CounterVec
 	// cutRequests counts requests that were cut because the process ended.
 	cutRequests *prometheus.CounterVec
+	// unreadable counts requests that could not be read, by the status of their response.
+	unreadable *prometheus.CounterVec
 	// panics counts the panics of callers' handlers.
 	panics prometheus.Counter
 	// successors counts the attempts that were made beside silent ones, by why and by what became of them.
@@ -71,6 +74,7 @@
 		brokenAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_total", Help: "Answers whose caller's connection was closed before their end, by the reason."}, []string{"service", "reason"}),
 		callersGone:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_callers_gone_total", Help: "Callers to whom an answer could not be written, by how they were lost."}, []string{"service", "caller"}),
 		cutRequests:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_cut_total", Help: "Requests that were still being served when the time to end the process was over."}, []string{"service"}),
+		unreadable:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_unreadable_total", Help: "Requests that could not be read, by the status of the response after which the connection is closed."}, []string{"status"}),
 		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "shedrock_panics_total", Help: "Panics while a caller's request was served."}),
 		successors:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_successors_total", Help: "Attempts made beside one whose instance is silent: why it counts as silent, and what became of them."}, []string{"service", "cause", "result"}),
 		limited:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
@@ -103,7 +107,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.cutRequests, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.cutRequests, m.unreadable, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
@@ -145,6 +149,11 @@
 // CountPanic counts a panic while a caller's request was served.
 func (m *Metrics) CountPanic() { m.panics.Inc() }
 
+// CountUnreadable counts a request that could not be read and is responded to with the given status.
+func (m *Metrics) CountUnreadable(status int) {
+	m.unreadable.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
 func (m *Metrics) endRequest(team string, route deployment.Route, o outcome.Outcome, arrived, first time.Time) {
 	class := route.Kind.String()
 	m.requests.WithLabelValues(team, class, outcome.Label(o)).Inc()
