A link between two entries that breaks amid an answer is logged and counted

When the connection between an entry and the peer that passes its attempt on broke, the peer dropped the error of its write, and the sender had no count; only the line of the attempt named the peer.

The peer logs event=forwarded_attempt_broken (request, sender, instance, number of events, error, and how the sender was lost: left, write_timed_out, closed_here or write_failed) and counts shedrock_forwarded_broken_total. The sender counts shedrock_detours_broken_total unless it gave the attempt up itself. How a peer was lost is decided in httpserve, for callers too.

--- a/internal/transport/detour/call.go
+++ b/internal/transport/detour/call.go
@@ -49,6 +49,8 @@
 	stop func() bool
 	// ended is called once when the peer no longer works for the call.
 	ended func()
+	// broken is called when the link breaks before the end of the reply.
+	broken func()
 }
 
 // declinedError reports that a peer certainly did not pass an attempt on.
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, &declinedError{detour.DeclineUnreachable}
 	}
-	c := &call{pool: pool, conn: conn, ended: func() {}}
+	c := &call{pool: pool, conn: conn, ended: func() {}, broken: func() {}}
 	c.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if !deadline.IsZero() {
 		err = conn.SetDeadline(clock.Deadline(deadline.Add(linkGrace)))
@@ -159,6 +161,7 @@
 	frame := &wire.ForwardFrame{}
 	err := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(byteReader{c.res.Body}, frame)
 	if err != nil {
+		c.broken()
 		return nil, &linkError{err}
 	}
 	return frame, nil
--- a/internal/transport/detour/fixture_test.go
+++ b/internal/transport/detour/fixture_test.go
@@ -103,6 +103,7 @@
 	gone atomic.Bool
 	// address is where others reach it.
 	address string
+	server  *httptest.Server
 }
 
 var instances = []registry.Instance{
@@ -137,6 +138,7 @@
 	mux.Handle("POST "+detour.Path, e.forwarder)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
+	e.server = server
 	e.address = server.Listener.Addr().String()
 	go e.Run(t.Context())
 	return e
--- a/internal/transport/detour/forward.go
+++ b/internal/transport/detour/forward.go
@@ -97,7 +97,9 @@
 	out := frameWriter{w: w, controller: http.NewResponseController(w)}
 	w.WriteHeader(http.StatusOK)
 	// The sender learns at once that the attempt was accepted.
-	if out.flush() != nil {
+	err = out.flush()
+	if err != nil {
+		f.recordBroken(in, 0, err)
 		return
 	}
 	f.forward(r.Context(), in, out)
@@ -133,14 +135,16 @@
 		ctx, cancel = context.WithDeadline(ctx, clock.Deadline(a.Deadline.Add(linkGrace)))
 		defer cancel()
 	}
-	// An error of a write means that the sender has gone, and ends the attempt.
+	// A failed write ends the attempt: the link to its sender broke, or the sender has given it up.
 	switch {
 	case !f.Knows(a.Instance):
-		_ = out.write(fromReply(exchange.Unreached{Err: errUnknownInstance}), true)
+		err := out.write(fromReply(exchange.Unreached{Err: errUnknownInstance}), true)
+		f.recordBroken(in, 0, err)
 		return
 	case in.RefusalProbe:
 		refuses := f.Upstreams.Direct.Refuses(ctx, a.Instance)
-		_ = out.write(&wire.ForwardFrame{Frame: &wire.ForwardFrame_Refuses{Refuses: &wire.ForwardRefuses{Refuses: refuses}}}, true)
+		err := out.write(&wire.ForwardFrame{Frame: &wire.ForwardFrame_Refuses{Refuses: &wire.ForwardRefuses{Refuses: refuses}}}, true)
+		f.recordBroken(in, 0, err)
 		return
 	}
 	reply := f.Send(ctx, a)
@@ -149,9 +153,26 @@
 		defer stream.Events.Close()
 	}
 	err := out.write(fromReply(reply), true)
+	events := 0
 	for err == nil && streamed {
 		streamed, err = forwardEvent(stream.Events, out)
+		if err == nil && streamed {
+			events++
+		}
+	}
+	f.recordBroken(in, events, err)
+}
+
+// recordBroken logs and counts an attempt whose reply could not be written to its sender, if err is not nil. events is
+// how many events of the reply were written.
+func (f *Forwarder) recordBroken(in *wire.ForwardRequest, events int, err error) {
+	if err == nil {
+		return
 	}
+	end := string(httpserve.WriteEndOf(err))
+	f.Metrics.brokenForwards.WithLabelValues(in.Service, end).Inc()
+	f.Log.Info().Str("event", "forwarded_attempt_broken").Str("request", string(in.Id)).Str("entry", in.Entry).Str("service", in.Service).
+		Str("instance", in.Instance).Str("sender", end).Int("events", events).Str("error", err.Error()).Msg("")
 }
 
 // forwardEvent writes the next event of a stream; ok is false after the last one.
--- a/internal/transport/detour/metrics.go
+++ b/internal/transport/detour/metrics.go
@@ -17,6 +17,9 @@
 	// forwarded counts attempts of other entries by their result, and forwarding is the number in flight.
 	forwarded  *prometheus.CounterVec
 	forwarding prometheus.Gauge
+	// brokenForwards counts attempts of other entries whose reply could not be written to them, by how the sender was lost,
+	// and brokenDetours attempts at peers whose link broke after they were accepted.
+	brokenForwards, brokenDetours *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -26,15 +29,17 @@
 		probes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_direct_path_probes_total", Help: "Probes of instances on new connections, by their result."}, []string{"service", "result"}),
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_detours_total", Help: "Attempts through another entry: passed on, or why one did not pass them on; none if there was no entry to ask."}, []string{"service", "result"}),
 		// From 0.5 ms to 0.5 s.
-		acceptSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "shedrock_detour_accept_seconds", Help: "From sending an attempt to another entry until that entry accepts it.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 11)}),
-		forwarded:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_forwarded_total", Help: "Attempts of other entries: passed on to an instance, or why not."}, []string{"result"}),
-		forwarding:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "shedrock_forwarding", Help: "Attempts of other entries in flight."}),
+		acceptSeconds:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "shedrock_detour_accept_seconds", Help: "From sending an attempt to another entry until that entry accepts it.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 11)}),
+		forwarded:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_forwarded_total", Help: "Attempts of other entries: passed on to an instance, or why not."}, []string{"result"}),
+		forwarding:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "shedrock_forwarding", Help: "Attempts of other entries in flight."}),
+		brokenForwards: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_forwarded_broken_total", Help: "Attempts of other entries whose reply could not be written to them, by how the sender was lost."}, []string{"service", "sender"}),
+		brokenDetours:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_detours_broken_total", Help: "Attempts through another entry whose link broke before the end of the reply."}, []string{"service"}),
 	}
 }
 
 // Collectors returns the metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.state, m.probes, m.detours, m.acceptSeconds, m.forwarded, m.forwarding}
+	return []prometheus.Collector{m.state, m.probes, m.detours, m.acceptSeconds, m.forwarded, m.forwarding, m.brokenForwards, m.brokenDetours}
 }
 
 func (m *Metrics) setState(service string, s detour.State) {
--- a/internal/transport/detour/panic_test.go
+++ b/internal/transport/detour/panic_test.go
@@ -44,7 +44,7 @@
 	return &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: l}}
 }
 
-// count returns the value of a counter of an entry with the given value of its last label.
+// count returns the sum of a counter of an entry over all labels of which one has the given value.
 func (e *entry) count(t *testing.T, name, label string) float64 {
 	t.Helper()
 	registry := prometheus.NewRegistry()
@@ -56,8 +56,10 @@
 	total := 0.0
 	for _, family := range families {
 		for _, m := range family.Metric {
-			if labels := m.GetLabel(); family.GetName() == name && len(labels) > 0 && labels[len(labels)-1].GetValue() == label {
-				total += m.GetCounter().GetValue()
+			for _, pair := range m.GetLabel() {
+				if family.GetName() == name && pair.GetValue() == label {
+					total += m.GetCounter().GetValue()
+				}
 			}
 		}
 	}
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -278,6 +278,11 @@
 			return nil, peer.Address, err
 		}
 		u.accepted(in.Service, peer, now.Sub(sent), now)
+		c.broken = func() {
+			if ctx.Err() == nil {
+				u.Metrics.brokenDetours.WithLabelValues(in.Service).Inc()
+			}
+		}
 		c.ended = sync.OnceFunc(func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
