An empty line after a body does not begin the time of the next head

Callers saw: a connection on which an empty line followed a body was given up after the header timeout with 408, although it was idle.

The time of a head begins with its first byte that is not a line end.

--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -28,7 +28,8 @@
 	ahead phase = iota
 	// inBody reads the body of a request.
 	inBody
-	// unused connections wait for the first byte of their first request, and idle ones for that of another.
+	// unused connections wait for the first byte of their first request, and idle ones for that of another. Empty lines
+	// do not count: some callers send one after a body.
 	unused
 	idle
 	// inHead reads the head of a request.
@@ -94,15 +95,19 @@
 		if n == 0 {
 			return 0, err
 		}
-		c.enter(inHead)
-		return c.limitHead(p, n, err)
+		c.head.add(p[:n])
+		if c.head.begun {
+			c.enter(inHead)
+		}
+		return c.limitHead(n, err)
 	case inHead:
 		n, err := c.readBy(p, since, headerTimeout)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.refuse(http.StatusRequestTimeout)
 			return 0, err
 		}
-		return c.limitHead(p, n, err)
+		c.head.add(p[:n])
+		return c.limitHead(n, err)
 	case inBody:
 		return c.readBody(p)
 	case ahead:
@@ -114,10 +119,9 @@
 	}
 }
 
-// limitHead refuses a request whose head has become too large with the n bytes that were read to p. It returns what Read
-// shall return.
-func (c *conn) limitHead(p []byte, n int, err error) (int, error) {
-	c.head.add(p[:n])
+// limitHead refuses a request whose head has become too large. It returns what Read shall return after it has read n
+// bytes.
+func (c *conn) limitHead(n int, err error) (int, error) {
 	_, since := c.current()
 	limit := c.limiter.since(since).headerBytes
 	if c.head.size <= limit {
--- a/internal/transport/callerlimits/fixture_test.go
+++ b/internal/transport/callerlimits/fixture_test.go
@@ -29,6 +29,8 @@
 	limits  atomic.Pointer[deployment.Limits]
 	pending atomic.Bool
 	address string
+	// wait is how long the handler waits before it answers; it is set before the first request.
+	wait time.Duration
 }
 
 // newFixture serves with limits, and with a handler that reads the request's body.
@@ -46,7 +48,7 @@
 		t.Fatal(err)
 	}
 	f.address = l.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(echo)}
+	server := &http.Server{Handler: http.HandlerFunc(f.echo)}
 	f.limiter.Configure(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -63,13 +65,15 @@
 	return f
 }
 
-func echo(w http.ResponseWriter, r *http.Request) {
+// echo answers with the body of a request.
+func (f *fixture) echo(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), http.StatusRequestTimeout)
 		return
 	}
+	time.Sleep(f.wait)
 	_, _ = w.Write(body)
 }
 
