Requests wait for a service that is silent for a second, and are refused later

Callers saw: while all instances of a service were silent for a second, new requests were refused with no_path from 0.7 s on, although the instances went on 0.3 s later.

Cause: once probes have failed, an attempt that no other entry takes either is refused at once, as if the silence would last.

A path that was lost by failures refuses at once as before. shedrock_held_attempts_total counts what became of them.

Seen failing before: TestRequestsWaitForSilentInstances ("there is a reply while all instances are silent").

--- a/internal/transport/detour/metrics.go
+++ b/internal/transport/detour/metrics.go
@@ -11,6 +11,8 @@
 	// state is the state of the direct path to each service, and probes counts probes by their result.
 	state  *prometheus.GaugeVec
 	probes *prometheus.CounterVec
+	// held counts attempts that waited for an instance to respond again, by what became of them.
+	held *prometheus.CounterVec
 	// detours counts attempts at peers by their result, and acceptSeconds has how long peers took to accept one.
 	detours       *prometheus.CounterVec
 	acceptSeconds prometheus.Histogram
@@ -27,6 +29,7 @@
 	return &Metrics{
 		state:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_direct_path_state", Help: "The entry's direct path to the instances of a service: 0 open, 1 suspected, 2 open connections only, 3 lost."}, []string{"service"}),
 		probes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_direct_path_probes_total", Help: "Probes of instances on new connections, by their result."}, []string{"service", "result"}),
+		held:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_held_attempts_total", Help: "Attempts that waited because no entry had a path to the silent instances of a service: sent once one responded, or refused."}, []string{"service", "result"}),
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_detours_total", Help: "Attempts through another entry: passed on, or why one did not pass them on; none if there was no entry to ask."}, []string{"service", "result"}),
 		// From 0.5 ms to 0.5 s.
 		acceptSeconds:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "shedrock_detour_accept_seconds", Help: "From sending an attempt to another entry until that entry accepts it.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 11)}),
@@ -39,7 +42,7 @@
 
 // Collectors returns the metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.state, m.probes, m.detours, m.acceptSeconds, m.forwarded, m.forwarding, m.brokenForwards, m.brokenDetours}
+	return []prometheus.Collector{m.state, m.probes, m.held, m.detours, m.acceptSeconds, m.forwarded, m.forwarding, m.brokenForwards, m.brokenDetours}
 }
 
 func (m *Metrics) setState(service string, s detour.State) {
--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -41,3 +42,73 @@
 		t.Error(diff)
 	}
 }
+
+// silentEntry is an entry whose instances have fallen silent, as those of its only peer have.
+type silentEntry struct {
+	*entry
+	// answers is closed to have the request answered that waited first.
+	answers chan struct{}
+	// done is closed when it has been answered.
+	done chan struct{}
+}
+
+// newSilentEntry returns an entry that has lost its path in silence.
+func newSilentEntry(t *testing.T) silentEntry {
+	t.Helper()
+	cut := newEntry(t, answered)
+	cut.losePath(t)
+	s := silentEntry{answers: make(chan struct{}), done: make(chan struct{})}
+	s.entry = newEntry(t, func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+		if a.Request.ID == "first" {
+			<-s.answers
+		}
+		return answered(ctx, a)
+	}, cut)
+	s.direct.probe = func(context.Context, registry.Instance) error { return errCut }
+	go func() {
+		defer close(s.done)
+		s.SendDirect(t.Context(), newAttempt("first", instances[0]))
+	}()
+	t.Cleanup(func() { <-s.done })
+	await.Until(t, patience, "the path is lost", func() bool { return s.State("svc") == coordination.Lost })
+	return s
+}
+
+// Guards against requests that are refused because all instances are silent for a second, although they would be answered
+// soon after.
+func TestRequestsWaitForSilentInstances(t *testing.T) {
+	s := newSilentEntry(t)
+	replied := make(chan exchange.Reply, 1)
+	go func() { replied <- s.Send(t.Context(), newAttempt("second", instances[1])) }()
+	time.Sleep(300 * time.Millisecond)
+	if len(replied) > 0 {
+		t.Error("there is a reply while all instances are silent")
+	}
+	close(s.answers)
+	if reply, ok := (<-replied).(exchange.Whole); !ok {
+		t.Errorf("the reply is %#v after one has answered", reply)
+	}
+}
+
+// Guards against requests that wait without end for instances that are gone, or past their deadline.
+func TestRequestsAreRefusedAfterLongSilence(t *testing.T) {
+	const longest = 2 * time.Second
+	s := newSilentEntry(t)
+	defer close(s.answers)
+	urgent := newAttempt("urgent", instances[1])
+	urgent.Deadline = time.Now().Add(400 * time.Millisecond)
+	for _, a := range []*exchange.Attempt{urgent, newAttempt("patient", instances[1])} {
+		began := time.Now()
+		if unreached, ok := s.Send(t.Context(), a).(exchange.Unreached); !ok || !unreached.NoPath {
+			t.Errorf("%s: not refused", a.Request.ID)
+		}
+		if took := time.Since(began); took > longest || time.Now().After(a.Deadline) {
+			t.Errorf("%s: refused after %s", a.Request.ID, took)
+		}
+	}
+	began := time.Now()
+	s.Send(t.Context(), newAttempt("late", instances[1]))
+	if took := time.Since(began); took > 300*time.Millisecond {
+		t.Errorf("refused after %s, long after the loss", took)
+	}
+}
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -72,6 +72,8 @@
 	paths  map[string]*detour.Path
 	peers  *detour.Peers
 	random *rand.Rand
+	// answered is closed and replaced when an instance responds on a path that is lost.
+	answered chan struct{}
 }
 
 func (u *Upstreams) init() {
@@ -79,6 +81,7 @@
 		u.active = make(chan struct{}, 1)
 		u.paths = map[string]*detour.Path{}
 		u.peers = detour.NewPeers(rand.Uint64())
+		u.answered = make(chan struct{})
 		u.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	})
 }
@@ -139,7 +142,8 @@
 	return false
 }
 
-// Send sends one attempt directly, or through a peer if the direct path is lost. It sets the attempt's Via.
+// Send sends one attempt directly, or through a peer if the direct path is lost. It sets the attempt's Via. While no
+// entry has a path because all instances are silent, it holds the attempt for a short time.
 func (u *Upstreams) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 	u.init()
 	state := u.State(a.Instance.Service)
@@ -149,7 +153,7 @@
 		switch {
 		case ok:
 			return reply
-		case state == detour.Lost && !u.returning(a.Instance.Service):
+		case state == detour.Lost && !u.returning(a.Instance.Service) && !u.hold(ctx, a):
 			return exchange.Unreached{Err: errNoPath, NoPath: true}
 		}
 		return u.SendDirect(ctx, a)
@@ -196,7 +200,7 @@
 	path.End()
 	switch {
 	case !gotNothing(reply):
-		path.Responded(target, clock.Now())
+		u.responded(path, target)
 	case ctx.Err() == nil:
 		path.Failed(target, clock.Now())
 		u.watch()
@@ -205,7 +209,7 @@
 		stream.Events = &observedEvents{Events: stream.Events, responded: func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			path.Responded(target, clock.Now())
+			u.responded(path, target)
 		}}
 		return stream
 	}
@@ -356,7 +360,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if responded {
-		u.path(in.Service).Responded(in.Incarnation(), clock.Now())
+		u.responded(u.path(in.Service), in.Incarnation())
 		return
 	}
 	u.path(in.Service).Failed(in.Incarnation(), clock.Now())
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -131,6 +131,9 @@
 	changed := path.Probed(succeeded, now)
 	state := path.State(now)
 	u.Metrics.setState(service, state)
+	if path.Returning() || state == detour.Open {
+		u.wakeHeld()
+	}
 	switch {
 	case changed && state == detour.Open:
 		u.Log.Info().Str("event", "path_restored").Str("service", service).Dur("lost_ms", now.Sub(since)).Msg("")
