--- a/internal/transport/callerlimits/callerlimits.go
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -122,14 +122,16 @@
 
 // since returns the largest limits by which a caller may have acted since t, a time of package clock.
 func (m *Limiter) since(t time.Time) values {
-	now := clock.Now()
 	limits := m.Limits()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if limits == nil {
 		return most(m.resolve(deployment.Limits{}), m.history.current)
 	}
-	m.history.observe(now, m.resolve(*limits), m.Defaults.FormerHold)
+	current := m.resolve(*limits)
+	if current != m.history.current {
+		m.history.change(clock.Now(), current, m.Defaults.FormerHold)
+	}
 	return m.history.since(t.Add(-m.Defaults.FormerHold))
 }
 
--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -42,7 +42,7 @@
 	limiter *Limiter
 
 	mu sync.Mutex
-	// phase and since, when it began, are guarded by mu.
+	// phase and since, when the limit of the phase began to count, are guarded by mu.
 	phase phase
 	since time.Time
 
@@ -56,9 +56,9 @@
 func (c *conn) noteState(state http.ConnState) {
 	switch state {
 	case http.StateIdle:
-		c.enter(idle)
+		c.begin(idle)
 	case http.StateNew:
-		c.enter(unused)
+		c.begin(unused)
 	case http.StateActive:
 		c.enter(inBody)
 		c.head, c.bodyEnded = head{}, false
@@ -74,10 +74,19 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// begin enters a phase whose limit counts from now.
+func (c *conn) begin(p phase) {
+	now := clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = p, now
+}
+
+// enter enters a phase that has no limit as a whole.
 func (c *conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.since = p, clock.Now()
+	c.phase = p
 }
 
 func (c *conn) current() (p phase, since time.Time) {
@@ -97,7 +106,7 @@
 		}
 		c.head.add(p[:n])
 		if c.head.begun {
-			c.enter(inHead)
+			c.begin(inHead)
 		}
 		return c.limitHead(n, err)
 	case inHead:
--- a/internal/transport/callerlimits/history.go
+++ b/internal/transport/callerlimits/history.go
@@ -59,11 +59,8 @@
 	former []former
 }
 
-// observe takes up the values in force now. hold is for how long callers may act by values that were replaced.
-func (h *history) observe(now time.Time, current values, hold time.Duration) {
-	if current == h.current {
-		return
-	}
+// change takes up other values in force now. hold is for how long callers may act by values that were replaced.
+func (h *history) change(now time.Time, current values, hold time.Duration) {
 	h.former = append(h.former, former{h.current, now})
 	h.current = current
 	longest := h.since(time.Time{}).idleTimeout + hold
