Quarantine: an entry's own success counts beside an end that it saw itself

Cause: an entry merged its own success with a digest into the facts only when it heard of an end from another entry, not when it saw the end itself, whatever RecordSuccess says. Where no other entry had answered the request, it counted as never answered, so all its ends counted, also those that the deadly request explains.

The replay of the fleet does what the tracker does. TestOwnSuccessCountsBesideOwnEnds failed before (the popular request was held) and passes.

--- a/internal/coordination/quarantine/replay_test.go
+++ b/internal/coordination/quarantine/replay_test.go
@@ -361,12 +361,19 @@
 		}
 		r.after(time.Duration(r.random.Int64N(int64(maxPropagation))), func() { r.receive(other, f) })
 	}
+	r.shareSuccess(e, f)
 }
 
 func (r *replay) receive(e *replayEntry, f quarantine.Fact) {
-	isNew := e.Merge(f)
+	if e.Merge(f) {
+		r.shareSuccess(e, f)
+	}
+}
+
+// shareSuccess publishes that a digest under which an instance has ended succeeded at an entry before.
+func (r *replay) shareSuccess(e *replayEntry, f quarantine.Fact) {
 	end, ok := f.(quarantine.InstanceEnded)
-	if !isNew || !ok {
+	if !ok {
 		return
 	}
 	for _, known := range []map[quarantine.Digest]time.Time{e.answered, e.begun} {
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -258,11 +258,14 @@
 		}
 		partFact := fact
 		partFact.Digest = part
-		t.merge(partFact, origin{at: at})
+		if t.merge(partFact, origin{at: at}) {
+			t.shareSuccess(part, at)
+		}
 	}
 	if !t.merge(fact, origin{at: at}) {
 		return
 	}
+	t.shareSuccess(a.Digest, at)
 	t.shareRefusals(fact, at)
 	t.Metrics.ends.WithLabelValues(sign).Inc()
 	t.Log.Info().Str("event", "instance_ended_under").Str("request", a.Request).Str("digest", a.Digest.String()).Strs("parts", a.partNames()).Str("instance", a.To.ID).
--- a/internal/transport/ends/ends_test.go
+++ b/internal/transport/ends/ends_test.go
@@ -117,6 +117,30 @@
 	})
 }
 
+// Guards against holding a request that the entry itself has just answered: a deadly request ended all instances at once,
+// the other one was tried at each of them before their loss was known, and the entry did not count its own success.
+func TestOwnSuccessCountsBesideOwnEnds(t *testing.T) {
+	const popular, deadly = 1, 2
+	tracker := newTracker()
+	tracker.RecordSuccess(attempt(popular, "a"))
+	instances := []string{"a", "b", "c"}
+	for _, instance := range instances {
+		tracker.RecordSuperseded(attempt(deadly, instance))
+	}
+	for _, instance := range instances {
+		tracker.RecordSuperseded(attempt(popular, instance))
+	}
+	held := func(n int) bool {
+		verdict, _, done := tracker.Begin(digest(n))
+		defer done()
+		_, is := verdict.(quarantine.Hold)
+		return is
+	}
+	if diff := cmp.Diff([]bool{false, true}, []bool{held(popular), held(deadly)}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Measures the tracker's cost for one attempt of a request under which no instance ended.
 func BenchmarkAttempt(b *testing.B) {
 	tracker := newTracker()
--- a/internal/transport/ends/facts.go
+++ b/internal/transport/ends/facts.go
@@ -67,15 +67,20 @@
 		}
 		ends = append(ends, end)
 		t.shareRefusals(end, now)
-		for _, known := range []successes{t.succeeded, t.partsBegun} {
-			if at, ok := known.at[end.Digest]; ok {
-				t.merge(quarantine.RequestSucceeded{Digest: end.Digest, At: at}, origin{at: now})
-			}
-		}
+		t.shareSuccess(end.Digest, now)
 	}
 	t.logReceived(from, ends, now)
 }
 
+// shareSuccess shares that a digest under which an instance has ended succeeded at this entry before. mu must be held.
+func (t *Tracker) shareSuccess(d quarantine.Digest, now time.Time) {
+	for _, known := range []successes{t.succeeded, t.partsBegun} {
+		if at, ok := known.at[d]; ok {
+			t.merge(quarantine.RequestSucceeded{Digest: d, At: at}, origin{at: now})
+		}
+	}
+}
+
 // logReceived logs the ends received in one message: each in a line of its own, or only their number
 // when there are many, as after the loss of a failure domain. The entry that observed an end always
 // logs it.
