Answers that the product's own front breaks off are logged and counted

A stream that ended with an error event, and an answer whose caller was lost, had only the outcome of the request, which is the same for a request that was refused; a resumed stream whose caller left had no line at all, and a service's answer dropped the error of its write.

event=answer_broken says upstream, last event, reason, and for callers how they were lost, with the error of the write; shedrock_answers_broken_total and shedrock_callers_gone_total count them. Resumed streams now have an outcome whichever way they end. Nothing is written after a failed write, and event=stopped names the error of the last Shutdown.

--- /dev/null
+++ b/internal/transport/entry/broken_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/shedrock/shedrock/internal/standin/fault"
+	"github.com/shedrock/shedrock/internal/transport/entry"
+)
+
+// Guards against answers that the entry breaks off without a line of their own or a count: the outcome of a request
+// doesn't tell them from those that never began.
+func TestAnswerBrokenOffIsLoggedAndCounted(t *testing.T) {
+	s := newDeployment(t, engineOptions())
+	s.declare()
+	var logged logBuffer
+	e := s.start(func(e *entry.Entry) { e.Log = logged.logger() })
+	s.engines[0].Faults.Set(fault.Settings{CloseAfterEvents: 2})
+	got := e.send(t, "POST", "/v1/chat/completions", chat("long answer", true, 50))
+	eventually(t, "it is logged", func() bool { return len(logged.withEvent("answer_broken")) > 0 })
+	lines := logged.withEvent("answer_broken")
+	if len(lines) != 1 || !strings.Contains(lines[0], `"request":"`+got.header.Get(entry.HeaderRequestID)+`"`) || !strings.Contains(lines[0], `"reason":"broken_off"`) {
+		t.Errorf("%q", lines)
+	}
+	if diff := cmp.Diff(1.0, e.metric(t, "shedrock_answers_broken_total")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against callers that leave amid an answer without a count that tells them from failed writes.
+func TestCallerThatLeavesAmidAnAnswerIsLoggedAndCounted(t *testing.T) {
+	slow := engineOptions()
+	slow.TokenInterval = 50 * time.Millisecond
+	s := newDeployment(t, slow)
+	s.declare()
+	var logged logBuffer
+	e := s.start(func(e *entry.Entry) { e.Log = logged.logger() })
+	ctx, leave := context.WithCancel(t.Context())
+	res, err := client.Do(e.request(chat("long answer", true, 1000)).WithContext(ctx))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	_, err = io.ReadFull(res.Body, make([]byte, 4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	eventually(t, "it is logged", func() bool { return len(logged.withEvent("answer_broken")) > 0 })
+	lines := logged.withEvent("answer_broken")
+	if len(lines) != 1 || !strings.Contains(lines[0], `"reason":"caller_gone"`) || !strings.Contains(lines[0], `"caller":"left"`) {
+		t.Errorf("%q", lines)
+	}
+	if diff := cmp.Diff(1.0, e.metric(t, "shedrock_callers_gone_total")); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -229,8 +229,12 @@
 	// progress.
 	ctx, cancel := context.WithTimeout(context.Background(), headerTimeout)
 	defer cancel()
-	_ = callers.Shutdown(ctx)
-	e.Log.Info().Str("event", "stopped").Msg("")
+	line := e.Log.Info().Str("event", "stopped")
+	err := callers.Shutdown(ctx)
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Msg("")
 }
 
 func (e *Entry) runningRequests() int {
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -34,6 +34,8 @@
 	relearned       *prometheus.CounterVec
 	panics          prometheus.Counter
 	unreadable      *prometheus.CounterVec
+	brokenAnswers   *prometheus.CounterVec
+	callersGone     *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -59,9 +61,11 @@
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics while a caller's request was served."})
 	m.unreadable = counter("requests_unreadable_total", "Requests that could not be read, by the status of the response after which the connection is closed.", "status")
+	m.brokenAnswers = counter("answers_broken_total", "Answers that began and ended before they were whole, by the reason.", "upstream", "reason")
+	m.callersGone = counter("callers_gone_total", "Callers to whom an answer could not be written, by how they were lost.", "caller")
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned, m.panics, m.unreadable,
+		m.firstToken, m.tokenGap, m.queueTime, m.recomputedShare, m.recomputed, m.reused, m.linkBytes, m.outcomes, m.attempts, m.relearned, m.panics, m.unreadable, m.brokenAnswers, m.callersGone,
 	)
 	return m
 }
--- a/internal/transport/entry/once.go
+++ b/internal/transport/entry/once.go
@@ -121,7 +121,7 @@
 		e.finishCall(w, c, result{outcome: outcome.NotRun{Reason: outcome.ReasonRecordsFull, RetryAfter: time.Minute}})
 	case record.GetPhase() == wire.Record_FINISHED && record.AnswerKept:
 		w.Header().Set("X-Shedrock-Replayed", "true")
-		writeAnswer(w, result{status: int(record.Status), contentType: record.ContentType, body: record.Answer})
+		e.writeAnswer(w, c, result{status: int(record.Status), contentType: record.ContentType, body: record.Answer})
 	case record.GetPhase() == wire.Record_FINISHED:
 		w.Header().Set(HeaderOutcome, outcome.Label(outcome.Answered{}))
 		writeError(w, errorResponse{status: http.StatusConflict, kind: kindInvalid, code: "already_ran", message: fmt.Sprintf("The call ran and was answered with status %d; the answer was too large to keep.", record.Status)})
--- a/internal/transport/entry/resume.go
+++ b/internal/transport/entry/resume.go
@@ -25,21 +25,24 @@
 		return
 	}
 	s := &responder{w: w, team: c.team.Name(), sealer: e.sealer, reqMetrics: c.reqMetrics, sent: position.Offset}
-	for range retry.MaxAttempts {
+	for n := range retry.MaxAttempts {
 		end := e.resumeRun(r.Context(), j, s, s.sent)
-		switch end.(type) {
-		case retry.Completed:
+		if isCompleted(end) {
 			c.reqMetrics.countOutcome(outcome.Answered{})
 			e.logOutcome(c, outcome.Answered{}, 1)
 			return
-		case retry.CallerGone:
-			return
 		}
-		if r.Context().Err() != nil {
+		if _, gone := end.(retry.CallerGone); gone || r.Context().Err() != nil {
+			c.reqMetrics.countOutcome(outcome.CallerGone)
+			e.logOutcome(c, outcome.CallerGone, n+1)
+			e.recordIfBroken(c, outcome.CallerGone, s, j, n+1)
 			return
 		}
 	}
-	e.logOutcome(c, outcome.Failed{Detail: "the run cannot be resumed"}, 1)
+	failed := outcome.Failed{Detail: "the run cannot be resumed"}
+	c.reqMetrics.countOutcome(failed)
+	e.logOutcome(c, failed, retry.MaxAttempts)
+	e.recordIfBroken(c, failed, s, j, retry.MaxAttempts)
 	s.writeFailure(outcome.Failed{Detail: "the run is no longer at its upstream"})
 }
 
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -232,6 +232,7 @@
 	if _, ok := o.(outcome.Answered); ok {
 		return
 	}
+	e.recordIfBroken(c, o, s, j, j.retry.Attempts())
 	s.writeFailure(o)
 }
 
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -157,16 +157,20 @@
 		writeOutcome(w, res.outcome)
 		return
 	}
-	writeAnswer(w, res)
+	e.writeAnswer(w, c, res)
 }
 
-func writeAnswer(w http.ResponseWriter, res result) {
+// writeAnswer writes a service's answer to the caller.
+func (e *Entry) writeAnswer(w http.ResponseWriter, c caller, res result) {
 	if res.contentType != "" {
 		w.Header().Set("Content-Type", res.contentType)
 	}
 	w.Header().Set(HeaderOutcome, outcome.Label(outcome.Answered{}))
 	w.WriteHeader(res.status)
-	_, _ = w.Write(res.body)
+	_, err := w.Write(res.body)
+	if err != nil {
+		e.recordBroken(c, outcome.CallerGone, lostAnswer{attempts: 1, writeError: err})
+	}
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -36,6 +36,8 @@
 	started  bool
 	deadline time.Time
 	buf      []byte
+	// writeError is why a write to the caller failed, or nil.
+	writeError error
 	// onFirstEvent, when set, is called before the first event is forwarded.
 	onFirstEvent func()
 }
@@ -75,6 +77,7 @@
 		err = s.controller.Flush()
 	}
 	if err != nil {
+		s.writeError = err
 		return false
 	}
 	s.sent = position.Offset
@@ -112,6 +115,7 @@
 		err = s.controller.Flush()
 	}
 	if err != nil {
+		s.writeError = err
 		return retry.CallerGone{}
 	}
 	return retry.Completed{Status: http.StatusOK}
@@ -131,14 +135,18 @@
 	s.w.WriteHeader(answer.Head.Status)
 	_, err := s.w.Write(answer.Body)
 	if err != nil {
+		s.writeError = err
 		return retry.CallerGone{}
 	}
 	return retry.Completed{Status: answer.Head.Status}
 }
 
 // writeFailure writes the final outcome: as a response of its own if nothing was sent,
-// and otherwise as an error event that no end-of-stream marker follows.
+// and otherwise as an error event that no end-of-stream marker follows. It writes nothing after a failed write.
 func (s *responder) writeFailure(o outcome.Outcome) {
+	if s.writeError != nil {
+		return
+	}
 	if !s.started {
 		writeOutcome(s.w, o)
 		return
