A body without an end is given up at entries with declared state, too

Callers saw (read, and then in the test): a prompt whose body stops in the middle is waited for for ever, and an entry that is told to stop waits for it, as it counts as in flight.

Cause: the server for callers has a timeout for heads and for idle connections, and none for bodies.

Callers' connections are held to limits as on a platform: the same values as before, and 30 s without a byte of a body, then 408 with code body_timeout. The idle timeout there is fixed at 2 min and declared nowhere, so nothing else changes, but that what has arrived is read before a connection is closed, and that a head which is given up is answered 408.

--- a/internal/cli/caller_limits.go
+++ b/internal/cli/caller_limits.go
@@ -24,7 +24,7 @@
 		},
 		Defaults: callerlimits.Defaults{
 			IdleTimeout: callerlimits.DefaultIdleTimeout, DeliveryTime: callerlimits.DefaultDeliveryTime,
-			HeaderTimeout: callerlimits.DefaultHeaderTimeout, HeaderBytes: callerlimits.DefaultHeaderBytes, FormerHold: callerlimits.DefaultFormerHold,
+			HeaderTimeout: callerlimits.DefaultHeaderTimeout, BodyTimeout: callerlimits.DefaultBodyTimeout, HeaderBytes: callerlimits.DefaultHeaderBytes, FormerHold: callerlimits.DefaultFormerHold,
 		},
 		Metrics: callerlimits.NewMetrics(), Log: logger,
 	}
--- a/internal/transport/callerlimits/callerlimits.go
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -25,6 +25,8 @@
 	DefaultDeliveryTime = time.Second
 	// DefaultHeaderTimeout is the usual value of Defaults.HeaderTimeout.
 	DefaultHeaderTimeout = 10 * time.Second
+	// DefaultBodyTimeout is the usual value of Defaults.BodyTimeout.
+	DefaultBodyTimeout = 10 * time.Second
 	// DefaultHeaderBytes is the usual value of Defaults.HeaderBytes: 64 KiB, and what net/http allows beyond its limit.
 	DefaultHeaderBytes = 64<<10 + 4<<10
 	// DefaultFormerHold is the usual value of Defaults.FormerHold.
@@ -42,16 +44,19 @@
 	// DeliveryTime is how long the end of an answer may take to arrive. Callers count idle time from then on.
 	DeliveryTime time.Duration
 	// HeaderTimeout limits the time from the first byte of a request to the end of its head. It also limits the time
-	// until that byte on a new connection, unless the configuration sets an idle timeout, and it is the least of the
-	// time without progress of a body, which has a limit only where the configuration sets a header timeout.
+	// until that byte on a new connection, unless the configuration sets an idle timeout.
 	HeaderTimeout time.Duration
+	// BodyTimeout is the least of the time without a byte of a body, which has a limit only where the configuration
+	// sets a header timeout.
+	BodyTimeout time.Duration
 	// HeaderBytes limits the head of a request: the request line, the header lines and the empty line after them.
 	HeaderBytes int
 	// FormerHold is for how long after its replacement callers may still act by a configuration.
 	FormerHold time.Duration
 }
 
-// Limiter enforces limits on the connections of one http.Server. Set the exported fields, then call Configure, and Run.
+// Limiter enforces limits on the connections of one http.Server. Set the exported fields, then call Configure, and Run if
+// the limits change.
 type Limiter struct {
 	// Limits returns the limits of the configuration in force, nil while there is none.
 	Limits func() *deployment.Limits
@@ -148,7 +153,7 @@
 		out.newTimeout = max(out.newTimeout, out.idleTimeout)
 	}
 	if in.HeaderTimeout > 0 {
-		out.bodyTimeout = max(in.HeaderTimeout, m.Defaults.HeaderTimeout)
+		out.bodyTimeout = max(in.HeaderTimeout, m.Defaults.BodyTimeout)
 	}
 	return out
 }
--- a/internal/transport/callerlimits/fixture_test.go
+++ b/internal/transport/callerlimits/fixture_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	f := &fixture{t: t}
 	f.limits.Store(&limits)
-	defaults.HeaderBytes, defaults.HeaderTimeout = defaultHeaderBytes, defaultHeaderTimeout
+	defaults.HeaderBytes, defaults.HeaderTimeout, defaults.BodyTimeout = defaultHeaderBytes, defaultHeaderTimeout, defaultHeaderTimeout
 	f.limiter = &callerlimits.Limiter{
 		Limits: f.limits.Load, Pending: f.pending.Load,
 		Defaults: defaults, Metrics: callerlimits.NewMetrics(), Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
--- a/internal/transport/entry/callers.go
+++ b/internal/transport/entry/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -122,6 +123,9 @@
 		message := fmt.Sprintf("The body is larger than %d bytes.", e.MaxBody)
 		p = errorResponse{status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large", message: message}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		p = errorResponse{status: http.StatusRequestTimeout, kind: kindInvalid, code: "body_timeout", message: "The body did not go on in time."}
+	}
 	e.recordUnreadable(w.Header().Get(HeaderRequestID), p.status, err)
 	w.Header().Set("Connection", "close")
 	return nil, p, false
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -41,6 +41,8 @@
 const (
 	// DefaultMaxBody is the maximum size of a request body in bytes.
 	DefaultMaxBody = 8 << 20
+	// DefaultBodyTimeout is how long a request's body may go without a byte.
+	DefaultBodyTimeout = 30 * time.Second
 	// DefaultContexts is the maximum number of contexts in the directory.
 	DefaultContexts = 200_000
 	// DefaultMaxWaiting is the maximum number of requests queued at one entry.
@@ -50,9 +52,10 @@
 	// notice.
 	DefaultShutdownDelay = time.Second
 
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 16 << 10
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes includes what net/http allows beyond its limit.
+	maxHeaderBytes = 16<<10 + 4<<10
 )
 
 // Entry is one entry process. Set the exported fields, then Run.
@@ -82,9 +85,10 @@
 	// Ends tracks which instances ended while they were running which requests. Init
 	// creates it when nil.
 	Ends *ends.Tracker
-	// MaxBody, Contexts, MaxWaiting, ShutdownDelay and RelearnInterval use the defaults
-	// above, or DefaultRelearnInterval, when zero.
+	// MaxBody, BodyTimeout, Contexts, MaxWaiting, ShutdownDelay and RelearnInterval use the
+	// defaults above, or DefaultRelearnInterval, when zero.
 	MaxBody         int64
+	BodyTimeout     time.Duration
 	Contexts        int
 	MaxWaiting      int
 	ShutdownDelay   time.Duration
@@ -140,16 +144,15 @@
 	}
 	defer e.cancelBase()
 	callers := &http.Server{
-		Handler:           e.callersHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return e.baseCtx },
-		ErrorLog:          httpserve.NewErrorLog(e.Log),
+		Handler:     e.callersHandler(),
+		BaseContext: func(net.Listener) context.Context { return e.baseCtx },
+		ErrorLog:    httpserve.NewErrorLog(e.Log),
 	}
+	limiter := e.newCallerLimiter()
+	limiter.Configure(callers)
 	operators := &http.Server{Handler: e.operatorsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: httpserve.NewErrorLog(e.Log)}
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return ignoreServerClosed(callers.Serve(e.Callers)) })
+	group.Go(func() error { return ignoreServerClosed(callers.Serve(limiter.Listener(e.Callers))) })
 	group.Go(func() error { return ignoreServerClosed(operators.Serve(e.Operators)) })
 	group.Go(func() error { e.resizePeriodically(groupCtx); return nil })
 	group.Go(func() error { e.relearnPeriodically(groupCtx); return nil })
@@ -184,6 +187,9 @@
 		if e.MaxBody == 0 {
 			e.MaxBody = DefaultMaxBody
 		}
+		if e.BodyTimeout == 0 {
+			e.BodyTimeout = DefaultBodyTimeout
+		}
 		if e.Contexts == 0 {
 			e.Contexts = DefaultContexts
 		}
