Attempts beside silent ones are not held while no entry has a path

Callers would see: when a service that was silent for a second goes on, each request that may be repeated runs twice. The successor of a silent attempt was held with new requests until an instance responded, and then sent beside the answer that came anyway, with its resend counted.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -118,6 +118,9 @@
 	// After is the number of the last event that the caller received.
 	After   uint64
 	Resumes bool
+	// Beside is true for an attempt that is made beside a silent one, which may go on: it is not held while no entry has
+	// a path.
+	Beside bool
 	// AllowsDomain reports whether the request may pass through an entry in a failure domain; nil allows all.
 	AllowsDomain func(domain string) bool
 	// Via is set by Upstreams to the address of the entry through which the attempt was sent, if it was.
--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -112,3 +112,15 @@
 		t.Errorf("refused after %s, long after the loss", took)
 	}
 }
+
+// Guards against a flood of second attempts when silent instances go on: those made beside silent ones are not held.
+func TestAttemptsBesideSilentOnesAreNotHeld(t *testing.T) {
+	s := newSilentEntry(t)
+	defer close(s.answers)
+	a := newAttempt("beside", instances[1])
+	a.Beside = true
+	began := time.Now()
+	if unreached, ok := s.Send(t.Context(), a).(exchange.Unreached); !ok || !unreached.NoPath || time.Since(began) > 300*time.Millisecond {
+		t.Errorf("there is no refusal after %s", time.Since(began))
+	}
+}
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -153,7 +153,7 @@
 		switch {
 		case ok:
 			return reply
-		case state == detour.Lost && !u.returning(a.Instance.Service) && !u.hold(ctx, a):
+		case state == detour.Lost && !u.returning(a.Instance.Service) && (a.Beside || !u.hold(ctx, a)):
 			return exchange.Unreached{Err: errNoPath, NoPath: true}
 		}
 		return u.SendDirect(ctx, a)
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -99,6 +99,8 @@
 	// attempt until it is followed or dropped. Both are guarded by the server's mu.
 	hadSuccessor bool
 	successor    *successor
+	// beside is true for the job of a successor's attempt.
+	beside bool
 	// full is true if the last choice found no instance with room, and waited is how long the request has waited for some.
 	full   bool
 	waited time.Duration
@@ -350,7 +352,7 @@
 func (j *job) newAttempt() *exchange.Attempt {
 	a := &exchange.Attempt{
 		Request: j.request, Instance: j.instance, Deadline: j.deadline, Team: j.team.Name, Urgency: j.urgency,
-		After: j.lastAccepted(), Resumes: j.request.Resumes || j.begun(),
+		After: j.lastAccepted(), Resumes: j.request.Resumes || j.begun(), Beside: j.beside,
 		AllowsDomain: func(domain string) bool { return j.residency.Allows(domain, j.server.Regions) },
 	}
 	if p := j.request.Prompt; p != nil {
