--- a/internal/transport/callerlimits/refuse.go
+++ b/internal/transport/callerlimits/refuse.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/shedrock/shedrock/internal/clock"
 )
 
 const (
@@ -20,12 +22,12 @@
 // mean that the caller has disconnected.
 func (c *conn) refuse(status int) {
 	text := fmt.Sprintf("%d %s", status, http.StatusText(status))
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetWriteDeadline(clock.Deadline(clock.Now().Add(refusalTimeout)))
 	_, err := fmt.Fprintf(c.TCPConn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, len(text), text)
 	if err != nil {
 		return
 	}
 	_ = c.CloseWrite()
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.TCPConn.SetReadDeadline(clock.Deadline(clock.Now().Add(lingerTimeout)))
 	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 }
