An entry's own stalls are no loss of its path: a probe's time limit counts only time in which the entry runs

Callers would see: at an entry without processor time, beside anything, a path that counts as lost although all instances are sound: detours, no_path, second attempts.

Cause: a round of probes has 0.3 s by the wall clock. When the entry stands still for longer, the limit has passed when it goes on, and all probes of the round fail, answered or not.

clock.WithRunningTimeout counts its time in six intervals, and a stall for one at most, so that a probe has the rest of its time to read what came meanwhile. Without stalls the limit is the same 0.3 s.

--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -14,7 +14,8 @@
 const (
 	// watchInterval is how often the paths are checked while there are requests or failures.
 	watchInterval = 100 * time.Millisecond
-	// probeTimeout is many times the round trip within a region, and leaves room for one lost packet less.
+	// probeTimeout is how long a probe may take while this process runs: many times the round trip within a region, and
+	// with room for one lost packet less.
 	probeTimeout = 300 * time.Millisecond
 	// sweepInterval is how often idle connections to peers and the state of unused peers are dropped.
 	sweepInterval = time.Second
@@ -93,7 +94,7 @@
 
 // probeEach probes instances at the same time, and returns how many responded.
 func (u *Upstreams) probeEach(ctx context.Context, service string, targets []registry.Instance) int {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := clock.WithRunningTimeout(ctx, probeTimeout)
 	defer cancel()
 	var succeeded atomic.Int64
 	var group sync.WaitGroup
