Connecting has a time limit that counts only time in which this process runs

Cause: a connection attempt had 0.4 s by the wall clock, so that one that was answered while the entry stood still failed when it went on, and the instance counted as unreachable.

The limit is now clock.WithRunningTimeout as well. It still ends with an error that is a timeout, as the new test has it of an address whose kernel answers nothing; an attempt that is canceled does not.

--- a/internal/transport/connpool/connpool.go
+++ b/internal/transport/connpool/connpool.go
@@ -88,7 +88,7 @@
 
 // Open opens a new connection.
 func (p *Pool) Open(ctx context.Context, peer Peer) (*Conn, error) {
-	c, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", peer.Address)
+	c, err := dial(ctx, peer.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
@@ -98,6 +98,18 @@
 	return &Conn{Conn: c, Reader: bufio.NewReaderSize(c, readBufferBytes), peer: peer}, nil
 }
 
+// dial opens a connection, which may take dialTimeout while this process runs.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	running, cancel := clock.WithRunningTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := netdial.Dialer(0).DialContext(running, "tcp", address)
+	if err != nil && ctx.Err() == nil && running.Err() != nil {
+		// It says that the time was over; the error says only that the context was canceled.
+		err = context.Cause(running)
+	}
+	return c, err
+}
+
 // Refuses reports whether a peer refuses a new connection (ECONNREFUSED). If the peer accepts it, the
 // connection goes into the pool.
 func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
--- a/internal/transport/connpool/connpool_test.go
+++ b/internal/transport/connpool/connpool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/connpool"
@@ -134,3 +136,52 @@
 		t.Error("the old connection was reused")
 	}
 }
+
+// Guards against a connection attempt without an answer that does not end, or whose error does not say that it was too
+// late: such an instance counts as unreachable, one whose attempt was canceled does not.
+func TestConnectionAttemptWithoutAnswerTimesOut(t *testing.T) {
+	address := fullListener(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := (&connpool.Pool{}).Open(ctx, connpool.Peer{Address: address})
+	var network net.Error
+	if !errors.As(err, &network) || !network.Timeout() || ctx.Err() != nil {
+		t.Errorf("%v", err)
+	}
+	canceled, cancelNow := context.WithCancel(t.Context())
+	cancelNow()
+	_, err = (&connpool.Pool{}).Open(canceled, connpool.Peer{Address: address})
+	if err == nil || errors.As(err, &network) && network.Timeout() {
+		t.Errorf("after cancel: %v", err)
+	}
+}
+
+// fullListener returns an address at which the kernel answers no further connection attempt.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = syscall.Listen(fd, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for {
+		c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
