An attempt that ends after a suspension says that its deadline had passed

When the deadline passed while the machine was suspended, checkInFlight canceled the attempt with errOverdue, but the lines of the attempt and of the broken answer said only "context canceled", as for a caller that left.

The cause replaces the error, as for attempts that another one took over.

Seen failing before: TestDeadlinePassedDuringASuspensionEndsTheAnswer with error="context canceled". It passes now, as do the tests of serving with -race.

--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -260,8 +260,8 @@
 	if gone {
 		err = errSuperseded
 	}
-	if context.Cause(trackedCtx) == errTakenOver {
-		err = errTakenOver
+	if cause := context.Cause(trackedCtx); cause == errTakenOver || cause == errOverdue {
+		err = cause
 	}
 	if _, whole := end.(retry.Completed); !whole && ctx.Err() == context.Canceled {
 		// The connection was closed because the caller disconnected, not by the instance.
