A panic in the delivery of an answer breaks only this answer

Answers of tiered services are written to their callers by a goroutine of their own. A panic there ended the process, and with it all answers of the entry.

The goroutine recovers: the panic is logged and counted as one in a handler is, the delivery fails, its memory is released, and the caller's connection is broken.

Seen failing before: TestPanicWhileAnAnswerIsDeliveredBreaksOnlyThisAnswer ended the test's process with "panic: the first event". It passes now, as do the tests of serving, httpserve, platform, detour and cli with -race.

--- a/internal/transport/httpserve/httpserve.go
+++ b/internal/transport/httpserve/httpserve.go
@@ -46,7 +46,11 @@
 		}
 		c.Count()
 		id := c.RequestID(w.Header(), r)
-		c.logPanic(cause, id, tracked.written)
+		end := "answered_502"
+		if tracked.written {
+			end = "connection_closed"
+		}
+		LogPanic(c.Log, cause, id, end)
 		if tracked.written {
 			panic(http.ErrAbortHandler)
 		}
@@ -56,19 +60,12 @@
 	c.Handler.ServeHTTP(tracked, r)
 }
 
-func (c Recoverer) logPanic(cause any, id string, written bool) {
-	end := "answered_502"
-	if written {
-		end = "connection_closed"
-	}
-	LogPanic(c.Log, cause, id, end)
-}
-
-// LogPanic logs a panic that was recovered while a request was served, with the stack. end says what ended by it.
-func LogPanic(logger *log.Logger, cause any, requestID, end string) {
+// LogPanic logs a panic, which was recovered with the given cause by a deferred function that calls this one. id is that
+// of the request, and end how it ends for the caller.
+func LogPanic(logger *log.Logger, cause any, id, end string) {
 	stack := make([]byte, maxStackBytes)
 	stack = stack[:runtime.Stack(stack, false)]
-	logger.Error().Str("event", "panic").Str("request", requestID).Str("end", end).
+	logger.Error().Str("event", "panic").Str("request", id).Str("end", end).
 		Str("error", truncate(fmt.Sprint(cause))).Str("stack", string(stack)).Msg("")
 }
 
--- a/internal/transport/serving/delivery.go
+++ b/internal/transport/serving/delivery.go
@@ -11,6 +11,7 @@
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/buffering"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/transport/httpserve"
 )
 
 const (
@@ -29,6 +30,7 @@
 var (
 	errNotTaken   = errors.New("the caller took nothing, and others needed the memory that its answer held")
 	errCallerLeft = errors.New("the caller has left")
+	errPanicked   = errors.New("the delivery of the answer panicked")
 )
 
 // delivery writes a streamed answer to its caller while the answer is read from an engine. It lasts for the
@@ -88,6 +90,7 @@
 	d.id = d.buffers.add(d)
 	go func() {
 		defer close(d.done)
+		defer d.recoverPanic()
 		err := d.begin()
 		for err == nil {
 			batch := d.next()
@@ -106,6 +109,17 @@
 	return d
 }
 
+// recoverPanic ends the delivery if its goroutine panicked. It must be deferred.
+func (d *delivery) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	d.buffers.metrics.CountPanic()
+	httpserve.LogPanic(d.buffers.log, cause, d.request, "connection_closed")
+	d.fail(errPanicked)
+}
+
 // signal leaves a token in a channel.
 func signal(c chan struct{}) {
 	select {
