--- a/internal/transport/serving/panic_test.go
+++ b/internal/transport/serving/panic_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +12,10 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 )
 
@@ -54,3 +58,42 @@
 		}
 	})
 }
+
+// panickingUpstreams panics at each attempt.
+type panickingUpstreams struct{ attempts atomic.Int64 }
+
+func (u *panickingUpstreams) Send(context.Context, *exchange.Attempt) exchange.Reply {
+	if u.attempts.Add(1) == 1 {
+		panic("the first attempt")
+	}
+	return exchange.Broken{Err: io.ErrUnexpectedEOF}
+}
+
+func (*panickingUpstreams) Refuses(context.Context, registry.Instance) bool { return false }
+
+// Guards against a request that counts as in flight for ever once its handler has panicked: when the path to its instance
+// is lost, it was sent to another one for nobody.
+func TestRequestWhoseHandlerPanickedIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		upstreams := &panickingUpstreams{}
+		s := tieredServer(t, upstreams, 0)
+		lostAt := clock.Now().Add(time.Second)
+		s.PathLostSince = func(string) (time.Time, bool) { return lostAt, clock.Now().After(lostAt) }
+		ctx, stop := context.WithCancel(context.Background())
+		go s.Run(ctx)
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Error("no panic")
+				}
+			}()
+			serve(context.Background(), s, time.Minute, failingSink{})
+		}()
+		time.Sleep(5 * time.Second)
+		if diff := cmp.Diff(int64(1), upstreams.attempts.Load()); diff != "" {
+			t.Error("attempts: " + diff)
+		}
+		stop()
+	})
+}
