A resend that is given back is taken from its own time

Instances would see: retries beyond the allowance of all entries, up to twice as many in a window. A successor that was not sent gives its resend back, at times seconds later; that lowered the count of the present, and when the time of the resend left the window, the lower count remained. Found in review; TestReturnedRetryIsTakenFromItsOwnTime: 20 retries where 10 are allowed before, 10 now.

--- a/internal/coordination/retry/tries_test.go
+++ b/internal/coordination/retry/tries_test.go
@@ -92,3 +92,27 @@
 		}
 	}
 }
+
+// Guards against retries beyond the allowance: one that is given back later must not count against later ones once its
+// own time has left the window.
+func TestReturnedRetryIsTakenFromItsOwnTime(t *testing.T) {
+	w := retry.Window{Allowance: retry.Allowance{Window: 10 * time.Second, Slack: 12.5}}
+	start := time.Unix(1000, 0)
+	take := func(at time.Duration) (n int) {
+		for w.Take(start.Add(at), 1) {
+			n++
+		}
+		return n
+	}
+	allowed := take(0)
+	for range allowed {
+		w.Return(start, start.Add(1500*time.Millisecond))
+	}
+	if got := take(1500*time.Millisecond) + take(10100*time.Millisecond); got != allowed {
+		t.Errorf("%d retries within a window that allows %d", got, allowed)
+	}
+	w.Return(start, start.Add(20*time.Second))
+	if got := take(20 * time.Second); got != allowed {
+		t.Errorf("%d retries in a later window that allows %d", got, allowed)
+	}
+}
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -54,16 +54,25 @@
 	return true
 }
 
-// Return gives back a retry that was taken and not made.
-func (w *Window) Return(now time.Time) { w.bucket(now).retries-- }
+// Return gives back a retry that was taken at a time and not made.
+func (w *Window) Return(taken, now time.Time) {
+	w.bucket(now)
+	index := int64(taken.Sub(w.start) / w.bucketLength())
+	if w.index-index < windowBuckets {
+		w.buckets[index%windowBuckets].retries--
+	}
+}
+
+func (w *Window) bucketLength() time.Duration {
+	return max(w.Allowance.Window/windowBuckets, time.Millisecond)
+}
 
 // bucket returns the current bucket, after clearing those that are outside the window.
 func (w *Window) bucket(now time.Time) *counts {
-	length := max(w.Allowance.Window/windowBuckets, time.Millisecond)
 	if w.start.IsZero() {
 		w.start = now
 	}
-	index := int64(now.Sub(w.start) / length)
+	index := int64(now.Sub(w.start) / w.bucketLength())
 	if index-w.index >= windowBuckets {
 		w.buckets = [windowBuckets]counts{}
 		w.index = index
