--- a/internal/transport/serving/ahead.go
+++ b/internal/transport/serving/ahead.go
@@ -35,6 +35,7 @@
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
 		if repeated {
+			j.progress.settle(j.lastAccepted())
 			continue
 		}
 		d := j.startDelivery(a.Head)
@@ -45,7 +46,7 @@
 		if err != nil {
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
-		j.progress.accept(d.lastRead)
+		j.progress.settle(d.lastRead)
 	}
 }
 
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -158,7 +158,7 @@
 	j.deadline = r.Arrived.Add(min(j.route.Timeout, r.MaxWait()))
 	j.attempts = retry.RequestAttempts{MaxAttempts: max(1, j.route.Attempts), Idempotent: j.route.AllowsRetries(), Streamed: j.route.Kind == deployment.Stream}
 	j.lastEvent = r.After
-	j.progress.accept(r.After)
+	j.progress.settle(r.After)
 	j.server.mu.Lock()
 	j.server.window(j.service).CountRequest(clock.Now())
 	j.server.mu.Unlock()
@@ -223,8 +223,16 @@
 // attempt sends the request and forwards the response. While the instance is silent, it may be sent to another one as
 // well, whose response is then forwarded if it comes first.
 func (j *job) attempt(ctx context.Context) retry.Result {
+	returned := false
+	defer func() {
+		if !returned {
+			j.dropSuccessor(ctx)
+		}
+	}()
 	end := j.finish(ctx, j.send(ctx))
-	return j.followSuccessor(ctx, end)
+	end = j.followSuccessor(ctx, end)
+	returned = true
+	return end
 }
 
 // send sends the request once and waits for the reply.
@@ -232,15 +240,35 @@
 	x := &sentAttempt{sentAt: clock.Now()}
 	x.trackedCtx, x.release = j.track(ctx)
 	x.watchedCtx, x.watch = j.watchWeights(x.trackedCtx)
+	returned := false
+	defer func() {
+		if !returned {
+			j.abandon(x)
+		}
+	}()
 	a := j.newAttempt()
 	x.reply = j.server.Upstreams.Send(x.watchedCtx, a)
 	j.via = a.Via
 	x.respondedAt = clock.Now()
 	x.tracked = j.trackedAttempt(x.sentAt)
 	j.recordResponse(x.reply, x.tracked, x.respondedAt)
+	returned = true
 	return x
 }
 
+// abandon gives back what an attempt holds that panicked.
+func (j *job) abandon(x *sentAttempt) {
+	x.release()
+	x.watch.close()
+	j.done()
+	j.releaseGrant()
+	j.server.mu.Lock()
+	defer j.server.mu.Unlock()
+	now := clock.Now()
+	j.server.balancer.End(j.instance.Incarnation(), balance.Result{Aborted: true}, now)
+	j.countEnd(0, x.sentAt, now)
+}
+
 // finish forwards the response to an attempt and records its end.
 func (j *job) finish(ctx context.Context, x *sentAttempt) retry.Result {
 	sentAt, respondedAt, trackedCtx, watch, reply := x.sentAt, x.respondedAt, x.trackedCtx, x.watch, x.reply
@@ -288,8 +316,8 @@
 	case retry.CallerGone:
 		result.Aborted = true
 	}
-	if canceledByWatch(end, watch) {
-		// The attempt was canceled on this side and does not count as a failure of the engine.
+	if canceledByWatch(end, watch) || err == errTakenOver {
+		// The attempt was canceled on this side and does not count as a failure of the instance.
 		result = balance.Result{Aborted: true}
 	}
 	j.server.mu.Lock()
--- a/internal/transport/serving/pass.go
+++ b/internal/transport/serving/pass.go
@@ -95,6 +95,7 @@
 			return retry.Broken{Sent: j.lastSent()}, err
 		}
 		if repeated {
+			j.progress.settle(j.lastAccepted())
 			continue
 		}
 		err = j.beginStream(a.Head)
@@ -106,7 +107,7 @@
 			return retry.CallerGone{}, err
 		}
 		j.lastEvent = max(j.lastEvent, event.Number)
-		j.progress.accept(j.lastEvent)
+		j.progress.settle(j.lastEvent)
 	}
 }
 
--- a/internal/transport/serving/successor.go
+++ b/internal/transport/serving/successor.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -45,14 +46,29 @@
 
 // progress is what the attempt in progress has received; its successor reads it. The zero value means nothing.
 type progress struct {
-	// received counts events, and accepted is the number of the last one that the caller has or will be sent.
-	received, accepted atomic.Uint64
+	// received counts events, and settled is the count up to which they have been written or dropped. accepted is the
+	// number of the last one that the caller has or will be sent.
+	received, settled, accepted atomic.Uint64
+	// successor ends the successor, if there is one.
+	successor atomic.Pointer[context.CancelFunc]
 }
 
-// count counts an event of the silent attempt; ok is false if a successor has taken over.
-func (p *progress) count() (ok bool) { return p.received.Add(1)&takenOver == 0 }
+// count counts an event of the silent attempt; ok is false if a successor has taken over. Otherwise its successor ends.
+func (p *progress) count() (ok bool) {
+	if p.received.Add(1)&takenOver != 0 {
+		return false
+	}
+	if cancel := p.successor.Load(); cancel != nil {
+		(*cancel)()
+	}
+	return true
+}
 
-func (p *progress) accept(number uint64) { p.accepted.Store(number) }
+// settle records that the events counted so far were written or dropped, up to a number.
+func (p *progress) settle(number uint64) {
+	p.accepted.Store(number)
+	p.settled.Store(p.received.Load())
+}
 
 // takeOver lets a successor go on unless an event was counted since the given count.
 func (p *progress) takeOver(received uint64) (ok bool) {
@@ -60,7 +76,11 @@
 }
 
 // reset begins the count of another attempt.
-func (p *progress) reset() { p.received.Store(0) }
+func (p *progress) reset() {
+	p.successor.Store(nil)
+	p.settled.Store(0)
+	p.received.Store(0)
+}
 
 // successor is an attempt that is made while another instance is silent. A sound instance may be silent for a second and
 // go on, so the silent attempt lasts until the successor has something to go on with.
@@ -80,17 +100,23 @@
 	end  retry.Result
 }
 
-// startSuccessor sends the request of a silent attempt to another instance as well. mu must be held.
+// startSuccessor sends the request of a silent attempt to another instance as well, unless an event of the attempt is being
+// written, or its events have no numbers by which another could go on. mu must be held.
 func (s *Server) startSuccessor(j *job, silent inFlightAttempt, cause silence) {
-	ctx, cancel := context.WithCancel(silent.ctx)
 	// The count is read first: an event that is forwarded meanwhile keeps the successor from taking over.
 	received := j.progress.received.Load()
+	unnumbered := received > 0 && j.progress.accepted.Load() == j.request.After
+	if unnumbered || j.progress.settled.Load() != received {
+		return
+	}
+	ctx, cancel := context.WithCancel(silent.ctx)
 	c := &successor{
 		cause: cause, job: j.forSuccessor(), predecessor: j, received: received,
 		cancelSilent: silent.cancel, cancel: cancel, done: make(chan struct{}),
 	}
 	j.hadSuccessor = true
 	j.successor = c
+	j.progress.successor.Store(&cancel)
 	go func() {
 		defer close(c.done)
 		defer c.recoverPanic()
@@ -125,28 +151,20 @@
 // run makes the attempt, and ends the silent one once there is a response to go on with.
 func (c *successor) run(ctx context.Context) {
 	j := c.job
+	takenAt := clock.Now()
 	if !j.mayResend() {
 		c.record(successorNotSent)
 		return
 	}
 	if j.place(ctx) != nil {
-		j.returnResend()
+		j.returnResend(takenAt)
 		c.record(successorNotSent)
 		return
 	}
 	x := j.send(ctx)
 	switch {
 	case !c.isUsable(x):
-		c.end = j.finish(ctx, x)
-		switch c.end.(type) {
-		case retry.CallerGone:
-			c.record(successorDropped)
-		case retry.Unreached:
-			j.returnResend()
-			c.record(successorFailed)
-		default:
-			c.record(successorFailed)
-		}
+		c.fail(j.finish(ctx, x), takenAt)
 	case !c.takeOver():
 		c.end = j.drop(ctx, x)
 		c.record(successorDropped)
@@ -155,22 +173,44 @@
 	}
 }
 
-// isUsable reports whether the response goes on where the silent attempt stopped. Of a stream, it reads the first event.
+// fail ends a successor whose attempt gave no usable response, with the result of that. One that was canceled may have
+// run as well.
+func (c *successor) fail(end retry.Result, takenAt time.Time) {
+	c.end = end
+	switch end.(type) {
+	case retry.CallerGone:
+		c.end = retry.Broken{}
+		c.record(successorDropped)
+	case retry.Unreached:
+		c.job.returnResend(takenAt)
+		c.record(successorFailed)
+	default:
+		c.record(successorFailed)
+	}
+}
+
+// isUsable reports whether the response goes on where the silent attempt stopped. Of a stream, it reads up to the first
+// event that the caller does not have.
 func (c *successor) isUsable(x *sentAttempt) bool {
 	switch reply := x.reply.(type) {
 	case exchange.Whole:
 		return !c.job.headSent && reply.Head.Status < 500
 	case exchange.Stream:
 		first := &firstRead{Events: reply.Events, pending: true}
-		first.event, first.more, first.err = reply.Events.Next()
+		first.read(c.job.lastEvent)
 		x.watch.begun()
 		reply.Events = first
 		x.reply = reply
-		return first.err == nil || first.err == io.EOF
+		return first.err == io.EOF || first.err == nil && c.goesOn(first.event.Number)
 	}
 	return false
 }
 
+// goesOn reports whether an event may be the next one for the caller.
+func (c *successor) goesOn(number uint64) bool {
+	return number == c.job.lastEvent+1 || c.job.lastEvent == 0 && !c.job.headSent
+}
+
 // takeOver ends the silent attempt, unless it has received something since the successor began.
 func (c *successor) takeOver() bool {
 	if !c.predecessor.progress.takeOver(c.received) {
@@ -192,10 +232,7 @@
 // followSuccessor returns the result of the request's successor if there is one that goes on, and else end, the result
 // of the attempt that was silent.
 func (j *job) followSuccessor(ctx context.Context, end retry.Result) retry.Result {
-	j.server.mu.Lock()
-	c := j.successor
-	j.successor = nil
-	j.server.mu.Unlock()
+	c := j.takeSuccessor()
 	if c == nil {
 		return end
 	}
@@ -205,6 +242,7 @@
 		c.cancel()
 	}
 	<-c.done
+	j.progress.reset()
 	j.triedInstances, j.attemptNumber = c.job.triedInstances, c.job.attemptNumber
 	switch {
 	case c.sent == nil:
@@ -213,17 +251,39 @@
 		}
 		return end
 	case final || j.lastAccepted() != c.job.lastEvent:
-		c.job.drop(ctx, c.sent)
+		j.attempts.Count(c.job.drop(ctx, c.sent))
 		c.record(successorDropped)
 		return end
 	}
 	c.record(successorTookOver)
 	j.attempts.Count(end)
-	j.progress.reset()
 	j.adopt(c.job)
 	return j.finish(ctx, c.sent)
 }
 
+// takeSuccessor returns the request's successor, which is no longer its own then, or nil.
+func (j *job) takeSuccessor() *successor {
+	j.server.mu.Lock()
+	defer j.server.mu.Unlock()
+	c := j.successor
+	j.successor = nil
+	return c
+}
+
+// dropSuccessor ends the successor of an attempt that panicked.
+func (j *job) dropSuccessor(ctx context.Context) {
+	c := j.takeSuccessor()
+	if c == nil {
+		return
+	}
+	c.cancel()
+	<-c.done
+	if c.sent != nil {
+		c.job.drop(ctx, c.sent)
+		c.record(successorDropped)
+	}
+}
+
 // isFinal reports whether nothing follows a result: the caller has left, or has an answer that is no failure.
 func isFinal(end retry.Result) bool {
 	switch end := end.(type) {
@@ -243,7 +303,7 @@
 	j.quarantined, j.heldPart = from.quarantined, from.heldPart
 }
 
-// drop ends an attempt that has a response but is not needed.
+// drop ends an attempt that has a response but is not needed. Its result says that the request may have run.
 func (j *job) drop(ctx context.Context, x *sentAttempt) retry.Result {
 	if stream, ok := x.reply.(exchange.Stream); ok {
 		stream.Events.Close()
@@ -251,14 +311,15 @@
 	x.reply = exchange.Broken{Err: errDropped}
 	canceled, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	cancel()
-	return j.finish(canceled, x)
+	j.finish(canceled, x)
+	return retry.Broken{}
 }
 
-// returnResend gives back a resend that was allowed and not made.
-func (j *job) returnResend() {
+// returnResend gives back a resend that was allowed at a time and not made.
+func (j *job) returnResend(takenAt time.Time) {
 	j.server.mu.Lock()
 	defer j.server.mu.Unlock()
-	j.server.window(j.service).Return(clock.Now())
+	j.server.window(j.service).Return(takenAt, clock.Now())
 }
 
 // firstRead is a stream whose first event has been read already.
@@ -271,6 +332,16 @@
 	err     error
 }
 
+// read reads up to the first event after a number.
+func (f *firstRead) read(after uint64) {
+	for {
+		f.event, f.more, f.err = f.Events.Next()
+		if f.err != nil || f.event.Number == 0 || f.event.Number > after {
+			return
+		}
+	}
+}
+
 // Next returns the next event, and whether further data has already arrived.
 func (f *firstRead) Next() (event exchange.Event, more bool, err error) {
 	if f.pending {
--- a/internal/transport/serving/successor_test.go
+++ b/internal/transport/serving/successor_test.go
@@ -242,3 +242,169 @@
 		})
 	}
 }
+
+// silentFrom has the path to the instances of a server count as lost from 0.7 s after now until 1.5 s after it.
+func silentFrom(now time.Time) func(string) (time.Time, bool) {
+	return func(string) (since time.Time, ok bool) {
+		since = now.Add(lostAfter)
+		return since, clock.Now().After(since) && clock.Now().Before(now.Add(1500*time.Millisecond))
+	}
+}
+
+// addInstances adds instances to the service of a server.
+func addInstances(s *serving.Server, ids ...string) {
+	v := s.View()
+	for _, id := range ids {
+		v.Instances["svc"] = append(v.Instances["svc"], registry.Instance{ID: id, Address: id, Service: "svc", Slots: 9, Weights: map[string]uint64{"m": 7}})
+	}
+}
+
+// Guards against a stream that is broken off because its caller is slow while the path counts as lost: its instance is
+// not silent, and a successor would repeat the event that is being written.
+func TestSlowCallerGetsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engines := &silentEngines{others: goesOn}
+		server := tieredServer(t, engines, 0)
+		addInstances(server, "c", "d", "e")
+		server.PathLostSince = silentFrom(clock.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		go server.Run(ctx)
+		writes := 0
+		sink := &slowSink{pace: func() time.Duration {
+			writes++
+			if writes == silentAfter {
+				return 2 * time.Second
+			}
+			return 0
+		}}
+		serve(ctx, server, time.Minute, sink)
+		if diff := cmp.Diff([]uint64{0}, engines.asked); diff != "" || sink.end != "whole" {
+			t.Errorf("end %q, attempts: %s", sink.end, diff)
+		}
+	})
+}
+
+// breakingEvents break off after an event.
+type breakingEvents struct {
+	numberedEvents
+	at uint64
+}
+
+func (e *breakingEvents) Next() (exchange.Event, bool, error) {
+	if e.last == e.at {
+		return exchange.Event{}, false, io.ErrUnexpectedEOF
+	}
+	return e.numberedEvents.Next()
+}
+
+// breakingEngines are silent once, then break off after event 9, as all others do after one event. A successor gets its
+// first event when the silent instance has gone on.
+type breakingEngines struct{ silentEngines }
+
+func (e *breakingEngines) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	e.mu.Lock()
+	e.asked = append(e.asked, a.After)
+	n := len(e.asked)
+	e.mu.Unlock()
+	events := numberedEvents{ctx: ctx, last: a.After, pause: func(uint64) time.Duration { return pieceInterval }}
+	switch n {
+	case 1:
+		events.pause, events.onCancel = e.pause, e.cancel
+		return exchange.Stream{Head: exchange.Head{Status: 200}, Events: &breakingEvents{at: 9, numberedEvents: events}}
+	case 2:
+		events.pause = func(uint64) time.Duration { return clock.Until(e.silentSince().Add(e.silence + pieceInterval)) }
+		return exchange.Stream{Head: exchange.Head{Status: 200}, Events: &events}
+	}
+	return exchange.Stream{Head: exchange.Head{Status: 200}, Events: &breakingEvents{at: a.After + 1, numberedEvents: events}}
+}
+
+// Guards against requests that run on more instances than their route allows: an attempt that was dropped has run.
+func TestDroppedSuccessorCountsAsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engines := &breakingEngines{silentEngines{silence: 2 * time.Second}}
+		server := tieredServer(t, engines, 0)
+		addInstances(server, "c", "d", "e")
+		server.PathLostSince = engines.pathLost
+		runSilent(t, server)
+		if attempts := server.View().Config.Routes[0].Attempts; len(engines.asked) > attempts {
+			t.Errorf("%d attempts, %d are allowed", len(engines.asked), attempts)
+		}
+	})
+}
+
+// Guards against an answer that is given up for one that cannot replace it: the other instance begins too far behind.
+func TestSuccessorOutOfOrderDoesNotTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engines := &silentEngines{silence: 2 * time.Second}
+		engines.others = func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+			return exchange.Stream{Head: exchange.Head{Status: 200}, Events: &numberedEvents{ctx: ctx, last: a.After + 2, pause: func(uint64) time.Duration { return pieceInterval }}}
+		}
+		server := tieredServer(t, engines, 0)
+		server.PathLostSince = engines.pathLost
+		sink := runSilent(t, server)
+		if diff := cmp.Diff(upTo(streamLast), sink.numbers(1)); diff != "" || sink.end != "whole" {
+			t.Errorf("%s: end %q", diff, sink.end)
+		}
+	})
+}
+
+// unnumberedEngines are silentEngines whose events have no numbers.
+type unnumberedEngines struct{ silentEngines }
+
+func (e *unnumberedEngines) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
+	reply := e.silentEngines.Send(ctx, a).(exchange.Stream)
+	reply.Events = unnumberedEvents{reply.Events}
+	return reply
+}
+
+type unnumberedEvents struct{ exchange.Events }
+
+func (u unnumberedEvents) Next() (exchange.Event, bool, error) {
+	event, more, err := u.Events.Next()
+	event.Number = 0
+	return event, more, err
+}
+
+// Guards against an answer that joins two runs because its events have no numbers by which another instance could go on.
+func TestUnnumberedStreamGetsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		engines := &unnumberedEngines{silentEngines{silence: 2 * time.Second, others: goesOn}}
+		server := tieredServer(t, engines, 0)
+		server.PathLostSince = engines.pathLost
+		sink := runSilent(t, server)
+		if diff := cmp.Diff(upTo(streamLast), sink.numbers(1)); diff != "" || sink.end != "whole" {
+			t.Errorf("%s: end %q", diff, sink.end)
+		}
+	})
+}
+
+// Guards against instances that work in vain: a successor ends once the silent instance goes on.
+func TestSuccessorEndsWhenTheSilentInstanceGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		var ended atomic.Int64
+		engines := &silentEngines{silence: 1500 * time.Millisecond}
+		engines.others = func(ctx context.Context, _ *exchange.Attempt) exchange.Reply {
+			<-ctx.Done()
+			ended.Store(int64(clock.Since(engines.silentSince())))
+			return exchange.Broken{Err: ctx.Err()}
+		}
+		server := tieredServer(t, engines, 0)
+		server.PathLostSince = engines.pathLost
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		go server.Run(ctx)
+		// Each event takes a second, so that the silent instance goes on for long.
+		serve(ctx, server, time.Minute, &slowSink{pace: func() time.Duration { return time.Second }})
+		if after := time.Duration(ended.Load()); after == 0 || after > engines.silence+100*time.Millisecond {
+			t.Errorf("the successor ended %s after the silence began", after)
+		}
+	})
+}
--- a/internal/transport/serving/unfinished.go
+++ b/internal/transport/serving/unfinished.go
@@ -1,9 +1,6 @@
 package serving
 
-import (
-	"github.com/shedrock/shedrock/internal/clock"
-	"github.com/shedrock/shedrock/internal/coordination/balance"
-)
+import "github.com/shedrock/shedrock/internal/clock"
 
 // maxCutLines limits the lines that are logged of requests that the end of the process cuts.
 const maxCutLines = 100
@@ -17,13 +14,6 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.serving, j)
-		// An attempt is still in flight only if it panicked.
-		attempt, panicked := s.inFlight[j]
-		if panicked {
-			delete(s.inFlight, j)
-			attempt.cancel(nil)
-			s.balancer.End(attempt.target.Incarnation(), balance.Result{Aborted: true}, clock.Now())
-		}
 	}
 }
 
