--- a/internal/transport/detour/broken_test.go
+++ b/internal/transport/detour/broken_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/shedrock/shedrock/internal/await"
+	"github.com/shedrock/shedrock/internal/logtest"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 )
 
@@ -19,8 +20,8 @@
 		events := &listEvents{events: []exchange.Event{{Number: 1, Raw: []byte("1")}, {Number: 2, Raw: []byte("2")}}, wait: next, ctx: ctx, closed: make(chan struct{})}
 		return exchange.Stream{Head: exchange.Head{Status: 200, Header: http.Header{}}, Events: events}
 	})
-	var logged logBuffer
-	helper.forwarder.Log = logged.logger()
+	var logged logtest.Buffer
+	helper.forwarder.Log = logged.Logger()
 	e := newEntry(t, answered, helper)
 	e.losePath(t)
 	stream, ok := e.Send(t.Context(), newAttempt("id-1", instances[0])).(exchange.Stream)
@@ -38,8 +39,8 @@
 	}
 	stream.Events.Close()
 	close(next)
-	await.Until(t, patience, "the peer notices", func() bool { return len(logged.withEvent("forwarded_attempt_broken")) > 0 })
-	lines := logged.withEvent("forwarded_attempt_broken")
+	await.Until(t, patience, "the peer notices", func() bool { return len(logged.WithEvent("forwarded_attempt_broken")) > 0 })
+	lines := logged.WithEvent("forwarded_attempt_broken")
 	if len(lines) != 1 || !strings.Contains(lines[0], `"request":"id-1"`) || !strings.Contains(lines[0], `"instance":"a"`) || !strings.Contains(lines[0], `"events":1`) {
 		t.Errorf("%q", lines)
 	}
--- a/internal/transport/entry/broken_test.go
+++ b/internal/transport/entry/broken_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/logtest"
 	"github.com/shedrock/shedrock/internal/standin/fault"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 )
@@ -18,12 +19,12 @@
 func TestAnswerBrokenOffIsLoggedAndCounted(t *testing.T) {
 	s := newDeployment(t, engineOptions())
 	s.declare()
-	var logged logBuffer
-	e := s.start(func(e *entry.Entry) { e.Log = logged.logger() })
+	var logged logtest.Buffer
+	e := s.start(func(e *entry.Entry) { e.Log = logged.Logger() })
 	s.engines[0].Faults.Set(fault.Settings{CloseAfterEvents: 2})
 	got := e.send(t, "POST", "/v1/chat/completions", chat("long answer", true, 50))
-	eventually(t, "it is logged", func() bool { return len(logged.withEvent("answer_broken")) > 0 })
-	lines := logged.withEvent("answer_broken")
+	eventually(t, "it is logged", func() bool { return len(logged.WithEvent("answer_broken")) > 0 })
+	lines := logged.WithEvent("answer_broken")
 	if len(lines) != 1 || !strings.Contains(lines[0], `"request":"`+got.header.Get(entry.HeaderRequestID)+`"`) || !strings.Contains(lines[0], `"reason":"broken_off"`) {
 		t.Errorf("%q", lines)
 	}
@@ -38,8 +39,8 @@
 	slow.TokenInterval = 50 * time.Millisecond
 	s := newDeployment(t, slow)
 	s.declare()
-	var logged logBuffer
-	e := s.start(func(e *entry.Entry) { e.Log = logged.logger() })
+	var logged logtest.Buffer
+	e := s.start(func(e *entry.Entry) { e.Log = logged.Logger() })
 	ctx, leave := context.WithCancel(t.Context())
 	res, err := client.Do(e.request(chat("long answer", true, 1000)).WithContext(ctx))
 	if err != nil {
@@ -51,8 +52,8 @@
 		t.Fatal(err)
 	}
 	leave()
-	eventually(t, "it is logged", func() bool { return len(logged.withEvent("answer_broken")) > 0 })
-	lines := logged.withEvent("answer_broken")
+	eventually(t, "it is logged", func() bool { return len(logged.WithEvent("answer_broken")) > 0 })
+	lines := logged.WithEvent("answer_broken")
 	if len(lines) != 1 || !strings.Contains(lines[0], `"reason":"caller_gone"`) || !strings.Contains(lines[0], `"caller":"left"`) {
 		t.Errorf("%q", lines)
 	}
--- a/internal/transport/entry/unreadable_test.go
+++ b/internal/transport/entry/unreadable_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/shedrock/shedrock/internal/logtest"
 	"github.com/shedrock/shedrock/internal/transport/entry"
 )
 
@@ -14,16 +15,16 @@
 func TestUnreadableRequestsAreLoggedAndCounted(t *testing.T) {
 	s := newDeployment(t, engineOptions())
 	s.declare()
-	var logged logBuffer
+	var logged logtest.Buffer
 	e := s.start(func(e *entry.Entry) {
 		e.MaxBody = 10
-		e.Log = logged.logger()
+		e.Log = logged.Logger()
 	})
 	got := e.send(t, "POST", "/v1/chat/completions", chat("more than ten bytes", false, 1))
 	if diff := cmp.Diff(413, got.status); diff != "" {
 		t.Error(diff)
 	}
-	lines := logged.withEvent("request_unreadable")
+	lines := logged.WithEvent("request_unreadable")
 	if len(lines) != 1 || !strings.Contains(lines[0], `"request":"`+got.header.Get(entry.HeaderRequestID)+`"`) {
 		t.Errorf("%q", lines)
 	}
--- a/internal/transport/serving/caller_end_test.go
+++ b/internal/transport/serving/caller_end_test.go
@@ -1,52 +1,26 @@
 package serving_test
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/logtest"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 )
 
-// logBuffer is a log writer that keeps what was written. It is safe for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-// withEvent returns the first line with the given event.
-func (l *logBuffer) withEvent(event string) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for line := range strings.Lines(l.text.String()) {
-		if strings.Contains(line, `"event":"`+event+`"`) {
-			return line
-		}
-	}
-	return ""
-}
-
 // failingSink is a caller to whom nothing can be written.
 type failingSink struct {
 	serving.Sink
@@ -101,11 +75,11 @@
 			t.Run(a.name+"/"+end.err.Error(), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					clocktest.New(t)
-					var logged logBuffer
+					var logged logtest.Buffer
 					s := tieredServer(t, a.upstreams, a.bufferBytes)
-					s.Log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &logged}}
+					s.Log = logged.Logger()
 					serve(context.Background(), s, time.Minute, failingSink{err: end.err})
-					line := logged.withEvent("request")
+					line := logged.First("request")
 					if !strings.Contains(line, `"caller":"`+end.caller+`"`) || !strings.Contains(line, `"write_error":`) {
 						t.Errorf("%s: %s", end.caller, line)
 					}
@@ -123,13 +97,13 @@
 func TestCallerThatLeavesAmidSilenceIsCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		var logged logBuffer
+		var logged logtest.Buffer
 		s := tieredServer(t, &cutOffEngine{last: 1, size: 10, hangs: true}, 1<<20)
-		s.Log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &logged}}
+		s.Log = logged.Logger()
 		ctx, leave := context.WithCancel(context.Background())
 		time.AfterFunc(time.Second, leave)
 		serve(ctx, s, time.Minute, failingSink{})
-		line := logged.withEvent("request")
+		line := logged.First("request")
 		if !strings.Contains(line, `"caller":"left"`) || strings.Contains(line, `"write_error":`) {
 			t.Error(line)
 		}
--- a/internal/transport/serving/overdue_test.go
+++ b/internal/transport/serving/overdue_test.go
@@ -7,9 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/logtest"
 )
 
 // Guards against an answer that outlasts its deadline because the machine was suspended meanwhile: its timers do not
@@ -17,9 +16,9 @@
 func TestDeadlinePassedDuringASuspensionEndsTheAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		machine := clocktest.New(t)
-		var logged logBuffer
+		var logged logtest.Buffer
 		s := tieredServer(t, &cutOffEngine{last: 1, size: 10, hangs: true}, 0)
-		s.Log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &logged}}
+		s.Log = logged.Logger()
 		ctx, stop := context.WithCancel(context.Background())
 		go s.Run(ctx)
 		time.AfterFunc(time.Second, func() { machine.Suspend(2 * time.Minute) })
@@ -29,7 +28,7 @@
 		if took := time.Since(began); took > 1500*time.Millisecond {
 			t.Errorf("the answer ended after %s", took)
 		}
-		line := logged.withEvent("answer_broken")
+		line := logged.First("answer_broken")
 		if !strings.Contains(line, `"reason":"broken_off"`) || !strings.Contains(line, "suspended") {
 			t.Error(line)
 		}
--- a/internal/transport/serving/panic_test.go
+++ b/internal/transport/serving/panic_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/phuslu/log"
 
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/logtest"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/serving"
@@ -36,18 +36,18 @@
 func TestPanicWhileAnAnswerIsDeliveredBreaksOnlyThisAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
-		var logged logBuffer
+		var logged logtest.Buffer
 		s := tieredServer(t, &cutOffEngine{last: 3, size: 10}, 1<<20)
-		s.Log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &logged}}
+		s.Log = logged.Logger()
 		sink := &panickingSink{}
 		serve(context.Background(), s, time.Minute, sink)
 		if !sink.broken {
 			t.Error("the answer was not broken off")
 		}
-		if line := logged.withEvent("panic"); !strings.Contains(line, "the first event") || !strings.Contains(line, "goroutine") {
+		if line := logged.First("panic"); !strings.Contains(line, "the first event") || !strings.Contains(line, "goroutine") {
 			t.Error(line)
 		}
-		if line := logged.withEvent("request"); !strings.Contains(line, `"caller":"write_failed"`) {
+		if line := logged.First("request"); !strings.Contains(line, `"caller":"write_failed"`) {
 			t.Error(line)
 		}
 		if diff := cmp.Diff("1", metric(s, "shedrock_panics_total")); diff != "" {
