A pipelined head is not refused for the body behind it

Callers would see: 431 for a sound request whose head had begun behind the request before, in bytes that were read with that one: of the head only the end was counted, and not recognized, so that the body was counted as head. Found in review with a limit of 300 bytes: TestPipelinedHeadIsNotRefusedForItsBody answers 200 and 431 before, 200 twice now. Where a head may have begun in such bytes, it is refused only if the server reads on once it is too large.

--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -50,6 +50,10 @@
 	// them from one goroutine at a time.
 	head      head
 	bodyEnded bool
+	// readAhead is whether bytes behind the head or body of a request may have been read with it, and uncounted whether
+	// the head that is being read may have begun in such bytes. Then its end may not be recognized, and it is refused only if
+	// the server reads on after tooLarge.
+	readAhead, uncounted, tooLarge bool
 }
 
 // noteState takes up what the server tells of the connection.
@@ -62,6 +66,7 @@
 	case http.StateActive:
 		c.enter(inBody)
 		c.head, c.bodyEnded = head{}, false
+		c.uncounted, c.readAhead, c.tooLarge = c.readAhead, false, false
 	case http.StateHijacked, http.StateClosed:
 	}
 }
@@ -98,13 +103,16 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	phase, since := c.current()
+	if c.tooLarge && (phase == idle || phase == inHead) {
+		return c.refuseHead()
+	}
 	switch phase {
 	case unused, idle:
 		n, err := c.readFirst(p, since, phase)
 		if n == 0 {
 			return 0, err
 		}
-		c.head.add(p[:n])
+		c.addHead(p[:n])
 		if c.head.begun {
 			c.begin(inHead)
 		}
@@ -115,10 +123,12 @@
 			c.refuse(http.StatusRequestTimeout)
 			return 0, err
 		}
-		c.head.add(p[:n])
+		c.addHead(p[:n])
 		return c.limitHead(n, err)
 	case inBody:
-		return c.readBody(p)
+		n, err := c.readBody(p)
+		c.uncounted = c.uncounted || n > 0
+		return n, err
 	case ahead:
 		n, err := c.TCPConn.Read(p)
 		c.head.add(p[:n])
@@ -128,15 +138,29 @@
 	}
 }
 
+// addHead takes up bytes of a head, and whether others follow it.
+func (c *conn) addHead(p []byte) {
+	c.readAhead = c.head.add(p) < len(p)
+}
+
 // limitHead refuses a request whose head has become too large. It returns what Read shall return after it has read n
 // bytes.
 func (c *conn) limitHead(n int, err error) (int, error) {
 	_, since := c.current()
-	limit := c.limiter.since(since).headerBytes
-	if c.head.size <= limit {
+	if c.head.size <= c.limiter.since(since).headerBytes {
 		return n, err
 	}
-	c.limiter.noteSize(c, headerBytes, limit, c.head.size)
+	if c.uncounted {
+		c.tooLarge = true
+		return n, err
+	}
+	return c.refuseHead()
+}
+
+// refuseHead refuses a request whose head is too large. It returns what Read shall return.
+func (c *conn) refuseHead() (int, error) {
+	_, since := c.current()
+	c.limiter.noteSize(c, headerBytes, c.limiter.since(since).headerBytes, c.head.size)
 	c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
 }
--- a/internal/transport/callerlimits/forms_test.go
+++ b/internal/transport/callerlimits/forms_test.go
@@ -89,3 +89,23 @@
 	close(stop)
 	changes.Wait()
 }
+
+// Guards against sound requests that are refused because their head began behind another request: only its end comes
+// with the body, which was counted as a part of the head.
+func TestPipelinedHeadIsNotRefusedForItsBody(t *testing.T) {
+	f := newFixture(t, deployment.Limits{HeaderTimeout: time.Second, HeaderBytes: 300}, callerlimits.Defaults{IdleTimeout: longIdle})
+	d := f.dial()
+	_, err := io.WriteString(d, plainRequest+"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := d.status()
+	<-time.After(100 * time.Millisecond)
+	_, err = io.WriteString(d, "\r\n"+strings.Repeat("b", 1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusOK}, []int{first, d.status()}); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/transport/callerlimits/head.go
+++ b/internal/transport/callerlimits/head.go
@@ -12,11 +12,11 @@
 	ended bool
 }
 
-// add takes up the next bytes from the connection.
-func (h *head) add(p []byte) {
-	for _, b := range p {
+// add takes up the next bytes from the connection, and returns how many of them belong to the head.
+func (h *head) add(p []byte) (n int) {
+	for i, b := range p {
 		if h.ended {
-			return
+			return i
 		}
 		h.size++
 		switch b {
@@ -28,4 +28,5 @@
 			h.begun, h.inLine = true, true
 		}
 	}
+	return len(p)
 }
