--- a/internal/clock/running_test.go
+++ b/internal/clock/running_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// workWithin says that it begins, and at the end whether the context had not ended.
+// workWithin prints that it begins, and at the end whether the context had not ended.
 func workWithin(ctx context.Context, cancel context.CancelFunc) {
 	defer cancel()
 	fmt.Println("began")
--- a/internal/coordination/detour/sample.go
+++ b/internal/coordination/detour/sample.go
@@ -16,7 +16,7 @@
 
 // ProbeTargets draws the instances of the round of probes that has begun on p: those at which requests have not failed
 // first, and of these different failure domains first. On a path that is not lost, instances that responded last come
-// first: their silence says more. Instances of a round that left the path undecided come last.
+// first: a missing response of theirs is stronger evidence. Instances of a round that left the path undecided come last.
 func ProbeTargets(p *Path, instances []registry.Instance, random *rand.Rand) []registry.Instance {
 	drawn := slices.Clone(instances)
 	random.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
--- a/internal/transport/callerlimits/callerlimits.go
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -158,12 +158,12 @@
 	return out
 }
 
-// noteTimeout tells that a connection is closed because its caller took too long.
+// noteTimeout logs and counts that a connection is closed because its caller took too long.
 func (m *Limiter) noteTimeout(c *conn, l limit, value, waited time.Duration) {
 	m.note(c, l).Dur("value_ms", value).Dur("waited_ms", waited).Msg("")
 }
 
-// noteSize tells that a connection is closed because its caller sent too much.
+// noteSize logs and counts that a connection is closed because its caller sent too much.
 func (m *Limiter) noteSize(c *conn, l limit, value, received int) {
 	m.note(c, l).Int("value_bytes", value).Int("received_bytes", received).Msg("")
 }
--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -56,7 +56,7 @@
 	readAhead, uncounted, tooLarge bool
 }
 
-// noteState takes up what the server tells of the connection.
+// noteState records the state of the connection that the server reports.
 func (c *conn) noteState(state http.ConnState) {
 	switch state {
 	case http.StateIdle:
@@ -251,7 +251,7 @@
 		return 0
 	}
 	n := 0
-	// Unlike Read, Control does not heed the deadline.
+	// Unlike Read, Control ignores the deadline.
 	err = raw.Control(func(fd uintptr) {
 		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
 	})
--- a/internal/transport/connpool/connpool.go
+++ b/internal/transport/connpool/connpool.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	c, err := netdial.Dialer(0).DialContext(running, "tcp", address)
 	if err != nil && ctx.Err() == nil && running.Err() != nil {
-		// It says that the time was over; the error says only that the context was canceled.
+		// The dial error only reports that the context was canceled; the cause is a timeout.
 		err = context.Cause(running)
 	}
 	return c, err
--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// Guards against a flood of second attempts when silent instances go on: those made beside silent ones are not held.
+// Guards against a burst of second attempts when silent instances respond again: those made beside silent ones are not held.
 func TestAttemptsBesideSilentOnesAreNotHeld(t *testing.T) {
 	s := newSilentEntry(t)
 	defer close(s.answers)
--- a/internal/transport/entry/body_test.go
+++ b/internal/transport/entry/body_test.go
@@ -15,7 +15,7 @@
 	"github.com/shedrock/shedrock/internal/transport/entry"
 )
 
-// Guards against a body that stops in the middle and is waited for for ever, also by an entry that is told to stop.
+// Guards against a body that stops in the middle and is waited for without a limit, also by an entry that received SIGTERM.
 func TestBodyWithoutAnEndIsGivenUp(t *testing.T) {
 	// bodyTimeout is above the entry's time for a head, the least that counts.
 	const bodyTimeout = 6 * time.Second
--- a/internal/transport/serving/steps_test.go
+++ b/internal/transport/serving/steps_test.go
@@ -301,7 +301,7 @@
 	return sink
 }
 
-// occupy has both instances occupied, after each has told its refusal limit.
+// occupy has both instances occupied, after each has reported its refusal limit.
 func (r *stepRun) occupy(ctx context.Context) {
 	r.engines.occupy = 4
 	for round := range 2 {
--- a/internal/transport/serving/successor_test.go
+++ b/internal/transport/serving/successor_test.go
@@ -384,7 +384,7 @@
 	})
 }
 
-// Guards against instances that work in vain: a successor ends once the silent instance goes on.
+// Guards against instances that compute unused answers: a successor ends once the silent instance goes on.
 func TestSuccessorEndsWhenTheSilentInstanceGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
