Instances that fall silent together share the requests

Cause: half a second into the silence, the failure domain of three instances counted as cut off, as two of its instances were silent. The domain of the fourth has one instance, never counts as cut off, and got everything. In the same way, an instance that is asked for the first time during a silence counts as responsive for a second from then on, when the others no longer do.

Why this works: silence tells an instance or a domain from others only if those have given a sign since. Instances and domains that fell silent within 0.5 s of the last one are not avoided for it. One that hangs while others respond or are idle is avoided as before.

--- a/internal/coordination/balance/domains.go
+++ b/internal/coordination/balance/domains.go
@@ -80,7 +80,7 @@
 	quiet := len(info.Unreachable) > 0
 	for _, d := range set.domains {
 		d.unresponsiveCount, d.partitioned = 0, false
-		quiet = quiet || d.quiet(now)
+		quiet = quiet || d.quiet(now) && !d.silentLike(info.lastSign)
 	}
 	if !quiet {
 		return
@@ -92,7 +92,7 @@
 			excluded++
 			continue
 		}
-		d.partitioned = d.unreachable(info.Unreachable) || d.quiet(now) && d.unresponsiveCount >= minUnresponsive && now.Sub(d.lastProbe) < info.probeInterval()
+		d.partitioned = d.unreachable(info.Unreachable) || d.cutOff(info, now)
 		if d.partitioned {
 			excluded++
 		}
@@ -138,6 +138,11 @@
 // quiet reports whether a failure domain has sent no response for partitionedAfter.
 func (d *domain) quiet(now time.Time) bool { return now.Sub(d.lastResponse) >= partitionedAfter }
 
+// cutOff reports whether a failure domain has gone silent while others have not, but for requests that probe it.
+func (d *domain) cutOff(info PickInfo, now time.Time) bool {
+	return d.quiet(now) && d.unresponsiveCount >= minUnresponsive && !d.silentLike(info.lastSign) && now.Sub(d.lastProbe) < info.probeInterval()
+}
+
 // probeInterval is the time after the last probe at which the request may be sent as the next one.
 func (info PickInfo) probeInterval() time.Duration {
 	if info.Retryable {
--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -67,6 +67,8 @@
 
 	// fragility is that of the service, and nil if it has no refusal limits.
 	fragility *fragility
+	// lastSign is when any usable instance last gave a sign of life, and now unless all are silent.
+	lastSign time.Time
 }
 
 // tried reports whether the request was sent to an instance before.
@@ -101,6 +103,7 @@
 // the request's description.
 func (b *Balancer) prepare(set *candidateSet, info *PickInfo, now time.Time) {
 	set.markExcluded(*info)
+	info.lastSign = set.lastSign(now)
 	b.markPartitioned(set, *info, now)
 	info.fragility = b.fragility(set, *info, now)
 }
@@ -163,10 +166,10 @@
 	switch {
 	case info.isFailing(c.in), info.isBusy(c.in):
 		return false
-	case c.domain.partitioned, now.Before(c.load.avoidUntil), now.Before(c.load.fullUntil), c.load.unresponsive(now):
+	case c.domain.partitioned, now.Before(c.load.avoidUntil), now.Before(c.load.fullUntil):
 		return false
 	}
-	return true
+	return !c.load.unresponsive(now) || c.load.silentLike(info.lastSign)
 }
 
 // isFailing reports whether an instance accepts requests and fails them.
