What a lost path delays is no latency of the instance

What was seen: TestSilenceOfAllInstancesRefusesNothing/1.5s, 1 of 6 runs with the race detector: two seconds after a silence of all instances, one of four got no request for a whole second.

Cause: the latency of an instance is an average over some ten answers, and after a silence it holds how long requests had waited. So do attempts through a peer that lost its own path a moment after it took them. The instance then looks slow and, where requests are few, is not asked again for seconds.

Why this works: an attempt during which the direct path counted as lost gives no latency, nor does one through a peer that was sent until 1.2 s after the loss, when all entries may have been in the same silence. The estimates stay those of before. An entry that is cut off alone measures latencies through peers as before from then on.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -126,6 +126,9 @@
 	return Open
 }
 
+// Lost reports whether the path was lost and has not been found again, also while open connections work.
+func (p *Path) Lost() bool { return p.lost }
+
 // Returning reports whether the last round of probes on a lost path found it open, but not yet often enough for it to
 // be preferred again.
 func (p *Path) Returning() bool { return p.lost && p.goodRounds > 0 }
--- a/internal/transport/detour/detour_test.go
+++ b/internal/transport/detour/detour_test.go
@@ -66,7 +66,7 @@
 		"Request.Path": "routes were chosen", "Request.Key": "the team is known", "Request.Arrived": "of the sender", "Request.Wait": "the deadline holds",
 		"Request.Left": "of the sender", "Request.Prompt": "only whether there is one", "Instance.Slots": "of the choice", "Instance.ColdUntil": "of the choice",
 		"Instance.Leaving": "of the choice", "Instance.Sequence": "of the choice", "Instance.Weights": "of the choice", "Instance.SoftwareVersion": "of the choice", "Request.ResumedID": "the instance was chosen by it, and Header has it", "Instance.WeightsProvenance": "of the choice",
-		"Attempt.AllowsDomain": "the peer was chosen by it", "Attempt.Via": "set by the sender", "Attempt.Beside": "only the sender holds attempts",
+		"Attempt.AllowsDomain": "the peer was chosen by it", "Attempt.Via": "set by the sender", "Attempt.Delayed": "each entry sees its own path", "Attempt.Beside": "only the sender holds attempts",
 	}
 	helper := newEntry(t, answered)
 	e := newEntry(t, answered, helper)
--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -79,7 +79,8 @@
 func TestRequestsWaitForSilentInstances(t *testing.T) {
 	s := newSilentEntry(t)
 	replied := make(chan exchange.Reply, 1)
-	go func() { replied <- s.Send(t.Context(), newAttempt("second", instances[1])) }()
+	second := newAttempt("second", instances[1])
+	go func() { replied <- s.Send(t.Context(), second) }()
 	time.Sleep(300 * time.Millisecond)
 	if len(replied) > 0 {
 		t.Error("there is a reply while all instances are silent")
@@ -88,6 +89,9 @@
 	if reply, ok := (<-replied).(exchange.Whole); !ok {
 		t.Errorf("the reply is %#v after one has answered", reply)
 	}
+	if !second.Delayed {
+		t.Error("the wait counts as the instance's")
+	}
 }
 
 // Guards against requests that wait without end for instances that are gone, or past their deadline.
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -146,12 +146,14 @@
 // entry has a path because all instances are silent, it holds the attempt for a short time.
 func (u *Upstreams) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 	u.init()
+	sent := clock.Now()
 	state := u.State(a.Instance.Service)
 	usesPeers := len(u.knownPeers()) > 0
 	if usesPeers && (state == detour.Lost || state == detour.OpenConnectionsOnly && !u.Direct.HasIdle(a.Instance)) {
 		reply, ok := u.sendByPeer(ctx, a)
 		switch {
 		case ok:
+			a.Delayed = u.lostShortlyBefore(a.Instance.Service, sent)
 			return reply
 		case state == detour.Lost && !u.returning(a.Instance.Service) && (a.Beside || !u.hold(ctx, a)):
 			return exchange.Unreached{Err: errNoPath, NoPath: true}
@@ -169,6 +171,15 @@
 	return reply
 }
 
+// lostShortlyBefore reports whether a lost path to a service was lost after a time, or so shortly before it that its
+// instances may have been silent for all entries still.
+func (u *Upstreams) lostShortlyBefore(service string, at time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	path := u.path(service)
+	return path.Lost() && at.Before(path.Since().Add(holdTime))
+}
+
 // returning reports whether the lost path to a service may be tried where no peer has one: the service may have been
 // down for all.
 func (u *Upstreams) returning(service string) bool {
@@ -198,6 +209,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	path.End()
+	a.Delayed = path.Lost()
 	switch {
 	case !gotNothing(reply):
 		u.responded(path, target)
--- a/internal/transport/serving/attempt.go
+++ b/internal/transport/serving/attempt.go
@@ -23,6 +23,8 @@
 	// tracked is the attempt as the tracker of instance ends records it.
 	tracked ends.Attempt
 	reply   exchange.Reply
+	// delayed is true if a lost path delayed the reply.
+	delayed bool
 	// release ends the tracking of the attempt.
 	release func()
 }
@@ -55,7 +57,7 @@
 	}()
 	a := j.newAttempt()
 	x.reply = j.server.Upstreams.Send(x.watchedCtx, a)
-	j.via = a.Via
+	j.via, x.delayed = a.Via, a.Delayed
 	x.respondedAt = clock.Now()
 	x.tracked = j.trackedAttempt(x.sentAt)
 	j.recordResponse(x.reply, x.tracked, x.respondedAt)
@@ -108,7 +110,9 @@
 	result := balance.Result{}
 	switch end := end.(type) {
 	case retry.Completed:
-		result.Latency = respondedAt.Sub(sentAt)
+		if !x.delayed {
+			result.Latency = respondedAt.Sub(sentAt)
+		}
 		result.Failed = end.Status >= 500
 	case retry.Unreached:
 		// Without a path, the attempt is no evidence about the instance.
--- a/internal/transport/serving/forwarded.go
+++ b/internal/transport/serving/forwarded.go
@@ -28,7 +28,11 @@
 	}
 	reply := send(ctx, a)
 	now := clock.Now()
-	end := sync.OnceFunc(func() { s.endForwarded(a.Instance, reply, now.Sub(sent)) })
+	latency := now.Sub(sent)
+	if a.Delayed {
+		latency = 0
+	}
+	end := sync.OnceFunc(func() { s.endForwarded(a.Instance, reply, latency) })
 	s.mu.Lock()
 	s.recordCondition(a.Instance, a.ID, exchange.ConditionOf(reply), sent, now)
 	if fromInstance(reply) {
