A silence is common to available instances, and to several

What was seen, in unit tests: an idle instance that gets no requests (resting, without a quota, failing, busy, or tried before) counts as a sign of life, so a silence of all others is not common, and the only instance of a failure domain gets 30 of 30 requests, as before. And since, the silence of a single available instance counts as common with itself: one that hangs with 5 requests in flight is preferred to one that could not be reached a moment ago.

Why this works: only instances that the request might be sent to before the fallback ones count, and at least two of them must be silent. Instances that refused lately still count, as they respond; so do those without room in their windows, for which requests wait.

--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -67,7 +67,8 @@
 
 	// fragility is that of the service, and nil if it has no refusal limits.
 	fragility *fragility
-	// lastSign is when any usable instance last gave a sign of life, and now unless all are silent.
+	// lastSign is when any available instance last gave a sign of life, and now unless several are silent and no other
+	// is available.
 	lastSign time.Time
 }
 
@@ -103,7 +104,7 @@
 // the request's description.
 func (b *Balancer) prepare(set *candidateSet, info *PickInfo, now time.Time) {
 	set.markExcluded(*info)
-	info.lastSign = set.lastSign(now)
+	info.lastSign = set.lastSign(*info, now)
 	b.markPartitioned(set, *info, now)
 	info.fragility = b.fragility(set, *info, now)
 }
