A silence is no latency either once its path was found

What was seen, in unit tests: an attempt that waits in a silence, and is answered after two rounds of probes have found the path, counts the silence as the instance's latency. So does one whose first connection failed and that a peer then took. And an entry whose new connections fail while open ones work measures no latency at all for as long as that lasts: an instance that looked slow before keeps looking slow, and the other way round.

Cause: what counted was whether the path was lost at the moment of the response.

Why this works: a path delays what was sent before it was lost or found, or less than 1.2 s after the loss, and what was sent while nothing arrived on its open connections for 0.5 s. An attempt that was held, or failed before it took a detour, counts as delayed in any case.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -91,6 +91,8 @@
 	waiting      int
 	waitingSince time.Time
 	lastResponse time.Time
+	// resumedAt is when an instance last responded after responseWindow without any response, while the path was lost.
+	resumedAt time.Time
 	// hinted is true after Hint, until the next round of probes.
 	hinted bool
 	// probing is true while a round of probes is under way, and lost after one that failed.
@@ -126,8 +128,12 @@
 	return Open
 }
 
-// Lost reports whether the path was lost and has not been found again, also while open connections work.
-func (p *Path) Lost() bool { return p.lost }
+// Delayed reports whether a lost path may have delayed the response to a request that was sent at a time: the path was lost
+// or found since, or the request was sent less than the given time after the loss, or nothing arrived meanwhile on the
+// connections that are open.
+func (p *Path) Delayed(sent time.Time, afterLoss time.Duration) bool {
+	return p.since.After(sent) || p.lost && (sent.Before(p.since.Add(afterLoss)) || !p.resumedAt.Before(sent))
+}
 
 // Returning reports whether the last round of probes on a lost path found it open, but not yet often enough for it to
 // be preferred again.
@@ -164,6 +170,9 @@
 
 // Responded records that an instance responded to this entry directly.
 func (p *Path) Responded(target registry.Incarnation, now time.Time) {
+	if p.lost && now.Sub(p.lastResponse) >= responseWindow {
+		p.resumedAt = now
+	}
 	p.lastResponse = now
 	p.waitingSince = now
 	delete(p.failures, target)
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -125,8 +125,8 @@
 	AllowsDomain func(domain string) bool
 	// Via is set by Upstreams to the address of the entry through which the attempt was sent, if it was.
 	Via string
-	// Delayed is set by Upstreams if the direct path to the service's instances was lost when the response came, or for an
-	// attempt through another entry shortly before it was sent: the time until then tells nothing of the instance.
+	// Delayed is set by Upstreams if a lost path, or an attempt that failed before this one took another way, may have
+	// delayed the response: the time until then tells nothing of the instance.
 	Delayed bool
 }
 
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -153,12 +153,16 @@
 		reply, ok := u.sendByPeer(ctx, a)
 		switch {
 		case ok:
-			a.Delayed = u.lostShortlyBefore(a.Instance.Service, sent)
+			a.Delayed = u.delayed(a.Instance.Service, sent)
 			return reply
-		case state == detour.Lost && !u.returning(a.Instance.Service) && (a.Beside || !u.hold(ctx, a)):
+		case state != detour.Lost || u.returning(a.Instance.Service):
+			return u.SendDirect(ctx, a)
+		case a.Beside || !u.hold(ctx, a):
 			return exchange.Unreached{Err: errNoPath, NoPath: true}
 		}
-		return u.SendDirect(ctx, a)
+		reply = u.SendDirect(ctx, a)
+		a.Delayed = true
+		return reply
 	}
 	direct := u.SendDirect(ctx, a)
 	if _, unreached := direct.(exchange.Unreached); !unreached || !usesPeers || ctx.Err() != nil || !u.doubtful(a.Instance.Service) {
@@ -168,16 +172,16 @@
 	if !ok {
 		return direct
 	}
+	a.Delayed = true
 	return reply
 }
 
-// lostShortlyBefore reports whether a lost path to a service was lost after a time, or so shortly before it that its
-// instances may have been silent for all entries still.
-func (u *Upstreams) lostShortlyBefore(service string, at time.Time) bool {
+// delayed reports whether the path to a service may have delayed the response to an attempt that was sent at a time. Shortly
+// after the loss, the instances may have been silent for all entries still.
+func (u *Upstreams) delayed(service string, sent time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	path := u.path(service)
-	return path.Lost() && at.Before(path.Since().Add(holdTime))
+	return u.path(service).Delayed(sent, holdTime)
 }
 
 // returning reports whether the lost path to a service may be tried where no peer has one: the service may have been
@@ -202,14 +206,14 @@
 	service, target := a.Instance.Service, a.Instance.Incarnation()
 	u.mu.Lock()
 	path := u.path(service)
-	path.Begin(clock.Now())
+	sent := clock.Now()
+	path.Begin(sent)
 	u.mu.Unlock()
 	u.watch()
 	reply := u.Direct.Send(ctx, a)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	path.End()
-	a.Delayed = path.Lost()
 	switch {
 	case !gotNothing(reply):
 		u.responded(path, target)
@@ -217,6 +221,7 @@
 		path.Failed(target, clock.Now())
 		u.watch()
 	}
+	a.Delayed = path.Delayed(sent, holdTime)
 	if stream, ok := reply.(exchange.Stream); ok {
 		stream.Events = &observedEvents{Events: stream.Events, responded: func() {
 			u.mu.Lock()
