--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,10 @@
 	answers chan struct{}
 	// done is closed when it has been answered.
 	done chan struct{}
+	// first is the request that waited first.
+	first *exchange.Attempt
+	// open is set to have probes succeed.
+	open *atomic.Bool
 }
 
 // newSilentEntry returns an entry that has lost its path in silence.
@@ -57,17 +62,22 @@
 	t.Helper()
 	cut := newEntry(t, answered)
 	cut.losePath(t)
-	s := silentEntry{answers: make(chan struct{}), done: make(chan struct{})}
+	s := silentEntry{answers: make(chan struct{}), done: make(chan struct{}), first: newAttempt("first", instances[0]), open: &atomic.Bool{}}
 	s.entry = newEntry(t, func(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 		if a.Request.ID == "first" {
 			<-s.answers
 		}
 		return answered(ctx, a)
 	}, cut)
-	s.direct.probe = func(context.Context, registry.Instance) error { return errCut }
+	s.direct.probe = func(context.Context, registry.Instance) error {
+		if s.open.Load() {
+			return nil
+		}
+		return errCut
+	}
 	go func() {
 		defer close(s.done)
-		s.SendDirect(t.Context(), newAttempt("first", instances[0]))
+		s.SendDirect(t.Context(), s.first)
 	}()
 	t.Cleanup(func() { <-s.done })
 	await.Until(t, patience, "the path is lost", func() bool { return s.State("svc") == coordination.Lost })
