Answers that a lost path delays make room as others do

What was seen, in a unit test: at an entry that lost its path, callers that are refused for lack of room are told to come back after 1.67 s instead of 1.13 s.

Cause: an answer without a latency of its instance did not count as a release of room, so the rate at which room appears was not known.

Why this works: the latency stays in the result, and whether it was delayed is told beside it. Averages leave it out; the release counts.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -97,6 +97,9 @@
 	b.returns.RecordRelease(1, now)
 }
 
+// RecordDelayedAnswer records that an attempt ended whose time tells nothing of the instance.
+func (b *Backlog) RecordDelayedAnswer(now time.Time) { b.returns.RecordRelease(1, now) }
+
 func average(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -189,6 +189,8 @@
 	Aborted bool
 	// Latency is the time to the first byte of the answer, or 0 when there was none.
 	Latency time.Duration
+	// Delayed says that the latency is not the instance's: a lost path delayed the answer.
+	Delayed bool
 }
 
 // End records the end of a request.
@@ -219,7 +221,7 @@
 		sample = 1
 	}
 	l.failureRate += averageWeight * (sample - l.failureRate)
-	if r.Latency > 0 {
+	if r.Latency > 0 && !r.Delayed {
 		l.latency += averageWeight * (r.Latency.Seconds() - l.latency)
 		b.recordLatency(l.service, r.Latency.Seconds())
 	}
--- a/internal/transport/serving/attempt.go
+++ b/internal/transport/serving/attempt.go
@@ -75,7 +75,7 @@
 	defer j.server.mu.Unlock()
 	now := clock.Now()
 	j.server.balancer.End(j.instance.Incarnation(), balance.Result{Aborted: true}, now)
-	j.countEnd(0, x.sentAt, now)
+	j.countEnd(balance.Result{}, x.sentAt, now)
 }
 
 // finish forwards the response to an attempt and records its end.
@@ -110,9 +110,7 @@
 	result := balance.Result{}
 	switch end := end.(type) {
 	case retry.Completed:
-		if !x.delayed {
-			result.Latency = respondedAt.Sub(sentAt)
-		}
+		result.Latency, result.Delayed = respondedAt.Sub(sentAt), x.delayed
 		result.Failed = end.Status >= 500
 	case retry.Unreached:
 		// Without a path, the attempt is no evidence about the instance.
@@ -133,7 +131,7 @@
 	}
 	j.server.mu.Lock()
 	j.server.balancer.End(j.instance.Incarnation(), result, clock.Now())
-	j.countEnd(result.Latency, sentAt, clock.Now())
+	j.countEnd(result, sentAt, clock.Now())
 	j.server.learned.learn(j, end, j.server.View(), clock.Now())
 	j.answerAge = j.server.answerAge(j.service, clock.Now())
 	if failedByInstance(end, err, gone) {
--- a/internal/transport/serving/room.go
+++ b/internal/transport/serving/room.go
@@ -7,6 +7,7 @@
 	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/arbiter"
 	"github.com/shedrock/shedrock/internal/coordination/backlog"
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/state/outcome"
 )
 
@@ -215,12 +216,16 @@
 	}
 }
 
-// countEnd counts the end of an attempt that was sent at the given time, and how long it took if the instance answered after
-// a latency, which is 0 otherwise. The server's mu must be held.
-func (j *job) countEnd(latency time.Duration, sent, now time.Time) {
+// countEnd counts the end of an attempt that was sent at the given time, and how long it took if the instance answered and
+// no lost path delayed the answer. The server's mu must be held.
+func (j *job) countEnd(result balance.Result, sent, now time.Time) {
 	_, limited := j.server.balancer.RefusalLimit(j.instance, now)
-	if limited && latency > 0 {
-		j.server.backlog(j.service).RecordAnswer(latency, now.Sub(sent), now)
+	switch {
+	case !limited || result.Latency == 0:
+	case result.Delayed:
+		j.server.backlog(j.service).RecordDelayedAnswer(now)
+	default:
+		j.server.backlog(j.service).RecordAnswer(result.Latency, now.Sub(sent), now)
 	}
 	if j.counted {
 		j.counted = false
