--- a/internal/transport/serving/room_test.go
+++ b/internal/transport/serving/room_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,8 @@
 type fragileInstance struct {
 	mu               sync.Mutex
 	running, refused int
+	// delayed is whether answers count as delayed by a lost path, once set.
+	delayed atomic.Bool
 	// order holds the paths that ran.
 	order []string
 }
@@ -43,6 +46,7 @@
 
 func (f *fragileInstance) Send(ctx context.Context, a *exchange.Attempt) exchange.Reply {
 	condition := exchange.Condition{Limit: exchange.NoLimit{}, RefusalLimit: exchange.RateLimit{PerSecond: 3}}
+	a.Delayed = f.delayed.Load()
 	f.mu.Lock()
 	if f.running >= roomSlots {
 		f.refused++
@@ -144,6 +148,36 @@
 	})
 }
 
+// Guards against callers that are told to come back when there has long been room, because the answers of an entry that
+// lost its path count as no room.
+func TestDelayedAnswersMakeRoom(t *testing.T) {
+	// longest returns the longest time after which any of some requests, half as many again as there is room for, is to
+	// come back.
+	longest := func(delayed bool) (after time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			clocktest.New(t)
+			s, instance := roomServer(t, nil)
+			instance.delayed.Store(delayed)
+			sinks := make([]roomSink, 200)
+			var callers sync.WaitGroup
+			for n := range sinks {
+				callers.Go(func() {
+					s.Serve(t.Context(), &exchange.Request{Host: "h", Path: fmt.Sprint("/", n), Body: []byte{byte(n)}, Arrived: clock.Now(), Wait: 12 * time.Second}, &sinks[n])
+				})
+				<-time.After(2 * roomWork / roomSlots / 3)
+			}
+			callers.Wait()
+			for n := range sinks {
+				after = max(after, sinks[n].retryAfter)
+			}
+		})
+		return after
+	}
+	if usual, delayed := longest(false), longest(true); usual == 0 || delayed > usual {
+		t.Errorf("callers are to come back after %s, and %s where a lost path delays answers", usual, delayed)
+	}
+}
+
 // Guards against urgent requests that wait behind others.
 func TestUrgentRequestsGetRoomFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
