Silence does not lengthen the pauses of windows

What was seen, in a unit test: an entry that has a part of a slot of an instance with a refusal limit, 1/80 of 8 slots, pauses 0.5 s after a request of 20 ms, and 24 s after one that waited in a silence of a second. All entries do so at all instances at which they had a request then.

Cause: the pause is a multiple of how long the request was in flight.

Why this works: the time until the first byte, where it is 0.5 s and three times the mean of the service or more, counts as the mean in the pause.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -196,7 +196,7 @@
 // End records the end of a request.
 func (b *Balancer) End(target registry.Incarnation, r Result, now time.Time) {
 	l := b.load(target)
-	l.window.recordEnd(r, l.own(), now)
+	l.window.recordEnd(r, l.own(), b.silence(l.service, r), now)
 	b.end(target, r, now)
 }
 
--- a/internal/coordination/balance/silence.go
+++ b/internal/coordination/balance/silence.go
@@ -54,3 +54,13 @@
 func (d *domain) silentLike(lastSign time.Time) bool {
 	return lastSign.Sub(d.lastResponse) < commonSilence
 }
+
+// silence returns for how long an instance was silent before it answered a request, beyond the mean latency of its service,
+// or 0 if that was no longer than usual. It takes up none of its slots meanwhile.
+func (b *Balancer) silence(service string, r Result) time.Duration {
+	mean := time.Duration(b.latencies[service] * float64(time.Second))
+	if r.Latency < partitionedAfter || r.Latency < quietLatencies*mean {
+		return 0
+	}
+	return r.Latency - mean
+}
--- a/internal/coordination/balance/window.go
+++ b/internal/coordination/balance/window.go
@@ -187,8 +187,9 @@
 	}
 }
 
-// recordEnd records the end of a request; inFlight is the number of requests in flight before that.
-func (w *window) recordEnd(r Result, inFlight int, now time.Time) {
+// recordEnd records the end of a request; inFlight is the number of requests in flight before that, and silence for how long
+// the instance was silent. That does not lengthen the pause that follows: a second would become many at each instance.
+func (w *window) recordEnd(r Result, inFlight int, silence time.Duration, now time.Time) {
 	switch {
 	case !w.used:
 		return
@@ -204,6 +205,6 @@
 		w.grownAt = now
 	}
 	if w.size < 1 && inFlight == 1 && !r.Refused {
-		w.nextSend = now.Add(time.Duration(float64(now.Sub(w.busySince)) * (1/w.size - 1)))
+		w.nextSend = now.Add(time.Duration(float64(now.Sub(w.busySince)-silence) * (1/w.size - 1)))
 	}
 }
