Quarantine: an outage of over a minute doesn't age a success

A popular request that a poison request ended three instances beside was sent for a minute after its last success and then held, if all instances were down until then: with three ends in sequence until 100 s after the last one, with four until 500 s.

Cause: whether a success is recent was judged by the present time. Once it was a minute old, all ends counted, also those that came seconds after it and that the poison request explains, though nothing had been learned of the request since.

Now the last counted end must have come within a minute of the success. A request that ends an instance later than that is judged by all its ends, as before. After an outage a request is sent alone, as after a single end, until it succeeds.

TestPopularRequestIsSentAfterALongOutage failed before (held 70 s after the success) and passes. What it may cost: a request that ends instances since less than a minute after a success, all at once or beside another poison request, may be tried alone at each entry once the minute is over, instead of in turns.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -34,7 +34,7 @@
 	// without the wait, a request that came to 8 entries ten times a second was sent up to 18 times
 	// before all of them held it, with it up to 12 times.
 	propagationWait = 500 * time.Millisecond
-	// successWindow is how long a successful answer shows that a request is harmless. Within it,
+	// successWindow is how long a successful answer shows that a request is harmless. If the last end came within it,
 	// only ends that follow one another count, because one event may end many instances that all
 	// run a popular request. It is longer than such an event, and shorter than a rollout of another
 	// release, on which the request may do harm.
@@ -245,7 +245,8 @@
 		}
 	}
 	count := c.Ends
-	if s.recentlySucceeded(c, now) {
+	if !c.LastSuccess.IsZero() && c.LastEnd.Sub(c.LastSuccess) < successWindow {
+		// The time that has passed since the last end doesn't matter: all instances may be down for longer than the window.
 		count = rounds(s.unexplained(d, ends, now))
 	}
 	if count < endsToHold {
