--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -313,3 +313,28 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against holding a popular request because all instances are down for over a minute after a poison request ended
+// them: its success shortly before the ends was no longer recent, so that ends counted which the poison request explains. A
+// request that ended an instance later than a minute after its success is held.
+func TestPopularRequestIsSentAfterALongOutage(t *testing.T) {
+	const popular, poison = 1, 2
+	b := quarantine.New(1)
+	b.Merge(answered(0))
+	for n, instance := range []string{"a", "b", "c"} {
+		b.Merge(end(instance, float64(n+1)))
+		b.Merge(quarantine.InstanceEnded{Digest: digestOf(poison), Incarnation: incarnation(instance), Address: instance, Sent: at(float64(n) + 0.5), At: at(float64(n + 1))})
+	}
+	got := map[string][]bool{}
+	judge := func(when string, now time.Time) {
+		got[when] = []bool{b.Status(digestOf(popular), 8, now).Held, b.Status(digestOf(poison), 8, now).Held}
+	}
+	judge("10 s after the success", at(10))
+	judge("70 s after the success", at(70))
+	b.Merge(end("d", 71))
+	judge("after another end", at(72))
+	want := map[string][]bool{"10 s after the success": {false, true}, "70 s after the success": {false, true}, "after another end": {true, true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
