Callers of tests reserve no port for their connections

Seen: with three test processes of platform/deployment side by side, "dial tcp 127.56.0.206:7804: connect: cannot assign requested address".

Cause: callers come from an address of their own, so their sockets are bound before they connect. The port that bind chooses is reserved until the connection's TIME_WAIT is over, and connect passes over each reserved port, whatever the addresses: callers of all test processes use up the 28232 ports of the machine for everyone.

The kernel now chooses their ports at connect (IP_BIND_ADDRESS_NO_PORT), where a port is shared by connections that differ in any address.

A link that cannot reach its target closes the caller's connection, which resets it if the request has not been read; it now logs why, unless the target does not listen. It is not shown that the ports were used up in the runs that failed.

--- a/internal/system/processes/links.go
+++ b/internal/system/processes/links.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,6 +42,23 @@
 // nobody has to look for who opened them.
 var OutsideIP = net.IPv4(127, 255, 255, 1)
 
+// OutsideDialer returns a dialer of connections from OutsideIP. Their ports are chosen when they connect: one that is chosen when
+// a socket is bound to its address is nobody else's, whatever the destination, until a minute after the connection has ended, and
+// with all ports taken every connect on the machine fails.
+func OutsideDialer() *net.Dialer {
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: OutsideIP}, Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		controlErr := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipBindAddressNoPort, 1) })
+		if controlErr != nil {
+			return errors.Wrap(controlErr, "use the socket")
+		}
+		return errors.Wrap(err, "have connect choose the port")
+	}}
+}
+
+// ipBindAddressNoPort is IP_BIND_ADDRESS_NO_PORT (ip(7)), which package syscall lacks.
+const ipBindAddressNoPort = 24
+
 // NewLinks returns links that carry everything, until the test ends.
 func NewLinks(t *testing.T) *Links {
 	l := &Links{
@@ -49,6 +67,8 @@
 	}
 	l.searcher.pids = l.pids
 	t.Cleanup(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		close(l.closed)
 		t.Log("links: ", l.searcher.summary())
 	})
@@ -233,6 +253,7 @@
 	}
 	out, err := net.Dial("tcp", target)
 	if err != nil {
+		l.logFailed(from, name, err)
 		return
 	}
 	defer out.Close()
@@ -257,6 +278,20 @@
 	}
 }
 
+// logFailed logs why a connection could not be carried on, whose opener then sees a reset, unless its target does not listen.
+func (l *Links) logFailed(from, to string, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+	default:
+		l.t.Logf("no connection from %s to %s: %v", from, to, err)
+	}
+}
+
 // carry copies what one process sends to another.
 func (l *Links) carry(w, r *net.TCPConn, from, to string) {
 	b := make([]byte, 32<<10)
--- a/internal/system/processes/links_test.go
+++ b/internal/system/processes/links_test.go
@@ -122,3 +122,43 @@
 		t.Errorf("%d connections took %d reads, at most %d allowed", connections, read, limit)
 	}
 }
+
+// ipLocalPortRange is IP_LOCAL_PORT_RANGE (ip(7)), which holds the last and the first port that connect may choose.
+const ipLocalPortRange = 51
+
+// Guards against callers that reserve a port for each connection: with all of them reserved, connects of links and processes failed
+// with "cannot assign requested address".
+func TestOutsideConnectionsReserveNoPort(t *testing.T) {
+	var targets []string
+	for range 2 {
+		l, err := net.Listen("tcp", processes.FreeAddress(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		targets = append(targets, l.Addr().String())
+	}
+	outside, err := processes.OutsideDialer().Dial("tcp", targets[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = outside.Close() }()
+	local := outside.LocalAddr().(*net.TCPAddr)
+	if !local.IP.Equal(processes.OutsideIP) {
+		t.Errorf("a connection comes from %v, want %v", local.IP, processes.OutsideIP)
+	}
+	var unknown error
+	samePort := &net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			unknown = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipLocalPortRange, local.Port<<16|local.Port)
+		})
+	}}
+	c, err := samePort.Dial("tcp", targets[1])
+	if unknown != nil {
+		t.Skip("connect cannot be held to a port: ", unknown)
+	}
+	if err != nil {
+		t.Fatal("another connection may not use the port of one from outside: ", err)
+	}
+	_ = c.Close()
+}
