Large fleets are timed on their links, not by the machine's load

Both failed again in one run of the two tests with the race detector (load 14 to 41), and TestRestartOfAllSourcesOfALargeFleet in one at a load of about 75.

Cause: the tests state a time on links of 10 Mbit/s and measured the time of the machine. All their cases, 22 entries and 64 sources, ran side by side in one process. At loads of 75 to 139 it got a quarter of a core: within 20 s sources received 213 polls and no byte crossed the links. By these counts polls ended after their 2 s and were sent again.

The three tests run in bubbles of time now, one after the other, over in-memory connections with the same limit of 10 Mbit/s. The time on the links must be at most twice what the transfer alone takes, without the 5 s for a busy machine and the factor of 4 for the race detector. That time and the processor time of the whole process, divided by the number of entries, must together be within the limit as it was, which is as strict as before on a machine with a processor for each entry. The test's own look at an entry no longer copies all ids every 5 ms. All entries share one deadline; each had its own, one after the other.

--- a/internal/transport/fleet/catch_up_fixture_test.go
+++ b/internal/transport/fleet/catch_up_fixture_test.go
@@ -35,20 +35,19 @@
 func startControlsWithInstances(t *testing.T, n int) []*controlServer {
 	t.Helper()
 	controls := startControls(t, observedControls)
-	for _, c := range controls {
-		c.source.Store(fleet.NewSource(t.Context(), time.Hour, discardLogger))
-	}
-	recordInstances(controls, n)
+	storeInstances(t, controls, n)
 	return controls
 }
 
-// recordInstances records heartbeats of instances at some control instances, in the same order at
-// each.
-func recordInstances(controls []*controlServer, n int) {
+// storeInstances replaces the sources of control instances by ones that know n instances.
+func storeInstances(t *testing.T, controls []*controlServer, n int) {
+	t.Helper()
 	for _, c := range controls {
+		source := fleet.NewSource(t.Context(), time.Hour, discardLogger)
 		for i := range n {
-			c.source.Load().RecordHeartbeat(fleetInstance(i))
+			source.RecordHeartbeat(fleetInstance(i))
 		}
+		c.source.Store(source)
 	}
 }
 
@@ -70,6 +69,8 @@
 	}
 }
 
+func countInstances(f *fleet.Follower) int { return len(f.View().Instances["s"]) }
+
 func countParts(f *fleet.Follower) int {
 	n := 0
 	for _, contents := range f.View().Stores {
@@ -78,9 +79,13 @@
 	return n
 }
 
-// transferTimeout is the time limit for a transfer over an entry's link: twice what the transfer
-// takes alone, plus some seconds for a busy machine. Under the race detector it is CPU time that
-// dominates, so the tests are run without it as well.
+// linkTimeout is the time limit for a transfer over an entry's link: twice what the transfer takes alone.
+func linkTimeout(bytes int) time.Duration {
+	return 2 * time.Duration(bytes) * time.Second / linkRate
+}
+
+// transferTimeout is the time limit for a transfer and its processing, on a processor for each entry. Under the
+// race detector it is processor time that dominates, so the tests are run without it as well.
 func transferTimeout(bytes int) time.Duration {
 	return slowdown * (5*time.Second + 2*time.Duration(bytes/linkRate)*time.Second)
 }
--- a/internal/transport/fleet/catch_up_test.go
+++ b/internal/transport/fleet/catch_up_test.go
@@ -29,18 +29,16 @@
 // An entry that starts must know all instances soon, no matter how many there are, even if all
 // control instances send them over the same slow link and other entries start with it.
 func TestLargeFleetIsKnownOverASlowLink(t *testing.T) {
-	t.Parallel()
 	for _, test := range []struct{ times, entries int }{{1, 1}, {1, 8}, {2, 4}, {10, 1}} {
 		t.Run(fmt.Sprintf("%d instances, %d entries", test.times*fleetSize, test.entries), func(t *testing.T) {
-			t.Parallel()
-			n := test.times * fleetSize
-			controls := startControlsWithInstances(t, n)
-			began := time.Now()
-			followers := startEntries(t, test.entries, controls)
-			for _, f := range followers {
-				await.Until(t, transferTimeout(n*observedControls*reportBytes), "all instances are known", func() bool { return len(liveIDs(f)) == n })
-			}
-			t.Logf("all instances known after %s", time.Since(began))
+			testOnPipes(t, func(t *testing.T, network *pipeNetwork) {
+				n := test.times * fleetSize
+				controls := network.startControls(t, observedControls)
+				storeInstances(t, controls, n)
+				watch := startStopwatch(t)
+				followers := network.startEntries(t, test.entries, controls)
+				watch.awaitTransfer(t, n*observedControls*reportBytes, "all instances are known", followers, func(f *fleet.Follower) bool { return countInstances(f) == n })
+			})
 		})
 	}
 }
@@ -48,30 +46,27 @@
 // An entry that starts must know the instances first, and then all parts of all stores, no matter
 // how many parts there are.
 func TestManyPartsAreKnownOverASlowLink(t *testing.T) {
-	t.Parallel()
 	for _, test := range []struct{ times, entries int }{{1, 1}, {1, 4}, {2, 2}, {10, 1}} {
 		t.Run(fmt.Sprintf("%d parts, %d entries", test.times*partsSize, test.entries), func(t *testing.T) {
-			t.Parallel()
-			controls := startControlsWithInstances(t, fleetSize)
-			n := test.times * partsSize
-			publishStores(controls[0], time.Minute, n)
-			began := time.Now()
-			followers := startEntries(t, test.entries, controls)
-			instances := fleetSize * observedControls * reportBytes
-			for _, f := range followers {
-				await.Until(t, transferTimeout(instances), "all instances are known", func() bool { return len(liveIDs(f)) == fleetSize })
-			}
-			t.Logf("instances known after %s", time.Since(began))
-			for _, f := range followers {
-				await.Until(t, transferTimeout(instances+2*n*partBytes), "all parts are known", func() bool { return countParts(f) == n })
-				for s := range storeCount {
-					want, got := partsOf(s, n/storeCount), f.View().Stores[storeAddress(s)].Parts
-					if !maps.Equal(want, got) {
-						t.Error(cmp.Diff(want, got))
+			testOnPipes(t, func(t *testing.T, network *pipeNetwork) {
+				controls := network.startControls(t, observedControls)
+				storeInstances(t, controls, fleetSize)
+				n := test.times * partsSize
+				publishStores(controls[0], time.Minute, n)
+				watch := startStopwatch(t)
+				followers := network.startEntries(t, test.entries, controls)
+				instances := fleetSize * observedControls * reportBytes
+				watch.awaitTransfer(t, instances, "all instances are known", followers, func(f *fleet.Follower) bool { return countInstances(f) == fleetSize })
+				watch.awaitTransfer(t, instances+2*n*partBytes, "all parts are known", followers, func(f *fleet.Follower) bool { return countParts(f) == n })
+				for _, f := range followers {
+					for s := range storeCount {
+						want, got := partsOf(s, n/storeCount), f.View().Stores[storeAddress(s)].Parts
+						if !maps.Equal(want, got) {
+							t.Error(cmp.Diff(want, got))
+						}
 					}
 				}
-			}
-			t.Logf("parts known after %s", time.Since(began))
+			})
 		})
 	}
 }
@@ -103,16 +98,18 @@
 // followLogged starts an entry that follows the sources at the given addresses.
 func followLogged(t *testing.T, addresses ...string) (*fleet.Follower, *eventCounts) {
 	t.Helper()
+	f, logged := newLoggedFollower(addresses...)
+	runFollower(t, f)
+	return f, logged
+}
+
+// newLoggedFollower returns an entry that follows the sources at the given addresses once it is run.
+func newLoggedFollower(addresses ...string) (*fleet.Follower, *eventCounts) {
 	logged := &eventCounts{}
-	f := &fleet.Follower{
+	return &fleet.Follower{
 		Name: "e", Entry: true, Heartbeat: heartbeat, Log: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: logged}},
 		Seeds: func() []string { return addresses }, Decode: decodeRoutes,
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { f.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return f, logged
+	}, logged
 }
 
 // serveSource serves a source and returns its address. before is called with the number of each
@@ -154,33 +151,35 @@
 // again. Those not sent again must disappear then. One line is logged at the start and one at the
 // end of the catch-up.
 func TestRestartOfAllSourcesOfALargeFleet(t *testing.T) {
-	// Sending n instances takes longer than the grace period of instances that no source reports.
-	const n = 2 * fleetSize
-	controls := startControlsWithInstances(t, n)
-	gone := instance("gone", 1)
-	controls[0].source.Load().RecordHeartbeat(gone)
-	f, logged := followLogged(t, slowLink(t, controls)...)
-	waitFor(t, "all sources are caught up", func() bool { return logged.count("caught_up") == observedControls })
-	if diff := cmp.Diff(n+1, len(liveIDs(f))); diff != "" {
-		t.Error(diff)
-	}
-	next := startControlsWithInstances(t, n)
-	for i, c := range controls {
-		c.source.Store(next[i].source.Load())
-	}
-	waitFor(t, "all sources are caught up again", func() bool {
-		if got := len(liveIDs(f)); got < n {
-			t.Fatalf("only %d instances are known", got)
+	testOnPipes(t, func(t *testing.T, network *pipeNetwork) {
+		// Sending n instances takes longer than the grace period of instances that no source reports.
+		const n = 2 * fleetSize
+		controls := network.startControls(t, observedControls)
+		storeInstances(t, controls, n)
+		gone := instance("gone", 1)
+		controls[0].source.Load().RecordHeartbeat(gone)
+		f, logged := newLoggedFollower(addressesOf(controls)...)
+		f.SetDial(network.slowDial(t.Context()))
+		runFollower(t, f)
+		waitFor(t, "all sources are caught up", func() bool { return logged.count("caught_up") == observedControls })
+		if diff := cmp.Diff(n+1, countInstances(f)); diff != "" {
+			t.Error(diff)
+		}
+		storeInstances(t, controls, n)
+		waitFor(t, "all sources are caught up again", func() bool {
+			if got := countInstances(f); got < n {
+				t.Fatalf("only %d instances are known", got)
+			}
+			return logged.count("caught_up") == 2*observedControls
+		})
+		waitFor(t, "the instance that is not reported again is gone", func() bool { return !slices.Contains(liveIDs(f), gone.ID) })
+		if diff := cmp.Diff(n, countInstances(f)); diff != "" {
+			t.Error(diff)
+		}
+		if diff := cmp.Diff(2*observedControls, logged.count("catching_up")); diff != "" {
+			t.Error(diff)
 		}
-		return logged.count("caught_up") == 2*observedControls
 	})
-	waitFor(t, "the instance that is not reported again is gone", func() bool { return !slices.Contains(liveIDs(f), gone.ID) })
-	if diff := cmp.Diff(n, len(liveIDs(f))); diff != "" {
-		t.Error(diff)
-	}
-	if diff := cmp.Diff(2*observedControls, logged.count("catching_up")); diff != "" {
-		t.Error(diff)
-	}
 }
 
 // removeEveryNth returns the parts without every nth one.
--- a/internal/transport/fleet/fixture_test.go
+++ b/internal/transport/fleet/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -41,10 +42,19 @@
 }
 
 func newControl(t *testing.T) *controlServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newControlAt(t, listener)
+}
+
+func newControlAt(t *testing.T, listener net.Listener) *controlServer {
 	t.Helper()
 	c := &controlServer{t: t}
 	c.restart()
-	c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/ConfigurationPieces") {
 			c.textRequests.Add(1)
 			if c.unresponsive.Load() {
@@ -58,7 +68,9 @@
 			c.polls.Add(1)
 		}
 		wire.NewFleetServer(c.source.Load()).ServeHTTP(w, r)
-	}))
+	})
+	c.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler}}
+	c.server.Start()
 	t.Cleanup(c.server.Close)
 	return c
 }
--- a/internal/transport/fleet/size_test.go
+++ b/internal/transport/fleet/size_test.go
@@ -36,6 +36,8 @@
 const (
 	// linkRate is the rate of an entry's link in bytes per second: 10 Mbit/s.
 	linkRate = 10_000_000 / 8
+	// linkBurst is the number of bytes that a link carries at once.
+	linkBurst = 16 << 10
 	// observedRoutes is the number of routes in that configuration.
 	observedRoutes = 4200
 	// observedEntries and observedControls are the numbers of processes in that deployment.
@@ -49,8 +51,7 @@
 // of linkRate towards the caller.
 func slowLink(t *testing.T, controls []*controlServer) []string {
 	t.Helper()
-	const burst = 16 << 10
-	limit := rate.NewLimiter(linkRate, burst)
+	limit := rate.NewLimiter(linkRate, linkBurst)
 	var addresses []string
 	for _, c := range controls {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,14 +73,20 @@
 	return addresses
 }
 
-// proxy forwards a connection to an address until either side closes it; limit is the rate limit
-// towards the caller.
+// proxy forwards a connection to an address; see forward.
 func proxy(ctx context.Context, caller net.Conn, address string, limit *rate.Limiter) {
-	defer func() { _ = caller.Close() }()
 	source, err := net.Dial("tcp", address)
 	if err != nil {
+		_ = caller.Close()
 		return
 	}
+	forward(ctx, caller, source, limit)
+}
+
+// forward forwards a connection until either side closes it or ctx ends; limit is the rate limit towards the
+// caller.
+func forward(ctx context.Context, caller, source net.Conn, limit *rate.Limiter) {
+	defer func() { _ = caller.Close() }()
 	defer func() { _ = source.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = source.Close() })
 	defer stop()
@@ -144,20 +151,20 @@
 	t.Helper()
 	var followers []*fleet.Follower
 	for i := range n {
-		addresses := slowLink(t, controls)
-		f := &fleet.Follower{
-			Name: fmt.Sprint("e", i), Entry: true, Heartbeat: heartbeat, Log: discardLogger,
-			Seeds: func() []string { return addresses }, Decode: decodeRoutes,
-		}
+		f := newEntry(i, slowLink(t, controls))
+		runFollower(t, f)
 		followers = append(followers, f)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { f.Run(ctx); close(done) }()
-		t.Cleanup(func() { cancel(); <-done })
 	}
 	return followers
 }
 
+func newEntry(i int, addresses []string) *fleet.Follower {
+	return &fleet.Follower{
+		Name: fmt.Sprint("e", i), Entry: true, Heartbeat: heartbeat, Log: discardLogger,
+		Seeds: func() []string { return addresses }, Decode: decodeRoutes,
+	}
+}
+
 func startControls(t *testing.T, n int) []*controlServer {
 	t.Helper()
 	var controls []*controlServer
