Attempts are held in a second silence as in the first

What was seen: TestSilenceOfAllInstancesRefusesNothing/1s on, 1 run on a busy machine: 17 of 300 requests of the third silence (1.002 s) refused, all at one entry, reason=no_path. That entry had lost its path in the second silence and had not found it again 5 s later (8.3 s in all: after losses that follow each other, up to 16 rounds of probes must succeed), while its connections worked.

Cause: attempts are held for 1.2 s from the loss of the path. A later silence on a path that is still lost found that time over, and all were refused at once.

Why this works: the time counts from when the state became Lost, 0.5 s after the last response, if that is later. An entry that is cut off alone, without any response, refuses as before.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -135,6 +135,15 @@
 	return p.since.After(sent) || p.lost && (sent.Before(p.since.Add(afterLoss)) || !p.resumedAt.Before(sent))
 }
 
+// SilentSince returns since when the state of a lost path has been Lost: the loss, or the end of the time in which open connections
+// still worked.
+func (p *Path) SilentSince() time.Time {
+	if until := p.lastResponse.Add(responseWindow); !p.lastResponse.IsZero() && until.After(p.since) {
+		return until
+	}
+	return p.since
+}
+
 // Returning reports whether the last round of probes on a lost path found it open, but not yet often enough for it to
 // be preferred again.
 func (p *Path) Returning() bool { return p.lost && p.goodRounds > 0 }
--- a/internal/transport/detour/hold.go
+++ b/internal/transport/detour/hold.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// holdTime is how long after the loss of a path attempts are held. Sound instances may be silent for a second or
+	// holdTime is how long after the loss of a path, or since its open connections are silent as well, attempts are held. Sound instances may be silent for a second or
 	// so, and the loss is found within the first one.
 	holdTime = 1200 * time.Millisecond
 	// refusalMargin is how long before its deadline a held attempt is refused at the latest, so that the caller learns
@@ -60,7 +60,7 @@
 	if path.Cause() == detour.CauseFailures {
 		return time.Time{}, false
 	}
-	until = path.Since().Add(holdTime)
+	until = path.SilentSince().Add(holdTime)
 	if latest := a.Deadline.Add(-refusalMargin); !a.Deadline.IsZero() && latest.Before(until) {
 		until = latest
 	}
