--- a/internal/transport/detour/silence_test.go
+++ b/internal/transport/detour/silence_test.go
@@ -138,3 +138,26 @@
 		t.Errorf("there is no refusal after %s", time.Since(began))
 	}
 }
+
+// Guards against requests that are refused in a second silence, because the path has not been found again since the first.
+func TestRequestsWaitInASecondSilence(t *testing.T) {
+	const longAfterTheLoss = 1500 * time.Millisecond
+	s := newSilentEntry(t)
+	close(s.answers)
+	<-s.done
+	for began := time.Now(); time.Since(began) < longAfterTheLoss; time.Sleep(10 * time.Millisecond) {
+		s.SendDirect(t.Context(), newAttempt("between", instances[1]))
+	}
+	await.Until(t, patience, "all are silent again", func() bool { return s.State("svc") == coordination.Lost })
+	replied := make(chan exchange.Reply, 1)
+	go func() { replied <- s.Send(t.Context(), newAttempt("second", instances[1])) }()
+	time.Sleep(300 * time.Millisecond)
+	if len(replied) > 0 {
+		t.Errorf("the reply is %#v while all instances are silent", <-replied)
+		return
+	}
+	s.SendDirect(t.Context(), newAttempt("answered", instances[0]))
+	if reply, ok := (<-replied).(exchange.Whole); !ok {
+		t.Errorf("the reply is %#v after one has answered", reply)
+	}
+}
