A silence is no delay of a peer

What was seen, in a unit test: a peer that accepted one attempt after a silence of a second gets 0 of the next 600 attempts, of three peers. It is used again when its state has been dropped, a minute after its last use.

Cause: the silence counts in the average of its delay, 0.2 s then, which only further attempts lower.

Why this works: a peer that leaves an attempt unaccepted for 0.5 s gets no others anyway until it accepts. What takes longer than that is no sample.

--- a/internal/coordination/detour/peers.go
+++ b/internal/coordination/detour/peers.go
@@ -148,12 +148,15 @@
 	s.lastUsed = now
 }
 
-// Accepted records that a peer passes a request on, and how long after it was sent the peer said so.
+// Accepted records that a peer passes a request on, and how long after it was sent the peer said so. A silence is no delay to
+// expect of the next request: a peer that looks slow gets none, and would look so until it is forgotten.
 func (p *Peers) Accepted(address string, delay time.Duration, now time.Time) {
 	s := p.state(address)
 	s.unaccepted--
 	s.waitingSince = now
-	s.delay += time.Duration(delayWeight * float64(delay-s.delay))
+	if delay < unresponsiveAfter {
+		s.delay += time.Duration(delayWeight * float64(delay-s.delay))
+	}
 }
 
 // Declined records that a peer did not pass a request on.
