--- /dev/null
+++ b/internal/transport/loads/silence_test.go
@@ -0,0 +1,58 @@
+package loads_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/loads"
+
+	"github.com/shedrock/shedrock/internal/coordination/balance"
+)
+
+// Guards against a flood of the first engines that the leader hears after a silence that all shared: entries prefer engines
+// whose load is known.
+func TestLoadsAreNotPublishedInPartAfterASilence(t *testing.T) {
+	for _, engineCount := range []int{9, 110, 300, 970} {
+		t.Run(fmt.Sprint(engineCount), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clocktest.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				e := &engines{loads: map[string]balance.EngineLoad{}}
+				var silent atomic.Bool
+				e.unresponsive = func(string) bool { return silent.Load() }
+				w := &loads.Poller{
+					View: viewOfMany(e, engineCount), Leading: func() (uint64, bool) { return 1, true },
+					Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Log: quiet,
+				}
+				go w.Run(ctx)
+				time.Sleep(5 * time.Second)
+				silent.Store(true)
+				time.Sleep(1500 * time.Millisecond)
+				silent.Store(false)
+				partly := time.Duration(0)
+				for range 600 {
+					time.Sleep(50 * time.Millisecond)
+					out, err := w.Source.Watch(ctx, &wire.FleetRequest{Entry: true})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if n := len(out.NewEngines); n > 0 && 2*n < engineCount {
+						partly += 50 * time.Millisecond
+					}
+				}
+				if partly > 0 {
+					t.Errorf("after a silence of all %d engines, the loads of under half of them are published for %s", engineCount, partly)
+				}
+			})
+		})
+	}
+}
