--- a/internal/transport/detour/hold.go
+++ b/internal/transport/detour/hold.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// holdTime is how long after the loss of a path, or since its open connections are silent as well, attempts are held. Sound instances may be silent for a second or
-	// so, and the loss is found within the first one.
+	// holdTime is how long attempts are held after the loss of a path, or from when the open connections of a lost one are
+	// silent as well. Sound instances may be silent for a second or so, and the loss is found within the first one.
 	holdTime = 1200 * time.Millisecond
 	// refusalMargin is how long before its deadline a held attempt is refused at the latest, so that the caller learns
 	// that it was not sent.
