The start with a large configuration is timed on the links

Again on this code at loads of 48 to 96: 15.8 s with 56 entries (11.3 s with GOMAXPROCS=2), and not within 20 s with 112.

Cause: 56 or 112 entries and their sources share one process, and the time that the machine took was held against the 2.5 s that a change may take. In the bubble of time the same transfers take 0.06 s, 0.125 s and 0.655 s on the links, so what was over is processing, at the share that the process got.

The time on the links must be within 2.5 s now, with the race detector as well, which allowed 10 s. That time and the processor time of the process, spread over the 8 processors of docs/CAPACITY.md, must together be within the limit as it was: on such a machine the old check could not pass with more processor time.

--- a/internal/transport/fleet/pipe_network_test.go
+++ b/internal/transport/fleet/pipe_network_test.go
@@ -103,6 +103,12 @@
 	w.await(t, linkTimeout(bytes), transferTimeout(bytes), what, followers, ok)
 }
 
+// awaitInForce fails unless a version comes in force at all followers in time after the start.
+func (w stopwatch) awaitInForce(t *testing.T, followers []*fleet.Follower, version uint64) {
+	t.Helper()
+	w.await(t, inForceOnLinksWithin, inForceWithin, fmt.Sprintf("version %d is in force", version), followers, func(f *fleet.Follower) bool { return isInForce(f, version) })
+}
+
 // pipeAddress is the address of a pipeListener.
 type pipeAddress string
 
