Comments of the mends in the usual terms; counts of suspected requests beside their metrics

No change of logic: make check, packages ends and layers and the tests of silences in balance and detour pass.

--- a/internal/coordination/balance/pick.go
+++ b/internal/coordination/balance/pick.go
@@ -67,8 +67,8 @@
 
 	// fragility is that of the service, and nil if it has no refusal limits.
 	fragility *fragility
-	// lastSign is when any available instance last gave a sign of life, and now unless several are silent and no other
-	// is available.
+	// lastSign is when any available instance was last active, and now unless several are silent and no other is
+	// available.
 	lastSign time.Time
 }
 
--- a/internal/coordination/balance/silence.go
+++ b/internal/coordination/balance/silence.go
@@ -9,7 +9,7 @@
 // one's.
 const minCommon = 2
 
-// lastSign returns when any candidate last gave a sign of life: when the last of them fell silent, or now if one is
+// lastSign returns when any candidate was last active: when the last of them fell silent, or now if one is
 // idle or responds, or fewer than minCommon are silent. Candidates that are not available do not count.
 func (set *candidateSet) lastSign(info PickInfo, now time.Time) time.Time {
 	var last time.Time
--- a/internal/coordination/balance/silence_test.go
+++ b/internal/coordination/balance/silence_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against a flood of the instance that was asked last, when all instances fall silent at once.
+// Guards against overload of the instance that was sent its first request last, when all instances fall silent at once.
 func TestCommonSilenceIsNoReasonToAvoidInstances(t *testing.T) {
 	counts := spreadInSilence(balance.New(1), instances(4), 300*time.Millisecond)
 	checkShares(t, counts)
@@ -48,7 +48,7 @@
 	}
 }
 
-// Guards against a flood of the only instance of a failure domain, when the instances of all domains fall silent at once.
+// Guards against overload of the only instance of a failure domain, when the instances of all domains fall silent at once.
 func TestCommonSilenceIsNoReasonToAvoidDomains(t *testing.T) {
 	b := balance.New(1)
 	in := instances(4)
--- a/internal/coordination/balance/silence_unusable_test.go
+++ b/internal/coordination/balance/silence_unusable_test.go
@@ -8,7 +8,7 @@
 	"github.com/shedrock/shedrock/internal/state/registry"
 )
 
-// Guards against a flood of the only instance of a failure domain, when all fall silent at once that a request may be sent
+// Guards against overload of the only instance of a failure domain, when all fall silent at once that a request may be sent
 // to, and another one is idle because it gets none.
 func TestIdleInstanceThatGetsNoRequestsIsNoSign(t *testing.T) {
 	const idle = "i4"
@@ -43,7 +43,7 @@
 	}
 }
 
-// Guards against a flood of the instances that were idle when all of many fell silent, and were asked last.
+// Guards against overload of the instances that were idle when all of many fell silent, and got their first request last.
 func TestCommonSilenceOfManyInstances(t *testing.T) {
 	const fleetSize, perSecond = 40, 50
 	b := balance.New(1)
--- a/internal/coordination/detour/peers.go
+++ b/internal/coordination/detour/peers.go
@@ -149,7 +149,7 @@
 }
 
 // Accepted records that a peer passes a request on, and how long after it was sent the peer said so. A silence is no delay to
-// expect of the next request: a peer that looks slow gets none, and would look so until it is forgotten.
+// expect of the next request: a peer with a long delay gets none, so its delay would stay until its state is dropped.
 func (p *Peers) Accepted(address string, delay time.Duration, now time.Time) {
 	s := p.state(address)
 	s.unaccepted--
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -378,15 +378,6 @@
 	return out
 }
 
-// counts returns the numbers of suspected and of held requests.
-func (t *Tracker) counts() (suspected, held int) {
-	t.init()
-	entries := t.Entries()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.factSet.Counts(entries, clock.Now())
-}
-
 func (t *Tracker) sweep(now time.Time) {
 	entries := t.Entries()
 	t.mu.Lock()
--- a/internal/transport/ends/metrics.go
+++ b/internal/transport/ends/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/shedrock/shedrock/internal/clock"
 	"github.com/shedrock/shedrock/internal/coordination/quarantine"
 )
 
@@ -65,3 +66,12 @@
 		gauge("shedrock_requests_held", "Requests that are not sent, because instances ended under them.", func(_, held int) int { return held }),
 	}
 }
+
+// counts returns the numbers of suspected and of held requests.
+func (t *Tracker) counts() (suspected, held int) {
+	t.init()
+	entries := t.Entries()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.factSet.Counts(entries, clock.Now())
+}
--- a/internal/transport/fleet/pipe_network_test.go
+++ b/internal/transport/fleet/pipe_network_test.go
@@ -27,8 +27,8 @@
 	listeners map[string]*pipeListener
 }
 
-// testOnPipes runs a test in a bubble of time. There a transfer takes the time of the simulated links, however
-// busy the machine is, and the processing takes none.
+// testOnPipes runs a test in a synctest bubble, whose clock is simulated: a transfer takes the time of the simulated
+// links, however busy the machine is, and the processing takes none.
 func testOnPipes(t *testing.T, test func(*testing.T, *pipeNetwork)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/loads/silence_test.go
+++ b/internal/transport/loads/silence_test.go
@@ -16,7 +16,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 )
 
-// Guards against a flood of the first engines that the leader hears after a silence that all shared: entries prefer engines
+// Guards against overload of the first engines that respond to the leader after a silence of all: entries prefer engines
 // whose load is known.
 func TestLoadsAreNotPublishedInPartAfterASilence(t *testing.T) {
 	for _, engineCount := range []int{9, 110, 300, 970} {
--- a/internal/transport/serving/delayed_test.go
+++ b/internal/transport/serving/delayed_test.go
@@ -35,7 +35,7 @@
 	return exchange.Whole{Head: exchange.Head{Status: 200, Condition: exchange.Condition{Limit: exchange.NoLimit{}}}}
 }
 
-// Guards against an instance that gets no requests for seconds after a silence that all shared, as if it were slow.
+// Guards against an instance that gets no requests for seconds after a silence of all instances, as if it were slow.
 func TestLostPathDoesNotCountAsLatency(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clocktest.New(t)
