Canceled attempts do not count as responses of an instance

While callers left one after another, an entry to which nothing responded took its path for open, so that requests were not sent through another entry.

Cause: an attempt that is canceled has its connection closed by this process, which is neither a timeout nor an end by the other side; the watch of the path took what remains for a response, and counted the silence anew from it.

A canceled attempt without a response is no evidence now, neither of a response nor of a failure.

TestCanceledAttemptsDoNotKeepALostPathOpen failed before (not lost within 20 s) and passes now, three of three.

--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -215,9 +215,11 @@
 	defer u.mu.Unlock()
 	path.End()
 	switch {
+	case ctx.Err() != nil && !isResponse(reply):
+		// A canceled attempt says nothing about the instance.
 	case !gotNothing(reply):
 		u.responded(path, target)
-	case ctx.Err() == nil:
+	default:
 		path.Failed(target, clock.Now())
 		u.watch()
 	}
@@ -233,6 +235,15 @@
 	return reply
 }
 
+// isResponse reports whether a reply is a response of the instance, complete or begun.
+func isResponse(reply exchange.Reply) bool {
+	switch reply.(type) {
+	case exchange.Whole, exchange.Stream, exchange.NotRun:
+		return true
+	}
+	return false
+}
+
 // gotNothing reports whether no byte of a response arrived for an attempt.
 func gotNothing(reply exchange.Reply) bool {
 	switch reply := reply.(type) {
