What failed on a lost path until a peer was known is not held against the instances

Cause: what an entry holds against the instances is dropped when the path is lost. Without a peer, attempts go on directly, fail on the lost path, and have the instances avoided once more; nothing dropped that when a peer became known.

The paths' watch now reports the loss again when the first peer is known.

TestFailuresUntilTheFirstPeerIsKnownAreForgotten failed before and passes now.

--- a/internal/coordination/detour/path.go
+++ b/internal/coordination/detour/path.go
@@ -128,6 +128,9 @@
 	return Open
 }
 
+// IsLost reports whether new connections fail, whether or not open ones work.
+func (p *Path) IsLost() bool { return p.lost }
+
 // Delayed reports whether a lost path may have delayed the response to a request that was sent at a time: the path was lost
 // or found since, or the request was sent less than the given time after the loss, or nothing arrived meanwhile on the
 // connections that are open.
--- a/internal/transport/detour/evidence_test.go
+++ b/internal/transport/detour/evidence_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/await"
 	coordination "github.com/shedrock/shedrock/internal/coordination/detour"
 	"github.com/shedrock/shedrock/internal/protocol/exchange"
 	"github.com/shedrock/shedrock/internal/state/registry"
+	"github.com/shedrock/shedrock/internal/transport/detour"
 )
 
 // Guards against canceled attempts that count as responses: while callers left one after another, an entry without any response
@@ -37,3 +40,33 @@
 	}
 	await.Until(t, patience, "the entry knows that its path is lost", func() bool { return e.State("svc") == coordination.Lost })
 }
+
+// Guards against failures on a lost path that are held against the instances although a peer reaches them: an entry that met its
+// peers after the loss refused prompts for seconds.
+func TestFailuresUntilTheFirstPeerIsKnownAreForgotten(t *testing.T) {
+	peer := newEntry(t, answered)
+	var known atomic.Bool
+	var forgotten atomic.Int64
+	direct := &fakeDirect{reply: answered}
+	direct.setCut(true)
+	u := &detour.Upstreams{
+		Name: "e", FailureDomain: "d1", Direct: direct, Metrics: detour.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel},
+		Instances: func(string) []registry.Instance { return instances },
+		Peers: func() []coordination.Peer {
+			if !known.Load() {
+				return nil
+			}
+			return []coordination.Peer{{Address: peer.address, FailureDomain: "d1"}}
+		},
+		OnLost: func(string) { forgotten.Add(1) },
+	}
+	go u.Run(t.Context())
+	await.Until(t, patience, "the entry knows that its path is lost", func() bool {
+		for _, in := range instances {
+			u.Send(t.Context(), newAttempt("lost", in))
+		}
+		return forgotten.Load() == 1
+	})
+	known.Store(true)
+	await.Until(t, patience, "what failed until the peer was known is forgotten", func() bool { return forgotten.Load() == 2 })
+}
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -54,8 +54,8 @@
 	Instances func(service string) []registry.Instance
 	// Peers returns the entries that may be known to have a path. Without any, or if it is nil, all is sent directly.
 	Peers func() []detour.Peer
-	// OnLost, when set, is called when the direct path to a service has been lost: failures of before were not those
-	// of its instances.
+	// OnLost, when set, is called when the direct path to a service has been lost, and when a peer is known for the first time
+	// while it is lost: failures of before were not those of its instances.
 	OnLost  func(service string)
 	Metrics *Metrics
 	// Log receives one line per change of a direct path.
@@ -72,6 +72,8 @@
 	paths  map[string]*detour.Path
 	peers  *detour.Peers
 	random *rand.Rand
+	// knewPeers is true if a peer was known when the paths were last checked.
+	knewPeers bool
 	// answered is closed and replaced when an instance responds on a path that is lost.
 	answered chan struct{}
 }
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -53,6 +53,7 @@
 
 // check starts the rounds of probes that are due. It reports whether any path needs to be checked again.
 func (u *Upstreams) check(ctx context.Context) (active bool) {
+	u.checkPeers()
 	u.mu.Lock()
 	services := make([]string, 0, len(u.paths))
 	for service := range u.paths {
@@ -81,6 +82,28 @@
 	return active
 }
 
+// checkPeers calls OnLost for each lost path if a peer is known that was not when the paths were last checked: while there was none,
+// attempts failed on the lost paths.
+func (u *Upstreams) checkPeers() {
+	knowsPeers := len(u.knownPeers()) > 0
+	u.mu.Lock()
+	first := knowsPeers && !u.knewPeers
+	u.knewPeers = knowsPeers
+	var lost []string
+	for service, path := range u.paths {
+		if first && path.IsLost() {
+			lost = append(lost, service)
+		}
+	}
+	u.mu.Unlock()
+	if u.OnLost == nil {
+		return
+	}
+	for _, service := range lost {
+		u.OnLost(service)
+	}
+}
+
 // probe makes a round of probes, and a second one at once if the first leaves the path undecided.
 func (u *Upstreams) probe(ctx context.Context, service string, path *detour.Path, targets []registry.Instance) {
 	for len(targets) > 0 {
