The leader publishes no loads while engines recover from a silence

After a silence of all engines, the leader published the loads of the first that responded to its polls, for 0.6 s with 110 engines and 1.3 s with 300. Entries prefer engines whose load is known, so all of them sent to these few.

Cause: a new leader publishes nothing until it has polled all engines once, but the same state after a silence was not recognized: unresponsive engines are polled sixteen a round, and each round published what was known.

While under half of the engines are known after most of them were unresponsive, none are published, until half respond or until no more have responded for 1.2 s: an outage of most engines lasts, and those that remain are then published.

--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -42,6 +42,9 @@
 	// how many of them in one round: a poll of an unresponsive engine takes a second to time out.
 	unresponsiveInterval = time.Second
 	maxUnresponsivePolls = 16
+	// recoveryTimeout is how long after the last engine has responded again the loads of under half of them are published after all.
+	// Each unresponsive engine is due within it, unless there are very many.
+	recoveryTimeout = unresponsiveInterval + pollInterval
 	// followerInterval is the interval between checks for leadership while another replica leads.
 	followerInterval = 250 * time.Millisecond
 )
@@ -86,6 +89,9 @@
 	loads map[registry.Incarnation]balance.EngineLoad
 	// unresponsive holds when each unresponsive engine was last polled.
 	unresponsive map[registry.Incarnation]time.Time
+
+	// recovery is used by the goroutine of Run alone.
+	recovery recovery
 }
 
 // Run polls until ctx ends.
@@ -101,8 +107,7 @@
 			pause(ctx, followerInterval)
 			continue
 		}
-		p.pollRound(ctx, complete)
-		complete = true
+		complete = p.pollRound(ctx, complete)
 	}
 }
 
@@ -113,9 +118,11 @@
 
 // pollRound polls all engines once, in batches that are spread over the polling interval, so that the
 // number of connections in use does not grow with the number of engines. It publishes the loads at the
-// end and, if publishBatches is set, after each batch.
-func (p *Poller) pollRound(ctx context.Context, publishBatches bool) {
-	responsive, due := p.partition(enginesOf(p.View()), clock.Now())
+// end and, if publishBatches is set, after each batch. It reports whether it has published them.
+func (p *Poller) pollRound(ctx context.Context, publishBatches bool) (published bool) {
+	engines := enginesOf(p.View())
+	responsive, due := p.partition(engines, clock.Now())
+	p.recovery.update(len(responsive), len(engines), clock.Now())
 	for _, in := range due {
 		// If it responds, it is recorded as responsive, and the next round polls it with the others.
 		p.polls.Go(func() { _, _ = p.usage(ctx, in, unresponsiveInterval) })
@@ -129,13 +136,14 @@
 		next := began.Add(interval / time.Duration(batches))
 		p.pollBatch(ctx, batch, slots, interval, next)
 		if !p.leads() {
-			return
+			return false
 		}
 		if publishBatches || n == batches-1 {
-			p.publish(interval)
+			published = p.publish(len(engines), interval)
 		}
 		pause(ctx, clock.Until(next))
 	}
+	return published
 }
 
 // pollBatch polls some engines and waits for them, but not beyond the given time.
@@ -166,11 +174,17 @@
 	}
 }
 
-// publish publishes the loads that are known.
-func (p *Poller) publish(interval time.Duration) {
+// publish publishes the loads that are known, or none while engines recover from a silence. It reports whether it has published
+// them.
+func (p *Poller) publish(engines int, interval time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.recovery.withholds(len(p.loads), engines) {
+		p.Source.PublishLoads(nil, 0)
+		return false
+	}
 	p.Source.PublishLoads(p.loads, interval)
+	return true
 }
 
 // informDecider passes the result of one poll on.
--- a/internal/transport/loads/silence_test.go
+++ b/internal/transport/loads/silence_test.go
@@ -19,7 +19,7 @@
 // Guards against overload of the first engines that respond to the leader after a silence of all: entries prefer engines
 // whose load is known.
 func TestLoadsAreNotPublishedInPartAfterASilence(t *testing.T) {
-	for _, engineCount := range []int{9, 110, 300, 970} {
+	for _, engineCount := range []int{9, 50, 110, 300, 970} {
 		t.Run(fmt.Sprint(engineCount), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				clocktest.New(t)
