Failures on a lost path are not held against engines once the path is back

After all entries of the product's front had lost the path to an engine for some seconds, callers got 503 "not run" for as long again after the path was back, up to 30 s: the time for which an entry avoids an engine doubles with each failure.

Cause: an attempt for which no entry had a path counted as a failure of the engine, as did those that a single entry sent on the lost path. What an entry holds against engines was dropped when the path was lost, but not when it was found again.

An attempt without a path is no evidence now, as it is none on the platform's front already, and failures are dropped in both cases. OnLost is OnChanged.

TestEngineIsUsedSoonAfterItsPathReturns, with one and with two entries: all ten prompts refused 3 s after a cut of 8 s before, served now.

--- a/internal/system/cut_entry_test.go
+++ b/internal/system/cut_entry_test.go
@@ -77,3 +77,40 @@
 		})
 	}
 }
+
+// Guards against engines that are avoided for up to 30 s after all entries had lost the path to them: what failed meanwhile was
+// held against the engines.
+func TestEngineIsUsedSoonAfterItsPathReturns(t *testing.T) {
+	// cutFor is long enough for avoidance times, which double, to outlast cutContact.
+	const engine, cutFor = "engine", 8 * time.Second
+	for _, entries := range []int{1, 2} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			links := processes.NewLinks(t)
+			f := startFleet(t, startGroup(t, 3, links), entries)
+			front := processes.FreeAddress(t)
+			links.Forward(engine, front, f.engine)
+			f.apply("upstreams", 2, "upstreams:\n  - {name: u1, address: "+quote(front)+", failure_domain: d1, model: demo, slots: 8, prefill_tokens_per_second: 8000, link_bytes_per_second: 1e9}\n")
+			eventually(t, "the entry serves", func() bool {
+				revision, _, ok := f.applied("e1")
+				outcome, _ := f.prompt(0)
+				return ok && revision == 5 && outcome == "ran"
+			})
+			for i := range entries {
+				links.Refuse([]string{entryName(i)}, []string{engine})
+				links.ResetBetween(entryName(i), engine)
+			}
+			f.callPatience = time.Second
+			for began := time.Now(); time.Since(began) < cutFor; time.Sleep(20 * time.Millisecond) {
+				f.prompt(0)
+			}
+			links.Heal()
+			f.callPatience = patience
+			time.Sleep(cutContact)
+			for n := range 10 {
+				if outcome, status := f.prompt(0); outcome != "ran" || status != http.StatusOK {
+					t.Errorf("prompt %d: %q %d", n, outcome, status)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/detour/evidence_test.go
+++ b/internal/transport/detour/evidence_test.go
@@ -58,7 +58,7 @@
 			}
 			return []coordination.Peer{{Address: peer.address, FailureDomain: "d1"}}
 		},
-		OnLost: func(string) { forgotten.Add(1) },
+		OnChanged: func(string) { forgotten.Add(1) },
 	}
 	go u.Run(t.Context())
 	await.Until(t, patience, "the entry knows that its path is lost", func() bool {
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -54,10 +54,10 @@
 	Instances func(service string) []registry.Instance
 	// Peers returns the entries that may be known to have a path. Without any, or if it is nil, all is sent directly.
 	Peers func() []detour.Peer
-	// OnLost, when set, is called when the direct path to a service has been lost, and when a peer is known for the first time
+	// OnChanged, when set, is called when the direct path to a service has been lost or restored, and when a first peer is known
 	// while it is lost: failures of before were not those of its instances.
-	OnLost  func(service string)
-	Metrics *Metrics
+	OnChanged func(service string)
+	Metrics   *Metrics
 	// Log receives one line per change of a direct path.
 	Log *log.Logger
 
--- a/internal/transport/detour/watch.go
+++ b/internal/transport/detour/watch.go
@@ -82,7 +82,7 @@
 	return active
 }
 
-// checkPeers calls OnLost for each lost path if a peer is known that was not when the paths were last checked: while there was none,
+// checkPeers calls OnChanged for each lost path if a peer is known that was not when the paths were last checked: while there was none,
 // attempts failed on the lost paths.
 func (u *Upstreams) checkPeers() {
 	knowsPeers := len(u.knownPeers()) > 0
@@ -96,11 +96,11 @@
 		}
 	}
 	u.mu.Unlock()
-	if u.OnLost == nil {
+	if u.OnChanged == nil {
 		return
 	}
 	for _, service := range lost {
-		u.OnLost(service)
+		u.OnChanged(service)
 	}
 }
 
@@ -108,8 +108,8 @@
 func (u *Upstreams) probe(ctx context.Context, service string, path *detour.Path, targets []registry.Instance) {
 	for len(targets) > 0 {
 		succeeded := u.probeEach(ctx, service, targets)
-		if u.probed(service, path, succeeded, len(targets)) && u.OnLost != nil {
-			u.OnLost(service)
+		if u.probed(service, path, succeeded, len(targets)) && u.OnChanged != nil {
+			u.OnChanged(service)
 		}
 		targets = u.secondRound(service, path)
 	}
@@ -146,13 +146,13 @@
 	return detour.ProbeTargets(path, instances, u.random)
 }
 
-// probed records the result of a round of probes. It reports whether the path was lost by it.
-func (u *Upstreams) probed(service string, path *detour.Path, succeeded, probed int) (lost bool) {
+// probed records the result of a round of probes. It reports whether the path was lost or restored by it.
+func (u *Upstreams) probed(service string, path *detour.Path, succeeded, probed int) (changed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := clock.Now()
 	before, since, failing := path.State(now), path.Since(), path.Failures()
-	changed := path.Probed(succeeded, now)
+	changed = path.Probed(succeeded, now)
 	state := path.State(now)
 	u.Metrics.setState(service, state)
 	if path.Returning() || state == detour.Open {
@@ -168,11 +168,10 @@
 			}
 		}
 		u.logFailedRound("path_lost", service, path, failing, probed)
-		return true
 	case succeeded == 0 && before == detour.Suspected:
 		u.logFailedRound("path_kept", service, path, failing, probed)
 	}
-	return false
+	return changed
 }
 
 // logFailedRound logs what follows from a round of probes without a success. failing is the number of instances at which
--- a/internal/transport/entry/detours.go
+++ b/internal/transport/entry/detours.go
@@ -23,7 +23,7 @@
 	e.detours = &detour.Upstreams{
 		Name: e.Name, FailureDomain: e.FailureDomain, Direct: e.upstreams, Instances: e.declaredInstances, Metrics: detour.NewMetrics(), Log: e.Log,
 	}
-	e.detours.OnLost = e.forgetFailures
+	e.detours.OnChanged = e.forgetFailures
 	if e.Peers != nil {
 		e.detours.Peers = e.Peers.Sample
 		forwarder := &detour.Forwarder{
@@ -83,7 +83,7 @@
 	return reply
 }
 
-// forgetFailures drops what this entry holds against the upstreams of a model to which it has lost its direct path.
+// forgetFailures drops what this entry holds against the upstreams of a model, whose direct path it has lost or found again.
 func (e *Entry) forgetFailures(group string) {
 	model, ok := strings.CutPrefix(group, modelGroup)
 	if !ok {
--- a/internal/transport/entry/run.go
+++ b/internal/transport/entry/run.go
@@ -174,10 +174,14 @@
 	step := j.retry.Next(end, j.request.Streamed, e.budget)
 	u := e.planner.Upstream(j.plan.Upstream)
 	now := clock.Now()
-	switch end.(type) {
+	switch end := end.(type) {
 	case retry.Completed:
 		u.NoteSuccess()
-	case retry.Unreached, retry.Broken:
+	case retry.Unreached:
+		if !end.NoPath {
+			u.NoteFailure(now)
+		}
+	case retry.Broken:
 		u.NoteFailure(now)
 	}
 	_, resumed := step.(retry.Resume)
