Failures during an ejection do not prolong it

Cause: each run that broke counted, and each failure beyond the third doubled the ejection that was in force already, though all of these runs had been sent before it.

Failures during an ejection are not counted now.

TestFailuresDuringAnEjectionDoNotProlongIt failed before with 6, 8 and 20 failures.

--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -132,8 +132,12 @@
 	}
 }
 
-// NoteFailure counts a failure, and ejects the upstream after ejectAfterFailures consecutive ones.
+// NoteFailure counts a failure, and ejects the upstream after ejectAfterFailures consecutive ones. One during an ejection is of a run
+// that was sent before it.
 func (u *Upstream) NoteFailure(now time.Time) {
+	if u.ejections > 0 && now.Before(u.ejectedUntil) {
+		return
+	}
 	u.failures++
 	if u.failures < ejectAfterFailures {
 		return
