Engines of one service that recover withhold no loads of another's

Loads of one service were published in part after a silence of its engines beside sound ones of another, and withheld for 2.9 s when many engines of another joined that did not listen yet.

Each service recovers by itself now.

TestRecoveryOfOneServiceConcernsNoOther failed before (loads of 76 engines published, 60 sound ones and 16 of 40 that recovered), and passes now, as does TestLoadsAreNotPublishedInPartAfterASilence.

--- a/internal/transport/loads/loads.go
+++ b/internal/transport/loads/loads.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,8 +92,8 @@
 	// unresponsive holds when each unresponsive engine was last polled.
 	unresponsive map[registry.Incarnation]time.Time
 
-	// recovery is used by the goroutine of Run alone.
-	recovery recovery
+	// recoveries holds the recovery of the engines of each service. It is used by the goroutine of Run alone.
+	recoveries map[string]*recovery
 }
 
 // Run polls until ctx ends.
@@ -122,7 +124,7 @@
 func (p *Poller) pollRound(ctx context.Context, publishBatches bool) (published bool) {
 	engines := enginesOf(p.View())
 	responsive, due := p.partition(engines, clock.Now())
-	p.recovery.update(len(responsive), len(engines), clock.Now())
+	p.updateRecoveries(engines, responsive, clock.Now())
 	for _, in := range due {
 		// If it responds, it is recorded as responsive, and the next round polls it with the others.
 		p.polls.Go(func() { _, _ = p.usage(ctx, in, unresponsiveInterval) })
@@ -139,7 +141,7 @@
 			return false
 		}
 		if publishBatches || n == batches-1 {
-			published = p.publish(len(engines), interval)
+			published = p.publish(engines, interval)
 		}
 		pause(ctx, clock.Until(next))
 	}
@@ -174,17 +176,54 @@
 	}
 }
 
-// publish publishes the loads that are known, or none while engines recover from a silence. It reports whether it has published
-// them.
-func (p *Poller) publish(engines int, interval time.Duration) bool {
+// updateRecoveries records how many engines of each service are responsive before a round.
+func (p *Poller) updateRecoveries(engines, responsive []registry.Instance, now time.Time) {
+	counts := countByService(responsive)
+	updated := map[string]*recovery{}
+	for service, total := range countByService(engines) {
+		r := p.recoveries[service]
+		if r == nil {
+			r = &recovery{}
+		}
+		r.update(counts[service], total, now)
+		updated[service] = r
+	}
+	p.recoveries = updated
+}
+
+// publish publishes the loads that are known, but for those of services whose engines recover from a silence. It reports whether
+// there is no such service.
+func (p *Poller) publish(engines []registry.Instance, interval time.Duration) (complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.recovery.withholds(len(p.loads), engines) {
-		p.Source.PublishLoads(nil, 0)
-		return false
+	isKnown := func(in registry.Instance) bool {
+		_, ok := p.loads[in.Incarnation()]
+		return ok
+	}
+	known := countByService(slices.DeleteFunc(slices.Clone(engines), func(in registry.Instance) bool { return !isKnown(in) }))
+	withheld := map[string]bool{}
+	for service, total := range countByService(engines) {
+		if r := p.recoveries[service]; r != nil && r.withholds(known[service], total) {
+			withheld[service] = true
+		}
+	}
+	loads := maps.Clone(p.loads)
+	for _, in := range engines {
+		if withheld[in.Service] {
+			delete(loads, in.Incarnation())
+		}
+	}
+	p.Source.PublishLoads(loads, interval)
+	return len(withheld) == 0
+}
+
+// countByService counts instances by their services.
+func countByService(instances []registry.Instance) map[string]int {
+	counts := map[string]int{}
+	for _, in := range instances {
+		counts[in.Service]++
 	}
-	p.Source.PublishLoads(p.loads, interval)
-	return true
+	return counts
 }
 
 // informDecider passes the result of one poll on.
--- a/internal/transport/loads/recovery.go
+++ b/internal/transport/loads/recovery.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// recovery tells when engines respond one after another after most of them have been unresponsive at the same time. Entries prefer
+// recovery tells when the engines of a service respond one after another after most of them have been unresponsive. Entries prefer
 // engines whose load is known, so the loads of the first few would have all entries send to these.
 type recovery struct {
 	// responsive is how many engines responded before the last round, and few whether that was under half of them.
--- a/internal/transport/loads/silence_test.go
+++ b/internal/transport/loads/silence_test.go
@@ -9,11 +9,12 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
+	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
+	"github.com/shedrock/shedrock/internal/state/deployment"
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/loads"
-
-	"github.com/shedrock/shedrock/internal/coordination/balance"
 )
 
 // Guards against overload of the first engines that respond to the leader after a silence of all: entries prefer engines
@@ -56,3 +57,48 @@
 		})
 	}
 }
+
+// Guards against loads of one service that are withheld, or published in part, for the engines of another.
+func TestRecoveryOfOneServiceConcernsNoOther(t *testing.T) {
+	const sound, recovering = 60, 40
+	synctest.Test(t, func(t *testing.T) {
+		clocktest.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		e := &engines{loads: map[string]balance.EngineLoad{}}
+		view := &fleet.View{
+			Config: &deployment.Config{Services: map[string]deployment.Service{"a": {Engine: &deployment.Engine{}}, "b": {Engine: &deployment.Engine{}}}}, Instances: map[string][]registry.Instance{},
+		}
+		for service, count := range map[string]int{"a": sound, "b": recovering} {
+			for n := range count {
+				id := fmt.Sprint(service, n)
+				e.loads[id] = balance.EngineLoad{}
+				view.Instances[service] = append(view.Instances[service], registry.Instance{ID: id, Service: service})
+			}
+		}
+		var silent atomic.Bool
+		e.unresponsive = func(id string) bool { return id[0] == 'b' && silent.Load() }
+		w := &loads.Poller{
+			View: func() *fleet.View { return view }, Leading: func() (uint64, bool) { return 1, true },
+			Engines: e, Source: fleet.NewSource(ctx, time.Second, quiet), Log: quiet,
+		}
+		go w.Run(ctx)
+		time.Sleep(5 * time.Second)
+		silent.Store(true)
+		for n := range 200 {
+			if n == 30 {
+				silent.Store(false)
+			}
+			time.Sleep(50 * time.Millisecond)
+			out, err := w.Source.Watch(ctx, &wire.FleetRequest{Entry: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			known := len(out.NewEngines)
+			if known < sound || n >= 30 && known > sound && 2*(known-sound) < recovering {
+				t.Errorf("after %d ms the loads of %d engines are published", 50*n, known)
+			}
+		}
+	})
+}
