Connections that the network gives up are no responses

While attempts ended with "no route to host", "network is unreachable" or "software caused connection abort", an entry took its path for open, so that requests were not sent through another entry. Found by the review.

Cause: what was neither a timeout nor an end by the other side counted as a response of the instance.

TestUnreachableNetworkIsNoResponse failed before for "no route to host" (not lost within 20 s; the other two were not run before), and passes now for five errors. That a real cut yields them was not tried.

--- a/internal/transport/detour/evidence_test.go
+++ b/internal/transport/detour/evidence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +71,21 @@
 	known.Store(true)
 	await.Until(t, patience, "what failed until the peer was known is forgotten", func() bool { return forgotten.Load() == 2 })
 }
+
+// Guards against connections that the network gave up and that count as responses: the path was never lost.
+func TestUnreachableNetworkIsNoResponse(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.ECONNRESET} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			e := newEntry(t, func(context.Context, *exchange.Attempt) exchange.Reply {
+				return exchange.Broken{Err: errors.Wrap(&net.OpError{Op: "read", Err: cause}, "read response head")}
+			})
+			e.direct.probe = func(context.Context, registry.Instance) error { return errCut }
+			await.Until(t, patience, "the entry knows that its path is lost", func() bool {
+				for _, in := range instances {
+					e.SendDirect(t.Context(), newAttempt("r", in))
+				}
+				return e.State("svc") == coordination.Lost
+			})
+		})
+	}
+}
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -254,11 +255,16 @@
 	case exchange.Broken:
 		var network net.Error
 		timedOut := errors.As(reply.Err, &network) && network.Timeout()
-		return reply.Condition == exchange.Condition{} && (timedOut || exchange.ConnectionClosed(reply.Err))
+		return reply.Condition == exchange.Condition{} && (timedOut || exchange.ConnectionClosed(reply.Err) || isUnreachable(reply.Err))
 	}
 	return false
 }
 
+// isUnreachable reports whether the network gave up a connection.
+func isUnreachable(err error) bool {
+	return errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 // observedEvents records that the instance of a stream responds.
 type observedEvents struct {
 	exchange.Events
