--- a/internal/system/cut_entry_test.go
+++ b/internal/system/cut_entry_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Guards against engines that are avoided for up to 30 s after all entries had lost the path to them: what failed meanwhile was
-// held against the engines.
+// Guards against engines that are avoided for up to 30 s after all entries had lost the path to them: failures on the
+// lost path counted as failures of the engines.
 func TestEngineIsUsedSoonAfterItsPathReturns(t *testing.T) {
 	// cutFor is long enough for avoidance times, which double, to outlast cutContact.
 	const engine, cutFor = "engine", 8 * time.Second
--- a/internal/transport/detour/evidence_test.go
+++ b/internal/transport/detour/evidence_test.go
@@ -18,8 +18,8 @@
 	"github.com/shedrock/shedrock/internal/transport/detour"
 )
 
-// Guards against canceled attempts that count as responses: while callers left one after another, an entry without any response
-// took its path for open.
+// Guards against canceled attempts that count as responses: while callers disconnected one after another, an entry that got no
+// response counted its path as open.
 func TestCanceledAttemptsDoNotKeepALostPathOpen(t *testing.T) {
 	silent := func(ctx context.Context, _ *exchange.Attempt) exchange.Reply {
 		<-ctx.Done()
@@ -30,7 +30,7 @@
 	const callers, callerPatience = 4, 200 * time.Millisecond
 	for n := range callers {
 		go func() {
-			// There is always one that waits.
+			// At least one attempt waits at any time.
 			time.Sleep(time.Duration(n) * callerPatience / callers)
 			for t.Context().Err() == nil {
 				ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
@@ -42,8 +42,8 @@
 	await.Until(t, patience, "the entry knows that its path is lost", func() bool { return e.State("svc") == coordination.Lost })
 }
 
-// Guards against failures on a lost path that are held against the instances although a peer reaches them: an entry that met its
-// peers after the loss refused prompts for seconds.
+// Guards against failures on a lost path that count as failures of instances which a peer reaches: an entry that learned of its
+// first peer after the loss refused prompts for seconds.
 func TestFailuresUntilTheFirstPeerIsKnownAreForgotten(t *testing.T) {
 	peer := newEntry(t, answered)
 	var known atomic.Bool
@@ -72,7 +72,7 @@
 	await.Until(t, patience, "what failed until the peer was known is forgotten", func() bool { return forgotten.Load() == 2 })
 }
 
-// Guards against connections that the network gave up and that count as responses: the path was never lost.
+// Guards against network errors that count as responses: the path was never lost.
 func TestUnreachableNetworkIsNoResponse(t *testing.T) {
 	for _, cause := range []syscall.Errno{syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.ECONNRESET} {
 		t.Run(cause.Error(), func(t *testing.T) {
--- a/internal/transport/detour/upstreams.go
+++ b/internal/transport/detour/upstreams.go
@@ -9,9 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -56,7 +54,7 @@
 	// Peers returns the entries that may be known to have a path. Without any, or if it is nil, all is sent directly.
 	Peers func() []detour.Peer
 	// OnChanged, when set, is called when the direct path to a service has been lost or restored, and when a first peer is known
-	// while it is lost: failures of before were not those of its instances.
+	// while it is lost: earlier failures were not caused by its instances.
 	OnChanged func(service string)
 	Metrics   *Metrics
 	// Log receives one line per change of a direct path.
@@ -219,7 +217,7 @@
 	path.End()
 	switch {
 	case ctx.Err() != nil && !isResponse(reply):
-		// A canceled attempt says nothing about the instance.
+		// A canceled attempt is no evidence about the instance.
 	case !gotNothing(reply):
 		u.responded(path, target)
 	default:
@@ -238,48 +236,6 @@
 	return reply
 }
 
-// isResponse reports whether a reply is a response of the instance, complete or begun.
-func isResponse(reply exchange.Reply) bool {
-	switch reply.(type) {
-	case exchange.Whole, exchange.Stream, exchange.NotRun:
-		return true
-	}
-	return false
-}
-
-// gotNothing reports whether no byte of a response arrived for an attempt.
-func gotNothing(reply exchange.Reply) bool {
-	switch reply := reply.(type) {
-	case exchange.Unreached:
-		return true
-	case exchange.Broken:
-		var network net.Error
-		timedOut := errors.As(reply.Err, &network) && network.Timeout()
-		return reply.Condition == exchange.Condition{} && (timedOut || exchange.ConnectionClosed(reply.Err) || isUnreachable(reply.Err))
-	}
-	return false
-}
-
-// isUnreachable reports whether the network gave up a connection.
-func isUnreachable(err error) bool {
-	return errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) || errors.Is(err, syscall.ECONNABORTED)
-}
-
-// observedEvents records that the instance of a stream responds.
-type observedEvents struct {
-	exchange.Events
-	responded func()
-}
-
-// Next returns the next event.
-func (h *observedEvents) Next() (event exchange.Event, more bool, err error) {
-	event, more, err = h.Events.Next()
-	if err == nil && !more {
-		h.responded()
-	}
-	return event, more, err
-}
-
 // sendByPeer sends one attempt through a peer; ok is false if no peer takes it.
 func (u *Upstreams) sendByPeer(ctx context.Context, a *exchange.Attempt) (reply exchange.Reply, ok bool) {
 	c, via, err := u.call(ctx, fromAttempt(u.Name, a), a.Deadline, a.AllowsDomain)
--- a/internal/transport/entry/detours.go
+++ b/internal/transport/entry/detours.go
@@ -83,7 +83,7 @@
 	return reply
 }
 
-// forgetFailures drops what this entry holds against the upstreams of a model, whose direct path it has lost or found again.
+// forgetFailures resets the failures of the upstreams of a model whose direct path was lost or restored.
 func (e *Entry) forgetFailures(group string) {
 	model, ok := strings.CutPrefix(group, modelGroup)
 	if !ok {
--- a/internal/transport/loads/silence_test.go
+++ b/internal/transport/loads/silence_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Guards against loads of one service that are withheld, or published in part, for the engines of another.
+// Guards against withholding the loads of one service, or publishing those of another in part, while its engines recover.
 func TestRecoveryOfOneServiceConcernsNoOther(t *testing.T) {
 	const sound, recovering = 60, 40
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/upstream/broken_test.go
+++ b/internal/transport/upstream/broken_test.go
@@ -12,8 +12,8 @@
 	"github.com/shedrock/shedrock/internal/transport/upstream"
 )
 
-// Guards against a broken connection that cannot be told from a response: an entry whose connections were all reset took its path
-// for open, and failed its callers although another entry had one.
+// Guards against a broken connection that cannot be told from a response: an entry whose connections were all reset counted its
+// path as open, and failed its callers although another entry had one.
 func TestBrokenConnectionIsToldFromAResponse(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
