Review: streams go on at another software version after a restart under the same id

Cause: until the first heartbeat of a process that starts again under its id, an entry records streams that begin there as begun at the old version. When the heartbeat comes, it cancels them as those of the process before, and resumes them at the old version.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*lab) (bool, error){
 	"isolation": isolation,
 	"restart":   restart,
+	"versions":  versions,
 }
 
 func main() {
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -41,14 +42,18 @@
 	stop                     chan struct{}
 	// engine, if set, reads prompts with the time that it takes.
 	engine *engine
-	// answer, if set, answers a request that runs, in place of the usual answer.
-	answer func(w http.ResponseWriter, r *http.Request)
+	// events and pause are the number of events of a stream and the time between two.
+	events int
+	pause  time.Duration
 
 	mu       sync.Mutex
 	sequence int
-	makers   map[keptPart]string
-	draws    []draw
-	arrivals []arrival
+	// software is the version of its software, and silentUntil is until when its heartbeats are held back.
+	software    string
+	silentUntil time.Time
+	makers      map[keptPart]string
+	draws       []draw
+	arrivals    []arrival
 }
 
 // addReplica starts a replica that reports itself.
@@ -61,25 +66,60 @@
 	r := &replica{
 		lab: l, id: fmt.Sprintf("i-%s-%d", service, n), service: service, model: model, zone: domains[n%len(domains)],
 		address: listener.Addr().String(), born: time.Now().UnixMilli(), stop: make(chan struct{}), makers: map[keptPart]string{},
+		software: "v1", events: 4, pause: 20 * time.Millisecond,
 	}
+	r.serve(listener)
+	go r.keepReporting()
+	l.replicas = append(l.replicas, r)
+	return r, nil
+}
+
+// serve begins to listen.
+func (r *replica) serve(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc(names["report"], func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(render("report.tmpl", map[string]any{"Model": r.model, "Clock": r.lab.clock(), "Born": r.born}))
+		r.mu.Lock()
+		born := r.born
+		r.mu.Unlock()
+		answerJSON(w, "report.tmpl", map[string]any{"Model": r.model, "Clock": r.lab.clock(), "Born": born})
 	})
 	mux.HandleFunc(names["order"], func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/", r.run)
-	r.server = &http.Server{Handler: mux}
-	go func() { _ = r.server.Serve(listener) }()
-	go r.keepReporting()
-	l.replicas = append(l.replicas, r)
-	return r, nil
+	server := &http.Server{Handler: mux}
+	r.mu.Lock()
+	r.server = server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
 }
 
 func (r *replica) close() {
 	close(r.stop)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.server.Close()
+}
+
+// restart ends the process with all its connections, and starts it again after some time under its id, with another
+// version of its software. Its heartbeats arrive late at first.
+func (r *replica) restart(software string, down, late time.Duration) error {
+	r.mu.Lock()
+	r.silentUntil = time.Now().Add(down + late)
 	_ = r.server.Close()
+	r.mu.Unlock()
+	r.lab.note("%s ends", r.id)
+	time.Sleep(down)
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.software, r.born, r.sequence, r.makers = software, time.Now().UnixMilli(), 0, map[keptPart]string{}
+	r.mu.Unlock()
+	r.serve(listener)
+	r.lab.note("%s starts again under its id, with software %s", r.id, software)
+	time.AfterFunc(late, func() { r.report(r.lab.client, r.lab.ofRole("control")[0]) })
+	return nil
 }
 
 // keepReporting sends heartbeats to one control instance, and to the next one after a failure.
@@ -100,9 +140,13 @@
 
 func (r *replica) report(client *http.Client, c *process) bool {
 	r.mu.Lock()
+	if time.Now().Before(r.silentUntil) {
+		r.mu.Unlock()
+		return true
+	}
 	r.sequence++
 	text := render("heartbeat.tmpl", map[string]any{
-		"Service": r.service, "Address": r.address, "Zone": r.zone, "Model": r.model, "Sequence": r.sequence, "Born": r.born,
+		"Service": r.service, "Address": r.address, "Zone": r.zone, "Model": r.model, "Sequence": r.sequence, "Born": r.born, "Software": r.software,
 	})
 	r.mu.Unlock()
 	res, err := client.Post("http://"+c.control+names["heartbeat"]+r.id, "application/json", bytes.NewReader(text))
@@ -137,15 +181,18 @@
 		r.read(req, id)
 	}
 	w.Header().Set(names["stamp"], "stamp-"+r.id)
-	if r.answer != nil {
-		r.answer(w, req)
-		return
-	}
+	r.mu.Lock()
+	software := r.software
+	r.mu.Unlock()
+	after, _ := strconv.Atoi(req.Header.Get(names["last_event"]))
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= 4; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
+	for n := after + 1; n <= r.events; n++ {
+		_, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s by %s\n\n", n, n, id, software)
+		if err != nil || req.Context().Err() != nil {
+			return
+		}
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(r.pause)
 	}
 }
 
