--- a/review/lab/restart.go
+++ b/review/lab/restart.go
@@ -17,11 +17,11 @@
 	ownTokens    = 4260
 	otherTokens  = 12800
 	// promptRate is how many prompts about manuals come per second, and otherRate how many that share nothing.
-	promptRate = 30
-	otherRate  = 12
+	promptRate = 42
+	otherRate  = 3
 	// engines is the number of engines, and manuals that of the manuals in a round.
 	engines = 18
-	manuals = 10
+	manuals = 14
 	// rounds is how often the store restarts, and roundTime how much later each time: it takes new parts again 7 s
 	// after a restart.
 	rounds    = 10
