Saves to stores are recorded before they are ordered, one for each part and store

Cause: several engines are told to save a new part. The first save is published and fetched by others; the rest are orders without a start or a time, which their engines carry out when they have read the prompt, into whichever start of the store they find. The age of the contents by which a save is ordered (1.4 s) does not bound when it is written. In the record of the case, part 5c010b is whole in incarnation 2 at 20.5 s, engine 2 begins to write it in incarnation 3 at 21.0 s, and a prompt that fetches by the earlier publication uses it at 21.1 s.

Change: an entry asks the leader, which commits a record before the save is ordered, at most one for each part and store. A part is published once its record has ended: the entry has seen the end of the request, or the engine proves it. Silence proves nothing. Records outlast leaders, entries and the loss of all control instances. Nothing rests on how long a restart or a prompt takes.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -127,12 +127,18 @@
 	calls.Register(lists.Collector())
 	calls.Register(decisions)
 	calls.Register(origins.Collector())
+	keeper := &keeping.StoreWatcher{
+		View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Committed: replica.CommittedStores, Source: source, Stores: platform.NewStoreClient(lists), Log: logger,
+		CommitSaves: replica.CommitSaves, CommitEnds: replica.CommitSaveEnds, CommitRecorded: replica.CommitSavesRecorded, Engines: engines, FirstStart: s.FirstStart, Metrics: keeping.NewMetrics(),
+		OnFreed: func(reason contexts.FreeReason, parts int) { calls.CountFreedParts(string(reason), parts) },
+	}
+	replica.Saves = keeper
+	for _, c := range keeper.Metrics.Collectors() {
+		calls.Register(c)
+	}
 	return &platformControl{
 		replica: replica, client: client, follower: follower, log: logger,
-		keeper: &keeping.StoreWatcher{
-			View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Committed: replica.CommittedStores, Source: source, Stores: platform.NewStoreClient(lists), Log: logger,
-			OnFreed: func(reason contexts.FreeReason, parts int) { calls.CountFreedParts(string(reason), parts) },
-		},
+		keeper: keeper,
 		epochs: &keeping.EpochRecorder{
 			View: follower.View, Leading: replica.Leading, Committed: replica.CommittedStores, CommitOpen: replica.CommitOpenStore, Log: logger,
 		},
--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -23,6 +23,7 @@
 	"github.com/shedrock/shedrock/internal/transport/fleet"
 	"github.com/shedrock/shedrock/internal/transport/httpserve"
 	"github.com/shedrock/shedrock/internal/transport/inbound"
+	"github.com/shedrock/shedrock/internal/transport/keeping"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 	"github.com/shedrock/shedrock/internal/transport/streams"
 	"github.com/shedrock/shedrock/platform"
@@ -106,7 +107,7 @@
 	}
 	follower.PeerAddress, follower.PathLost = s.PeerAddress(), detours.AnyLost
 	server := &serving.Server{
-		View: follower.View, Upstreams: detours, PathLostSince: detours.LostSince, Ends: tracker, Streams: origins, Arbiter: arbiter.NewClient(logger), Metrics: serving.NewMetrics(), Log: logger,
+		View: follower.View, Upstreams: detours, PathLostSince: detours.LostSince, Ends: tracker, Streams: origins, Arbiter: arbiter.NewClient(logger), Saves: keeping.NewClient(func() string { return follower.View().Leader }, logger), Metrics: serving.NewMetrics(), Log: logger,
 		BufferBytes: int(bufferShare * s.MemoryMB * (1 << 20)), OldWeightsGrace: s.OldWeights(), Regions: s.Regions, Cold: serving.ColdAllowance{Overage: s.ColdOverage, Slack: s.ColdSlack},
 		Allowance: retry.Allowance{Ratio: s.RetryRatio, Window: s.RetryWindow(), Slack: s.RetrySlack},
 	}
--- a/internal/coordination/keeping/book.go
+++ b/internal/coordination/keeping/book.go
@@ -1,6 +1,7 @@
 package keeping
 
 import (
+	"maps"
 	"time"
 )
 
@@ -57,6 +58,10 @@
 	// CommittedEpoch is one that the control log holds, which also remains known when all control
 	// instances have been lost; 0 if none is known.
 	CommittedEpoch uint64
+	// Address is the store's address, and Saves the saves to all stores that may still be written; nil stands
+	// for none.
+	Address string
+	Saves   *SaveTable
 
 	epoch, next uint64
 	listed      bool
@@ -66,6 +71,10 @@
 	retired map[Part]time.Duration
 	// openAt is the clock time from which the store is open for saves.
 	openAt time.Duration
+	// fetchableAt is the clock time of the last call of Fetchable. fetchedUntil holds, for each part that has
+	// gone from the store, until when it may still be fetched.
+	fetchableAt  time.Duration
+	fetchedUntil map[Part]time.Duration
 }
 
 // Next returns the cursor of the next batch.
@@ -93,7 +102,9 @@
 	}
 	if epoch != s.epoch || s.retired == nil {
 		s.retired = map[Part]time.Duration{}
+		s.fetchedUntil = map[Part]time.Duration{}
 	}
+	before := s.parts
 	s.epoch = epoch
 	s.next = next
 	s.listed = true
@@ -101,6 +112,17 @@
 	for _, h := range held {
 		s.put(h)
 	}
+	for part := range before {
+		if _, held := s.parts[part]; !held {
+			s.recordGone(part)
+		}
+	}
+}
+
+// recordGone records until when a part may still be fetched that the store has no more. The parts of an earlier
+// epoch are included: the store is closed for longer.
+func (s *StoreState) recordGone(part Part) {
+	s.fetchedUntil[part] = s.fetchableAt + FetchLease + clockMargin
 }
 
 // mayHaveActiveLeases reports whether parts that were published in an earlier epoch of the store
@@ -116,6 +138,9 @@
 
 func (s *StoreState) put(h StoredPart) {
 	if h.Tokens <= 0 {
+		if _, held := s.parts[h.Part]; held {
+			s.recordGone(h.Part)
+		}
 		delete(s.parts, h.Part)
 		delete(s.retired, h.Part)
 		return
@@ -124,12 +149,16 @@
 }
 
 // Fetchable returns the parts that may be fetched until FetchLease after the clock time, and
-// retires the outdated ones.
+// retires the outdated ones. A part that another save may still write is left out, as the store may restart before.
 func (s *StoreState) Fetchable(clock time.Duration) map[Part]int {
+	s.fetchableAt = max(s.fetchableAt, clock)
+	maps.DeleteFunc(s.fetchedUntil, func(_ Part, until time.Duration) bool { return clock >= until })
 	out := make(map[Part]int, len(s.parts))
 	for part, tokens := range s.parts {
 		if s.outdatedBy(part) == "" {
-			out[part] = tokens
+			if s.Saves == nil || !s.Saves.IsPending(s.Address, part) {
+				out[part] = tokens
+			}
 			continue
 		}
 		if _, ok := s.retired[part]; !ok {
@@ -189,7 +218,23 @@
 	}
 	used := 0
 	for _, tokens := range s.parts {
-		used += (tokens + blockTokens - 1) / blockTokens * blockTokens
+		used += roundUp(tokens)
+	}
+	if s.Saves != nil {
+		used += s.Saves.pendingTokens(s.Address, s.parts)
 	}
 	return max(s.Capacity-used, 0)
 }
+
+// Holds reports whether the store has a complete part.
+func (s *StoreState) Holds(part Part) bool { return s.parts[part] > 0 }
+
+// Takes reports whether a save of a part may begin: the store is open for saves and does not have the part, no
+// request uses the part by an earlier publication, and requests will use it.
+func (s *StoreState) Takes(part Part, tokens int, clock time.Duration) bool {
+	if !s.listed || s.Holds(part) || s.outdatedBy(part) != "" || tokens > s.FreeTokens(clock) {
+		return false
+	}
+	until, gone := s.fetchedUntil[part]
+	return !gone || clock >= until
+}
--- a/internal/coordination/keeping/choose.go
+++ b/internal/coordination/keeping/choose.go
@@ -15,9 +15,8 @@
 	// maxFetchAge is the age up to which a store's contents are used for fetches. With older
 	// contents, the fetch would be discarded before it ends more often than not.
 	maxFetchAge = FetchLease / 2
-	// maxSaveAge is the age of a store's contents, since the leader read them, up to which parts are
-	// saved there. It is shorter than the restart of a store (2 s and more): until a leader has read
-	// the store again, nothing may be written there under names that others may still fetch.
+	// maxSaveAge is the age of a store's contents, since the leader read them, up to which the leader is asked to
+	// save parts there.
 	maxSaveAge = 1400 * time.Millisecond
 	// CrossDomainFactor is how much longer a transfer between failure domains takes, as the
 	// interface of engines specifies.
@@ -40,6 +39,8 @@
 	// Residency is in which regions the parts may be, and Regions the region of each failure domain.
 	Residency residency.Policy
 	Regions   residency.Regions
+	// IsBlocked reports whether a part cannot be saved to a store for some time. When nil, none is blocked.
+	IsBlocked func(address string, part Part) bool
 }
 
 // allowed reports whether the parts may be in a store.
@@ -70,6 +71,9 @@
 		if k.FreeTokens < spaceFactor*tokens || s.Now.Sub(k.ReceivedAt) >= maxSaveAge || !s.allowed(name) {
 			continue
 		}
+		if s.IsBlocked != nil && s.IsBlocked(name, part) {
+			continue
+		}
 		draw := float64(xxhash.Sum64String(name+"/"+part.ID)>>11) / (1 << 53)
 		if weight := draw * weight(s.Declared[name], k.FreeTokens, domain); weight > best {
 			best, address, ok = weight, name, true
--- a/internal/coordination/keeping/kept.go
+++ b/internal/coordination/keeping/kept.go
@@ -10,6 +10,9 @@
 	Weights map[string]uint64
 	// SharedSince is the version of the configuration since which teams share KV cache.
 	SharedSince uint64
+	// Saves holds the saves that may still be written. SavesRecorded is true if no others may be.
+	Saves         []Save
+	SavesRecorded bool
 }
 
 // StoreContents is what one store holds, as published by the leader of the control log.
@@ -20,6 +23,8 @@
 	// saves, and 0 while it is not, for some time after a start.
 	FreeTokens int
 	OpenEpoch  uint64
+	// Epoch is the store's epoch in which Parts were read.
+	Epoch uint64
 	// Parts holds the number of tokens of each complete part. The map is never modified.
 	Parts map[Part]int
 	// ReceivedAt is when the leader had read the contents.
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -47,8 +47,15 @@
 	// openEpochs holds, by the stores' addresses, the epoch in which each was last known to be open for
 	// saves. It is never 0.
 	openEpochs map[string]uint64
+	// saves holds the saves that may still be written, each the only one of its part and store. savesRecorded is
+	// true if no others may be.
+	saves         map[saveKey]*command.Save
+	savesRecorded bool
 }
 
+// saveKey identifies what one save at a time may write.
+type saveKey struct{ store, salt, part string }
+
 // Installed is a complete configuration as the operator sent it; version 0 means that
 // there is none.
 type Installed struct {
@@ -71,11 +78,12 @@
 		evacuations: &evacuation.Table{},
 		isolation:   &isolation.History{},
 		openEpochs:  map[string]uint64{},
+		saves:       map[saveKey]*command.Save{},
 	}
 }
 
 // Result is one of Applied, Reservation, RecordResult, Token, Installation, CurrentVersion, Evacuated,
-// OpenedStore or Malformed.
+// OpenedStore, BegunSaves, EndedSaves or Malformed.
 type Result interface{ result() }
 
 // Applied is the result of an apply command.
@@ -111,6 +119,12 @@
 	Epoch   uint64
 }
 
+// BegunSaves is the result of a command that records saves: whether each was recorded.
+type BegunSaves struct{ Recorded []bool }
+
+// EndedSaves is the result of a command that removes saves, or says that all are recorded.
+type EndedSaves struct{}
+
 // Malformed is the result of a command that this version cannot decode. The command has no
 // effect except on the time.
 type Malformed struct{}
@@ -123,6 +137,8 @@
 func (CurrentVersion) result() {}
 func (Evacuated) result()      {}
 func (OpenedStore) result()    {}
+func (BegunSaves) result()     {}
+func (EndedSaves) result()     {}
 func (Malformed) result()      {}
 
 // Execute executes one encoded command.
@@ -161,6 +177,13 @@
 		return Evacuated{l.evacuate(body.Evacuate)}
 	case *command.Command_OpenStore:
 		return l.openStore(body.OpenStore)
+	case *command.Command_BeginSaves:
+		return l.beginSaves(body.BeginSaves)
+	case *command.Command_EndSaves:
+		return l.endSaves(body.EndSaves)
+	case *command.Command_RecordSaves:
+		l.savesRecorded = true
+		return EndedSaves{}
 	}
 	return Malformed{}
 }
@@ -265,6 +288,7 @@
 	for _, address := range slices.Sorted(maps.Keys(l.openEpochs)) {
 		out.OpenStores = append(out.OpenStores, &command.OpenStore{Address: address, Epoch: l.openEpochs[address]})
 	}
+	out.Saves, out.SavesRecorded = l.Saves()
 	written := map[callID]bool{}
 	for _, id := range l.order {
 		r, ok := l.records[id]
@@ -309,6 +333,10 @@
 	for _, s := range in.OpenStores {
 		l.openEpochs[s.Address] = s.Epoch
 	}
+	for _, s := range in.Saves {
+		l.saves[keyOf(s)] = s
+	}
+	l.savesRecorded = in.SavesRecorded
 	var domains []evacuation.Domain
 	for _, d := range in.Evacuations {
 		domains = append(domains, evacuation.Domain{Name: d.Domain, Evacuated: d.Evacuated, Revision: d.Revision})
--- a/internal/transport/control/replica.go
+++ b/internal/transport/control/replica.go
@@ -87,6 +87,8 @@
 	Arbiter wire.Arbiter
 	// Streams, if set, keeps where streams began for entries.
 	Streams wire.Streams
+	// Saves, if set, records the saves of prompt parts to stores.
+	Saves wire.Saves
 	// Fleet, if set, is the set of engines to which this replica sends orders for weight versions
 	// while it leads, instead of the declared engines.
 	Fleet orders.Fleet
@@ -278,6 +280,10 @@
 		streamsServer := wire.NewStreamsServer(r.Streams)
 		mux.Handle(streamsServer.PathPrefix(), streamsServer)
 	}
+	if r.Saves != nil {
+		savesServer := wire.NewSavesServer(r.Saves)
+		mux.Handle(savesServer.PathPrefix(), savesServer)
+	}
 	return mux
 }
 
--- a/internal/transport/control/service.go
+++ b/internal/transport/control/service.go
@@ -243,7 +243,10 @@
 func (r *Replica) CommittedStores(ctx context.Context) (keeping.Committed, error) {
 	found := make(chan keeping.Committed, 1)
 	err := controlService{r}.linearizableRead(ctx, func(l *ledger.Ledger) {
-		found <- keeping.Committed{OpenEpochs: l.OpenEpochs(), Weights: l.Weights(), SharedSince: l.Installed().SharedSince}
+		saves, allRecorded := l.Saves()
+		found <- keeping.Committed{
+			OpenEpochs: l.OpenEpochs(), Weights: l.Weights(), SharedSince: l.Installed().SharedSince, Saves: fromSaves(saves), SavesRecorded: allRecorded,
+		}
 	})
 	if err != nil {
 		return keeping.Committed{}, err
--- a/internal/transport/control/stores_test.go
+++ b/internal/transport/control/stores_test.go
@@ -3,15 +3,25 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/coordination/keeping"
+	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/control"
 )
 
-// What is known of open stores survives the loss of all replicas, both in the log and in a snapshot, and
+// testSave is the save of a part by a holder.
+func testSave(part, holder string) keeping.Save {
+	return keeping.Save{
+		Store: "k:1", Part: keeping.Part{Salt: "s", ID: part}, Tokens: 100, Holder: holder, Request: "r-" + holder,
+		Engine: registry.Incarnation{ID: "e", Start: 7}, EngineAddress: "e:1", Remaining: 3 * time.Second,
+	}
+}
+
+// What is known of open stores and of saves under way survives the loss of all replicas, both in the log and in a snapshot, and
 // a leader reads all of it in its first read after a restart.
 func TestOpenStoresSurviveALossOfAllReplicas(t *testing.T) {
 	cases := []struct {
@@ -38,6 +48,20 @@
 			}
 			t.Run("before", func(t *testing.T) {
 				run(t, func(ctx context.Context, r *control.Replica) {
+					recorded, err := r.CommitSaves(ctx, []keeping.Save{testSave("a", "h1"), testSave("b", "h1")})
+					if diff := cmp.Diff([]bool{true, true}, recorded); diff != "" || err != nil {
+						t.Fatal(diff, err)
+					}
+					recorded, err = r.CommitSaves(ctx, []keeping.Save{testSave("a", "h2"), testSave("c", "h2")})
+					if diff := cmp.Diff([]bool{false, true}, recorded); diff != "" || err != nil {
+						t.Fatal(diff, err)
+					}
+					if err := r.CommitSaveEnds(ctx, []keeping.Save{testSave("a", "h2"), testSave("b", "h1")}); err != nil {
+						t.Fatal(err)
+					}
+					if err := r.CommitSavesRecorded(ctx); err != nil {
+						t.Fatal(err)
+					}
 					for _, epoch := range []uint64{6, 7} {
 						if err := r.CommitOpenStore(ctx, "k:1", epoch); err != nil {
 							t.Fatal(err)
@@ -51,7 +75,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					want := keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}, Weights: map[string]uint64{"m": 5}}
+					want := keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}, Weights: map[string]uint64{"m": 5}, Saves: []keeping.Save{testSave("a", "h1"), testSave("c", "h2")}, SavesRecorded: true}
 					if diff := cmp.Diff(want, got); diff != "" {
 						t.Error(diff)
 					}
--- a/internal/transport/fleet/follower_stores.go
+++ b/internal/transport/fleet/follower_stores.go
@@ -85,8 +85,9 @@
 	}
 	k.addresses[state.Number] = state.Address
 	next := k.stores[state.Address]
-	next.FreeTokens = int(state.OpenTokens)
-	next.OpenEpoch = state.OpenEpoch
+	// Control instances of earlier software send OpenTokens, and record no saves.
+	next.FreeTokens = int(state.FreeTokens)
+	next.OpenEpoch, next.Epoch = state.OpenEpoch, state.Epoch
 	parts := k.parts[state.Address]
 	if state.Whole || parts == nil {
 		parts = &storeParts{tokens: map[keeping.Part]int{}}
--- a/internal/transport/fleet/source_stores.go
+++ b/internal/transport/fleet/source_stores.go
@@ -95,7 +95,7 @@
 			delete(store.tombstones, part)
 		}
 	}
-	if store.contents.FreeTokens != contents.FreeTokens || store.contents.OpenEpoch != contents.OpenEpoch {
+	if store.contents.FreeTokens != contents.FreeTokens || store.contents.OpenEpoch != contents.OpenEpoch || store.contents.Epoch != contents.Epoch {
 		store.change = f.log.Skip()
 	}
 	f.expireTombstones(store, now)
@@ -208,7 +208,7 @@
 	state := t.states[store]
 	if state == nil {
 		state = &wire.StoreState{
-			Address: store.address, Number: store.number, OpenTokens: int64(store.contents.FreeTokens), OpenEpoch: store.contents.OpenEpoch,
+			Address: store.address, Number: store.number, FreeTokens: int64(store.contents.FreeTokens), OpenEpoch: store.contents.OpenEpoch, Epoch: store.contents.Epoch,
 			Gone: !store.removedAt.IsZero(),
 		}
 		t.states[store] = state
--- a/internal/transport/keeping/keeping.go
+++ b/internal/transport/keeping/keeping.go
@@ -64,13 +64,28 @@
 	// Committed reads what earlier leaders have committed to the control log. It is read at the beginning
 	// of each term while some service is tiered.
 	Committed func(context.Context) (keeping.Committed, error)
+	// CommitSaves commits saves to the control log and returns which of them it holds now. CommitEnds commits that
+	// nothing of saves can be written any more, and CommitRecorded that all saves that may be are recorded.
+	CommitSaves    func(context.Context, []keeping.Save) ([]bool, error)
+	CommitEnds     func(context.Context, []keeping.Save) error
+	CommitRecorded func(context.Context) error
+	// FirstStart is true if the whole system started for the first time with this process, so that no saves were ordered
+	// before.
+	FirstStart bool
 	// Source publishes the contents of the stores to entries.
-	Source Publisher
-	Stores Stores
+	Source  Publisher
+	Stores  Stores
+	Engines Engines
+	// Metrics, when set, receives the counts.
+	Metrics *Metrics
 	// OnFreed, when set, is called with the number of parts that were freed.
 	OnFreed func(reason keeping.FreeReason, parts int)
 	// Log receives one line per event.
 	Log *log.Logger
+
+	mu sync.Mutex
+	// term is the state of the current term, or nil; it is guarded by mu.
+	term *termSaves
 }
 
 // Run watches the stores until ctx ends.
@@ -80,6 +95,7 @@
 	watched := map[string]context.CancelFunc{}
 	var group sync.WaitGroup
 	defer group.Wait()
+	group.Go(func() { k.resolveSaves(ctx) })
 	var current *deployment.Config
 	for {
 		if config := k.View().Config; config != current {
@@ -141,7 +157,12 @@
 		k.Log.Info().Str("event", "store_epochs_unread").Str("address", store.Address).Str("error", err.Error()).Msg("")
 		return
 	}
-	w := &termWatch{watcher: k, store: store, term: term, state: k.newState(store, committed)}
+	saves := k.savesOf(term, committed)
+	state := k.newState(store, committed)
+	state.Saves = saves.table
+	w := &termWatch{watcher: k, store: store, saves: saves, state: state}
+	saves.addWatch(w)
+	defer saves.removeWatch(w)
 	w.run(ctx)
 }
 
@@ -155,7 +176,7 @@
 		return keeping.Committed{}, err
 	}
 	if config := k.View().Config; config == nil || !config.AnyTiered() {
-		return keeping.Committed{SharedSince: committed.SharedSince}, nil
+		return keeping.Committed{SharedSince: committed.SharedSince, Saves: committed.Saves, SavesRecorded: committed.SavesRecorded}, nil
 	}
 	return committed, nil
 }
@@ -168,7 +189,7 @@
 	// The result of SharedSince never decreases, as parts may have been freed by it.
 	highest := committed.SharedSince
 	return &keeping.StoreState{
-		Capacity: store.MemoryTokens,
+		Capacity: store.MemoryTokens, Address: store.Address,
 		SharedSince: func() uint64 {
 			highest = max(highest, sharedSince(k.View().Config))
 			return highest
@@ -191,17 +212,24 @@
 type termWatch struct {
 	watcher     *StoreWatcher
 	store       deployment.Store
-	term        uint64
-	state       *keeping.StoreState
+	saves       *termSaves
 	listedAt    time.Time
 	unreachable bool
+
+	// The fields below are guarded by the mu of saves.
+
+	state *keeping.StoreState
+	// clock is that of the last batch by which contents were published, and isAhead is true while state includes a
+	// later batch.
+	clock   time.Duration
+	isAhead bool
 }
 
 // run watches the store while this replica leads in the term.
 func (w *termWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		term, ok := w.watcher.Leading()
-		if !ok || term != w.term {
+		if !ok || term != w.saves.term {
 			return
 		}
 		err := w.round(ctx)
@@ -230,34 +258,77 @@
 func (w *termWatch) round(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+pollWait)
 	defer cancel()
-	batch, err := w.watcher.Stores.Changes(ctx, w.store.Address, w.state.Next(), pollWait)
+	batch, err := w.watcher.Stores.Changes(ctx, w.store.Address, w.next(), pollWait)
 	if err != nil {
 		return err
 	}
-	if w.state.ApplyBatch(batch) || clock.Since(w.listedAt) > relistInterval {
+	if w.applyBatch(batch) || clock.Since(w.listedAt) > relistInterval {
 		epoch, next, held, err := w.watcher.Stores.List(ctx, w.store.Address)
 		if err != nil {
 			return err
 		}
-		w.state.ApplyList(epoch, next, held, batch.Clock)
+		w.applyList(epoch, next, held, batch.Clock)
 		w.listedAt = clock.Now()
 	}
 	err = w.watcher.ConfirmLeadership(ctx)
 	if err != nil {
 		return err
 	}
-	w.watcher.Source.PublishStore(w.store.Address, keeping.StoreContents{
-		Until: batch.Clock + keeping.FetchLease, Parts: w.state.Fetchable(batch.Clock),
-		FreeTokens: w.state.FreeTokens(batch.Clock), OpenEpoch: w.state.CurrentOpenEpoch(batch.Clock),
-	})
+	w.publishRead(batch.Clock)
+	w.saves.settle(ctx)
 	return w.free(ctx, batch.Clock)
 }
 
+func (w *termWatch) next() uint64 {
+	w.saves.mu.Lock()
+	defer w.saves.mu.Unlock()
+	return w.state.Next()
+}
+
+func (w *termWatch) applyBatch(batch keeping.Batch) (needList bool) {
+	w.saves.mu.Lock()
+	defer w.saves.mu.Unlock()
+	w.isAhead = true
+	return w.state.ApplyBatch(batch)
+}
+
+func (w *termWatch) applyList(epoch, next uint64, held []keeping.StoredPart, clock time.Duration) {
+	w.saves.mu.Lock()
+	defer w.saves.mu.Unlock()
+	if known := w.state.Epoch(); epoch != known {
+		w.watcher.Log.Info().Str("event", "store_epoch").Str("address", w.store.Address).Uint64("epoch", epoch).Uint64("before", known).Int("parts", len(held)).Msg("")
+	}
+	w.state.ApplyList(epoch, next, held, clock)
+}
+
+// publishRead publishes what was read at a clock time, after a majority has confirmed that this replica still leads.
+func (w *termWatch) publishRead(clock time.Duration) {
+	w.saves.mu.Lock()
+	defer w.saves.mu.Unlock()
+	w.clock, w.isAhead = clock, false
+	w.publish()
+}
+
+// publish publishes what was read at w.clock. The mu of saves must be held.
+func (w *termWatch) publish() {
+	contents := keeping.StoreContents{
+		Until: w.clock + keeping.FetchLease, Epoch: w.state.Epoch(), Parts: w.state.Fetchable(w.clock),
+		FreeTokens: w.state.FreeTokens(w.clock), OpenEpoch: w.state.CurrentOpenEpoch(w.clock),
+	}
+	if !w.saves.isRecorded() {
+		contents.Parts = nil
+	}
+	w.watcher.Source.PublishStore(w.store.Address, contents)
+}
+
 // free frees the parts that are no longer needed and that no entry may still fetch.
 func (w *termWatch) free(ctx context.Context, clock time.Duration) error {
-	for reason, parts := range w.state.Freeable(clock) {
+	w.saves.mu.Lock()
+	freeable, epoch := w.state.Freeable(clock), w.state.Epoch()
+	w.saves.mu.Unlock()
+	for reason, parts := range freeable {
 		parts = parts[:min(len(parts), maxFreeParts)]
-		err := w.watcher.Stores.Free(ctx, w.store.Address, w.state.Epoch(), clock+callTimeout, parts)
+		err := w.watcher.Stores.Free(ctx, w.store.Address, epoch, clock+callTimeout, parts)
 		line := w.watcher.Log.Info().Str("event", "parts_freed").Str("address", w.store.Address).Str("reason", string(reason)).Int("parts", len(parts))
 		if err != nil {
 			line.Str("error", err.Error()).Msg("")
--- a/internal/transport/keeping/keeping_test.go
+++ b/internal/transport/keeping/keeping_test.go
@@ -128,13 +128,13 @@
 		parts   int
 		atOnce  bool
 	}{
-		{"same epoch", 3, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, true},
-		{"new epoch", 3, 8, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, false},
-		{"log behind", 3, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 6}}, 0, 1, false},
-		{"other store", 3, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:2": 7}}, 0, 1, false},
-		{"log not readable at first", 3, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}}, 2 * time.Second, 1, true},
-		{"view lacks weights", 3, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}, Weights: map[string]uint64{"m": 2}}, 0, 0, true},
-		{"not tiered", 2, 7, keeping.Committed{OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, false},
+		{"same epoch", 3, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, true},
+		{"new epoch", 3, 8, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, false},
+		{"log behind", 3, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 6}}, 0, 1, false},
+		{"other store", 3, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:2": 7}}, 0, 1, false},
+		{"log not readable at first", 3, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 7}}, 2 * time.Second, 1, true},
+		{"view lacks weights", 3, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 7}, Weights: map[string]uint64{"m": 2}}, 0, 0, true},
+		{"not tiered", 2, 7, keeping.Committed{SavesRecorded: true, OpenEpochs: map[string]uint64{"k:1": 7}}, 0, 1, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -213,7 +213,7 @@
 			},
 			Leading: func() (uint64, bool) { return now.Load().term, now.Load().leads },
 			Committed: func(context.Context) (keeping.Committed, error) {
-				return keeping.Committed{OpenEpochs: now.Load().held}, nil
+				return keeping.Committed{SavesRecorded: true, OpenEpochs: now.Load().held}, nil
 			},
 			CommitOpen: func(_ context.Context, address string, epoch uint64) error {
 				if now.Load().failing {
--- a/internal/transport/serving/attempt.go
+++ b/internal/transport/serving/attempt.go
@@ -25,6 +25,8 @@
 	reply   exchange.Reply
 	// delayed is true if a lost path delayed the reply.
 	delayed bool
+	// saveHolder is the holder of the attempt's saves, or empty.
+	saveHolder string
 	// release ends the tracking of the attempt.
 	release func()
 }
@@ -55,7 +57,8 @@
 			j.abandon(x)
 		}
 	}()
-	a := j.newAttempt()
+	a := j.newAttempt(x.trackedCtx)
+	x.saveHolder, x.sentAt = j.saveHolder, clock.Now()
 	x.watchedCtx, x.watch = j.watchBegin(x.trackedCtx, a.Salt)
 	x.reply = j.server.Upstreams.Send(x.watchedCtx, a)
 	j.via, x.delayed = a.Via, a.Delayed
@@ -70,6 +73,7 @@
 func (j *job) abandon(x *sentAttempt) {
 	x.release()
 	x.watch.close()
+	j.endSaves(x.saveHolder, nil)
 	j.done()
 	j.releaseGrant()
 	j.server.mu.Lock()
@@ -109,6 +113,7 @@
 	if expired == nil {
 		j.trackEnd(ctx, tracked, end, err, gone)
 	}
+	j.endSaves(x.saveHolder, end)
 	result := balance.Result{}
 	switch end := end.(type) {
 	case retry.Completed:
@@ -192,14 +197,14 @@
 	}
 }
 
-func (j *job) newAttempt() *exchange.Attempt {
+func (j *job) newAttempt(ctx context.Context) *exchange.Attempt {
 	a := &exchange.Attempt{
 		Request: j.request, Instance: j.instance, Deadline: j.deadline, Team: j.team.Name, Urgency: j.urgency,
 		After: j.lastAccepted(), Resumes: j.request.Resumes || j.begun(), Beside: j.beside,
 		AllowsDomain: func(domain string) bool { return j.residency.Allows(domain, j.server.Regions) },
 	}
 	if p := j.request.Prompt; p != nil {
-		j.planContext(a, p)
+		j.planContext(ctx, a, p)
 		j.weights = j.snapshotWeights(a.Weights)
 	}
 	return a
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -69,6 +69,11 @@
 	stop      func()
 	// fetchParts and saveParts count the prompt parts for which the last attempt named a store.
 	fetchParts, saveParts int
+	// fetchEpochs holds the address and epoch of the store of each fetched part. saveHolder is the holder of the last
+	// attempt's saves, or empty, and saveTook how long it took to have them recorded.
+	fetchEpochs []string
+	saveHolder  string
+	saveTook    time.Duration
 	// sharedSince is the version since which teams share the cached context that the last attempt may use, or 0
 	// if it may use that of its team only.
 	sharedSince uint64
--- a/internal/transport/serving/lines.go
+++ b/internal/transport/serving/lines.go
@@ -16,6 +16,7 @@
 	line := j.line(outcome.Label(o)).Int("attempts", j.attemptNumber).Str("instance", j.instance.ID).Int64("start", int64(j.instance.Start)).Dur("took_ms", clock.Since(j.request.Arrived))
 	if j.request.Prompt != nil {
 		line = line.Int("fetch", j.fetchParts).Int("save", j.saveParts).Int("tokens", j.request.Prompt.Tokens).Uint64("shared_since", j.sharedSince)
+		line = j.addStores(line)
 	}
 	line = j.addStream(line)
 	if j.waited > 0 {
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -33,6 +33,8 @@
 	panics prometheus.Counter
 	// successors counts the attempts that were made beside silent ones, by why and by what became of them.
 	successors *prometheus.CounterVec
+	// saves counts the parts that were to be saved to stores, by what the leader said.
+	saves *prometheus.CounterVec
 	// limited counts attempts at instances with a rate limit, and limitChanges how often an instance
 	// announces, changes or removes its limit.
 	limited, limitChanges *prometheus.CounterVec
@@ -79,6 +81,7 @@
 		unreadable:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_unreadable_total", Help: "Requests that could not be read, by the status of the response after which the connection is closed."}, []string{"status"}),
 		excessive:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_excessive_responses_total", Help: "Attempts that ended because the instance sent more than a sound one does."}, []string{"service"}),
 		panics:        prometheus.NewCounter(prometheus.CounterOpts{Name: "shedrock_panics_total", Help: "Panics while a caller's request was served."}),
+		saves:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_save_requests_total", Help: "Parts of prompts for which the leader was asked for a save, by its result."}, []string{"result"}),
 		successors:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_successors_total", Help: "Attempts made beside one whose instance is silent: why it counts as silent, and what became of them."}, []string{"service", "cause", "result"}),
 		limited:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_limited_attempts_total", Help: "Attempts at instances that are known to have a limit."}, []string{"service"}),
 		limitChanges:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_instance_limit_changes_total", Help: "How often an instance named another limit than before, or none any more."}, []string{"service"}),
@@ -110,7 +113,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.cutRequests, m.unreadable, m.excessive, m.panics, m.successors, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.cutRequests, m.unreadable, m.excessive, m.panics, m.successors, m.saves, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
--- a/internal/transport/serving/reading_test.go
+++ b/internal/transport/serving/reading_test.go
@@ -20,6 +20,7 @@
 	"github.com/shedrock/shedrock/internal/state/deployment"
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/keeping/keepingtest"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 )
 
@@ -136,7 +137,7 @@
 				clocktest.New(t)
 				view, engine := keepingView(t, c.ranks, c.load), &timedEngines{perMs: 40}
 				metrics := serving.NewMetrics()
-				server := &serving.Server{View: func() *fleet.View { return view }, Upstreams: engine, Metrics: metrics, Log: &log.Logger{Level: log.PanicLevel}}
+				server := &serving.Server{View: func() *fleet.View { return view }, Upstreams: engine, Saves: &keepingtest.Saves{}, Metrics: metrics, Log: &log.Logger{Level: log.PanicLevel}}
 				server.Allowance.Slack, server.Allowance.Window = 100, time.Minute
 				serve := func(parts []exchange.Part, resumes bool) {
 					prompt := &exchange.Prompt{Model: "m", Parts: parts}
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -113,6 +113,8 @@
 	// Arbiter requests decisions from the leader about long prompts of tiered services. When nil, the server decides all by
 	// itself.
 	Arbiter Arbiter
+	// Saves records the saves of prompt parts to stores. When nil, none is ordered.
+	Saves Saves
 	// BufferBytes limits what is held of the answers of tiered services that callers have not taken yet.
 	// When 0, no answer is read ahead of its caller.
 	BufferBytes int
--- a/internal/transport/serving/steps_test.go
+++ b/internal/transport/serving/steps_test.go
@@ -24,6 +24,7 @@
 	"github.com/shedrock/shedrock/internal/state/registry"
 	"github.com/shedrock/shedrock/internal/state/residency"
 	"github.com/shedrock/shedrock/internal/transport/fleet"
+	"github.com/shedrock/shedrock/internal/transport/keeping/keepingtest"
 	"github.com/shedrock/shedrock/internal/transport/serving"
 )
 
@@ -286,7 +287,8 @@
 		decides = &stubArbiter{decision: arbiter.Grant{Engine: registry.Incarnation{ID: "a"}}, during: r.engines.change}
 	}
 	r.server = &serving.Server{
-		View: r.view.Load, Upstreams: r.engines, Arbiter: decides, BufferBytes: buffer, OldWeightsGrace: time.Minute, PathLostSince: r.engines.pathLost,
+		Saves: &keepingtest.Saves{},
+		View:  r.view.Load, Upstreams: r.engines, Arbiter: decides, BufferBytes: buffer, OldWeightsGrace: time.Minute, PathLostSince: r.engines.pathLost,
 		Regions: residency.Regions{"da": "north", "db": "north", "dc": "south"}, Metrics: serving.NewMetrics(), Log: &log.Logger{Level: log.PanicLevel},
 	}
 	r.server.Allowance.Slack, r.server.Allowance.Window = 100, time.Minute
--- a/internal/transport/serving/successor.go
+++ b/internal/transport/serving/successor.go
@@ -299,6 +299,7 @@
 func (j *job) adopt(from *job) {
 	j.instance, j.via, j.condition, j.memory, j.waiting = from.instance, from.via, from.condition, from.memory, from.waiting
 	j.consultation, j.done, j.counted, j.full, j.waited = from.consultation, from.done, from.counted, from.full, j.waited+from.waited
+	j.fetchEpochs, j.saveHolder, j.saveTook = from.fetchEpochs, from.saveHolder, from.saveTook
 	j.fetchParts, j.saveParts, j.computed, j.weights, j.sharedSince = from.fetchParts, from.saveParts, from.computed, from.weights, from.sharedSince
 	j.quarantined, j.heldPart = from.quarantined, from.heldPart
 }
--- a/spec/keeping.pml
+++ b/spec/keeping.pml
@@ -1,18 +1,22 @@
 /*
  * Kept context in stores that drop nothing by themselves: who names a part, until when it
- * is fetched, and when its room is freed or written anew.
+ * is fetched, when its room is freed, and who may write it.
  *
  * Time is the clock of stores and engines. Two leaders of the control log follow each
  * other; the first may go on believing that it leads. A leader reads the store, confirms
  * that it leads, and only then names the part until NAMED after the reading. New weights
  * are named once; a leader that knows it names the part no more, and frees it later.
  *
- * A store that has restarted is written to only once a leader tells that this start is open:
- * when what was named before has ended. A new leader does not know what was named, and waits as
- * well, unless the one before has told that the same start is open.
+ * An engine writes the part by a save that a leader has recorded in the control log. It
+ * does so at any time after that, into whichever start of the store it finds, and more than
+ * once if it reads its prompt anew. The record ends when the engine can't write any more. While
+ * there is one, no second is made, and the part is not named.
  *
- * Property: a part is freed or written anew only when no fetch of it can be under way.
- * Not in the model: a save that was under way when the store restarted.
+ * A store that has restarted is written to by new saves only once what was named before has
+ * ended. A new leader does not know what was named, and waits as well, unless the one before
+ * has told that the same start is open.
+ *
+ * Property: a part is freed or written only when no fetch of it can be under way or begin.
  *
  * MUTANT 1: a part is freed at once.
  * MUTANT 2: a leader does not confirm that it leads after it has read.
@@ -21,6 +25,10 @@
  * MUTANT 5: an engine keeps what arrives after the time.
  * MUTANT 6: a leader that sees a store restart does not let it rest.
  * MUTANT 7: a new leader takes a store as open, though it may have restarted before.
+ * MUTANT 8: a part is named while an engine may still write it.
+ * MUTANT 9: a second save of a part is made beside the first, and the record ends with either.
+ * MUTANT 10: the record ends while the engine may still write: it is silent, or some time has passed.
+ * MUTANT 11: a new leader does not know the saves that the one before has recorded.
  */
 #ifndef MUTANT
 #define MUTANT 0
@@ -28,13 +36,15 @@
 
 #define NAMED 1
 #define MARGIN 1
-#define LAST 4
+#define LAST 3
+#define STARTS 1
 
 #define ABSENT 0
-#define WHOLE 1
-#define WRITING 2
+#define WRITING 1
+#define WHOLE 2
 
 #define fetched (fetching && (clock <= fetchuntil || MUTANT == 5))
+#define fetchable (named && clock <= until)
 
 byte clock;
 byte store = WHOLE;
@@ -44,73 +54,79 @@
 byte until;              /* the latest time until which the part was named */
 bool fetching;
 byte fetchuntil;
-bool restarted;
-bool open;               /* a leader told that the store is open since its restart */
+byte starts;             /* how often the store has restarted */
+byte open;               /* the newest start that a leader has told to be open */
+bool recorded;           /* the control log holds a save of the part */
+byte orders;             /* how many engines may still write the part */
 
 active proctype environment() {
 	do
 	:: clock < LAST -> clock++
 	:: leading == 0 -> leading = 1
 	:: !old -> old = true
-	:: atomic { !restarted -> restarted = true; store = ABSENT }
+	:: atomic { starts < STARTS -> starts++; store = ABSENT }
 	:: break
 	od
 }
 
 active proctype entry() {
 	do
-	:: atomic { !fetching && named && clock <= until -> fetching = true; fetchuntil = until }
+	:: atomic { !fetching && fetchable -> fetching = true; fetchuntil = until }
 	:: fetching -> fetching = false
 	:: break
 	od
 }
 
-active proctype writer() {
+active proctype engine() {
 	do
 	:: atomic {
-		open && store == ABSENT ->
-		assert(!fetched);
+		orders > 0 && store == ABSENT ->
+		assert(!fetched && !fetchable);
 		store = WRITING
 	   }
+	:: store == WRITING -> store = WHOLE
+	:: orders > 0 -> orders--
 	:: break
 	od
 }
 
 proctype leader(byte id) {
-	byte read, retired, openat;
-	bool whole, knows, retires, start;
-	/* The first leader has seen the store since before its restart. */
+	byte read, retired, openat, start;
+	bool has, knows, retires, saves;
+	/* The first leader has seen the store since its first start. */
 	bool listed = (id == 0);
 	leading >= id;
 	do
 	:: atomic {
 		read = clock;
 		if
-		:: !listed && restarted && !open && MUTANT != 7 -> openat = read + NAMED + MARGIN
-		:: listed && start != restarted && MUTANT != 6 -> openat = read + NAMED + MARGIN
+		:: !listed && starts != open && MUTANT != 7 -> openat = read + NAMED + MARGIN
+		:: listed && start != starts && MUTANT != 6 -> openat = read + NAMED + MARGIN
 		:: else
 		fi;
 		listed = true;
-		start = restarted;
+		start = starts;
 		/* One that was cut off does not hear of new weights. */
 		if
 		:: old -> knows = true
 		:: true
 		fi;
-		whole = (store == WHOLE && !knows);
+		has = (store == WHOLE);
 		if
 		:: knows && !retires -> retires = true; retired = read
 		:: else
 		fi
 	   };
 	   /* Anything may happen here: the leader may be frozen. */
-	   if
-	   :: leading == id || MUTANT == 2
-	   :: else -> break
-	   fi;
 	   atomic {
 		if
-		:: whole ->
+		:: leading == id || MUTANT == 2 -> saves = recorded && !(MUTANT == 11 && id == 1)
+		:: else -> break
+		fi
+	   };
+	   atomic {
+		if
+		:: has && !knows && (!saves || MUTANT == 8) ->
 			named = true;
 			if
 			:: MUTANT == 3 && clock + NAMED > until -> until = clock + NAMED
@@ -120,10 +136,20 @@
 		:: else
 		fi;
 		if
-		:: start && read >= openat -> open = true
+		:: read >= openat && start > open -> open = start
 		:: else
 		fi
 	   }
+	:: atomic {
+		leading == id && listed && !has && !knows && read >= openat && orders < 2 &&
+		(!recorded || MUTANT == 9 || (MUTANT == 11 && id == 1)) ->
+		recorded = true;
+		orders++
+	   }
+	:: atomic {
+		leading == id && recorded && (orders == 0 || MUTANT == 10 || (MUTANT == 9 && orders == 1)) ->
+		recorded = false
+	   }
 	:: atomic {
 		retires && leading == id && store == WHOLE &&
 		(clock > retired + NAMED + MARGIN || MUTANT == 1 || (MUTANT == 4 && id == 1)) ->
@@ -134,4 +160,12 @@
 	od
 }
 
-init { run leader(0); run leader(1) }
+init {
+	/* The engine that has saved the part may read its prompt anew. */
+	if
+	:: recorded = true; orders = 1
+	:: true
+	fi;
+	run leader(0);
+	run leader(1)
+}
