One software version counts as the only one if the control log says so

Callers saw: all entries and control instances were killed while two versions of a service's software served, or the old one had just left.

Cause: an entry that has just started asks the control instances for the versions. These have just started too; each names the version that it has heard of first, more than half of them answer, and that was taken for the only one.

Only a leader confirmed since the resume says that there is one version; a missing field is not a yes. Control instances keep the records of streams on disk, so that streams go on with two versions as well.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -43,6 +43,8 @@
 	storeListShare = 1.0 / 4
 	// instancesFile is what instances reported, in the data folder.
 	instancesFile = "instances"
+	// originsFile is how the names of the files begin that hold where streams began, in the data folder.
+	originsFile = "streams"
 	// ticksASecond is how many ticks of the control log are in a second.
 	ticksASecond = int(time.Second / control.DefaultTick)
 )
@@ -84,6 +86,7 @@
 	follower *fleet.Follower
 	keeper   *keeping.StoreWatcher
 	epochs   *keeping.EpochRecorder
+	versions *streams.VersionRecorder
 	loads    *loads.Poller
 	requirer *orders.Requirer
 	// calls and metrics serve a listener each; replicas reach one another by the replica's.
@@ -119,7 +122,8 @@
 	}
 	decisions := &arbiter.Service{View: follower.View, Leading: replica.Leading, Log: logger}
 	replica.Arbiter = decisions
-	origins := &streams.Service{View: follower.View}
+	origins := &streams.Service{View: follower.View, Recorded: replica.RecordedSoftware}
+	origins.Persist(ctx, filepath.Join(s.Data, originsFile), logger)
 	replica.Streams = origins
 	calls := callmetrics.New(func() callmetrics.ReplicaState { return standing(replica, follower) })
 	replica.OnSeparation = func(reason isolation.Reason) { calls.CountSeparation(string(reason)) }
@@ -142,6 +146,9 @@
 		epochs: &keeping.EpochRecorder{
 			View: follower.View, Leading: replica.Leading, Committed: replica.CommittedStores, CommitOpen: replica.CommitOpenStore, Log: logger,
 		},
+		versions: &streams.VersionRecorder{
+			View: follower.View, Leading: replica.Leading, Recorded: replica.RecordedSoftware, Record: replica.RecordSoftware, FirstStart: s.FirstStart, Log: logger,
+		},
 		loads: &loads.Poller{View: follower.View, Leading: replica.Leading, Engines: engines, Source: source, Decider: decisions, Log: logger},
 		requirer: &orders.Requirer{
 			View: follower.View, Leading: replica.Leading, CommitRequired: replica.RequireWeights, OldWeightsGrace: s.OldWeights(), Log: logger,
@@ -179,6 +186,7 @@
 	group.Go(func() error { r.follower.Run(ctx); return nil })
 	group.Go(func() error { r.keeper.Run(ctx); return nil })
 	group.Go(func() error { r.epochs.Run(ctx); return nil })
+	group.Go(func() error { r.versions.Run(ctx); return nil })
 	group.Go(func() error { r.loads.Run(ctx); return nil })
 	group.Go(func() error { r.requirer.Run(ctx); return nil })
 	group.Go(func() error { noteSuspensions(ctx, r.log); return nil })
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -51,6 +51,8 @@
 	// true if no others may be.
 	saves         map[saveKey]*command.Save
 	savesRecorded bool
+	// software holds, by the services, the software versions at which streams have begun that may still go on.
+	software map[string][]string
 }
 
 // saveKey identifies what one save at a time may write.
@@ -79,11 +81,13 @@
 		isolation:   &isolation.History{},
 		openEpochs:  map[string]uint64{},
 		saves:       map[saveKey]*command.Save{},
+		software:    map[string][]string{},
 	}
 }
 
 // Result is one of Applied, Reservation, RecordResult, Token, Installation, CurrentVersion, Evacuated,
-// OpenedStore, BegunSaves, EndedSaves or Malformed.
+// OpenedStore, BegunSaves, EndedSaves, RecordedSoftware
+// or Malformed.
 type Result interface{ result() }
 
 // Applied is the result of an apply command.
@@ -125,21 +129,28 @@
 // EndedSaves is the result of a command that removes saves, or says that all are recorded.
 type EndedSaves struct{}
 
+// RecordedSoftware is the result of a command that records the software versions of a service.
+type RecordedSoftware struct {
+	Service  string
+	Versions []string
+}
+
 // Malformed is the result of a command that this version cannot decode. The command has no
 // effect except on the time.
 type Malformed struct{}
 
-func (Applied) result()        {}
-func (Reservation) result()    {}
-func (RecordResult) result()   {}
-func (Token) result()          {}
-func (Installation) result()   {}
-func (CurrentVersion) result() {}
-func (Evacuated) result()      {}
-func (OpenedStore) result()    {}
-func (BegunSaves) result()     {}
-func (EndedSaves) result()     {}
-func (Malformed) result()      {}
+func (Applied) result()          {}
+func (Reservation) result()      {}
+func (RecordResult) result()     {}
+func (Token) result()            {}
+func (Installation) result()     {}
+func (CurrentVersion) result()   {}
+func (Evacuated) result()        {}
+func (OpenedStore) result()      {}
+func (BegunSaves) result()       {}
+func (EndedSaves) result()       {}
+func (RecordedSoftware) result() {}
+func (Malformed) result()        {}
 
 // Execute executes one encoded command.
 func (l *Ledger) Execute(data []byte) Result {
@@ -181,6 +192,8 @@
 		return l.beginSaves(body.BeginSaves)
 	case *command.Command_EndSaves:
 		return l.endSaves(body.EndSaves)
+	case *command.Command_RecordSoftware:
+		return l.recordSoftware(body.RecordSoftware)
 	case *command.Command_RecordSaves:
 		l.savesRecorded = true
 		return EndedSaves{}
@@ -227,6 +240,19 @@
 	return OpenedStore{c.Address, c.Epoch}
 }
 
+// Software returns a copy of the recorded software versions, in order, by their services.
+func (l *Ledger) Software() map[string][]string { return maps.Clone(l.software) }
+
+// recordSoftware records the software versions of a service, or forgets the service if there are none.
+func (l *Ledger) recordSoftware(c *command.RecordSoftware) RecordedSoftware {
+	if len(c.Versions) == 0 {
+		delete(l.software, c.Service)
+	} else {
+		l.software[c.Service] = slices.Sorted(slices.Values(c.Versions))
+	}
+	return RecordedSoftware{c.Service, c.Versions}
+}
+
 // evacuate changes the evacuation of a failure domain and copies the result to the declared state.
 func (l *Ledger) evacuate(c *command.Evacuate) evacuation.Domain {
 	before := l.evacuations.Domain(c.Domain)
@@ -289,6 +315,9 @@
 		out.OpenStores = append(out.OpenStores, &command.OpenStore{Address: address, Epoch: l.openEpochs[address]})
 	}
 	out.Saves, out.SavesRecorded = l.Saves()
+	for _, service := range slices.Sorted(maps.Keys(l.software)) {
+		out.Software = append(out.Software, &command.RecordSoftware{Service: service, Versions: l.software[service]})
+	}
 	written := map[callID]bool{}
 	for _, id := range l.order {
 		r, ok := l.records[id]
@@ -337,6 +366,9 @@
 		l.saves[keyOf(s)] = s
 	}
 	l.savesRecorded = in.SavesRecorded
+	for _, s := range in.Software {
+		l.software[s.Service] = s.Versions
+	}
 	var domains []evacuation.Domain
 	for _, d := range in.Evacuations {
 		domains = append(domains, evacuation.Domain{Name: d.Domain, Evacuated: d.Evacuated, Revision: d.Revision})
--- a/internal/transport/control/effects.go
+++ b/internal/transport/control/effects.go
@@ -168,6 +168,9 @@
 			installed = true
 			r.Log.Info().Str("event", "evacuation").Uint64("index", e.Index).Str("failure_domain", result.Domain.Name).
 				Bool("evacuated", result.Domain.Evacuated).Uint64("revision", result.Domain.Revision).Msg("")
+		case ledger.RecordedSoftware:
+			installed = true
+			r.Log.Info().Str("event", "software_recorded").Uint64("index", e.Index).Str("service", result.Service).Strs("versions", result.Versions).Msg("")
 		case ledger.OpenedStore:
 			r.Log.Info().Str("event", "store_open").Uint64("index", e.Index).Str("address", result.Address).Uint64("epoch", result.Epoch).Msg("")
 		}
--- a/internal/transport/control/view.go
+++ b/internal/transport/control/view.go
@@ -143,5 +143,6 @@
 		r.Source.RequireWeights(r.Ledger.RequiredWeights())
 		r.Source.Publish(r.Ledger.Installed(), r.Ledger.Weights())
 		r.Source.PublishEvacuations(r.Ledger.Evacuations().All())
+		r.Source.PublishRecordedVersions(r.Ledger.Software())
 	}
 }
--- a/internal/transport/fleet/software.go
+++ b/internal/transport/fleet/software.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedrock/shedrock/internal/coordination/streamorigin"
+	"github.com/shedrock/shedrock/internal/protocol/wire"
 )
 
 // updateSoftwareVersions records the software versions of all services; mu must be held.
@@ -29,6 +30,67 @@
 	f.softwareVersions = next
 }
 
+// PublishRecordedVersions sets the software versions of services that this control instance has applied from the log.
+func (s *Source) PublishRecordedVersions(versions map[string][]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recordedVersions != nil && maps.EqualFunc(s.recordedVersions, versions, slices.Equal) {
+		return
+	}
+	s.recordedVersions = versions
+	s.notifyNow()
+}
+
+// addRecordedVersions adds the recorded software versions; mu must be held.
+func (s *Source) addRecordedVersions(out *wire.FleetResponse) {
+	out.VersionsRecorded = s.recordedVersions != nil
+	for _, service := range slices.Sorted(maps.Keys(s.recordedVersions)) {
+		out.RecordedVersions = append(out.RecordedVersions, &wire.ServiceVersions{Service: service, SoftwareVersions: s.recordedVersions[service]})
+	}
+}
+
+// RecordedVersions holds the software versions of services that the control log holds. It is nil if no control instance
+// sends them.
+type RecordedVersions map[string][]string
+
+// Allow reports whether streams may begin at a software version of a service.
+func (r RecordedVersions) Allow(service, version string) bool {
+	return r == nil || slices.Contains(r[service], version)
+}
+
+// recordedVersions merges what the sources sent; mu must be held. What any of them has applied is committed.
+func (f *Follower) recordedVersions() RecordedVersions {
+	var out RecordedVersions
+	for _, s := range f.sources {
+		if s.recordedVersions == nil {
+			continue
+		}
+		if out == nil {
+			out = RecordedVersions{}
+		}
+		for service, versions := range s.recordedVersions {
+			for _, version := range versions {
+				if !slices.Contains(out[service], version) {
+					out[service] = append(out[service], version)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// toRecordedVersions returns the recorded software versions of an answer, or nil if it has none.
+func toRecordedVersions(out *wire.FleetResponse) RecordedVersions {
+	if !out.VersionsRecorded {
+		return nil
+	}
+	versions := RecordedVersions{}
+	for _, v := range out.RecordedVersions {
+		versions[v.Service] = v.SoftwareVersions
+	}
+	return versions
+}
+
 // replicas returns the addresses of all control instances that the sources list, or of the sources while they list
 // none, in order; mu must be held.
 func (f *Follower) replicas() []string {
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -91,6 +91,8 @@
 	// configRequests counts the requests for the configuration since the last log line about them:
 	// all entries send one when the whole fleet starts.
 	configRequests int
+	// recordedVersions holds the software versions of services that the control log holds; nil until it was applied.
+	recordedVersions map[string][]string
 	// evacuations holds those applied from the log, each with the time since when this control
 	// instance has known it. evacuationRevision is the newest of their revisions.
 	evacuations        []appliedEvacuation
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -133,6 +133,7 @@
 			out.ControlDomains = append(out.ControlDomains, c.FailureDomain)
 		}
 	}
+	s.addRecordedVersions(out)
 	s.addEvacuations(in.Evacuations, out)
 	s.addEntries(in, out)
 	s.addPeers(in, out)
--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -32,6 +32,8 @@
 	// SoftwareVersions holds the software versions of each service, with the times since when this process
 	// knows them. Its values are never modified.
 	SoftwareVersions map[string]streamorigin.Versions
+	// RecordedVersions holds the software versions of services at which streams may begin.
+	RecordedVersions RecordedVersions
 	// Weights holds the newest weight version of each model, and WeightHistories what is known of
 	// when its versions were announced.
 	Weights         map[string]uint64
@@ -168,7 +170,7 @@
 func (f *Follower) publish() {
 	v := &View{
 		Config: f.config, NewestConfigVersion: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, SoftwareVersions: f.softwareVersions, Replicas: f.replicas(), Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
+		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, SoftwareVersions: f.softwareVersions, RecordedVersions: f.recordedVersions(), Replicas: f.replicas(), Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
 		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
 		Unreachable: f.unreachable(clock.Now()), Peers: f.peers,
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -32,6 +32,8 @@
 type sourceState struct {
 	cancel context.CancelFunc
 	epoch  uint64
+	// recordedVersions is what the source sent last; nil if it sends none.
+	recordedVersions RecordedVersions
 	// change and backlog are the cursor for instances; stores.change and stores.backlog are the
 	// cursor for stores.
 	change, backlog uint64
@@ -319,6 +321,7 @@
 	s.failing = toIncarnations(out.Failing)
 	s.setUnreachable(out.UnreachableDomains, now)
 	s.configVersion = out.ConfigVersion
+	s.recordedVersions = toRecordedVersions(out)
 	s.stores.apply(out, now)
 	return controlChanged
 }
--- a/internal/transport/serving/origin.go
+++ b/internal/transport/serving/origin.go
@@ -85,7 +85,7 @@
 	}
 	contact := view.Contact
 	settled := func(in registry.Instance) bool {
-		return !contact.Unreachable(now) && versions.Settled(in.SoftwareVersion, contact.LastUnreachable, now)
+		return view.RecordedVersions.Allow(j.service, in.SoftwareVersion) && !contact.Unreachable(now) && versions.Settled(in.SoftwareVersion, contact.LastUnreachable, now)
 	}
 	if !slices.ContainsFunc(view.Instances[j.service], settled) {
 		return nil
--- a/internal/transport/streams/streams_test.go
+++ b/internal/transport/streams/streams_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/clock"
@@ -67,6 +72,21 @@
 type deployment struct {
 	controls []*control
 	versions atomic.Pointer[streamorigin.Versions]
+	// recorded holds the versions that the control log holds; nil stands for those that are known. The last control
+	// instance leads, unless leaderless is set.
+	recorded   atomic.Pointer[[]string]
+	leaderless atomic.Bool
+}
+
+// readRecorded reads the control log at a control instance.
+func (d *deployment) readRecorded(c *control) (map[string][]string, error) {
+	if d.leaderless.Load() || c != d.controls[len(d.controls)-1] {
+		return nil, errors.New("this replica does not lead")
+	}
+	if recorded := d.recorded.Load(); recorded != nil {
+		return map[string][]string{"s": *recorded}, nil
+	}
+	return map[string][]string{"s": slices.Sorted(maps.Keys(*d.versions.Load()))}, nil
 }
 
 func newDeployment(t *testing.T, controls int, versions streamorigin.Versions) *deployment {
@@ -80,6 +100,7 @@
 		}
 		c := &control{address: l.Addr().String()}
 		c.View = func() *fleet.View { return d.view(nil) }
+		c.Recorded = func(context.Context) (map[string][]string, error) { return d.readRecorded(c) }
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
@@ -209,6 +230,36 @@
 	resolvesTo(t, d.entry(nil), record(1, first), streamorigin.Unknown)
 }
 
+// Guards against control instances that have all just started, each of which takes the version that it has heard of
+// first for the only one: only the control log tells that streams began at no other.
+func TestOneVersionNeedsTheControlLog(t *testing.T) {
+	cases := []struct {
+		name       string
+		recorded   []string
+		leaderless bool
+		want       streamorigin.Source
+	}{
+		{"one is recorded", []string{"v1"}, false, streamorigin.SoleVersion},
+		{"two are recorded", []string{"v1", "v2"}, false, streamorigin.Unknown},
+		{"another one is recorded", []string{"v2"}, false, streamorigin.Unknown},
+		{"none is recorded", []string{}, false, streamorigin.Unknown},
+		{"no leader", nil, true, streamorigin.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDeployment(t, 3, one)
+			d.leaderless.Store(c.leaderless)
+			if c.recorded != nil {
+				d.recorded.Store(&c.recorded)
+			}
+			_, from := d.entry(nil).Resolve(t.Context(), record(1, first).Key, "s")
+			if diff := cmp.Diff(c.want, from); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // Guards against streams that began while there was one version, and cannot go on once there is a second.
 func TestEarlierOriginsAreSharedAtTheSecondVersion(t *testing.T) {
 	d := newDeployment(t, 3, one)
@@ -272,3 +323,56 @@
 		}
 	}
 }
+
+// Guards against streams that cannot go on because all control instances were killed: records outlast a restart, and what
+// was cut off when the process ended does not hide those before it.
+func TestRecordsOutlastARestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "streams")
+	start := func() (s *streams.Service, end func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s = &streams.Service{View: func() *fleet.View { return &fleet.View{} }}
+		s.Persist(ctx, path, quiet)
+		return s, cancel
+	}
+	find := func(s *streams.Service, n int) int {
+		key := record(n, second).Key
+		out, err := s.Find(t.Context(), &wire.FindStreamsRequest{Keys: key[:]})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(out.Origins)
+	}
+	s, end := start()
+	for n := range 3 {
+		if _, err := s.Share(t.Context(), &wire.ShareRequest{Origins: wire.FromOrigins([]streamorigin.Record{record(n, second)})}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	end()
+	for restart := range 3 {
+		s, end = start()
+		if diff := cmp.Diff([]int{1, 1, 1, 0}, []int{find(s, 0), find(s, 1), find(s, 2), find(s, 3)}); diff != "" {
+			t.Errorf("after restart %d: %s", restart, diff)
+		}
+		end()
+	}
+	s, end = start()
+	if _, err := s.Share(t.Context(), &wire.ShareRequest{Origins: wire.FromOrigins([]streamorigin.Record{record(3, second)})}); err != nil {
+		t.Fatal(err)
+	}
+	end()
+	for _, name := range []string{path + ".0", path + ".1"} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(name, text[:max(0, len(text)-1)], 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, end = start()
+	defer end()
+	if diff := cmp.Diff([]int{1, 1, 1, 0}, []int{find(s, 0), find(s, 1), find(s, 2), find(s, 3)}); diff != "" {
+		t.Error("after the last record was cut off: ", diff)
+	}
+}
--- a/internal/transport/streams/tracker.go
+++ b/internal/transport/streams/tracker.go
@@ -190,7 +190,7 @@
 			answers <- answer
 		}()
 	}
-	answered := 0
+	answered, isRecorded := 0, false
 	for range replicas {
 		answer := <-answers
 		if answer == nil {
@@ -201,13 +201,15 @@
 			out.Shared = &records[0].Origin
 			return out
 		}
-		for _, v := range answer.Versions {
+		isRecorded = isRecorded || len(answer.Recorded) > 0
+		for _, v := range slices.Concat(answer.Versions, answer.Recorded) {
 			for _, version := range v.SoftwareVersions {
 				versions[version] = true
 			}
 		}
 	}
 	out.Versions, _ = out.Versions.Update(maps.Keys(versions), clock.Now())
-	out.Current = answered > len(replicas)/2
+	// Control instances that have just started know of no other version. Only the control log tells for certain.
+	out.Current = isRecorded && answered > len(replicas)/2
 	return out
 }
