Streams begin at settled versions until a version is recorded; sound attempts of the same version go on

Read in the diff, not seen by callers: while the control log holds no version of a service, as right after an update, no version was allowed, and the rule that a further version settles first had no effect. An attempt that resumes a stream at an instance that was replaced by a process of the same version was canceled though events still came.

--- a/internal/transport/fleet/software.go
+++ b/internal/transport/fleet/software.go
@@ -53,9 +53,9 @@
 // sends them.
 type RecordedVersions map[string][]string
 
-// Allow reports whether streams may begin at a software version of a service.
+// Allow reports whether streams may begin at a software version of a service. Until any is recorded, they may at all.
 func (r RecordedVersions) Allow(service, version string) bool {
-	return r == nil || slices.Contains(r[service], version)
+	return len(r[service]) == 0 || slices.Contains(r[service], version)
 }
 
 // recordedVersions merges what the sources sent; mu must be held. What any of them has applied is committed.
--- a/internal/transport/serving/origin.go
+++ b/internal/transport/serving/origin.go
@@ -93,7 +93,7 @@
 // Unless both have the same version, what was recorded before contradicts that, and no other entry has the stream go on.
 // The server's mu must be held.
 func (j *job) correctOrigin(later registry.Instance, isUncertain bool) {
-	if j.origin.SoftwareVersion == later.SoftwareVersion {
+	if !j.origin.begun || j.origin.SoftwareVersion == later.SoftwareVersion {
 		return
 	}
 	correction := streamorigin.Origin{}
--- a/internal/transport/serving/superseded.go
+++ b/internal/transport/serving/superseded.go
@@ -125,7 +125,7 @@
 	case a.supersededAt.IsZero():
 		a.supersededAt, a.received = now, received
 		s.inFlight[j] = a
-	case received > a.received && j.origin.attempt == j.attemptNumber:
+	case received > a.received && (j.origin.attempt == j.attemptNumber || later.SoftwareVersion == a.target.SoftwareVersion):
 		s.Log.Info().Str("event", "attempt_at_later_process").Str("request", j.request.ID).Str("instance", later.ID).Int64("start", int64(later.Start)).
 			Int64("believed_start", int64(a.target.Start)).Str("software", later.SoftwareVersion).Str("believed_software", a.target.SoftwareVersion).Msg("")
 		j.correctOrigin(later, false)
