--- a/internal/coordination/keeping/saves.go
+++ b/internal/coordination/keeping/saves.go
@@ -264,10 +264,10 @@
 	return t.recorded || now.Sub(t.createdAt) >= longest+deadlineMargin+maxMoveWait
 }
 
-// SetRecorded notes that the control log says that every save is recorded; IsCommittedRecorded reports it.
+// SetRecorded notes that the control log holds the record that all saves are recorded; IsCommittedRecorded reports it.
 func (t *SaveTable) SetRecorded() { t.recorded = true }
 
-// IsCommittedRecorded reports whether the control log says that every save is recorded.
+// IsCommittedRecorded reports whether the control log holds the record that all saves are recorded.
 func (t *SaveTable) IsCommittedRecorded() bool { return t.recorded }
 
 func sortSaves(saves []Save) {
--- a/internal/coordination/keeping/saves_test.go
+++ b/internal/coordination/keeping/saves_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// savesWorld is a store with engines that save parts at any time after they were told to, over restarts of the store and
+// savesWorld is a store with engines that save parts at any time after the request, over restarts of the store and
 // changes of the leader.
 type savesWorld struct {
 	random *rand.Rand
@@ -272,7 +272,7 @@
 	return w.fetched, nil
 }
 
-// For any sequence of saves, which engines may make at any time after they were told to, of restarts of the store,
+// For any sequence of saves, which engines may make at any time after the request, of restarts of the store,
 // new leaders and lost reports, no part is written while it may be fetched by an earlier publication.
 func TestNoPartIsWrittenWhileItMayBeFetched(t *testing.T) {
 	fetched := 0
--- a/internal/coordination/streamorigin/records.go
+++ b/internal/coordination/streamorigin/records.go
@@ -18,7 +18,7 @@
 // DueRecords returns the software versions to record by their services, and none for services that are not in the
 // configuration any more. known holds those of each declared service.
 //
-// A version is added as soon as it is known. The first record of a service says that streams have begun nowhere else,
+// A version is added as soon as it is known. The first record of a service implies that streams have begun nowhere else,
 // and a version is removed when no stream that began there can go on: both need a process that would know.
 func DueRecords(recorded, known map[string][]string, watched Watched) map[string][]string {
 	due := map[string][]string{}
--- a/internal/coordination/streamorigin/records_test.go
+++ b/internal/coordination/streamorigin/records_test.go
@@ -9,7 +9,7 @@
 	"github.com/shedrock/shedrock/internal/coordination/streamorigin"
 )
 
-// A further version is recorded at once. What says that streams can go on nowhere else needs a process that has known of
+// A further version is recorded at once. A record by which streams can go on nowhere else needs a process that has known of
 // all versions for long enough.
 func TestDueRecords(t *testing.T) {
 	list := func(versions ...string) map[string][]string { return map[string][]string{"s": versions} }
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -126,7 +126,7 @@
 // BegunSaves is the result of a command that records saves: whether each was recorded.
 type BegunSaves struct{ Recorded []bool }
 
-// EndedSaves is the result of a command that removes saves, or says that all are recorded.
+// EndedSaves is the result of a command that removes saves, or records that all are recorded.
 type EndedSaves struct{}
 
 // RecordedSoftware is the result of a command that records the software versions of a service.
@@ -225,34 +225,6 @@
 // begin.
 func (l *Ledger) RequiredWeights() map[string]uint64 { return maps.Clone(l.required) }
 
-// OpenEpochs returns a copy of the epochs in which stores were last known to be open for saves, by the
-// stores' addresses.
-func (l *Ledger) OpenEpochs() map[string]uint64 { return maps.Clone(l.openEpochs) }
-
-// openStore records the epoch in which a store was open. A late command may replace a newer epoch by an
-// older one: what it says remains true, and a store is not taken for open by an epoch that is not its own.
-func (l *Ledger) openStore(c *command.OpenStore) OpenedStore {
-	if c.Epoch == 0 {
-		delete(l.openEpochs, c.Address)
-	} else {
-		l.openEpochs[c.Address] = c.Epoch
-	}
-	return OpenedStore{c.Address, c.Epoch}
-}
-
-// Software returns a copy of the recorded software versions, in order, by their services.
-func (l *Ledger) Software() map[string][]string { return maps.Clone(l.software) }
-
-// recordSoftware records the software versions of a service, or forgets the service if there are none.
-func (l *Ledger) recordSoftware(c *command.RecordSoftware) RecordedSoftware {
-	if len(c.Versions) == 0 {
-		delete(l.software, c.Service)
-	} else {
-		l.software[c.Service] = slices.Sorted(slices.Values(c.Versions))
-	}
-	return RecordedSoftware{c.Service, c.Versions}
-}
-
 // evacuate changes the evacuation of a failure domain and copies the result to the declared state.
 func (l *Ledger) evacuate(c *command.Evacuate) evacuation.Domain {
 	before := l.evacuations.Domain(c.Domain)
--- a/internal/state/ledger/saves.go
+++ b/internal/state/ledger/stores.go
@@ -44,3 +44,18 @@
 	}
 	return saves, l.savesRecorded
 }
+
+// OpenEpochs returns a copy of the epochs in which stores were last known to be open for saves, by the
+// stores' addresses.
+func (l *Ledger) OpenEpochs() map[string]uint64 { return maps.Clone(l.openEpochs) }
+
+// openStore records the epoch in which a store was open. A late command may replace a newer epoch by an
+// older one: what it says remains true, and a store is not taken for open by an epoch that is not its own.
+func (l *Ledger) openStore(c *command.OpenStore) OpenedStore {
+	if c.Epoch == 0 {
+		delete(l.openEpochs, c.Address)
+	} else {
+		l.openEpochs[c.Address] = c.Epoch
+	}
+	return OpenedStore{c.Address, c.Epoch}
+}
--- a/internal/transport/ends/ends.go
+++ b/internal/transport/ends/ends.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -228,27 +227,6 @@
 	}
 }
 
-// noteRefusal notes that the address of an incarnation has refused connections.
-func (t *Tracker) noteRefusal(of registry.Incarnation) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := clock.Now()
-	maps.DeleteFunc(t.refusedAt, func(_ registry.Incarnation, at time.Time) bool { return now.Sub(at) >= refusedRetention })
-	if t.refusedAt == nil {
-		t.refusedAt = map[registry.Incarnation]time.Time{}
-	}
-	t.refusedAt[of] = now
-}
-
-// HasRefused reports whether the address of an incarnation has refused connections to this entry lately. What answers
-// there since is a later process, even if its first heartbeat has not come yet.
-func (t *Tracker) HasRefused(of registry.Incarnation) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at, ok := t.refusedAt[of]
-	return ok && clock.Since(at) < refusedRetention
-}
-
 // takeRecent removes and returns the undecided attempts at an instance within refusalWindow.
 func (t *Tracker) takeRecent(in registry.Instance, now time.Time) (out []undecidedAttempt) {
 	atInstance := func(b undecidedAttempt) bool {
--- a/internal/transport/serving/origin.go
+++ b/internal/transport/serving/origin.go
@@ -77,7 +77,7 @@
 	j.shareOrigin(origin)
 }
 
-// shareOrigin shares where the stream began; the zero value says that it is uncertain.
+// shareOrigin shares where the stream began; the zero value stands for an uncertain origin.
 func (j *job) shareOrigin(origin streamorigin.Origin) {
 	id := j.request.ID
 	if j.origin.source != "" {
--- a/internal/transport/streams/recorder.go
+++ b/internal/transport/streams/recorder.go
@@ -22,7 +22,7 @@
 
 // VersionRecorder commits to the control log which software versions each service has, while this control instance
 // leads. A version is recorded before streams begin there, and removed once none of them can go on any more: so the log
-// tells also after a loss of all processes whether streams have begun at one version only. Set the exported fields, then
+// shows also after a loss of all processes whether streams have begun at one version only. Set the exported fields, then
 // call Run.
 type VersionRecorder struct {
 	// View returns the current state of the fleet.
--- a/internal/transport/streams/streams_test.go
+++ b/internal/transport/streams/streams_test.go
@@ -230,8 +230,8 @@
 	resolvesTo(t, d.entry(nil), record(1, first), streamorigin.Unknown)
 }
 
-// Guards against control instances that have all just started, each of which takes the version that it has heard of
-// first for the only one: only the control log tells that streams began at no other.
+// Guards against control instances that have all just started, each of which takes the version that it has
+// received first for the only one: only the control log shows that streams began at no other.
 func TestOneVersionNeedsTheControlLog(t *testing.T) {
 	cases := []struct {
 		name       string
--- a/internal/transport/streams/tracker.go
+++ b/internal/transport/streams/tracker.go
@@ -209,7 +209,7 @@
 		}
 	}
 	out.Versions, _ = out.Versions.Update(maps.Keys(versions), clock.Now())
-	// Control instances that have just started know of no other version. Only the control log tells for certain.
+	// Control instances that have just started know of no other version. Only the control log is certain.
 	out.Current = isRecorded && answered > len(replicas)/2
 	return out
 }
