Review case 7: streams that a crash cuts within an event

Cause: the reader of events looks at each piece of a line that is longer than its buffer as if it were a line of its own. After a line of 2,048 bytes, the line end alone is taken for the empty line that ends an event.

Done: a script with seven replicas that write streams of twelve events, one of which crashes partway through an event of each of its streams.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -14,6 +14,7 @@
 // cases are the cases by their names. trouble is false if the disruption is to be left out.
 var cases = map[string]func(c *record, trouble bool) (verdict, error){
 	"forgotten-departure": forgottenDeparture,
+	"cut-events":          cutEvents,
 }
 
 // The exit codes: the rule held, it was broken, and the case could not run.
