Review case 8: a request that crashes replicas is tried by all at once

Cause: once three cycles of turns are over, every front machine may try a held request by itself, so a request that comes again half a minute later at several of them is sent by each.

Done: a script with eight front machines and twelve replicas. A request that crashes each replica that runs it comes once at each front machine, and again 35 s later.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(c *record, trouble bool) (verdict, error){
 	"forgotten-departure": forgottenDeparture,
 	"cut-events":          cutEvents,
+	"poison-waves":        poisonWaves,
 }
 
 // The exit codes: the rule held, it was broken, and the case could not run.
