Review case 7: streams join two software versions after silent restarts

Cause: an instance that starts again under its id with other software is taken for the run before until its first heartbeat, unless its address has refused a connection. A crash that is silent leaves no such sign.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -16,6 +16,7 @@
 	"forgotten-departure": forgottenDeparture,
 	"cut-events":          cutEvents,
 	"poison-waves":        poisonWaves,
+	"upgrades-in-place":   upgradesInPlace,
 }
 
 // The exit codes: the rule held, it was broken, and the case could not run.
