--- a/review/play/client.go
+++ b/review/play/client.go
@@ -62,9 +62,9 @@
 		return
 	}
 	req.Host = c.host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(c.wait.Milliseconds()))
-	req.Header.Set("Api-Key", "key-of-one")
+	req.Header.Set(wire["request"], id)
+	req.Header.Set(wire["deadline"], fmt.Sprint(c.wait.Milliseconds()))
+	req.Header.Set(wire["key"], "key-of-one")
 	at := time.Now()
 	c.cluster.record.note("send %s to %s", id, m.name)
 	status := 0
--- a/review/play/departure.go
+++ b/review/play/departure.go
@@ -19,7 +19,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-one", "host": "shop.example", "path_prefix": "/one/", "type": route, "timeout_ms": 2500, "target_latency_ms": 150,
+			"name": "r-one", "host": "shop.example", wire["prefix"]: "/one/", "type": route, "timeout_ms": 2500, "target_latency_ms": 150,
 			"priority": 0, "service": "app", "max_attempts": 2, "public": false, "sticky": false, "resumable": false,
 		}},
 		"services": []any{map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
