Departures are acknowledged once other control instances hold them

Cause: a control instance answered a deregistration, or a heartbeat that says draining, as soon as it had it in memory. The first departure was passed on at once, a second one up to 200 ms later, and the file was written every 0.5 s. When the control instance was lost in between, nobody else knew, and the others kept what it had reported as alive for 15 s and four heartbeats.

Change: the acknowledgement waits until as many other control instances as may be lost (settings: losses) hold the departure, one of them in another failure domain, as their next poll confirms. Each of them adopts it: it publishes the departure as its own and writes it to its file, so that it outlives the one that heard it, whatever that one reports when it is back. A departure without a start ends the incarnations that were seen before it in whatever order the two become known, and names the latest start that anybody knows, so that the next run of the id is used at once.

--- a/internal/cli/platform_control.go
+++ b/internal/cli/platform_control.go
@@ -102,12 +102,13 @@
 		return nil, failure{exitFailed, errors.Wrapf(err, "open %s", s.Data)}
 	}
 	source := fleet.NewSource(ctx, s.Heartbeat(), logger)
+	source.Name, source.FailureDomain, source.Copies, source.Metrics = s.Name, s.FailureDomain, int(s.Losses), fleet.NewMetrics()
 	source.Persist(ctx, filepath.Join(s.Data, instancesFile))
 	addresses := func() []string { return union(file.Current().PeerSeeds(), source.Control()) }
 	client := controlclient.New(addresses)
 	follower := &fleet.Follower{
 		Name: s.Name, FailureDomain: s.FailureDomain, Seeds: addresses, Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
-		Relay: source, Address: s.PeerAddress(), FailuresPending: source.ForwardPending(), TakeFailures: source.TakeForward,
+		Metrics: source.Metrics, Relay: source, Address: s.PeerAddress(), FailuresPending: source.ForwardPending(), TakeFailures: source.TakeForward,
 	}
 	engines := platform.NewEngineClient()
 	replica := &control.Replica{
@@ -131,6 +132,9 @@
 	calls.Register(lists.Collector())
 	calls.Register(decisions)
 	calls.Register(origins.Collector())
+	for _, c := range source.Metrics.Collectors() {
+		calls.Register(c)
+	}
 	keeper := &keeping.StoreWatcher{
 		View: follower.View, Leading: replica.Leading, ConfirmLeadership: replica.VerifyLeader, Committed: replica.CommittedStores, Source: source, Stores: platform.NewStoreClient(lists), Log: logger,
 		CommitSaves: replica.CommitSaves, CommitEnds: replica.CommitSaveEnds, CommitRecorded: replica.CommitSavesRecorded, Engines: engines, FirstStart: s.FirstStart, Metrics: keeping.NewMetrics(),
--- a/internal/state/registry/merged.go
+++ b/internal/state/registry/merged.go
@@ -43,7 +43,9 @@
 	// come or gone since the last call of SoftwareVersions.
 	versions        map[string]map[string]int
 	versionsChanged bool
-	shared          shared
+	// departures holds the incarnations in use of which a departure was learned since the last call of TakeDepartures.
+	departures []Report
+	shared     shared
 }
 
 // known is what is known of one id.
@@ -74,6 +76,8 @@
 	// weightsStale is true while newest.Weights may differ from the estimates.
 	weightsStale bool
 	left         bool
+	// departedAt is when a control instance first heard of the departure, or zero.
+	departedAt time.Time
 	// firstSeen is when any source first heard of the incarnation. order numbers the incarnations
 	// in the order in which this process learned of them, to break ties of firstSeen.
 	firstSeen time.Time
@@ -110,7 +114,9 @@
 		if r.Left && r.Start == 0 {
 			m.endEarlier(r, now)
 		}
+		before := m.incarnationCount
 		k := m.incarnationOf(r, now)
+		wasInUse := before == m.incarnationCount && !k.left && !k.newest.Leaving
 		for _, other := range m.instances[r.ID].incarnations {
 			if other != k {
 				// A source reports only one incarnation of an id as alive.
@@ -118,9 +124,19 @@
 			}
 		}
 		m.merge(k, from, r, now.Add(-m.Grace))
+		if wasInUse && (k.left || k.newest.Leaving) {
+			m.departures = append(m.departures, m.report(k, now))
+		}
 	}
 }
 
+// TakeDepartures returns the incarnations that were in use and of which a departure was learned since the last call.
+func (m *Merged) TakeDepartures() []Report {
+	out := m.departures
+	m.departures = nil
+	return out
+}
+
 // currentEpoch returns the number of a source and its current epoch.
 func (m *Merged) currentEpoch(source string) sourceEpoch {
 	m.init()
@@ -146,6 +162,7 @@
 	}
 	m.incarnationCount++
 	k := &merged{newest: r.Instance, weightsStale: true, firstSeen: now, order: m.incarnationCount, orphanedSince: now}
+	k.left = id.leftWithoutStart(r)
 	id.incarnations = slices.Insert(id.incarnations, i, k)
 	m.orphans[k] = struct{}{}
 	m.addAddress(k)
@@ -153,6 +170,16 @@
 	return k
 }
 
+// leftWithoutStart reports whether the incarnation of a report was seen before a departure without a start, which ends it
+// in whatever order the two become known.
+func (id *known) leftWithoutStart(r Report) bool {
+	if len(id.incarnations) == 0 || r.Start == 0 || r.FirstSeen.IsZero() {
+		return false
+	}
+	departed := id.incarnations[0]
+	return departed.newest.Start == 0 && departed.left && !r.FirstSeen.After(departed.firstSeen)
+}
+
 // endEarlier ends the incarnations of an id that were seen before it left without reporting a
 // start.
 func (m *Merged) endEarlier(left Report, now time.Time) {
@@ -162,6 +189,9 @@
 	}
 	for _, k := range id.incarnations {
 		if left.FirstSeen.IsZero() || !k.firstSeen.After(left.FirstSeen) {
+			if !k.left && !k.newest.Leaving {
+				m.departures = append(m.departures, Report{Instance: k.newest, Left: true, DepartedAt: left.DepartedAt})
+			}
 			k.left = true
 			k.sources = nil
 			k.orphanedSince = now.Add(-m.Grace)
@@ -186,6 +216,9 @@
 		k.left = true
 		m.touch(k)
 	}
+	if k.departedAt.IsZero() || !r.DepartedAt.IsZero() && r.DepartedAt.Before(k.departedAt) {
+		k.departedAt = r.DepartedAt
+	}
 	if r.Silent || r.Left {
 		// The source has already waited for several heartbeats, so Grace is not added.
 		m.dropSource(k, from.source, droppedAt)
@@ -340,9 +373,13 @@
 	if of == nil {
 		return Report{}, false
 	}
-	k := of.latest()
+	return m.report(of.latest(), now), true
+}
+
+// report returns the merged state of an incarnation.
+func (m *Merged) report(k *merged, now time.Time) Report {
 	m.resolveWeights(k, now)
-	return Report{Instance: k.newest, Silent: m.silent(k, now), Left: k.left, FirstSeen: k.firstSeen}, true
+	return Report{Instance: k.newest, Silent: m.silent(k, now), Left: k.left, FirstSeen: k.firstSeen, DepartedAt: k.departedAt}
 }
 
 // latest returns the incarnation that started last.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -55,10 +55,15 @@
 	Silent, Left bool
 	// FirstSeen is when the registry first heard of the incarnation; zero stands for now.
 	FirstSeen time.Time
+	// DepartedAt is when a control instance first heard that the incarnation leaves or has left, or zero.
+	DepartedAt time.Time
 	// Change numbers the reports of one registry in the order of their changes.
 	Change uint64
 }
 
+// Departing reports whether the instance has announced that it leaves, or has left.
+func (r Report) Departing() bool { return r.Leaving || r.Left }
+
 type record struct {
 	report   Report
 	lastSeen time.Time
@@ -82,7 +87,7 @@
 	known, ok := r.records[in.ID]
 	in.WeightsProvenance = Provenance{At: now}
 	if !ok || known.supersededBy(in.Start) {
-		r.put(&record{report: Report{Instance: in, FirstSeen: now}, lastSeen: now})
+		r.put(&record{report: Report{Instance: in, FirstSeen: now, DepartedAt: departedAt(in, time.Time{}, now)}, lastSeen: now})
 		return true
 	}
 	if in.Start < known.report.Start {
@@ -103,12 +108,24 @@
 	changed = changed || !maps.Equal(in.Weights, known.report.Weights)
 	known.report.Instance = in
 	known.report.Silent = false
+	known.report.DepartedAt = departedAt(in, known.report.DepartedAt, now)
 	if changed {
 		r.recordChange(known)
 	}
 	return changed
 }
 
+// departedAt returns when an instance departed, by its heartbeat at the time now. before is what was known until then.
+func departedAt(in Instance, before, now time.Time) time.Time {
+	if !in.Leaving {
+		return time.Time{}
+	}
+	if before.IsZero() {
+		return now
+	}
+	return before
+}
+
 // supersededBy reports whether an incarnation with the given start replaces the recorded one. An
 // instance that left without reporting a start is not replaced, as its heartbeats may still arrive.
 func (k *record) supersededBy(start Start) bool {
@@ -162,11 +179,11 @@
 }
 
 // Restore adds a report that an earlier run of this control instance persisted. It expires after validFor
-// unless the instance reports itself. The report is ignored if the instance was silent then, or if
+// unless the instance reports itself. The report is ignored if the instance was silent then and not departing, or if
 // it has reported itself since.
 func (r *Registry) Restore(report Report, now time.Time, validFor time.Duration) {
 	known, ok := r.records[report.ID]
-	if report.Silent || ok && !known.supersededBy(report.Start) {
+	if report.Silent && !report.Departing() || ok && !known.supersededBy(report.Start) {
 		return
 	}
 	// A claim about the weights that is made from now on takes precedence over the restored one.
@@ -178,7 +195,7 @@
 func (r *Registry) Leave(in Incarnation, now time.Time) {
 	known, ok := r.records[in.ID]
 	if !ok || known.supersededBy(in.Start) {
-		r.put(&record{report: Report{Instance: Instance{ID: in.ID, Start: in.Start}, FirstSeen: now, Left: true}, lastSeen: now})
+		r.put(&record{report: Report{Instance: Instance{ID: in.ID, Start: in.Start}, FirstSeen: now, DepartedAt: now, Left: true}, lastSeen: now})
 		return
 	}
 	if in.Start != 0 && in.Start < known.report.Start {
@@ -189,6 +206,9 @@
 		return
 	}
 	known.report.Left = true
+	if known.report.DepartedAt.IsZero() {
+		known.report.DepartedAt = now
+	}
 	r.recordChange(known)
 }
 
--- a/internal/state/registry/table.go
+++ b/internal/state/registry/table.go
@@ -44,6 +44,15 @@
 	return a.Start == b.Start && a.Left == b.Left && a.Silent == b.Silent && sameStatus(a.Instance, b.Instance) && maps.Equal(a.Weights, b.Weights)
 }
 
+// Start returns the start of the latest incarnation of an id, or 0 if it is not known.
+func (t *Table) Start(id string) Start {
+	known, ok := t.reports[id]
+	if !ok {
+		return 0
+	}
+	return known.Start
+}
+
 // Remove removes an instance. Readers are not told of that, as they forget it by themselves some time
 // after it has ended.
 func (t *Table) Remove(id string) { delete(t.reports, id) }
--- a/internal/transport/fleet/convert.go
+++ b/internal/transport/fleet/convert.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 	"github.com/shedrock/shedrock/internal/state/chunks"
@@ -13,18 +14,22 @@
 )
 
 func fromReport(r registry.Report, now time.Time) *wire.InstanceReport {
-	return &wire.InstanceReport{
+	out := &wire.InstanceReport{
 		Id: r.ID, Start: int64(r.Start), Service: r.Service, Address: r.Address, FailureDomain: r.FailureDomain, Slots: uint32(r.Slots),
 		Leaving: r.Leaving, Silent: r.Silent, Left: r.Left, Sequence: r.Sequence, Weights: fromWeights(r.Weights),
 		AgeMilliseconds:        uint64(now.Sub(r.FirstSeen).Milliseconds()),
 		WeightsAgeMilliseconds: uint64(now.Sub(r.WeightsProvenance.At).Milliseconds()), WeightsAsked: r.WeightsProvenance.Queried,
 		ColdMilliseconds: uint32(max(0, r.ColdUntil.Sub(now).Milliseconds())), SoftwareVersion: r.SoftwareVersion,
 	}
+	if !r.DepartedAt.IsZero() {
+		out.DepartedMilliseconds = proto.Uint64(uint64(max(0, now.Sub(r.DepartedAt).Milliseconds())))
+	}
+	return out
 }
 
 // toReport converts a report that was received from the source at the address from.
 func toReport(in *wire.InstanceReport, from string, now time.Time) registry.Report {
-	return registry.Report{
+	out := registry.Report{
 		Instance: registry.Instance{
 			ID: in.Id, Start: registry.Start(in.Start), Service: in.Service, Address: in.Address, FailureDomain: in.FailureDomain, Slots: int(in.Slots),
 			Leaving: in.Leaving, Sequence: in.Sequence, Weights: toWeights(in.Weights), SoftwareVersion: in.SoftwareVersion,
@@ -33,6 +38,10 @@
 		},
 		Silent: in.Silent, Left: in.Left, FirstSeen: ago(now, in.AgeMilliseconds),
 	}
+	if in.DepartedMilliseconds != nil {
+		out.DepartedAt = ago(now, *in.DepartedMilliseconds)
+	}
+	return out
 }
 
 // coldUntil returns the time until which an instance is cold. It is zero for one that is not cold,
--- a/internal/transport/fleet/follower.go
+++ b/internal/transport/fleet/follower.go
@@ -70,6 +70,8 @@
 	// at instances that answered. TakeFailures returns the failures since its last call.
 	FailuresPending <-chan struct{}
 	TakeFailures    func() []suspects.Failures
+	// Metrics may be nil.
+	Metrics *Metrics
 	// OnVersionAdded, when set, is called when a service has got a further software version. It must not block.
 	OnVersionAdded func(service string)
 	// Log receives one line per event.
--- a/internal/transport/fleet/memory.go
+++ b/internal/transport/fleet/memory.go
@@ -16,6 +16,8 @@
 	// persistInterval is how often the instances' reports are written to the file, if they have
 	// changed: a heartbeat that repeats the last one is no change.
 	persistInterval = 500 * time.Millisecond
+	// minPersistPause is the minimum time between two writes because of departures, which are written at once.
+	minPersistPause = 50 * time.Millisecond
 	// restoredHeartbeats is the number of heartbeat intervals for which a restored instance counts
 	// as live before it reports itself. Without that, entries that start would have no instances.
 	restoredHeartbeats = 2
@@ -26,6 +28,9 @@
 // known again when they report, one heartbeat later.
 func (s *Source) Persist(ctx context.Context, path string) {
 	s.restore(path)
+	s.mu.Lock()
+	s.persistedChange = new(uint64)
+	s.mu.Unlock()
 	go func() {
 		ticker := time.NewTicker(persistInterval)
 		defer ticker.Stop()
@@ -33,31 +38,51 @@
 		for {
 			select {
 			case <-ticker.C:
+			case <-s.persistRequested:
 			case <-ctx.Done():
 				return
 			}
-			change, text := s.encodeState(written)
+			change, instances, text := s.encodeState(written)
 			if text == nil {
 				continue
 			}
 			err := disk.WriteFileAtomic(path, text)
 			if err == nil {
 				written = change
+				s.notePersisted(instances)
 			}
 			s.logPersistence(err, failed)
 			failed = err != nil
+			pauseBetweenWrites(ctx)
 		}
 	}()
 }
 
+// pauseBetweenWrites limits how often the file is written while instances depart one after the other.
+func pauseBetweenWrites(ctx context.Context) {
+	select {
+	case <-time.After(minPersistPause):
+	case <-ctx.Done():
+	}
+}
+
+// notePersisted notes that the file holds all changes of the registry up to the given one.
+func (s *Source) notePersisted(change uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*s.persistedChange = change
+	s.notifyConfirming()
+}
+
 // encodeState returns the state to be written, or nil if it has not changed since the change
-// written.
-func (s *Source) encodeState(written uint64) (change uint64, text []byte) {
+// written. instances is the newest change of the registry in it.
+func (s *Source) encodeState(written uint64) (change, instances uint64, text []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change = s.registry.Change() + s.own.facts.Change()
+	instances = s.registry.Change()
+	change = instances + s.own.facts.Change()
 	if change == written {
-		return change, nil
+		return change, instances, nil
 	}
 	out := &wire.FleetResponse{Entries: uint32(s.countEntries())}
 	now := clock.Now()
@@ -70,7 +95,7 @@
 	if err != nil {
 		panic("fleet: encode state: " + err.Error())
 	}
-	return change, text
+	return change, instances, text
 }
 
 // logPersistence logs when writing starts to fail, and when it succeeds again; failed is whether
--- a/internal/transport/fleet/source.go
+++ b/internal/transport/fleet/source.go
@@ -45,9 +45,17 @@
 	maxRoutineInterval = 500 * time.Millisecond
 )
 
-// Source is the state that one control instance publishes. Use NewSource to make one. It is safe
-// for concurrent use.
+// Source is the state that one control instance publishes. Use NewSource to make one, and set the exported fields
+// before its use. It is safe for concurrent use.
 type Source struct {
+	// Name identifies this control instance, and FailureDomain is where it runs.
+	Name, FailureDomain string
+	// Copies is on how many other control instances a departure must be held before it is acknowledged; fewer suffice
+	// if there are not as many.
+	Copies int
+	// Metrics may be nil.
+	Metrics *Metrics
+
 	heartbeat time.Duration
 	log       *log.Logger
 	// configText holds the configuration's text in pieces, as it is sent to entries.
@@ -83,6 +91,16 @@
 	forwardPending chan struct{}
 	// entries holds the entries that polled lately.
 	entries entryTable
+	// relayPollers holds the other control instances that polled lately, by name.
+	relayPollers map[string]relayPoller
+	// confirming is closed when relayPollers or persistedChange change; it is nil while nothing waits for that.
+	confirming chan struct{}
+	// persistedChange is the newest change of registry that is in the file, or nil if no file is written.
+	// persistRequested holds a token if the file is to be written at once.
+	persistedChange  *uint64
+	persistRequested chan struct{}
+	// departuresScheduled is true while a notification about departures is scheduled.
+	departuresScheduled bool
 	// restoredEntries is the number of entries before this process restarted, as restored at
 	// restoredAt. It keeps the shares of the fleet-wide limits correct until the entries have
 	// polled again.
@@ -111,6 +129,7 @@
 	s := &Source{
 		heartbeat: heartbeat, log: logger, registry: registry.Registry{SilentAfter: silentHeartbeats * heartbeat},
 		sweptAt: clock.Now(), suspects: suspects.New(), forwardPending: make(chan struct{}, 1),
+		persistRequested: make(chan struct{}, 1),
 	}
 	s.own = newPublication(&s.registry)
 	go func() {
@@ -139,12 +158,16 @@
 	if !s.registry.RecordHeartbeat(in, clock.Now()) {
 		return
 	}
-	s.own.notify(true)
+	if in.Leaving {
+		s.publishDeparture()
+	} else {
+		s.own.notify(true)
+	}
 	s.log.Info().Str("event", "instance_reported").Str("instance", in.ID).Int64("start", int64(in.Start)).Str("service", in.Service).Str("address", in.Address).Str("software", in.SoftwareVersion).Bool("leaving", in.Leaving).Uint64("sequence", in.Sequence).Msg("")
 }
 
 // RecordDeparture records that an incarnation has left. Without a start, it applies to all
-// incarnations of the id so far.
+// incarnations of the id so far. It must not be acknowledged before ConfirmDeparture has returned.
 func (s *Source) RecordDeparture(in registry.Incarnation) {
 	s.recordEnd(in, "instance_left")
 }
@@ -160,8 +183,11 @@
 func (s *Source) recordEnd(in registry.Incarnation, event string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if in.Start == 0 {
+		in.Start = s.startOf(in.ID)
+	}
 	s.registry.Leave(in, clock.Now())
-	s.own.notify(true)
+	s.publishDeparture()
 	s.log.Info().Str("event", event).Str("instance", in.ID).Int64("start", int64(in.Start)).Msg("")
 }
 
--- a/internal/transport/fleet/source_answer.go
+++ b/internal/transport/fleet/source_answer.go
@@ -72,6 +72,7 @@
 	if in.Entry {
 		s.entries.recordPoll(in, now)
 	}
+	s.recordRelayPoll(in, now)
 	p := s.publicationFor(in)
 	since := p.cursorsOf(in)
 	if !s.ready(p, in, since) {
--- a/internal/transport/fleet/watch.go
+++ b/internal/transport/fleet/watch.go
@@ -145,6 +145,9 @@
 		in.Standby = s.standby
 		in.PeersChange = s.peersChange
 	}
+	if f.Relay != nil {
+		in.FailureDomain = f.FailureDomain
+	}
 	if f.Entry && f.PeerAddress != "" {
 		f.updatePathLost()
 		in.PeerAddress, in.FailureDomain, in.PathLost, in.PathChangedAt = f.PeerAddress, f.FailureDomain, f.pathLost, f.pathChangedAt
@@ -217,6 +220,10 @@
 		reports = append(reports, toReport(r, address, now))
 	}
 	f.merged.Merge(address, reports, now)
+	f.noteDepartures(address, now)
+	if f.Relay != nil && address != f.Address {
+		f.Relay.adoptDepartures(reports, address)
+	}
 	if s.resyncing && out.Backlog == 0 {
 		s.resyncing = false
 		f.merged.EndResync(address, now)
