A stopping entry answers all requests that it has read

What callers saw: in a planned stop of one entry, requests that came late in the grace were passed on and cut at its end without an answer, also of routes that may not be repeated, and connections that callers had opened before were closed without a word while the process ran on (LOST).

Cause: Stop only changed readiness; nothing compared the time left with what a request may take. http.Server.Shutdown, 2.5 s after the SIGTERM, closes idle connections and those that have been unused for 5 s.

Change: an attempt begins only if the request's deadline is before the end or, for a request that may be repeated, if half of the time from the SIGTERM to the end and 1.5 times the service's mean latency are left. This holds for first attempts, resends, successors and requests that wait for room. Other requests are refused at once as not run, and their connections close. Existing connections, new and idle ones too, are served until nothing is in progress; the listener still accepts what the kernel had queued. At 7/8 of the grace, requests in progress end with an outcome (502, they may have run), and those that have not been read completely with 408. All times are parts of the configured grace.

TestRequestsCutAtTheEndOfTheGraceAreLogged demanded that such a request has no answer. It now demands the 502 and the same line and count in the log.

Evidence: TestPlannedStopAnswersEveryRequest, six forms with real processes of 60 requests each: on the code before requests ran and had no answer (late bodies), and up to 52 of 60 on unused connections had none; all have one now. It also covers a grace of 4 s and a second SIGTERM.

--- a/internal/cli/platform_entry.go
+++ b/internal/cli/platform_entry.go
@@ -32,11 +32,6 @@
 const (
 	// peerIdleTimeout is how long an idle connection of another entry is kept.
 	peerIdleTimeout = 75 * time.Second
-	// notice is how long a process that stops still takes new connections: the balancer
-	// asks each second and believes the second refusal.
-	notice = 2500 * time.Millisecond
-	// graceMargin is kept of the time that a process may take to end.
-	graceMargin = time.Second
 	// bufferShare is the part of the process's memory for answers that callers have not taken yet.
 	bufferShare = 1.0 / 8
 	// inboundShare is the part of the process's memory for responses that are being read or passed on.
@@ -88,7 +83,7 @@
 func newPlatformEntry(file *settings.File, s *settings.Settings, logger *log.Logger) *platformEntry {
 	follower := &fleet.Follower{
 		Name: s.Name, Entry: true, FailureDomain: s.FailureDomain, Seeds: func() []string { return file.Current().PeerSeeds() },
-		Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Log: logger,
+		Decode: platform.DecodeConfig, Heartbeat: s.Heartbeat(), Metrics: fleet.NewMetrics(), Log: logger,
 	}
 	tracker := &ends.Tracker{
 		Entries:         func() int { return follower.View().Entries },
@@ -114,6 +109,7 @@
 	follower.FailuresPending, follower.TakeFailures = server.FailuresPending(), server.TakeFailures
 	server.Metrics.RegisterView(follower.View)
 	server.Metrics.Register(tracker.Collectors())
+	server.Metrics.Register(follower.Metrics.Collectors())
 	server.Metrics.Register(detours.Metrics.Collectors())
 	server.Metrics.Register(origins.Metrics.Collectors())
 	server.Metrics.Register([]prometheus.Collector{responses.Collector()})
@@ -164,7 +160,7 @@
 	group.Go(func() error { return served(e.peers.Serve(peers)) })
 	group.Go(func() error {
 		<-ctx.Done()
-		drain(e.callers, e.peers, e.server, e.forwarder.InFlight, e.grace, e.log)
+		e.drain()
 		endHelpers()
 		_ = e.ready.Close()
 		return e.metrics.Close()
@@ -172,29 +168,6 @@
 	return group.Wait()
 }
 
-// drain ends the process in order: not ready, then no new connections, then the end of
-// every request in flight, those of other entries included.
-// forwarded returns how many of the latter there are.
-func drain(callers, peers *http.Server, server *serving.Server, forwarded func() int64, grace time.Duration, logger *log.Logger) {
-	began := clock.Now()
-	server.Stop()
-	logger.Info().Str("event", "entry_stops").Msg("")
-	time.Sleep(notice)
-	ctx, cancel := context.WithDeadline(context.Background(), clock.Deadline(began.Add(grace-graceMargin)))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	if peersErr := peers.Shutdown(ctx); err == nil {
-		err = peersErr
-	}
-	line := logger.Info().Str("event", "entry_stopped").Dur("took_ms", clock.Since(began))
-	if err != nil {
-		line = line.Str("error", err.Error()).Int("cut", server.Cut()).Int64("cut_forwarded", forwarded())
-	}
-	line.Msg("")
-	_ = callers.Close()
-	_ = peers.Close()
-}
-
 func sweepPool(ctx context.Context, upstreams *platform.UpstreamClient) {
 	ticker := time.NewTicker(poolSweep)
 	defer ticker.Stop()
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -238,6 +238,12 @@
 	l.avoidUntil = now.Add(min(backoff, maxBackoff))
 }
 
+// MeanLatency returns the mean time to the first byte of the answers of a service; ok is false if none came yet.
+func (b *Balancer) MeanLatency(service string) (mean time.Duration, ok bool) {
+	seconds, ok := b.latencies[service]
+	return time.Duration(seconds * float64(time.Second)), ok
+}
+
 // recordLatency records a latency in seconds of a service.
 func (b *Balancer) recordLatency(service string, seconds float64) {
 	mean, ok := b.latencies[service]
--- a/internal/transport/callerlimits/callerlimits.go
+++ b/internal/transport/callerlimits/callerlimits.go
@@ -6,9 +6,11 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -69,9 +71,12 @@
 	// Log receives one line for each connection that is closed for a limit.
 	Log *log.Logger
 
+	accepting acceptor
+
 	mu sync.Mutex
-	// history is guarded by mu.
+	// history and open, the connections that are not closed yet, are guarded by mu.
 	history history
+	open    map[*conn]struct{}
 }
 
 // Configure sets the fields of a server that the limiter needs. The server must serve on listeners of Listener.
@@ -98,7 +103,10 @@
 }
 
 // Listener returns a listener whose connections are held to the limits.
-func (m *Limiter) Listener(of net.Listener) net.Listener { return &listener{of, m} }
+func (m *Limiter) Listener(of net.Listener) net.Listener {
+	m.accepting.set(of)
+	return &listener{of, m}
+}
 
 type listener struct {
 	net.Listener
@@ -108,6 +116,9 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.limiter.accepting.ended() {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +126,9 @@
 	if !ok {
 		return c, nil
 	}
-	return &conn{TCPConn: tcp, limiter: l.limiter}, nil
+	out := &conn{TCPConn: tcp, limiter: l.limiter}
+	l.limiter.add(out)
+	return out, nil
 }
 
 // noteState is http.Server.ConnState.
--- a/internal/transport/callerlimits/conn.go
+++ b/internal/transport/callerlimits/conn.go
@@ -42,9 +42,11 @@
 	limiter *Limiter
 
 	mu sync.Mutex
-	// phase and since, when the limit of the phase began to count, are guarded by mu.
-	phase phase
-	since time.Time
+	// phase and since, when the limit of the phase began to count, are guarded by mu, and so is readsEnded: no request
+	// is read any more.
+	phase      phase
+	since      time.Time
+	readsEnded bool
 
 	// head is that of the request that is being read, and bodyEnded whether its body has been given up. The server uses
 	// them from one goroutine at a time.
@@ -68,6 +70,7 @@
 		c.head, c.bodyEnded = head{}, false
 		c.uncounted, c.readAhead, c.tooLarge = c.readAhead, false, false
 	case http.StateHijacked, http.StateClosed:
+		c.limiter.remove(c)
 	}
 }
 
@@ -191,7 +194,9 @@
 	}
 	now := clock.Now()
 	if c.limiter.since(now).bodyTimeout == never {
-		return c.TCPConn.Read(p)
+		n, err := c.TCPConn.Read(p)
+		c.bodyEnded = errors.Is(err, os.ErrDeadlineExceeded)
+		return n, err
 	}
 	n, err := c.readBy(p, now, bodyTimeout)
 	c.bodyEnded = errors.Is(err, os.ErrDeadlineExceeded)
@@ -208,6 +213,9 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		if c.haveReadsEnded() {
+			return n, err
+		}
 		waited := clock.Since(since)
 		if c.limiter.since(since).timeout(l) > waited {
 			continue
@@ -226,7 +234,7 @@
 // readUntil reads until a time of package clock. Bytes that have already arrived are read after it as well: this
 // process may have had no processor time since they came.
 func (c *conn) readUntil(p []byte, deadline time.Time) (int, error) {
-	err := c.TCPConn.SetReadDeadline(clock.Deadline(deadline))
+	err := c.setReadDeadline(clock.Deadline(deadline))
 	if err != nil {
 		return 0, err
 	}
@@ -238,7 +246,7 @@
 		err = nil
 	}
 	if err == nil {
-		err = c.TCPConn.SetReadDeadline(time.Time{})
+		err = c.setReadDeadline(time.Time{})
 	}
 	return n, err
 }
--- a/internal/transport/serving/attempt.go
+++ b/internal/transport/serving/attempt.go
@@ -104,7 +104,7 @@
 	if gone {
 		err = errSuperseded
 	}
-	if cause := context.Cause(trackedCtx); cause == errTakenOver || cause == errOverdue {
+	if cause := context.Cause(trackedCtx); cause == errTakenOver || cause == errOverdue || cause == errStopping {
 		err = cause
 	}
 	if _, whole := end.(retry.Completed); !whole && ctx.Err() == context.Canceled {
--- a/internal/transport/serving/job.go
+++ b/internal/transport/serving/job.go
@@ -205,7 +205,7 @@
 
 // mayResend takes one resend from the allowance that all entries share, if there is time for it.
 func (j *job) mayResend() bool {
-	if clock.Until(j.deadline) < j.route.Objective/resendDivisor {
+	if clock.Until(j.deadline) < j.route.Objective/resendDivisor || !j.endsInTime(clock.Now()) {
 		return false
 	}
 	entries := j.server.View().Entries
--- a/internal/transport/serving/metrics.go
+++ b/internal/transport/serving/metrics.go
@@ -25,8 +25,9 @@
 	brokenAnswers *prometheus.CounterVec
 	// callersGone counts callers to whom an answer could not be written, by how they were lost.
 	callersGone *prometheus.CounterVec
-	// cutRequests counts requests that were cut because the process ended.
-	cutRequests *prometheus.CounterVec
+	// endedRequests counts requests that were ended because the process was about to end, and cutRequests those whose
+	// connections were then closed without an outcome.
+	endedRequests, cutRequests *prometheus.CounterVec
 	// unreadable counts requests that could not be read, by the status of their response.
 	unreadable *prometheus.CounterVec
 	// panics counts the panics of callers' handlers.
@@ -77,6 +78,7 @@
 		attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_attempts_total", Help: "Attempts by their end."}, []string{"service", "end"}),
 		brokenAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_answers_broken_total", Help: "Answers whose caller's connection was closed before their end, by the reason."}, []string{"service", "reason"}),
 		callersGone:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_callers_gone_total", Help: "Callers to whom an answer could not be written, by how they were lost."}, []string{"service", "caller"}),
+		endedRequests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_ended_total", Help: "Requests that were ended, with an outcome for their callers, because the time to end the process was nearly over."}, []string{"service"}),
 		cutRequests:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_cut_total", Help: "Requests that were still being served when the time to end the process was over."}, []string{"service"}),
 		unreadable:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_requests_unreadable_total", Help: "Requests that could not be read, by the status of the response after which the connection is closed."}, []string{"status"}),
 		excessive:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "shedrock_excessive_responses_total", Help: "Attempts that ended because the instance sent more than a sound one does."}, []string{"service"}),
@@ -113,7 +115,7 @@
 		olderEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_engines_older", Help: "Engines whose weights are older than the newest."}, []string{"model"}),
 	}
 	m.readingSpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "shedrock_reading_speed_tokens_per_second", Help: "Prompt tokens that an engine of a tiered service computes in a second."}, []string{"service"})
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.cutRequests, m.unreadable, m.excessive, m.panics, m.successors, m.saves, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.brokenAnswers, m.callersGone, m.endedRequests, m.cutRequests, m.unreadable, m.excessive, m.panics, m.successors, m.saves, m.limited, m.limitChanges, m.unwanted, m.rests, m.leavings, m.fragile, m.refusalLimitChanges, m.unreadableRefusalLimits, m.waiting, m.waitSeconds, m.decisions, m.decisionSeconds, m.firstByte, m.duration, m.bufferedBytes, m.bufferedAnswers, m.pauses, m.breakOffs, m.delivery, m.newest, m.required, m.olderEngines, m.readingSpeed)
 	return m
 }
 
--- a/internal/transport/serving/place.go
+++ b/internal/transport/serving/place.go
@@ -57,6 +57,9 @@
 	if clock.Until(j.deadline) < minAttemptTime {
 		return j.attempts.GiveUp()
 	}
+	if o := j.checkStopping(); o != nil {
+		return o
+	}
 	if o := j.checkQuarantine(); o != nil {
 		return o
 	}
--- a/internal/transport/serving/room.go
+++ b/internal/transport/serving/room.go
@@ -108,6 +108,9 @@
 			}
 			return j.refuseForRoom()
 		}
+		if o := j.checkStopping(); o != nil {
+			return o
+		}
 		looks, dropped := j.looksForRoom(waiting, polled)
 		if dropped {
 			return j.refuseForRoom()
--- a/internal/transport/serving/serving.go
+++ b/internal/transport/serving/serving.go
@@ -123,8 +123,10 @@
 	// Log receives one line per event.
 	Log *log.Logger
 
-	once     sync.Once
-	stopping atomic.Bool
+	once sync.Once
+	// stopping is nil until Stop is called, and ended is true once EndAll was called.
+	stopping atomic.Pointer[stopPlan]
+	ended    atomic.Bool
 	// cut is true once the connections of callers are being closed because the process ends.
 	cut atomic.Bool
 	// startedAt is when the server was first used.
@@ -241,15 +243,9 @@
 
 // Ready reports whether the server should receive new requests: it has a configuration and is not stopping.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.View().Config != nil
+	return !s.Stopping() && s.View().Config != nil
 }
 
-// Stopping reports whether Stop was called.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
-
-// Stop makes the server report that it is not ready. Requests that still arrive are served.
-func (s *Server) Stop() { s.stopping.Store(true) }
-
 // Serve serves one request and returns when the response has been sent.
 func (s *Server) Serve(ctx context.Context, r *exchange.Request, sink Sink) {
 	s.init()
