Tests in bubbles run on one thread under the race detector

Trace: the runtime gives all timers of a synctest bubble one context of the race detector (bubble.timers.raceCtx in runtime/time.go, unlockAndRun) and enters it from whichever thread runs a timer. A thread's own timers have one each. Two threads in one context break the detector's invariants.

Change: clocktest.Bubble runs a bubble with GOMAXPROCS(1) if the race detector is on. The tests of both packages in which it crashed use it: those on simulated links in fleet, and all bubbles in loads. No bound moves and the race detector stays on. TestCatchUpOnAllProcessors and TestLoadsArePolledOnAllProcessors run the same code without a bubble on all processors. Bubbles in other packages may crash in the same way; none was seen to, so they are left as they are.

--- /dev/null
+++ b/internal/clock/clocktest/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package clocktest
+
+const raceEnabled = true
--- a/internal/transport/fleet/catch_up_test.go
+++ b/internal/transport/fleet/catch_up_test.go
@@ -71,6 +71,26 @@
 	}
 }
 
+// Guards against data races in the code of the tests above, which run on one thread under the race detector: entries
+// catch up on many instances and parts on all processors, and again after all sources have restarted.
+func TestCatchUpOnAllProcessors(t *testing.T) {
+	const parts = partsSize / 20
+	controls := startControls(t, observedControls)
+	var followers []*fleet.Follower
+	for i := range 4 {
+		f := newEntry(i, addressesOf(controls))
+		runFollower(t, f)
+		followers = append(followers, f)
+	}
+	for run := 1; run <= 2; run++ {
+		storeInstances(t, controls, run*fleetSize)
+		publishStores(controls[0], time.Duration(run)*time.Minute, run*parts)
+		await.Until(t, 2*time.Minute, fmt.Sprintf("all is known after start %d of the sources", run), func() bool {
+			return !slices.ContainsFunc(followers, func(f *fleet.Follower) bool { return countInstances(f) != run*fleetSize || countParts(f) != run*parts })
+		})
+	}
+}
+
 // eventCounts counts the lines that a follower logs, by event.
 type eventCounts struct {
 	mu     sync.Mutex
--- a/internal/transport/fleet/departures_test.go
+++ b/internal/transport/fleet/departures_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
@@ -45,8 +46,7 @@
 // inBubble runs a test in a synctest bubble with the clock of package clock.
 func inBubble(t *testing.T, test func(ctx context.Context)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -165,3 +165,20 @@
 		t.Errorf("restored %v", out.Instances)
 	}
 }
+
+// The size of an adopted departure bounds what a release costs: each control instance sends it to each other one.
+func TestDepartureSize(t *testing.T) {
+	source := fleet.NewSource(t.Context(), time.Hour, discardLogger)
+	in := fleetInstance(1)
+	source.RecordHeartbeat(in)
+	source.RecordDeparture(in.Incarnation())
+	out, err := source.Watch(t.Context(), &wire.FleetRequest{Name: "far", Relays: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := proto.Size(out.Instances[0])
+	t.Logf("%d bytes", size)
+	if size > reportBytes+20 {
+		t.Errorf("%d bytes", size)
+	}
+}
--- a/internal/transport/fleet/pipe_network_test.go
+++ b/internal/transport/fleet/pipe_network_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,10 +30,7 @@
 // links, however busy the machine is, and the processing takes none.
 func testOnPipes(t *testing.T, test func(*testing.T, *pipeNetwork)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		clocktest.New(t)
-		test(t, &pipeNetwork{})
-	})
+	clocktest.Bubble(t, func(t *testing.T) { test(t, &pipeNetwork{}) })
 }
 
 // startControls starts n control instances.
--- a/internal/transport/loads/loads_test.go
+++ b/internal/transport/loads/loads_test.go
@@ -99,9 +99,7 @@
 // Entries receive the loads of the engines that respond while the replica leads, and none once it does
 // not.
 func TestLoadsArePublishedWhileLeading(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		// Makes package clock follow the fake time of the synctest bubble.
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -164,8 +162,7 @@
 // Guards against decisions by loads that are older than need be: each load arrives at the decider although
 // another engine of the round does not respond, and that one is reported as well.
 func TestDeciderGetsLoadsAsTheyArrive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -196,9 +193,7 @@
 // from a short delay, the others must be polled as often as before and the unresponsive ones every one to
 // three seconds, and entries must lose the loads of the latter within 0.8 s.
 func TestUnresponsiveEnginesDoNotDelayOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		// Makes package clock follow the fake time of the synctest bubble.
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -249,9 +244,7 @@
 
 // The number of polls per second is bounded whatever the number of engines.
 func TestPollRateIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		// Makes package clock follow the fake time of the synctest bubble.
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -278,9 +271,7 @@
 func TestPollsAreSpreadOverTheInterval(t *testing.T) {
 	for _, engineCount := range []int{600, 9_315, 18_630} {
 		t.Run(fmt.Sprint(engineCount), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				// Makes package clock follow the fake time of the synctest bubble.
-				clocktest.New(t)
+			clocktest.Bubble(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer synctest.Wait()
 				defer cancel()
@@ -307,9 +298,7 @@
 // Entries prefer engines whose load is known, so a new leader publishes no loads until it has polled all
 // engines; from then on it publishes changes with each batch.
 func TestLoadsAreNotPublishedInPart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		// Makes package clock follow the fake time of the synctest bubble.
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
--- a/internal/transport/loads/silence_test.go
+++ b/internal/transport/loads/silence_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shedrock/shedrock/internal/await"
 	"github.com/shedrock/shedrock/internal/clock/clocktest"
 	"github.com/shedrock/shedrock/internal/coordination/balance"
 	"github.com/shedrock/shedrock/internal/protocol/wire"
@@ -22,8 +23,7 @@
 func TestLoadsAreNotPublishedInPartAfterASilence(t *testing.T) {
 	for _, engineCount := range []int{9, 50, 110, 300, 970} {
 		t.Run(fmt.Sprint(engineCount), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				clocktest.New(t)
+			clocktest.Bubble(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer synctest.Wait()
 				defer cancel()
@@ -61,8 +61,7 @@
 // Guards against withholding the loads of one service, or publishing those of another in part, while its engines recover.
 func TestRecoveryOfOneServiceConcernsNoOther(t *testing.T) {
 	const sound, recovering = 60, 40
-	synctest.Test(t, func(t *testing.T) {
-		clocktest.New(t)
+	clocktest.Bubble(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -102,3 +101,30 @@
 		}
 	})
 }
+
+// Guards against data races in the code of the tests in bubbles, which run on one thread under the race detector.
+func TestLoadsArePolledOnAllProcessors(t *testing.T) {
+	const engineCount = 300
+	e := &engines{loads: map[string]balance.EngineLoad{}}
+	var silent atomic.Bool
+	e.unresponsive = func(id string) bool { return silent.Load() && id[len(id)-1]%2 == 0 }
+	w := &loads.Poller{
+		View: viewOfMany(e, engineCount), Leading: func() (uint64, bool) { return 1, true },
+		Engines: e, Source: fleet.NewSource(t.Context(), time.Second, quiet), Log: quiet,
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(t.Context()) }()
+	t.Cleanup(func() { <-done })
+	published := func() int {
+		out, err := w.Source.Watch(t.Context(), &wire.FleetRequest{Entry: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(out.NewEngines)
+	}
+	await.Until(t, time.Minute, "all loads are published", func() bool { return published() == engineCount })
+	silent.Store(true)
+	await.Until(t, time.Minute, "only the loads of those that respond are", func() bool { n := published(); return n > 0 && n < engineCount })
+	silent.Store(false)
+	await.Until(t, time.Minute, "all loads are published again", func() bool { return published() == engineCount })
+}
