--- a/internal/transport/fleet/departures.go
+++ b/internal/transport/fleet/departures.go
@@ -140,35 +140,33 @@
 	timeout, diskTimeout := time.NewTimer(confirmTimeout), time.NewTimer(diskTimeout)
 	defer timeout.Stop()
 	defer diskTimeout.Stop()
-	diskInTime := true
+	diskIsSlow := false
 	for {
 		c, changed := s.awaitConfirmation(id)
-		expired := false
-		switch {
-		case c.copied() && (c.onDisk || !diskInTime):
+		if c.copied() && (c.onDisk || diskIsSlow) {
 			s.noteConfirmation(id, c, clock.Since(began))
 			return nil
-		case c.reachable < c.needed:
-			expired = true
 		}
-		if !expired {
-			select {
-			case <-changed:
-			case <-diskTimeout.C:
-				diskInTime = false
-			case <-timeout.C:
-				expired = true
-			case <-ctx.Done():
-				expired = true
-			}
+		if c.reachable < c.needed {
+			return s.unconfirmed(id, c, began)
 		}
-		if expired {
-			s.noteConfirmation(id, c, clock.Since(began))
-			return &UnconfirmedError{Instance: id, Held: c.held, Needed: c.needed, Elsewhere: c.elsewhere}
+		select {
+		case <-changed:
+		case <-diskTimeout.C:
+			diskIsSlow = true
+		case <-timeout.C:
+			return s.unconfirmed(id, c, began)
+		case <-ctx.Done():
+			return s.unconfirmed(id, c, began)
 		}
 	}
 }
 
+func (s *Source) unconfirmed(id string, c confirmation, began time.Time) error {
+	s.noteConfirmation(id, c, clock.Since(began))
+	return &UnconfirmedError{Instance: id, Held: c.held, Needed: c.needed, Elsewhere: c.elsewhere}
+}
+
 // awaitConfirmation returns how far the departure of an instance is held, and a channel that is closed when that may have
 // changed.
 func (s *Source) awaitConfirmation(id string) (confirmation, <-chan struct{}) {
--- a/internal/transport/fleet/departures_test.go
+++ b/internal/transport/fleet/departures_test.go
@@ -37,8 +37,8 @@
 			return
 		}
 		in.Epoch, in.Change, in.Backlog, in.ControlChange, in.FactsChange = out.Epoch, out.Change, out.Backlog, out.ControlChange, out.FactsChange
-		for held != nil && held.Load() && ctx.Err() == nil {
-			time.Sleep(time.Millisecond)
+		if held != nil && held.Load() {
+			<-ctx.Done()
 		}
 	}
 }
