--- a/internal/transport/callerlimits/stop.go
+++ b/internal/transport/callerlimits/stop.go
@@ -89,7 +89,7 @@
 	c.readsEnded = true
 	if c.phase != ahead {
 		// An error means that the connection is closed.
-		_ = c.TCPConn.SetReadDeadline(time.Now())
+		_ = c.TCPConn.SetReadDeadline(clock.Deadline(clock.Now()))
 	}
 }
 
@@ -98,7 +98,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readsEnded {
-		t = time.Now()
+		t = clock.Deadline(clock.Now())
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
