--- a/internal/transport/fleet/view.go
+++ b/internal/transport/fleet/view.go
@@ -180,9 +180,9 @@
 	if !f.rebuildScheduled {
 		f.knownAsOf = f.latestAsOf()
 	}
-	v := &View{KnownAsOf: f.knownAsOf,
+	v := &View{
 		Config: f.config, NewestConfigVersion: f.newestVersion(), Instances: f.instances, Entries: 1,
-		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, SoftwareVersions: f.softwareVersions, RecordedVersions: f.recordedVersions(), Replicas: f.replicas(), Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
+		Weights: newestVersions(f.weightHistories), WeightHistories: maps.Clone(f.weightHistories), Contact: f.contact, KnownAsOf: f.knownAsOf, SoftwareVersions: f.softwareVersions, RecordedVersions: f.recordedVersions(), Replicas: f.replicas(), Control: slices.Sorted(maps.Keys(f.sources)), Leader: leaderOf(f.sources),
 		Stores: newestStores(f.sources), Busy: map[registry.Incarnation]bool{}, Failing: f.failing(clock.Now()),
 		Evacuated: f.evacuations.Evacuated(), Returned: f.evacuations.Ended(), Evacuations: f.evacuations.Revision(),
 		Unreachable: f.unreachable(clock.Now()), Peers: f.peers,
