--- a/internal/state/registry/adopt.go
+++ b/internal/state/registry/adopt.go
@@ -5,15 +5,15 @@
 // Adopt records a departure that another control instance reported, so that it outlives that control instance. Other
 // reports are ignored. It reports whether anything changed that must be sent to others.
 func (r *Registry) Adopt(in Report, now time.Time) bool {
-	// Without a service or a start, nobody knew the instance, and its next incarnation could not be told from it.
+	// Without a service or a start, no control instance knew the instance, and its next incarnation could not be told from it.
 	unidentified := in.Start == 0 && in.Service == ""
 	if !in.Departing() || unidentified || now.Sub(in.DepartedAt) > endedRetention {
 		return false
 	}
 	known, ok := r.records[in.ID]
 	if !ok || known.supersededBy(in.Start) {
-		// Weights are left to the control instance that hears the instance. So is its silence: as this one never heard
-		// it, it must not count as alive here.
+		// Only the control instance that receives the heartbeats reports weights and liveness. Without a heartbeat here,
+		// the instance must not count as alive.
 		in.Weights, in.WeightsProvenance = nil, Provenance{}
 		in.Silent = true
 		r.put(&record{report: in, lastSeen: now})
--- a/internal/transport/fleet/age.go
+++ b/internal/transport/fleet/age.go
@@ -7,8 +7,8 @@
 	"github.com/shedrock/shedrock/internal/protocol/wire"
 )
 
-// When an answer was received does not tell how old it is: it may have waited in a link or a socket, or come from a control
-// instance that is itself behind or cut off. An answer holds all that its source knew when the poll had arrived there and
+// When an answer was received does not tell how old it is: it may have been delayed in a link or a socket, or come from a control
+// instance whose own state is outdated. An answer holds all that its source knew when the poll had arrived there and
 // been held, which is not before the poll was sent, plus the time for which it was held. A relay adds how old its
 // own knowledge of the other control instances is, which it learns in the same way.
 
--- a/internal/transport/fleet/age_test.go
+++ b/internal/transport/fleet/age_test.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// Guards against streams that go on at another version than the one that began them: an entry took an answer that had been on
-// its way for long, or that came from a control instance that was behind, for new, and concluded that there is one version.
+// Guards against streams that go on at another version than the one that began them: an entry took an answer that had been
+// delayed, or whose source was outdated, for current, and concluded that there is one version.
 func TestKnowledgeIsNotYoungerThanItIs(t *testing.T) {
 	const lag = 700 * time.Millisecond
 	toEntries := func(poller string) time.Duration {
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -38,7 +38,7 @@
 	follow context.CancelFunc
 	// holds, if set, reports whether polls from a poller, by its name, are left unanswered.
 	holds atomic.Pointer[func(poller string) bool]
-	// lags, if set, returns how long an answer to a poller, by its name, is on its way.
+	// lags, if set, returns by how long the answers to a poller, by its name, are delayed.
 	lags atomic.Pointer[func(poller string) time.Duration]
 
 	mu sync.Mutex
